Add design, shared types, kernel and transport

Cause: the subsystems need one set of types and interfaces before they can be built side by side. Considered: sessions of the store for the planner lease (minimum of 10 s in the published API, too long for an urgent start within 4.7 s) and takeover of a gang by another member (the supervisor always hosts a task of its gang, so its loss breaks the gang anyway); both left out. Change: design page; numbered result codes; messages and CBOR codec with bounds; QUIC transport with mutual TLS; settings, logging, life cycle, dump. Conclusion: the interfaces compile and the transport carries calls and bodies.

--- /dev/null
+++ b/internal/kernel/kernel.go
@@ -0,0 +1,82 @@
+// Package kernel is the part that all programs share: life cycle, registry of
+// plug-ins, settings, logging, metrics and the state dump. It knows no plug-in.
+package kernel
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/apex/log"
+)
+
+// StopLimit is the upper limit of a graceful stop.
+const StopLimit = 70 * time.Second // longer than the longest request timeout
+
+// Component is a part of a program with a life cycle.
+type Component interface {
+	// Name identifies the component in logs.
+	Name() string
+	// Start begins the work and returns; the context ends when the program
+	// must end at once.
+	Start(ctx context.Context) error
+	// Stop ends the work gracefully. It returns when nothing is in progress or
+	// when ctx ends, which is at StopLimit at the latest.
+	Stop(ctx context.Context) error
+}
+
+// Run starts the components in order, waits for SIGTERM or SIGINT (or for the
+// end of parent), and stops them in reverse order. A second signal ends the
+// program at once.
+func Run(parent context.Context, components ...Component) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
+	defer cancel()
+	started, err := start(ctx, components)
+	if err != nil {
+		return errors.Join(err, stop(started, nil))
+	}
+	log.WithField("event", "started").Info("program started")
+	select {
+	case s := <-signals:
+		log.WithField("event", "stop_requested").WithField("signal", s.String()).Info("graceful stop begins")
+	case <-parent.Done():
+	}
+	err = stop(started, signals)
+	log.WithField("event", "stopped").Info("program stopped")
+	return err
+}
+
+func start(ctx context.Context, components []Component) ([]Component, error) {
+	for i, c := range components {
+		if err := c.Start(ctx); err != nil {
+			return components[:i], fmt.Errorf("start %s: %w", c.Name(), err)
+		}
+	}
+	return components, nil
+}
+
+func stop(started []Component, again <-chan os.Signal) error {
+	ctx, cancel := context.WithTimeout(context.Background(), StopLimit)
+	defer cancel()
+	go func() {
+		select {
+		case <-again:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	var errs []error
+	for i := len(started) - 1; i >= 0; i-- {
+		if err := started[i].Stop(ctx); err != nil {
+			errs = append(errs, fmt.Errorf("stop %s: %w", started[i].Name(), err))
+		}
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/result/result.go
@@ -0,0 +1,225 @@
+// Package result defines the numbered result codes that every program of
+// snipegw returns, logs and documents, and the error type that carries one.
+package result
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// Code identifies one outcome. Numbers are stable: a released number is never
+// given to another outcome.
+type Code int
+
+// Ran states whether the request or job that a code answers may have run.
+type Ran string
+
+// Values of Ran.
+const (
+	RanNo      Ran = "no"
+	RanYes     Ran = "yes"
+	RanUnknown Ran = "unknown"
+)
+
+// Result codes. 1xx is success, 2xx a fault of the caller, 3xx lack of capacity
+// or of a needed part, 4xx fencing between processes, 5xx an ambiguous or
+// failed run, 6xx configuration, 9xx an internal fault.
+const (
+	OK         Code = 100
+	Accepted   Code = 101
+	InProgress Code = 102
+
+	BadRequest      Code = 200
+	BodyTooLarge    Code = 201
+	Unauthenticated Code = 202
+	Forbidden       Code = 203
+	UnknownTeam     Code = 204
+	UnknownService  Code = 205
+	UnknownField    Code = 206
+	ImpossibleShape Code = 207
+	UnknownJob      Code = 208
+	JobConflict     Code = 209
+	BadTicket       Code = 210
+	UnknownWorker   Code = 211
+	NotFound        Code = 212
+
+	Overloaded           Code = 300
+	WorkerFull           Code = 301
+	Draining             Code = 302
+	NoWorker             Code = 303
+	DeadlineNotRun       Code = 304
+	RetryBudgetExhausted Code = 305
+	StoreUnavailable     Code = 306
+	NoPlanner            Code = 307
+	Stopping             Code = 308
+	JobIndexFull         Code = 309
+	BackendUnavailable   Code = 310
+	TicketUnavailable    Code = 311
+
+	Fenced              Code = 400
+	StaleIncarnation    Code = 401
+	StaleAttempt        Code = 402
+	ReservationConflict Code = 403
+	ReservationExpired  Code = 404
+	NotPlanner          Code = 405
+
+	OutcomeUnknown Code = 500
+	BrokenResponse Code = 501
+	DeadlineRan    Code = 502
+	TaskFailed     Code = 503
+	GangLost       Code = 504
+	Preempted      Code = 505
+	Cancelled      Code = 506
+
+	WrongBaseVersion     Code = 600
+	InvalidConfig        Code = 601
+	GuaranteesDoNotPack  Code = 602
+	PatchOutcomeUnknown  Code = 603
+	ConfigNotInForceYet  Code = 604
+	InvalidSettings      Code = 605
+	ConfigVersionUnknown Code = 606
+
+	Internal Code = 900
+)
+
+// Info describes a code for callers and for the documentation.
+type Info struct {
+	Code   Code
+	Name   string // stable name used in logs and JSON
+	Status int    // HTTP status
+	Ran    Ran
+	Action string // what the caller should do
+}
+
+var table = []Info{
+	{OK, "ok", http.StatusOK, RanYes, "Nothing."},
+	{Accepted, "accepted", http.StatusAccepted, RanNo, "Ask for the status of the job or patch."},
+	{InProgress, "in_progress", http.StatusAccepted, RanYes, "Ask again with the same ticket."},
+
+	{BadRequest, "bad_request", http.StatusBadRequest, RanNo, "Correct the field that the message names."},
+	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, RanNo, "Send a smaller body; the message names the limit."},
+	{Unauthenticated, "unauthenticated", http.StatusUnauthorized, RanNo, "Send a valid bearer token."},
+	{Forbidden, "forbidden", http.StatusForbidden, RanNo, "Use a token of the team or operator that owns the object."},
+	{UnknownTeam, "unknown_team", http.StatusNotFound, RanNo, "Use a team of the current configuration."},
+	{UnknownService, "unknown_service", http.StatusNotFound, RanNo, "Use a service that a backend server has announced."},
+	{UnknownField, "unknown_field", http.StatusBadRequest, RanNo, "Remove or correct the field that the message names."},
+	{ImpossibleShape, "impossible_shape", http.StatusUnprocessableEntity, RanNo, "Ask for a shape that fits the whole pool; the message names the limit."},
+	{UnknownJob, "unknown_job", http.StatusNotFound, RanNo, "Check the job id."},
+	{JobConflict, "job_conflict", http.StatusConflict, RanNo, "Choose another job id: this one names a different job."},
+	{BadTicket, "bad_ticket", http.StatusBadRequest, RanNo, "Send the ticket exactly as it was issued."},
+	{UnknownWorker, "unknown_worker", http.StatusNotFound, RanNo, "Check the worker id."},
+	{NotFound, "not_found", http.StatusNotFound, RanNo, "Check the path."},
+
+	{Overloaded, "overloaded", http.StatusServiceUnavailable, RanNo, "Retry after the time in Retry-After."},
+	{WorkerFull, "worker_full", http.StatusServiceUnavailable, RanNo, "Retry; another worker may have a free slot."},
+	{Draining, "draining", http.StatusServiceUnavailable, RanNo, "Retry; another worker takes the request."},
+	{NoWorker, "no_worker", http.StatusServiceUnavailable, RanNo, "Retry later; no worker of the service is healthy."},
+	{DeadlineNotRun, "deadline_not_run", http.StatusGatewayTimeout, RanNo, "Retry with a longer deadline."},
+	{RetryBudgetExhausted, "retry_budget_exhausted", http.StatusServiceUnavailable, RanNo, "Retry after the time in Retry-After."},
+	{StoreUnavailable, "store_unavailable", http.StatusServiceUnavailable, RanNo, "Retry later; the platform's store does not answer."},
+	{NoPlanner, "no_planner", http.StatusServiceUnavailable, RanNo, "Retry later; the region has no planner at the moment."},
+	{Stopping, "stopping", http.StatusServiceUnavailable, RanNo, "Retry through another entry."},
+	{JobIndexFull, "job_index_full", http.StatusInsufficientStorage, RanNo, "Retry after ended jobs have been dropped."},
+	{BackendUnavailable, "backend_unavailable", http.StatusServiceUnavailable, RanNo, "Retry; another worker takes the request."},
+	{TicketUnavailable, "ticket_unavailable", http.StatusServiceUnavailable, RanNo, "Take a new ticket."},
+
+	{Fenced, "fenced", http.StatusConflict, RanNo, "None; a newer planner is in charge."},
+	{StaleIncarnation, "stale_incarnation", http.StatusConflict, RanNo, "None; the agent has restarted since."},
+	{StaleAttempt, "stale_attempt", http.StatusConflict, RanNo, "None; the job has a newer attempt."},
+	{ReservationConflict, "reservation_conflict", http.StatusConflict, RanNo, "None; the planner tries other workers."},
+	{ReservationExpired, "reservation_expired", http.StatusConflict, RanNo, "None; the planner tries again."},
+	{NotPlanner, "not_planner", http.StatusServiceUnavailable, RanNo, "Retry; another entry is the planner."},
+
+	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, RanUnknown, "Ask again with the ticket; check the effect before a new request."},
+	{BrokenResponse, "broken_response", http.StatusBadGateway, RanUnknown, "Treat the answer as lost; ask again with the ticket if there is one."},
+	{DeadlineRan, "deadline_ran", http.StatusGatewayTimeout, RanUnknown, "Ask again with the ticket; the request may still finish."},
+	{TaskFailed, "task_failed", http.StatusOK, RanYes, "Read the reason in the job's status."},
+	{GangLost, "gang_lost", http.StatusOK, RanYes, "None; the job is queued again."},
+	{Preempted, "preempted", http.StatusOK, RanYes, "None; the job is queued again."},
+	{Cancelled, "cancelled", http.StatusOK, RanUnknown, "None."},
+
+	{WrongBaseVersion, "wrong_base_version", http.StatusConflict, RanNo, "Read the current version and make the patch again."},
+	{InvalidConfig, "invalid_config", http.StatusUnprocessableEntity, RanNo, "Correct the paths that the message names."},
+	{GuaranteesDoNotPack, "guarantees_do_not_pack", http.StatusUnprocessableEntity, RanNo, "Reduce the guarantees that the message names."},
+	{PatchOutcomeUnknown, "patch_outcome_unknown", http.StatusGatewayTimeout, RanUnknown, "Read the configuration history for the id of the patch."},
+	{ConfigNotInForceYet, "config_not_in_force_yet", http.StatusAccepted, RanYes, "Wait; the message names the processes that are missing."},
+	{InvalidSettings, "invalid_settings", http.StatusUnprocessableEntity, RanNo, "Correct the settings that the message names."},
+	{ConfigVersionUnknown, "config_version_unknown", http.StatusServiceUnavailable, RanNo, "Retry; this process has no configuration yet."},
+
+	{Internal, "internal", http.StatusInternalServerError, RanUnknown, "Report the log line that carries the same id."},
+}
+
+var byCode = func() map[Code]Info {
+	m := make(map[Code]Info, len(table))
+	for _, info := range table {
+		m[info.Code] = info
+	}
+	return m
+}()
+
+// Table returns all codes in ascending order.
+func Table() []Info { return append([]Info(nil), table...) }
+
+// Info returns the description of c. An unregistered code is described as
+// Internal.
+func (c Code) Info() Info {
+	if info, ok := byCode[c]; ok {
+		return info
+	}
+	return byCode[Internal]
+}
+
+// String returns the stable name of c.
+func (c Code) String() string { return c.Info().Name }
+
+// NotRun reports whether c promises that the request was not run.
+func (c Code) NotRun() bool { return c.Info().Ran == RanNo }
+
+// Error is an error with a result code. Message is one sentence that says what
+// happened and, for a fault of the caller, what to change.
+type Error struct {
+	Code    Code
+	Message string
+	Err     error
+}
+
+// Errorf returns an *Error with a message formatted as by fmt.Errorf; a wrapped
+// error (%w) stays reachable through errors.Is and errors.As.
+func Errorf(code Code, format string, args ...any) *Error {
+	err := fmt.Errorf(format, args...)
+	return &Error{Code: code, Message: err.Error(), Err: errors.Unwrap(err)}
+}
+
+// Error returns the message preceded by the number and name of the code.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%d %s: %s", int(e.Code), e.Code, e.Message)
+}
+
+// Unwrap returns the wrapped error, or nil.
+func (e *Error) Unwrap() error { return e.Err }
+
+// CodeOf returns the code that err carries, OK for nil, and Internal for an
+// error without a code.
+func CodeOf(err error) Code {
+	if err == nil {
+		return OK
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return Internal
+}
+
+// MessageOf returns the message that err carries without its code.
+func MessageOf(err error) string {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Message
+	}
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/transport/tls.go
@@ -0,0 +1,185 @@
+package transport
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"fmt"
+	"math/big"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"snipegw/internal/kernel"
+)
+
+// ALPN is the protocol name of all connections between processes.
+const ALPN = "snipegw/1"
+
+// serverName is the name that the certificates of all processes carry.
+const serverName = "snipegw"
+
+// Security holds the settings of mutual TLS. In development mode all processes
+// derive one key pair from Secret; it protects nothing and is for loopback use.
+type Security struct {
+	// Mode is production or development.
+	Mode string `json:"mode"`
+	// CertFile, KeyFile and CAFile are PEM files, read again when they change.
+	CertFile string `json:"cert_file,omitempty"`
+	KeyFile  string `json:"key_file,omitempty"`
+	CAFile   string `json:"ca_file,omitempty"`
+}
+
+// Modes of Security.
+const (
+	ModeProduction  = "production"
+	ModeDevelopment = "development"
+)
+
+// Provision fills in defaults.
+func (s *Security) Provision() {
+	if s.Mode == "" {
+		s.Mode = ModeProduction
+	}
+}
+
+// Validate appends the faults of s.
+func (s *Security) Validate(path string, faults *kernel.Faults) {
+	switch s.Mode {
+	case ModeDevelopment:
+	case ModeProduction:
+		for name, file := range map[string]string{"cert_file": s.CertFile, "key_file": s.KeyFile, "ca_file": s.CAFile} {
+			if file == "" {
+				faults.Add(path+"."+name, "required in production mode")
+			} else if _, err := os.Stat(file); err != nil {
+				faults.Add(path+"."+name, "%v", err)
+			}
+		}
+	default:
+		faults.Add(path+".mode", "must be %s or %s", ModeProduction, ModeDevelopment)
+	}
+}
+
+// reloadInterval is the time between checks of the certificate files.
+const reloadInterval = time.Minute
+
+type material struct {
+	cert   tls.Certificate
+	pool   *x509.CertPool
+	loaded time.Time
+}
+
+// Credentials is the key material of a process. It is safe for concurrent use.
+type Credentials struct {
+	settings Security
+	current  atomic.Pointer[material]
+}
+
+// NewCredentials loads or derives the key material.
+func NewCredentials(s Security) (*Credentials, error) {
+	c := &Credentials{settings: s}
+	m, err := c.load()
+	if err != nil {
+		return nil, err
+	}
+	c.current.Store(m)
+	return c, nil
+}
+
+func (c *Credentials) load() (*material, error) {
+	if c.settings.Mode == ModeDevelopment {
+		return developmentMaterial()
+	}
+	cert, err := tls.LoadX509KeyPair(c.settings.CertFile, c.settings.KeyFile)
+	if err != nil {
+		return nil, fmt.Errorf("load certificate: %w", err)
+	}
+	pem, err := os.ReadFile(c.settings.CAFile)
+	if err != nil {
+		return nil, fmt.Errorf("load authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("load authority: no certificate in %s", c.settings.CAFile)
+	}
+	return &material{cert: cert, pool: pool, loaded: time.Now()}, nil
+}
+
+// get returns the material, read again from its files at most once in
+// reloadInterval. A failed reload keeps the old material.
+func (c *Credentials) get() *material {
+	m := c.current.Load()
+	if c.settings.Mode == ModeDevelopment || time.Since(m.loaded) < reloadInterval {
+		return m
+	}
+	fresh, err := c.load()
+	if err != nil {
+		fresh = &material{cert: m.cert, pool: m.pool, loaded: time.Now()}
+	}
+	c.current.CompareAndSwap(m, fresh)
+	return c.current.Load()
+}
+
+// developmentMaterial derives the same authority and certificate in every
+// process, so that processes on one machine accept each other without files.
+func developmentMaterial() (*material, error) {
+	seed := sha256.Sum256([]byte("snipegw development key, not a secret"))
+	key, err := ecdsa.ParseRawPrivateKey(elliptic.P256(), seed[:])
+	if err != nil {
+		return nil, fmt.Errorf("development key: %w", err)
+	}
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		Subject:               pkix.Name{CommonName: serverName},
+		DNSNames:              []string{serverName},
+		NotBefore:             time.Unix(0, 0),
+		NotAfter:              time.Unix(0, 0).AddDate(200, 0, 0),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage:           []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, fmt.Errorf("development certificate: %w", err)
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, fmt.Errorf("development certificate: %w", err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(leaf)
+	cert := tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}
+	return &material{cert: cert, pool: pool, loaded: time.Now()}, nil
+}
+
+func (c *Credentials) serverConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			m := c.get()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				NextProtos:   []string{ALPN},
+				Certificates: []tls.Certificate{m.cert},
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientCAs:    m.pool,
+			}, nil
+		},
+	}
+}
+
+func (c *Credentials) clientConfig() *tls.Config {
+	m := c.get()
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		NextProtos:   []string{ALPN},
+		ServerName:   serverName,
+		Certificates: []tls.Certificate{m.cert},
+		RootCAs:      m.pool,
+	}
+}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,133 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/quic-go/quic-go"
+
+	"snipegw/internal/result"
+	"snipegw/internal/wire"
+)
+
+func TestTransport(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "transport")
+}
+
+// echo answers a Release by its attempt, refuses attempt 0, and sends back the
+// body of a request; a request with method BREAK gets a body without its end.
+func echo(_ context.Context, kind wire.Kind, s *Stream) error {
+	if kind == wire.KindRelease {
+		var r wire.Release
+		if err := s.Receive(&r); err != nil {
+			return err
+		}
+		if r.Attempt == 0 {
+			return result.Errorf(result.Fenced, "attempt 0 is fenced")
+		}
+		return s.Send(&wire.Ack{Epoch: r.Attempt})
+	}
+	var head wire.RequestHead
+	if err := s.Receive(&head); err != nil {
+		return err
+	}
+	body, err := io.ReadAll(s.Body())
+	if err != nil {
+		return err
+	}
+	w := s.BodyWriter(true)
+	if _, err := w.Write(body); err != nil {
+		return err
+	}
+	if head.Method == "BREAK" {
+		return errors.New("broken on purpose")
+	}
+	return w.Close()
+}
+
+var _ = Describe("transport", func() {
+	var (
+		creds  *Credentials
+		server *Server
+		pool   *Pool
+		ctx    context.Context
+	)
+
+	BeforeEach(func() {
+		var err error
+		creds, err = NewCredentials(Security{Mode: ModeDevelopment})
+		Expect(err).NotTo(HaveOccurred())
+		server, err = Listen("127.0.0.1:0", creds, HandlerFunc(echo))
+		Expect(err).NotTo(HaveOccurred())
+		pool, err = NewPool("127.0.0.1:0", creds)
+		Expect(err).NotTo(HaveOccurred())
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.Background(), 10*time.Second)
+		DeferCleanup(func() {
+			cancel()
+			_ = pool.Close()
+			_ = server.Close()
+		})
+	})
+
+	request := func(method string, body []byte) ([]byte, error) {
+		s, done, err := pool.Open(ctx, server.Addr(), wire.KindRequest, &wire.RequestHead{Method: method})
+		Expect(err).NotTo(HaveOccurred())
+		defer done()
+		w := s.BodyWriter(false)
+		_, err = w.Write(body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.Close()).To(Succeed())
+		Expect(s.CloseWrite()).To(Succeed())
+		return io.ReadAll(s.Body())
+	}
+
+	It("returns the reply of a call", func() {
+		var ack wire.Ack
+		Expect(pool.Call(ctx, server.Addr(), wire.KindRelease, &wire.Release{Attempt: 7}, &ack)).To(Succeed())
+		Expect(ack.Epoch).To(Equal(uint64(7)))
+	})
+
+	It("returns the code of a refusal, which proves that the call was not run", func() {
+		err := pool.Call(ctx, server.Addr(), wire.KindRelease, &wire.Release{}, &wire.Ack{})
+		Expect(result.CodeOf(err)).To(Equal(result.Fenced))
+		Expect(NotSent(err)).To(BeTrue())
+	})
+
+	It("carries a body of several frames unchanged", func() {
+		body := bytes.Repeat([]byte("0123456789"), 100_000)
+		got, err := request("POST", body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(body))
+	})
+
+	It("never reports a body that breaks off as complete", func() {
+		_, err := request("BREAK", bytes.Repeat([]byte("x"), 10_000))
+		Expect(err).To(MatchError(ErrBroken))
+	})
+
+	It("reports an unreachable peer as not sent", func() {
+		unused, err := net.ListenPacket("udp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer unused.Close()
+		err = pool.Call(ctx, unused.LocalAddr().String(), wire.KindRelease, &wire.Release{Attempt: 1}, &wire.Ack{})
+		Expect(NotSent(err)).To(BeTrue())
+	})
+
+	It("refuses a peer without a certificate", func() {
+		conn, err := quic.DialAddr(ctx, server.Addr(), &tls.Config{InsecureSkipVerify: true, NextProtos: []string{ALPN}}, quicConfig())
+		if err == nil { // TLS 1.3 reports the refusal after the client's handshake
+			_, err = conn.AcceptStream(ctx)
+		}
+		Expect(err).To(MatchError(ContainSubstring("certificate required")))
+	})
+})
