--- /dev/null
+++ b/cmd/snipegw-standin/main.go
@@ -0,0 +1,113 @@
+// Command snipegw-standin runs stand-ins of the platform's store, the worker
+// interface or a backend server. It is for development only.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"snipegw/internal/kernel"
+	"snipegw/internal/standin/backend"
+	"snipegw/internal/standin/kv"
+	"snipegw/internal/standin/worker"
+)
+
+// server is a running stand-in.
+type server interface {
+	Addr() string
+	Stop(ctx context.Context) error
+}
+
+// component adapts a stand-in to the life cycle of the kernel.
+type component struct {
+	name   string
+	start  func() (server, error)
+	server server
+}
+
+func (c *component) Name() string { return c.name }
+
+func (c *component) Start(context.Context) error {
+	s, err := c.start()
+	if err != nil {
+		return err
+	}
+	c.server = s
+	fmt.Printf("%s listens on %s\n", c.name, s.Addr())
+	return nil
+}
+
+func (c *component) Stop(ctx context.Context) error { return c.server.Stop(ctx) }
+
+// exitSettings is the exit status for faulty settings.
+const exitSettings = 2
+
+// settings are the options that all subcommands share.
+type settings struct {
+	File string `long:"settings" description:"JSON settings file" required:"yes"`
+}
+
+type (
+	storeCommand   struct{ settings }
+	workerCommand  struct{ settings }
+	backendCommand struct{ settings }
+)
+
+// Execute implements flags.Commander.
+func (c *storeCommand) Execute([]string) error {
+	var s kv.Settings
+	return run(c.File, "store", &s, func() (server, error) { return kv.Start(s) })
+}
+
+// Execute implements flags.Commander.
+func (c *workerCommand) Execute([]string) error {
+	var s worker.Settings
+	return run(c.File, "worker", &s, func() (server, error) { return worker.Start(s) })
+}
+
+// Execute implements flags.Commander.
+func (c *backendCommand) Execute([]string) error {
+	var s backend.Settings
+	return run(c.File, "backend", &s, func() (server, error) { return backend.Start(s) })
+}
+
+func run(file, name string, s kernel.Settings, start func() (server, error)) error {
+	if err := kernel.LoadSettings(file, s); err != nil {
+		return err
+	}
+	if err := kernel.SetupLogging(os.Stderr, "snipegw-standin-"+name, "info"); err != nil {
+		return err
+	}
+	began := time.Now()
+	err := kernel.Run(context.Background(), &component{name: name, start: start})
+	fmt.Printf("%s ended after %s\n", name, time.Since(began).Round(time.Millisecond))
+	return err
+}
+
+func main() {
+	p := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
+	for name, c := range map[string]any{"store": &storeCommand{}, "worker": &workerCommand{}, "backend": &backendCommand{}} {
+		if _, err := p.AddCommand(name, "Run a stand-in: "+name, "", c); err != nil {
+			panic(err)
+		}
+	}
+	_, err := p.Parse()
+	var fe *flags.Error
+	var faults kernel.Faults
+	switch {
+	case err == nil:
+	case errors.As(err, &fe) && fe.Type == flags.ErrHelp:
+		fmt.Println(err)
+	case errors.As(err, &faults), errors.As(err, &fe):
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	default:
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/platform/httpworker/contract_test.go
@@ -0,0 +1,196 @@
+package httpworker
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"snipegw/internal/model"
+	"snipegw/internal/platform"
+	"snipegw/internal/result"
+	"snipegw/internal/standin/worker"
+)
+
+func TestHTTPWorker(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "httpworker")
+}
+
+// harness is the plug-in together with its stand-in.
+type harness struct {
+	ctx    context.Context
+	server *worker.Server
+	api    platform.WorkerAPI
+}
+
+const lease = 5 * time.Second
+
+func newHarness() *harness {
+	server, err := worker.Start(worker.Settings{
+		Address:    "127.0.0.1:0",
+		UsageLagMS: 100,
+		Worker:     model.Worker{ID: "w1", Rack: "r1", Capacity: model.Resources{Accelerators: 8, Cores: 32, MemoryGB: 128}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(server.Close)
+	api, err := platform.Open(platform.Settings{Type: "httpworker", Address: server.URL(), TimeoutMS: 300})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	DeferCleanup(cancel)
+	return &harness{ctx: ctx, server: server, api: api}
+}
+
+func spec(id string, command ...string) platform.Task {
+	return platform.Task{ID: id, Command: command, Resources: model.Resources{Accelerators: 4, Cores: 4, MemoryGB: 16}}
+}
+
+func (h *harness) run(t platform.Task, lease time.Duration) platform.Task {
+	GinkgoHelper()
+	state, err := h.api.Run(h.ctx, t, lease)
+	Expect(err).NotTo(HaveOccurred())
+	return state
+}
+
+// state returns the task as the task list shows it.
+func (h *harness) state(id string) platform.Task {
+	GinkgoHelper()
+	tasks, err := h.api.Tasks(h.ctx)
+	Expect(err).NotTo(HaveOccurred())
+	for _, t := range tasks {
+		if t.ID == id {
+			return t
+		}
+	}
+	return platform.Task{}
+}
+
+func (h *harness) ends(id string, as platform.TaskState) platform.Task {
+	GinkgoHelper()
+	Eventually(func() platform.TaskState { return h.state(id).State }, "3s", "10ms").Should(Equal(as))
+	return h.state(id)
+}
+
+var _ = DescribeTable("worker interface contract",
+	func(run func(h *harness)) { run(newHarness()) },
+
+	Entry("describes the worker", func(h *harness) {
+		w, err := h.api.Worker(h.ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.Capacity.Accelerators).To(Equal(8))
+	}),
+	Entry("runs a task to its end and keeps its labels", func(h *harness) {
+		t := spec("job 1/2/0", "sleep", "150")
+		t.Labels = map[string]string{"rank": "0"}
+		Expect(h.run(t, lease).State).To(Equal(platform.TaskRunning))
+		end := h.ends(t.ID, platform.TaskDone)
+		Expect(end.EndedMS - end.StartedMS).To(BeNumerically("~", 150, 5))
+		Expect(end.Labels).To(HaveKeyWithValue("rank", "0"))
+	}),
+	Entry("running the same id again does not start it twice", func(h *harness) {
+		t := spec("j/1/0", "sleep", "5000")
+		h.run(t, lease)
+		h.run(t, lease)
+		Expect(h.server.Log(0)).To(HaveLen(1))
+	}),
+	Entry("an ended id does not run again", func(h *harness) {
+		t := spec("j/1/0", "sleep", "1")
+		h.run(t, lease)
+		h.ends(t.ID, platform.TaskDone)
+		Expect(h.run(t, lease).State).To(Equal(platform.TaskDone))
+	}),
+	Entry("a task whose lease runs out ends as lapsed, at that time", func(h *harness) {
+		h.run(spec("j/1/0", "sleep", "5000"), 200*time.Millisecond)
+		end := h.ends("j/1/0", platform.TaskLapsed)
+		Expect(end.EndedMS - end.StartedMS).To(BeNumerically("~", 200, 2))
+		renewed, err := h.api.Renew(h.ctx, "j/1/0", lease)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(renewed.State).To(Equal(platform.TaskLapsed))
+	}),
+	Entry("a renewal extends the lease", func(h *harness) {
+		h.run(spec("j/1/0", "sleep", "5000"), 300*time.Millisecond)
+		t, err := h.api.Renew(h.ctx, "j/1/0", lease)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.LeaseMS).To(BeNumerically("~", lease.Milliseconds(), 50))
+		Consistently(func() platform.TaskState { return h.state("j/1/0").State }, "500ms").Should(Equal(platform.TaskRunning))
+	}),
+	Entry("a failing command ends as failed with a reason", func(h *harness) {
+		h.run(spec("j/1/0", "fail", "100"), lease)
+		Expect(h.ends("j/1/0", platform.TaskFailed).Reason).NotTo(BeEmpty())
+	}),
+	Entry("a task that exceeds its memory is ended and its peak is reported", func(h *harness) {
+		h.run(spec("j/1/0", "memory", "40", "60000"), lease)
+		h.ends("j/1/0", platform.TaskOutOfMemory)
+	}),
+	Entry("usage lags behind", func(h *harness) {
+		h.run(spec("j/1/0", "memory", "10", "60000"), lease)
+		usage, err := h.api.Usage(h.ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(usage).To(BeEmpty(), "there is no sample of 100 ms ago yet")
+		Eventually(func() float64 {
+			u, err := h.api.Usage(h.ctx)
+			if err != nil || len(u) == 0 {
+				return 0
+			}
+			return u[0].PeakMemoryGB
+		}, "3s").Should(BeNumerically("==", 10))
+	}),
+	Entry("a checkpoint keeps work and a later attempt continues from it", func(h *harness) {
+		h.run(spec("j/1/0", "sleep", "60000"), lease)
+		time.Sleep(150 * time.Millisecond) // run time that the checkpoint is to keep
+		t, err := h.api.Checkpoint(h.ctx, "j/1/0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.CheckpointMS).To(BeNumerically(">=", 150))
+		t, err = h.api.Stop(h.ctx, "j/1/0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.State).To(Equal(platform.TaskStopped))
+		again := spec("j/2/0", "sleep", "60000")
+		again.ResumeMS = 59_950
+		h.run(again, lease)
+		end := h.ends("j/2/0", platform.TaskDone)
+		Expect(end.EndedMS - end.StartedMS).To(BeNumerically("~", 50, 5))
+	}),
+	Entry("a throttled task does its work more slowly", func(h *harness) {
+		h.run(spec("j/1/0", "sleep", "200"), lease)
+		Expect(h.api.Throttle(h.ctx, "j/1/0", 0.25)).To(Succeed())
+		end := h.ends("j/1/0", platform.TaskDone)
+		Expect(end.EndedMS - end.StartedMS).To(BeNumerically(">", 600))
+	}),
+	Entry("tasks above the capacity are refused", func(h *harness) {
+		h.run(spec("j/1/0", "sleep", "5000"), lease)
+		h.run(spec("j/1/1", "sleep", "5000"), lease)
+		_, err := h.api.Run(h.ctx, spec("j/1/2", "sleep", "5000"), lease)
+		Expect(result.CodeOf(err)).To(Equal(result.ReservationConflict))
+		_, err = h.api.Stop(h.ctx, "j/1/0")
+		Expect(err).NotTo(HaveOccurred())
+		h.run(spec("j/1/2", "sleep", "5000"), lease)
+	}),
+	Entry("an unknown task and a malformed command are told apart", func(h *harness) {
+		_, err := h.api.Stop(h.ctx, "none")
+		Expect(result.CodeOf(err)).To(Equal(result.NotFound))
+		_, err = h.api.Run(h.ctx, spec("j/1/0", "dance"), lease)
+		Expect(result.CodeOf(err)).To(Equal(result.BadRequest))
+	}),
+	Entry("a worker that fails tasks ends them as failed", func(h *harness) {
+		h.server.SetFaults(worker.Faults{FailTasks: true})
+		h.run(spec("j/1/0", "sleep", "5000"), lease)
+		h.ends("j/1/0", platform.TaskFailed)
+	}),
+	Entry("a lost answer is ambiguous and the order took effect", func(h *harness) {
+		h.server.SetFaults(worker.Faults{LoseNext: 1})
+		_, err := h.api.Run(h.ctx, spec("j/1/0", "sleep", "5000"), lease)
+		Expect(result.CodeOf(err)).To(Equal(result.OutcomeUnknown))
+		Expect(h.state("j/1/0").State).To(Equal(platform.TaskRunning))
+	}),
+	Entry("a down or slow worker is given up at the timeout", func(h *harness) {
+		for _, f := range []worker.Faults{{Down: true}, {SlowMS: 5000}} {
+			h.server.SetFaults(f)
+			_, err := h.api.Run(h.ctx, spec("j/1/0", "sleep", "5000"), lease)
+			Expect(result.CodeOf(err)).To(Equal(result.OutcomeUnknown))
+			_, err = h.api.Tasks(h.ctx)
+			Expect(result.CodeOf(err)).To(Equal(result.BackendUnavailable))
+		}
+	}),
+)
--- /dev/null
+++ b/internal/platform/httpworker/httpworker.go
@@ -0,0 +1,193 @@
+// Package httpworker implements platform.WorkerAPI with JSON over HTTP on
+// loopback. It registers as "httpworker".
+package httpworker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"snipegw/internal/model"
+	"snipegw/internal/platform"
+	"snipegw/internal/result"
+)
+
+const (
+	// maxAnswerBytes bounds an answer: a task list of some thousand tasks.
+	maxAnswerBytes = 4 << 20
+	// defaultTimeout applies to settings without timeout_ms.
+	defaultTimeout = time.Second
+	// maxIdleConns is the number of idle connections; tasks are renewed at the
+	// same time.
+	maxIdleConns = 16
+)
+
+func init() {
+	platform.Plugins.Register("httpworker", func(s platform.Settings) (platform.WorkerAPI, error) { return New(s) })
+}
+
+// Client calls the worker interface. It is safe for concurrent use.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+var _ platform.WorkerAPI = (*Client)(nil)
+
+// New returns a Client. An address without a scheme is taken as http.
+func New(s platform.Settings) (*Client, error) {
+	base := strings.TrimSuffix(s.Address, "/")
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	u, err := url.Parse(base)
+	if err != nil {
+		return nil, fmt.Errorf("worker_api.address: %w", err)
+	}
+	if u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return nil, fmt.Errorf("worker_api.address: %q is not an http address", s.Address)
+	}
+	c := &Client{base: base, timeout: time.Duration(s.TimeoutMS) * time.Millisecond}
+	if c.timeout <= 0 {
+		c.timeout = defaultTimeout
+	}
+	dialer := &net.Dialer{Timeout: c.timeout}
+	c.http = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns}}
+	return c, nil
+}
+
+// Worker implements platform.WorkerAPI.
+func (c *Client) Worker(ctx context.Context) (model.Worker, error) {
+	var w model.Worker
+	err := c.call(ctx, http.MethodGet, "/v1/worker", nil, &w)
+	return w, err
+}
+
+// Tasks implements platform.WorkerAPI.
+func (c *Client) Tasks(ctx context.Context) ([]platform.Task, error) {
+	var tasks []platform.Task
+	err := c.call(ctx, http.MethodGet, "/v1/tasks", nil, &tasks)
+	return tasks, err
+}
+
+// Usage implements platform.WorkerAPI.
+func (c *Client) Usage(ctx context.Context) ([]platform.Usage, error) {
+	var usage []platform.Usage
+	err := c.call(ctx, http.MethodGet, "/v1/usage", nil, &usage)
+	return usage, err
+}
+
+// Run implements platform.WorkerAPI.
+func (c *Client) Run(ctx context.Context, t platform.Task, lease time.Duration) (platform.Task, error) {
+	t.LeaseMS = lease.Milliseconds()
+	var state platform.Task
+	err := c.call(ctx, http.MethodPut, taskPath(t.ID, ""), t, &state)
+	return state, err
+}
+
+// Renew implements platform.WorkerAPI.
+func (c *Client) Renew(ctx context.Context, id string, lease time.Duration) (platform.Task, error) {
+	return c.order(ctx, id, "renew", map[string]int64{"lease_ms": lease.Milliseconds()})
+}
+
+// Checkpoint implements platform.WorkerAPI.
+func (c *Client) Checkpoint(ctx context.Context, id string) (platform.Task, error) {
+	return c.order(ctx, id, "checkpoint", struct{}{})
+}
+
+// Stop implements platform.WorkerAPI.
+func (c *Client) Stop(ctx context.Context, id string) (platform.Task, error) {
+	return c.order(ctx, id, "stop", struct{}{})
+}
+
+// Throttle implements platform.WorkerAPI.
+func (c *Client) Throttle(ctx context.Context, id string, share float64) error {
+	_, err := c.order(ctx, id, "throttle", map[string]float64{"share": share})
+	return err
+}
+
+func (c *Client) order(ctx context.Context, id, action string, body any) (platform.Task, error) {
+	var state platform.Task
+	err := c.call(ctx, http.MethodPost, taskPath(id, "/"+action), body, &state)
+	return state, err
+}
+
+// taskPath escapes the slashes of a task id.
+func taskPath(id, action string) string { return "/v1/tasks/" + url.PathEscape(id) + action }
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return result.Errorf(result.Internal, "worker %s %s: %w", method, path, err)
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return result.Errorf(result.Internal, "worker %s %s: %w", method, path, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return result.Errorf(noAnswerCode(method, err), "worker %s %s: %w", method, path, err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err == nil && len(data) > maxAnswerBytes {
+		err = fmt.Errorf("answer exceeds %d bytes", maxAnswerBytes)
+	}
+	if err != nil {
+		return result.Errorf(noAnswerCode(method, err), "worker %s %s: %w", method, path, err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return result.Errorf(statusCode(resp.StatusCode), "worker %s %s: status %d: %s", method, path, resp.StatusCode, excerpt(data))
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return result.Errorf(result.OutcomeUnknown, "worker %s %s: malformed answer: %w", method, path, err)
+	}
+	return nil
+}
+
+// noAnswerCode is the code of a call without a usable answer: a refused
+// connection cannot have had an effect, anything else may have.
+func noAnswerCode(method string, err error) result.Code {
+	var oe *net.OpError
+	if method == http.MethodGet || (errors.As(err, &oe) && oe.Op == "dial") {
+		return result.BackendUnavailable
+	}
+	return result.OutcomeUnknown
+}
+
+// statusCode maps the status of a refusal to a result code.
+func statusCode(status int) result.Code {
+	switch status {
+	case http.StatusBadRequest:
+		return result.BadRequest
+	case http.StatusNotFound:
+		return result.NotFound
+	case http.StatusConflict:
+		return result.ReservationConflict
+	}
+	return result.OutcomeUnknown
+}
+
+func excerpt(body []byte) string {
+	const limit = 200
+	if len(body) > limit {
+		body = body[:limit]
+	}
+	return strings.TrimSpace(string(body))
+}
--- /dev/null
+++ b/internal/standin/backend/backend.go
@@ -0,0 +1,289 @@
+// Package backend is a stand-in for a backend server: it announces itself to
+// its agent, answers every request with a body that proves which request it
+// belongs to, and records every request that it ran.
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"snipegw/internal/kernel"
+	"snipegw/internal/standin"
+)
+
+const (
+	// announceInterval is the time between two announcements.
+	announceInterval = time.Second
+	// announceTimeout bounds one announcement.
+	announceTimeout = 800 * time.Millisecond
+	// maxLogRequests bounds the record of requests in memory.
+	maxLogRequests = 500_000
+)
+
+// Settings are the settings of the stand-in.
+type Settings struct {
+	// Address is host:port; port 0 takes a free one.
+	Address string `json:"address"`
+	// Agent is the base URL of the agent's loopback HTTP API; empty for none.
+	Agent string `json:"agent,omitempty"`
+	// Service, Slots and Instance are announced.
+	Service  string `json:"service"`
+	Slots    int    `json:"slots"`
+	Instance string `json:"instance,omitempty"`
+	// LogFile receives one JSON line for each request before it runs and one
+	// after it, so that the record survives the process; empty for none.
+	LogFile string `json:"log_file,omitempty"`
+	// Seed makes random faults repeatable.
+	Seed uint64 `json:"seed,omitempty"`
+}
+
+// Provision fills in defaults.
+func (s *Settings) Provision() {
+	if s.Slots == 0 {
+		s.Slots = 8
+	}
+	if s.Instance == "" {
+		s.Instance = fmt.Sprintf("%s-%d-%d", s.Service, os.Getpid(), time.Now().UnixNano())
+	}
+}
+
+// Validate appends the faults of s.
+func (s *Settings) Validate(faults *kernel.Faults) {
+	if s.Address == "" {
+		faults.Add("address", "required")
+	}
+	if s.Service == "" {
+		faults.Add("service", "required")
+	}
+}
+
+// Faults are the fault switches.
+type Faults struct {
+	// DelayMS delays every response by this many milliseconds.
+	DelayMS int `json:"delay_ms"`
+	// Break is the share of responses, 0 to 1, that break off in the middle;
+	// BreakNext is the number of next responses that do.
+	Break     float64 `json:"break"`
+	BreakNext int     `json:"break_next"`
+	// FailQuickly answers with status 500 at once.
+	FailQuickly bool `json:"fail_quickly"`
+	// Refuse refuses connections.
+	Refuse bool `json:"refuse"`
+	// Silent stops the announcements.
+	Silent bool `json:"silent"`
+	// Leave announces that the backend server leaves, and stops announcing.
+	Leave bool `json:"leave"`
+}
+
+// Record is one request that ran.
+type Record struct {
+	Seq       uint64 `json:"seq"`
+	RequestID string `json:"request_id"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	// AtMS and EndedMS are Unix milliseconds; EndedMS is 0 while it runs.
+	AtMS    int64 `json:"at_ms"`
+	EndedMS int64 `json:"ended_ms,omitempty"`
+	// Outcome is complete, broken, failed or abandoned (the caller was gone).
+	Outcome string `json:"outcome,omitempty"`
+}
+
+// Server is a running stand-in.
+type Server struct {
+	host     *standin.Host
+	settings Settings
+	client   *http.Client
+	cancel   context.CancelFunc
+	loop     chan struct{} // closed when the announcements have ended
+
+	mu      sync.Mutex
+	faults  Faults
+	random  *rand.Rand
+	records []Record
+	running int
+	peak    int
+	logFile *os.File
+}
+
+// Start runs a stand-in and begins to announce it.
+func Start(s Settings) (*Server, error) {
+	s.Provision()
+	ctx, cancel := context.WithCancel(context.Background())
+	srv := &Server{
+		settings: s, client: &http.Client{Timeout: announceTimeout}, cancel: cancel,
+		loop: make(chan struct{}), random: rand.New(rand.NewPCG(s.Seed, 2)),
+	}
+	if s.LogFile != "" {
+		f, err := os.OpenFile(s.LogFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			cancel()
+			return nil, fmt.Errorf("stand-in: %w", err)
+		}
+		srv.logFile = f
+	}
+	host, err := standin.Listen(s.Address, srv.handler())
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	srv.host = host
+	go srv.announceLoop(ctx)
+	return srv, nil
+}
+
+// Addr returns host:port.
+func (s *Server) Addr() string { return s.host.Addr() }
+
+// URL returns the base URL.
+func (s *Server) URL() string { return s.host.URL() }
+
+// Leave tells the agent that the backend server leaves and stops announcing.
+func (s *Server) Leave(ctx context.Context) error {
+	s.cancel()
+	<-s.loop
+	return s.tell(ctx, "/v1/leave")
+}
+
+// Stop leaves, waits for requests in progress until ctx ends, and closes.
+func (s *Server) Stop(ctx context.Context) error {
+	leaveErr := s.Leave(ctx)
+	if errors.Is(leaveErr, errNoAgent) {
+		leaveErr = nil
+	}
+	waitErr := s.waitIdle(ctx)
+	return errors.Join(leaveErr, waitErr, s.host.Shutdown(ctx))
+}
+
+// waitIdle waits until no request has run for one announcement interval, since
+// the agent may still forward requests that it admitted before the leave.
+func (s *Server) waitIdle(ctx context.Context) error {
+	const step = 50 * time.Millisecond
+	for idle := time.Duration(0); idle < announceInterval; idle += step {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(step):
+		}
+		s.mu.Lock()
+		if s.running > 0 {
+			idle = 0
+		}
+		s.mu.Unlock()
+	}
+	return nil
+}
+
+// Close ends the stand-in at once, without leaving.
+func (s *Server) Close() error {
+	s.cancel()
+	return s.host.Close()
+}
+
+// ChangeFaults applies f to the fault switches and returns them as set.
+func (s *Server) ChangeFaults(f func(*Faults)) (Faults, error) {
+	s.mu.Lock()
+	left := s.faults.Leave
+	f(&s.faults)
+	set := s.faults
+	s.mu.Unlock()
+	if set.Leave && !left {
+		go func() { _ = s.Leave(context.Background()) }()
+	}
+	// A refusal breaks the connection of the order too, so it follows its answer.
+	go func() {
+		time.Sleep(refuseDelay)
+		_ = s.host.Refuse(set.Refuse)
+	}()
+	return set, nil
+}
+
+// refuseDelay lets the answer to a fault order leave before connections close.
+const refuseDelay = 20 * time.Millisecond
+
+// SetFaults replaces the fault switches.
+func (s *Server) SetFaults(f Faults) {
+	_, _ = s.ChangeFaults(func(current *Faults) { *current = f })
+}
+
+// Records returns the requests with a sequence number above since.
+func (s *Server) Records(since uint64) []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := []Record{}
+	for _, r := range s.records {
+		if r.Seq > since {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// Peak returns the highest number of requests that ran at the same time.
+func (s *Server) Peak() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peak
+}
+
+var errNoAgent = errors.New("no agent configured")
+
+func (s *Server) announceLoop(ctx context.Context) {
+	defer close(s.loop)
+	t := time.NewTicker(announceInterval)
+	defer t.Stop()
+	for {
+		s.mu.Lock()
+		silent := s.faults.Silent || s.faults.Leave
+		s.mu.Unlock()
+		if !silent {
+			_ = s.tell(ctx, "/v1/announce")
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (s *Server) tell(ctx context.Context, path string) error {
+	if s.settings.Agent == "" {
+		return errNoAgent
+	}
+	data, err := json.Marshal(map[string]any{
+		"service": s.settings.Service, "address": s.host.Addr(),
+		"slots": s.settings.Slots, "instance": s.settings.Instance,
+	})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, s.settings.Agent+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := s.client.Do(req)
+	if err != nil {
+		var oe *net.OpError
+		if errors.As(err, &oe) && oe.Op == "dial" {
+			return fmt.Errorf("agent does not answer: %w", err)
+		}
+		return err
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<16))
+	if resp.StatusCode >= 300 {
+		return fmt.Errorf("agent refused %s: status %d", path, resp.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/backend/requests.go
@@ -0,0 +1,186 @@
+package backend
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"snipegw/internal/standin"
+)
+
+const (
+	// DigestHeader carries the digest of the request that a response answers.
+	DigestHeader = "X-Digest"
+	// RequestIDHeader carries the id under which a request is recorded.
+	RequestIDHeader = "Snipegw-Request-Id"
+	// maxBody bounds a request body, maxResponse a response body.
+	maxBody     = 64 << 20
+	maxResponse = 64 << 20
+	chunk       = 16 << 10
+)
+
+// Digest returns the hexadecimal SHA-256 digest of a request.
+func Digest(method, path string, body []byte) string {
+	h := sha256.New()
+	io.WriteString(h, method+"\n"+path+"\n")
+	h.Write(body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// ResponseBody returns the body of the response with the given digest: n bytes
+// that follow from the digest, or a JSON object for n = 0.
+func ResponseBody(digest string, n int) []byte {
+	if n <= 0 {
+		data, _ := json.Marshal(map[string]string{"digest": digest})
+		return data
+	}
+	seed := sha256.Sum256([]byte(digest))
+	body := make([]byte, n)
+	_, _ = rand.NewChaCha8(seed).Read(body)
+	return body
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", s.serve)
+	mux.HandleFunc("GET /standin/log", func(w http.ResponseWriter, r *http.Request) {
+		since, _ := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+		standin.WriteJSON(w, s.Records(since))
+	})
+	standin.HandleFaults(mux, s.ChangeFaults)
+	return mux
+}
+
+// request is what a query says about the wanted response.
+type request struct {
+	delay   time.Duration
+	bytes   int
+	chunked bool // without Content-Length
+	broken  bool
+	fails   bool
+}
+
+func parseQuery(q url.Values) request {
+	delay, _ := strconv.Atoi(q.Get("delay_ms"))
+	n, _ := strconv.Atoi(q.Get("bytes"))
+	return request{
+		delay: time.Duration(delay) * time.Millisecond, bytes: min(n, maxResponse),
+		chunked: q.Get("chunked") == "1", broken: q.Get("break") == "1", fails: q.Get("fail") == "1",
+	}
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	want := parseQuery(r.URL.Query())
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		standin.Abort() // an incomplete request is not run
+	}
+	seq := s.begin(r, &want)
+	outcome := "abandoned"
+	defer func() { s.finish(seq, outcome) }()
+	if want.fails {
+		outcome = "failed"
+		http.Error(w, "backend fault", http.StatusInternalServerError)
+		return
+	}
+	standin.Pause(r.Context(), want.delay)
+	if r.Context().Err() != nil {
+		return
+	}
+	digest := Digest(r.Method, r.URL.Path, body)
+	out := ResponseBody(digest, want.bytes)
+	setHeader(w.Header(), digest, want, len(out))
+	if want.broken {
+		outcome = "broken"
+		out = out[:len(out)/2]
+	}
+	if !send(w, out) {
+		return
+	}
+	if want.broken {
+		_ = http.NewResponseController(w).Flush()
+		standin.Abort()
+	}
+	outcome = "complete"
+}
+
+func setHeader(h http.Header, digest string, want request, length int) {
+	h.Set(DigestHeader, digest)
+	h.Set("Content-Type", "application/json")
+	if want.bytes > 0 {
+		h.Set("Content-Type", "application/octet-stream")
+	}
+	if !want.chunked {
+		h.Set("Content-Length", strconv.Itoa(length))
+	}
+}
+
+// send writes body in chunks and reports whether all of it was accepted.
+func send(w http.ResponseWriter, body []byte) bool {
+	for len(body) > 0 {
+		n := min(chunk, len(body))
+		if _, err := w.Write(body[:n]); err != nil {
+			return false
+		}
+		body = body[n:]
+	}
+	return true
+}
+
+// begin records a request before it runs and adds the faults to want.
+func (s *Server) begin(r *http.Request, want *request) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	want.delay += time.Duration(s.faults.DelayMS) * time.Millisecond
+	want.fails = want.fails || s.faults.FailQuickly
+	if s.faults.BreakNext > 0 {
+		s.faults.BreakNext--
+		want.broken = true
+	} else if s.faults.Break > 0 && s.random.Float64() < s.faults.Break {
+		want.broken = true
+	}
+	if len(s.records) >= maxLogRequests {
+		s.records = append([]Record(nil), s.records[maxLogRequests/2:]...)
+	}
+	seq := uint64(1)
+	if n := len(s.records); n > 0 {
+		seq = s.records[n-1].Seq + 1
+	}
+	rec := Record{Seq: seq, RequestID: r.Header.Get(RequestIDHeader), Method: r.Method, Path: r.URL.Path, AtMS: time.Now().UnixMilli()}
+	s.records = append(s.records, rec)
+	s.running++
+	s.peak = max(s.peak, s.running)
+	s.append(rec)
+	return seq
+}
+
+func (s *Server) finish(seq uint64, outcome string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	first := s.records[0].Seq
+	if seq < first {
+		return
+	}
+	rec := &s.records[seq-first]
+	rec.EndedMS = time.Now().UnixMilli()
+	rec.Outcome = outcome
+	s.append(*rec)
+}
+
+// append writes a record to the log file. The caller holds s.mu.
+func (s *Server) append(rec Record) {
+	if s.logFile == nil {
+		return
+	}
+	data, err := json.Marshal(rec)
+	if err == nil {
+		_, _ = s.logFile.Write(append(data, '\n'))
+	}
+}
--- /dev/null
+++ b/internal/standin/host.go
@@ -0,0 +1,191 @@
+// Package standin holds what the stand-ins for the platform's store, the worker
+// interface and a backend server share: an HTTP host and fault switches. The
+// stand-ins are imported only by tests and by development programs.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// maxOrderBytes bounds the JSON body of a call to a stand-in's own endpoints.
+const maxOrderBytes = 1 << 20
+
+// Host serves HTTP on one address. Its listener can be closed and opened again
+// on the same port, so that connections are refused in between.
+type Host struct {
+	server *http.Server
+	addr   string
+	mu     sync.Mutex
+	ln     net.Listener // nil while connections are refused
+	conns  map[net.Conn]struct{}
+	closed bool
+}
+
+// Listen serves h on addr ("127.0.0.1:0" for a free port).
+func Listen(addr string, h http.Handler) (*Host, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("stand-in: %w", err)
+	}
+	host := &Host{addr: ln.Addr().String(), ln: ln, conns: make(map[net.Conn]struct{})}
+	host.server = &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, ConnState: host.track}
+	host.serve(ln)
+	return host, nil
+}
+
+func (h *Host) serve(ln net.Listener) {
+	go func() { _ = h.server.Serve(ln) }()
+}
+
+func (h *Host) track(c net.Conn, s http.ConnState) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch s {
+	case http.StateNew:
+		h.conns[c] = struct{}{}
+	case http.StateClosed, http.StateHijacked:
+		delete(h.conns, c)
+	}
+}
+
+// Addr returns host:port.
+func (h *Host) Addr() string { return h.addr }
+
+// URL returns the base URL.
+func (h *Host) URL() string { return "http://" + h.addr }
+
+// Refuse closes the listener and all connections, or opens the listener again.
+func (h *Host) Refuse(on bool) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed || on == (h.ln == nil) {
+		return nil
+	}
+	if on {
+		err := h.ln.Close()
+		h.ln = nil
+		h.breakLocked()
+		return err
+	}
+	ln, err := net.Listen("tcp", h.addr)
+	if err != nil {
+		return fmt.Errorf("stand-in: %w", err)
+	}
+	h.ln = ln
+	h.serve(ln)
+	return nil
+}
+
+// Break closes all connections.
+func (h *Host) Break() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.breakLocked()
+}
+
+func (h *Host) breakLocked() {
+	for c := range h.conns {
+		_ = c.Close()
+	}
+}
+
+// Shutdown ends gracefully: it waits for calls in progress until ctx ends.
+func (h *Host) Shutdown(ctx context.Context) error {
+	h.mu.Lock()
+	h.closed = true
+	if h.ln != nil {
+		_ = h.ln.Close()
+		h.ln = nil
+	}
+	h.mu.Unlock()
+	err := h.server.Shutdown(ctx)
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// Close ends at once.
+func (h *Host) Close() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.closed = true
+	if h.ln != nil {
+		_ = h.ln.Close()
+		h.ln = nil
+	}
+	h.breakLocked()
+	err := h.server.Close()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// HandleFaults registers GET and POST /standin/faults. A POST changes only the
+// members that its body names and returns the switches as set.
+func HandleFaults[F any](mux *http.ServeMux, change func(func(*F)) (F, error)) {
+	mux.HandleFunc("GET /standin/faults", func(w http.ResponseWriter, _ *http.Request) {
+		f, err := change(func(*F) {})
+		reply(w, f, err)
+	})
+	mux.HandleFunc("POST /standin/faults", func(w http.ResponseWriter, r *http.Request) {
+		var decodeErr error
+		f, err := change(func(f *F) {
+			candidate := *f
+			if decodeErr = ReadJSON(r, &candidate); decodeErr == nil {
+				*f = candidate
+			}
+		})
+		if decodeErr != nil {
+			http.Error(w, decodeErr.Error(), http.StatusBadRequest)
+			return
+		}
+		reply(w, f, err)
+	})
+}
+
+func reply(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	WriteJSON(w, v)
+}
+
+// ReadJSON decodes the body of r into v and refuses unknown members.
+func ReadJSON(r *http.Request, v any) error {
+	d := json.NewDecoder(io.LimitReader(r.Body, maxOrderBytes))
+	d.DisallowUnknownFields()
+	return d.Decode(v)
+}
+
+// WriteJSON sends v with status 200.
+func WriteJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Abort breaks the connection of the current call without an answer.
+func Abort() { panic(http.ErrAbortHandler) }
+
+// Pause waits for d or until the caller is gone.
+func Pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/standin/worker/handlers.go
@@ -0,0 +1,144 @@
+package worker
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"snipegw/internal/platform"
+	"snipegw/internal/standin"
+)
+
+// maxLeaseMS is the longest lease, in milliseconds.
+const maxLeaseMS = 60_000
+
+// refusal is an order that had no effect.
+type refusal struct {
+	status int
+	reason string
+}
+
+func (r *refusal) Error() string { return r.reason }
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/worker", s.read(func() any { return s.settings.Worker }))
+	mux.HandleFunc("GET /v1/tasks", s.read(func() any { return s.Tasks() }))
+	mux.HandleFunc("GET /v1/usage", s.read(func() any { return s.usage() }))
+	mux.HandleFunc("PUT /v1/tasks/{id}", s.handleRun)
+	mux.HandleFunc("POST /v1/tasks/{id}/{action}", s.handleOrder)
+	mux.HandleFunc("GET /standin/log", func(w http.ResponseWriter, r *http.Request) {
+		since, _ := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+		standin.WriteJSON(w, s.Log(since))
+	})
+	mux.HandleFunc("GET /standin/tasks", func(w http.ResponseWriter, _ *http.Request) {
+		standin.WriteJSON(w, s.Tasks())
+	})
+	standin.HandleFaults(mux, s.ChangeFaults)
+	return mux
+}
+
+// admit applies the faults that precede the effect of a call.
+func (s *Server) admit(r *http.Request) {
+	s.mu.Lock()
+	faults := s.faults
+	s.mu.Unlock()
+	if faults.Down {
+		standin.Abort()
+	}
+	standin.Pause(r.Context(), time.Duration(faults.SlowMS)*time.Millisecond)
+}
+
+func (s *Server) read(value func() any) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.admit(r)
+		standin.WriteJSON(w, value())
+	}
+}
+
+// usage returns the usage of running tasks as it was UsageLagMS ago.
+func (s *Server) usage() []platform.Usage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lag := time.Duration(s.settings.UsageLagMS) * time.Millisecond
+	at := s.advance().Add(-lag)
+	list := []platform.Usage{}
+	for _, t := range s.tasks {
+		if t.state != platform.TaskRunning && t.ended.Before(at) {
+			continue
+		}
+		if u, ok := t.usage(at); ok {
+			u.AgeMS = lag.Milliseconds()
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+func (s *Server) handleRun(w http.ResponseWriter, r *http.Request) {
+	s.admit(r)
+	var spec platform.Task
+	if err := standin.ReadJSON(r, &spec); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	spec.ID = r.PathValue("id")
+	if spec.LeaseMS <= 0 || spec.LeaseMS > maxLeaseMS {
+		http.Error(w, "lease_ms is out of range", http.StatusBadRequest)
+		return
+	}
+	t, err := s.start(spec)
+	s.answer(w, t, err)
+}
+
+func (s *Server) handleOrder(w http.ResponseWriter, r *http.Request) {
+	s.admit(r)
+	var body struct {
+		LeaseMS int64   `json:"lease_ms"`
+		Share   float64 `json:"share"`
+	}
+	if err := standin.ReadJSON(r, &body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var apply func(t *task, now time.Time)
+	switch r.PathValue("action") {
+	case "renew":
+		if body.LeaseMS <= 0 || body.LeaseMS > maxLeaseMS {
+			http.Error(w, "lease_ms is out of range", http.StatusBadRequest)
+			return
+		}
+		apply = func(t *task, now time.Time) { t.lease = now.Add(time.Duration(body.LeaseMS) * time.Millisecond) }
+	case "checkpoint":
+		apply = func(t *task, now time.Time) { t.keptMS = t.work(now) }
+	case "throttle":
+		apply = func(t *task, now time.Time) { t.setRate(now, body.Share) }
+	case "stop":
+		apply = func(t *task, now time.Time) { s.end(t, now, platform.TaskStopped, "stopped") }
+	default:
+		http.Error(w, "unknown action", http.StatusNotFound)
+		return
+	}
+	t, err := s.order(r.PathValue("id"), apply)
+	s.answer(w, t, err)
+}
+
+// answer sends the state of a task, or loses the answer.
+func (s *Server) answer(w http.ResponseWriter, t platform.Task, err error) {
+	s.mu.Lock()
+	lose := s.faults.LoseNext > 0
+	if lose {
+		s.faults.LoseNext--
+	}
+	s.mu.Unlock()
+	if lose {
+		standin.Abort()
+	}
+	var refused *refusal
+	if errors.As(err, &refused) {
+		http.Error(w, refused.reason, refused.status)
+		return
+	}
+	standin.WriteJSON(w, t)
+}
--- /dev/null
+++ b/internal/standin/worker/worker.go
@@ -0,0 +1,263 @@
+// Package worker is a stand-in for the platform's worker interface: it runs
+// simulated tasks under leases and records every start and end.
+package worker
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"snipegw/internal/kernel"
+	"snipegw/internal/model"
+	"snipegw/internal/platform"
+	"snipegw/internal/standin"
+)
+
+const (
+	// tick is the time between two evaluations of the running tasks. Recorded
+	// times are computed and do not depend on it.
+	tick = 10 * time.Millisecond
+	// keepEnded is the time for which ended tasks stay in the task list.
+	keepEnded = 5 * time.Minute
+	// maxLogEvents bounds the log; the oldest events are dropped.
+	maxLogEvents = 200_000
+)
+
+// Settings are the settings of the stand-in.
+type Settings struct {
+	// Address is host:port; port 0 takes a free one.
+	Address string       `json:"address"`
+	Worker  model.Worker `json:"worker"`
+	// UsageLagMS is the age of reported usage in milliseconds.
+	UsageLagMS int `json:"usage_lag_ms,omitempty"`
+}
+
+// Provision fills in defaults.
+func (s *Settings) Provision() {
+	if s.UsageLagMS == 0 {
+		s.UsageLagMS = 1000
+	}
+}
+
+// Validate appends the faults of s.
+func (s *Settings) Validate(faults *kernel.Faults) {
+	if s.Address == "" {
+		faults.Add("address", "required")
+	}
+	if s.Worker.ID == "" {
+		faults.Add("worker.id", "required")
+	}
+}
+
+// Faults are the fault switches.
+type Faults struct {
+	// FailTasks fails every task shortly after its start.
+	FailTasks bool `json:"fail_tasks"`
+	// Down breaks every connection without an answer or an effect; tasks run
+	// on until their leases lapse.
+	Down bool `json:"down"`
+	// SlowMS delays every call by this many milliseconds.
+	SlowMS int `json:"slow_ms"`
+	// LoseNext is the number of next orders whose answer is lost after the
+	// effect.
+	LoseNext int `json:"lose_next"`
+}
+
+// Event is the start or end of a task.
+type Event struct {
+	Seq uint64 `json:"seq"`
+	// AtMS is the time in Unix milliseconds.
+	AtMS int64 `json:"at_ms"`
+	// Event is start, end or refused.
+	Event  string             `json:"event"`
+	Worker string             `json:"worker"`
+	Task   string             `json:"task"`
+	State  platform.TaskState `json:"state,omitempty"`
+	Reason string             `json:"reason,omitempty"`
+	Labels map[string]string  `json:"labels,omitempty"`
+}
+
+// Server is a running stand-in.
+type Server struct {
+	host     *standin.Host
+	settings Settings
+	now      func() time.Time
+
+	mu       sync.Mutex
+	tasks    map[string]*task
+	faults   Faults
+	log      []Event
+	seq      uint64
+	stop     chan struct{}
+	stopOnce sync.Once
+}
+
+// Start runs a stand-in.
+func Start(s Settings) (*Server, error) {
+	s.Provision()
+	srv := &Server{settings: s, now: time.Now, tasks: make(map[string]*task), stop: make(chan struct{})}
+	host, err := standin.Listen(s.Address, srv.handler())
+	if err != nil {
+		return nil, err
+	}
+	srv.host = host
+	go srv.run()
+	return srv, nil
+}
+
+// Addr returns host:port.
+func (s *Server) Addr() string { return s.host.Addr() }
+
+// URL returns the base URL.
+func (s *Server) URL() string { return s.host.URL() }
+
+// Close ends the stand-in and its tasks.
+func (s *Server) Close() error {
+	s.stopOnce.Do(func() { close(s.stop) })
+	return s.host.Close()
+}
+
+// Stop ends the stand-in and its tasks.
+func (s *Server) Stop(context.Context) error { return s.Close() }
+
+// ChangeFaults applies f to the fault switches and returns them as set.
+func (s *Server) ChangeFaults(f func(*Faults)) (Faults, error) {
+	s.mu.Lock()
+	f(&s.faults)
+	set := s.faults
+	s.mu.Unlock()
+	if set.Down {
+		s.host.Break()
+	}
+	return set, nil
+}
+
+// SetFaults replaces the fault switches.
+func (s *Server) SetFaults(f Faults) {
+	_, _ = s.ChangeFaults(func(current *Faults) { *current = f })
+}
+
+// Log returns the events after the sequence number since.
+func (s *Server) Log(since uint64) []Event {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.advance()
+	i := sort.Search(len(s.log), func(i int) bool { return s.log[i].Seq > since })
+	return append([]Event{}, s.log[i:]...)
+}
+
+// Tasks returns the running and the lately ended tasks, ordered by id.
+func (s *Server) Tasks() []platform.Task {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.advance()
+	list := make([]platform.Task, 0, len(s.tasks))
+	for _, t := range s.tasks {
+		list = append(list, t.view(now))
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+func (s *Server) run() {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-t.C:
+			s.mu.Lock()
+			s.advance()
+			s.mu.Unlock()
+		}
+	}
+}
+
+// advance ends the tasks whose end has come and returns the present time. The
+// caller holds s.mu.
+func (s *Server) advance() time.Time {
+	now := s.now()
+	for id, t := range s.tasks {
+		if t.state != platform.TaskRunning {
+			if now.Sub(t.ended) > keepEnded {
+				delete(s.tasks, id)
+			}
+			continue
+		}
+		t.sample(now)
+		if at, state, reason := t.nextEnd(); !at.After(now) {
+			s.end(t, at, state, reason)
+		}
+	}
+	return now
+}
+
+// end ends a running task. The caller holds s.mu.
+func (s *Server) end(t *task, at time.Time, state platform.TaskState, reason string) {
+	t.workMS = t.work(at)
+	t.state, t.reason, t.ended = state, reason, at
+	s.record(at, "end", t.spec.ID, state, reason, t.spec.Labels)
+}
+
+func (s *Server) record(at time.Time, event, id string, state platform.TaskState, reason string, labels map[string]string) {
+	s.seq++
+	if len(s.log) >= maxLogEvents {
+		s.log = append([]Event(nil), s.log[maxLogEvents/2:]...)
+	}
+	s.log = append(s.log, Event{
+		Seq: s.seq, AtMS: at.UnixMilli(), Event: event, Worker: s.settings.Worker.ID,
+		Task: id, State: state, Reason: reason, Labels: labels,
+	})
+}
+
+// free returns the resources that no running task holds. The caller holds s.mu.
+func (s *Server) free() model.Resources {
+	free := s.settings.Worker.Capacity
+	for _, t := range s.tasks {
+		if t.state == platform.TaskRunning {
+			free = free.Sub(t.spec.Resources)
+		}
+	}
+	return free
+}
+
+// start runs a task or returns the one that runs under the same id already.
+func (s *Server) start(spec platform.Task) (platform.Task, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.advance()
+	if t, ok := s.tasks[spec.ID]; ok {
+		return t.view(now), nil
+	}
+	if free := s.free(); !spec.Resources.Fits(free) {
+		reason := fmt.Sprintf("needs %+v, free is %+v", spec.Resources, free)
+		s.record(now, "refused", spec.ID, "", reason, spec.Labels)
+		return platform.Task{}, &refusal{http.StatusConflict, reason}
+	}
+	t, err := newTask(spec, now, s.faults.FailTasks)
+	if err != nil {
+		return platform.Task{}, &refusal{http.StatusBadRequest, err.Error()}
+	}
+	s.tasks[spec.ID] = t
+	s.record(now, "start", spec.ID, platform.TaskRunning, "", spec.Labels)
+	return t.view(now), nil
+}
+
+// order applies f to the task id if it is running, and returns its state.
+func (s *Server) order(id string, f func(t *task, now time.Time)) (platform.Task, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.advance()
+	t, ok := s.tasks[id]
+	if !ok {
+		return platform.Task{}, &refusal{http.StatusNotFound, "unknown task " + id}
+	}
+	if t.state == platform.TaskRunning {
+		f(t, now)
+	}
+	return t.view(now), nil
+}
--- /dev/null
+++ b/internal/store/consulkv/operations.go
@@ -0,0 +1,180 @@
+package consulkv
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"snipegw/internal/result"
+	"snipegw/internal/store"
+)
+
+// indexHeader carries the index to wait for in a blocking query.
+const indexHeader = "X-Consul-Index"
+
+// MinSessionTTL is the shortest lease that the published API allows.
+const MinSessionTTL = 10 * time.Second
+
+// pair is a key as the service encodes it; the value is in base64.
+type pair struct {
+	Value       []byte
+	ModifyIndex uint64
+	Session     string
+}
+
+// Get implements store.Store.
+func (c *Client) Get(ctx context.Context, key string) (store.Entry, error) {
+	e, _, err := c.read(ctx, "get", key, nil, c.timeout)
+	return e, err
+}
+
+// read returns the entry of key and the index of the answer.
+func (c *Client) read(ctx context.Context, op, key string, query url.Values, timeout time.Duration) (store.Entry, uint64, error) {
+	a, err := c.do(ctx, call{op: op, method: http.MethodGet, path: keyPath(key), query: query, timeout: timeout, read: true})
+	if err != nil {
+		return store.Entry{}, 0, err
+	}
+	index, _ := strconv.ParseUint(a.header.Get(indexHeader), 10, 64)
+	switch a.status {
+	case http.StatusNotFound:
+		return store.Entry{}, index, nil
+	case http.StatusOK:
+	default:
+		return store.Entry{}, 0, unexpected(op, a)
+	}
+	var pairs []pair
+	if err := json.Unmarshal(a.body, &pairs); err != nil {
+		return store.Entry{}, 0, result.Errorf(result.StoreUnavailable, "store %s %s: malformed answer: %w", op, key, err)
+	}
+	if len(pairs) != 1 || pairs[0].ModifyIndex == 0 {
+		return store.Entry{}, 0, result.Errorf(result.StoreUnavailable, "store %s %s: malformed answer: %d entries", op, key, len(pairs))
+	}
+	p := pairs[0]
+	return store.Entry{Value: p.Value, Revision: p.ModifyIndex, Session: p.Session}, index, nil
+}
+
+// Watch implements store.Store with blocking queries. A query with index 0
+// does not block, so that a watch for the creation of a key first reads the
+// current index.
+func (c *Client) Watch(ctx context.Context, key string, rev uint64, wait time.Duration) (store.Entry, error) {
+	deadline := time.Now().Add(wait)
+	index := rev
+	for {
+		e, next, err := c.watchOnce(ctx, key, index, time.Until(deadline))
+		if err != nil || e.Revision != rev || time.Until(deadline) <= 0 {
+			return e, err
+		}
+		if next < index {
+			next = 0 // the service was restored from an older state
+		}
+		if next == 0 && index == 0 {
+			next = 1
+		}
+		index = next
+	}
+}
+
+func (c *Client) watchOnce(ctx context.Context, key string, index uint64, wait time.Duration) (store.Entry, uint64, error) {
+	if index == 0 || wait < time.Millisecond {
+		return c.read(ctx, "get", key, nil, c.timeout)
+	}
+	query := url.Values{
+		"index": {strconv.FormatUint(index, 10)},
+		"wait":  {strconv.FormatInt(wait.Milliseconds(), 10) + "ms"},
+	}
+	// The service adds up to wait/16 of jitter.
+	return c.read(ctx, "watch", key, query, wait+wait/16+c.timeout)
+}
+
+// CompareAndSwap implements store.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, rev uint64, value []byte) (bool, error) {
+	return c.put(ctx, "cas", key, url.Values{"cas": {strconv.FormatUint(rev, 10)}}, value)
+}
+
+// Acquire implements store.Store. It returns ErrSessionLost for a lapsed lease.
+func (c *Client) Acquire(ctx context.Context, key, session string, value []byte) (bool, error) {
+	return c.put(ctx, "acquire", key, url.Values{"acquire": {session}}, value)
+}
+
+// Release implements store.Store.
+func (c *Client) Release(ctx context.Context, key, session string) (bool, error) {
+	e, err := c.Get(ctx, key)
+	if err != nil {
+		return false, err
+	}
+	if e.Session != session {
+		return false, nil
+	}
+	return c.put(ctx, "release", key, url.Values{"release": {session}}, e.Value)
+}
+
+// put writes value and decodes the boolean answer.
+func (c *Client) put(ctx context.Context, op, key string, query url.Values, value []byte) (bool, error) {
+	if len(value) > store.MaxValueBytes {
+		return false, result.Errorf(result.BodyTooLarge, "store %s %s: value of %d bytes exceeds the limit of %d", op, key, len(value), store.MaxValueBytes)
+	}
+	a, err := c.do(ctx, call{op: op, method: http.MethodPut, path: keyPath(key), query: query, body: value, timeout: c.timeout})
+	if err != nil {
+		return false, err
+	}
+	if isInvalidSession(a.status, a.body) {
+		return false, store.ErrSessionLost
+	}
+	var done bool
+	if a.status != http.StatusOK || json.Unmarshal(a.body, &done) != nil {
+		return false, unexpected(op, a)
+	}
+	return done, nil
+}
+
+// NewSession implements store.Store. The service refuses a ttl below
+// MinSessionTTL.
+func (c *Client) NewSession(ctx context.Context, ttl time.Duration) (string, error) {
+	if ttl < MinSessionTTL {
+		return "", result.Errorf(result.BadRequest, "store session: time to live %s is below %s", ttl, MinSessionTTL)
+	}
+	// Without a lock delay a key can be acquired as soon as its lease lapses.
+	body := fmt.Sprintf(`{"TTL":"%ds","LockDelay":"0s","Behavior":"release"}`, int(ttl.Seconds()))
+	a, err := c.do(ctx, call{op: "session_create", method: http.MethodPut, path: "/v1/session/create", body: []byte(body), timeout: c.timeout})
+	if err != nil {
+		return "", err
+	}
+	var created struct{ ID string }
+	if a.status != http.StatusOK || json.Unmarshal(a.body, &created) != nil || created.ID == "" {
+		return "", unexpected("session_create", a)
+	}
+	return created.ID, nil
+}
+
+// RenewSession implements store.Store.
+func (c *Client) RenewSession(ctx context.Context, session string) error {
+	a, err := c.do(ctx, call{op: "session_renew", method: http.MethodPut, path: "/v1/session/renew/" + session, timeout: c.timeout})
+	if err != nil {
+		return err
+	}
+	switch a.status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNotFound:
+		return store.ErrSessionLost
+	}
+	return unexpected("session_renew", a)
+}
+
+// EndSession implements store.Store.
+func (c *Client) EndSession(ctx context.Context, session string) error {
+	a, err := c.do(ctx, call{op: "session_end", method: http.MethodPut, path: "/v1/session/destroy/" + session, timeout: c.timeout})
+	if err != nil {
+		return err
+	}
+	if a.status != http.StatusOK {
+		return unexpected("session_end", a)
+	}
+	return nil
+}
+
+func keyPath(key string) string { return "/v1/kv/" + key }
