--- /dev/null
+++ b/cmd/snipegw-proof/main.go
@@ -0,0 +1,88 @@
+// Command snipegw-proof runs the programs of snipegw as separate processes on
+// loopback and checks the required properties under faults. It is for
+// development only.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"snipegw/internal/proof"
+)
+
+// options are the command line.
+type options struct {
+	Bin     string `long:"bin" default:"bin" description:"directory of the programs"`
+	Seed    uint64 `long:"seed" description:"seed of random choices; 0 takes one from the clock"`
+	Only    string `long:"only" description:"run only proofs whose name contains this text"`
+	Control bool   `long:"control" description:"break each property on purpose; every proof has to fail"`
+	Keep    bool   `long:"keep" description:"keep settings and logs of the processes"`
+	Verbose bool   `long:"verbose" description:"print the steps of the proofs"`
+	Demo    bool   `long:"demo" description:"run the demonstration of make run instead of the proofs"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(2)
+	}
+	if o.Seed == 0 {
+		o.Seed = uint64(time.Now().UnixNano() % 1_000_000)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, o))
+}
+
+func run(ctx context.Context, o options) int {
+	dir, err := os.MkdirTemp("", "snipegw-proof-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	env := proof.Env{Bin: o.Bin, Dir: dir, Seed: o.Seed, Control: o.Control, Trace: trace{o.Verbose}}
+	ok := true
+	if o.Demo {
+		ok = proof.Demo(ctx, env, os.Stdout)
+	} else {
+		for _, p := range proof.Proofs() {
+			if strings.Contains(p.Name, o.Only) && ctx.Err() == nil {
+				ok = proof.RunOne(ctx, p, env, os.Stdout) != o.Control && ok
+			}
+		}
+	}
+	if ctx.Err() != nil {
+		ok = false
+	}
+	if ok && !o.Keep {
+		_ = os.RemoveAll(dir)
+	} else {
+		fmt.Fprintln(os.Stderr, "settings and logs of the processes are in", dir)
+	}
+	if !ok {
+		return 1
+	}
+	return 0
+}
+
+// trace prints the steps of the proofs to standard error.
+type trace struct{ on bool }
+
+func (t trace) Write(p []byte) (int, error) {
+	if t.on {
+		return os.Stderr.Write(p)
+	}
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/proof/client.go
@@ -0,0 +1,239 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"snipegw/internal/config"
+	"snipegw/internal/model"
+	"snipegw/internal/result"
+)
+
+// Header fields of the HTTP API.
+const (
+	headerTicket     = "Snipegw-Ticket"
+	headerIdempotent = "Snipegw-Idempotent"
+	headerTimeout    = "Snipegw-Timeout-Ms"
+	headerCode       = "Snipegw-Code"
+)
+
+// maxBody bounds a response that a proof reads.
+const maxBody = 32 << 20
+
+// Answer is what a caller learns of one call.
+type Answer struct {
+	Status int
+	// Code is the result code of an answer that comes from the entry, 0 for a
+	// response of the backend server.
+	Code   result.Code
+	Ticket string
+	Header http.Header
+	Body   []byte
+	// Err is set when the connection failed or the response broke off.
+	Err error
+}
+
+// Complete reports whether a is a complete response of the backend server.
+func (a Answer) Complete() bool { return a.Err == nil && a.Code == 0 }
+
+// NotRun reports whether a says that the request was not run.
+func (a Answer) NotRun() bool { return a.Err == nil && a.Code != 0 && a.Code.NotRun() }
+
+// Client calls the HTTP API of entries.
+type Client struct {
+	http  *http.Client
+	token string
+}
+
+// NewClient returns a client with its own connections.
+func NewClient(token string) *Client {
+	return &Client{token: token, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128}}}
+}
+
+// Call sends one request to an entry.
+func (c *Client) Call(ctx context.Context, method, url string, header map[string]string, body []byte) Answer {
+	var a Answer
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+		if t := h.Get(headerTicket); t != "" {
+			a.Ticket = t
+		}
+		return nil
+	}}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, bytes.NewReader(body))
+	if err != nil {
+		a.Err = err
+		return a
+	}
+	// Without GetBody the transport never sends a request a second time.
+	req.GetBody = nil
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		a.Err = err
+		return a
+	}
+	defer resp.Body.Close()
+	a.Status, a.Header = resp.StatusCode, resp.Header
+	if t := resp.Header.Get(headerTicket); t != "" {
+		a.Ticket = t
+	}
+	a.Body, a.Err = io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if a.Err == nil {
+		a.Code = codeOf(resp.Header)
+	}
+	return a
+}
+
+// codeOf returns the result code of an answer of the entry, 0 if there is none.
+// The header holds the number and the name of the code.
+func codeOf(h http.Header) result.Code {
+	text := h.Get(headerCode)
+	if text == "" {
+		return 0
+	}
+	number, _, _ := strings.Cut(text, " ")
+	code, err := strconv.Atoi(number)
+	if err != nil {
+		return result.Internal
+	}
+	return result.Code(code)
+}
+
+// JSON sends in and decodes the answer into out; a refusal is an error that
+// carries its code.
+func (c *Client) JSON(ctx context.Context, method, url string, in, out any) error {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return err
+		}
+	}
+	a := c.Call(ctx, method, url, map[string]string{"Content-Type": "application/json"}, body)
+	if a.Err != nil {
+		return a.Err
+	}
+	if a.Status >= 300 {
+		var problem struct {
+			Code    result.Code `json:"code"`
+			Message string      `json:"message"`
+		}
+		if err := json.Unmarshal(a.Body, &problem); err != nil || problem.Code == 0 {
+			return fmt.Errorf("%s %s: status %d: %s", method, url, a.Status, strings.TrimSpace(string(a.Body)))
+		}
+		return &result.Error{Code: problem.Code, Message: problem.Message}
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(a.Body, out)
+}
+
+// Submit submits a job through the first of the entries that accepts it.
+func (c *Client) Submit(ctx context.Context, entries []*Node, job model.Job) (model.JobStatus, error) {
+	var st model.JobStatus
+	err := firstOf(entries, func(e *Node) error { return c.JSON(ctx, http.MethodPost, e.URL()+"/v1/jobs", job, &st) })
+	return st, err
+}
+
+// Job returns the status of a job from the first entry that knows it.
+func (c *Client) Job(ctx context.Context, entries []*Node, id string) (model.JobStatus, error) {
+	var st model.JobStatus
+	err := firstOf(entries, func(e *Node) error { return c.JSON(ctx, http.MethodGet, e.URL()+"/v1/jobs/"+id, nil, &st) })
+	return st, err
+}
+
+// Cancel cancels a job.
+func (c *Client) Cancel(ctx context.Context, entries []*Node, id string) error {
+	return firstOf(entries, func(e *Node) error { return c.JSON(ctx, http.MethodDelete, e.URL()+"/v1/jobs/"+id, nil, nil) })
+}
+
+// firstOf calls f for each running entry until it succeeds.
+func firstOf(entries []*Node, f func(*Node) error) error {
+	var errs []error
+	for _, e := range entries {
+		if !e.Running() {
+			continue
+		}
+		err := f(e)
+		if err == nil {
+			return nil
+		}
+		errs = append(errs, fmt.Errorf("%s: %w", e.ID, err))
+	}
+	return errors.Join(append(errs, errors.New("no entry accepted the call"))...)
+}
+
+// Patch sends a configuration patch to an entry.
+func (c *Client) Patch(ctx context.Context, e *Node, p config.PatchRequest) (config.PatchResult, error) {
+	var r config.PatchResult
+	err := c.JSON(ctx, http.MethodPost, e.URL()+"/v1/config/patch", p, &r)
+	return r, err
+}
+
+// Config returns the configuration document in force at an entry.
+func (c *Client) Config(ctx context.Context, e *Node) (model.Config, error) {
+	var doc model.Config
+	err := c.JSON(ctx, http.MethodGet, e.URL()+"/v1/config", nil, &doc)
+	return doc, err
+}
+
+// AwaitJob polls a job until accept returns true.
+func (c *Client) AwaitJob(ctx context.Context, entries []*Node, id string, accept func(model.JobStatus) bool) (model.JobStatus, error) {
+	var last model.JobStatus
+	var lastErr error
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		st, err := c.Job(callCtx, entries, id)
+		cancel()
+		if err == nil {
+			last = st
+			if accept(st) {
+				return st, nil
+			}
+		}
+		lastErr = err
+		select {
+		case <-ctx.Done():
+			return last, fmt.Errorf("job %s is %s (%s): %w", id, last.State, last.Reason.Sentence, errors.Join(ctx.Err(), lastErr))
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// SetFaults posts fault switches to a stand-in.
+func SetFaults(n *Node, faults any) error {
+	data, err := json.Marshal(faults)
+	if err != nil {
+		return err
+	}
+	client := &http.Client{Timeout: 3 * time.Second}
+	resp, err := client.Post(n.URL()+"/standin/faults", "application/json", bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
+		return fmt.Errorf("%s refused fault switches: %s", n.ID, text)
+	}
+	return nil
+}
+
+// isRefused reports whether err is a refused connection, after which nothing
+// was sent.
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- /dev/null
+++ b/internal/proof/cluster.go
@@ -0,0 +1,380 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"snipegw/internal/standin/backend"
+	"snipegw/internal/standin/kv"
+	"snipegw/internal/standin/worker"
+)
+
+// StopLimit is the longest time that a graceful stop may take (P7).
+const StopLimit = 70 * time.Second
+
+// readyLimit bounds the start of all processes; it is no promise of the system.
+const readyLimit = 40 * time.Second
+
+// Node is one process with its addresses.
+type Node struct {
+	*Process
+	ID   string
+	HTTP string // host:port of its HTTP server
+	QUIC string // advertised QUIC address, empty for a stand-in
+	// Log is the file in which a backend server records its requests.
+	Log     string
+	storeTo *tcpRelay // relay between an entry and the store
+	udp     *udpRelay
+}
+
+// URL returns the base URL of the node's HTTP server.
+func (n *Node) URL() string { return "http://" + n.HTTP }
+
+// Cluster is a set of running processes.
+type Cluster struct {
+	Spec     Spec
+	Dir      string
+	Store    *Node
+	Workers  []*Node
+	Backends []*Node
+	Agents   []*Node
+	Entries  []*Node
+	bin      string
+	links    *links
+}
+
+// Launch starts all processes of spec from the programs in bin and waits until
+// every entry sees every worker and its service.
+func Launch(ctx context.Context, bin, dir string, spec Spec) (*Cluster, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, err
+	}
+	c := &Cluster{Spec: spec, Dir: dir, bin: bin, links: newLinks()}
+	steps := []func() error{c.makeStore, c.makeWorkers, c.makeEntries, c.makeAgents, c.makeBackends, c.startAll}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			c.Kill()
+			return nil, err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	if err := c.awaitReady(ctx); err != nil {
+		c.Kill()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) node(program, name string, subcommand []string, httpAddr string, settings any) (*Node, error) {
+	file, err := writeJSON(c.Dir, name+".json", settings)
+	if err != nil {
+		return nil, err
+	}
+	args := append(append([]string{}, subcommand...), "--settings", file)
+	return &Node{Process: newProcess(c.Dir, c.bin, program, name, args...), ID: name, HTTP: httpAddr}, nil
+}
+
+func (c *Cluster) makeStore() error {
+	addr, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	s := kv.Settings{Address: addr, WritesPerSecond: c.Spec.StoreWrites, ReadsPerSecond: c.Spec.StoreReads}
+	c.Store, err = c.node("snipegw-standin", "store", []string{"store"}, addr, s)
+	return err
+}
+
+func (c *Cluster) makeWorkers() error {
+	for i := range c.Spec.Agents {
+		addr, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		w := c.Spec.worker(i)
+		n, err := c.node("snipegw-standin", "worker-"+w.ID, []string{"worker"}, addr, worker.Settings{Address: addr, Worker: w})
+		if err != nil {
+			return err
+		}
+		n.ID = w.ID
+		c.Workers = append(c.Workers, n)
+	}
+	return nil
+}
+
+// quicAddress returns the address to listen on and the one to advertise; a
+// relay forwards from the second to the first.
+func (c *Cluster) quicAddress(n *Node) (listen, advertise string, err error) {
+	if listen, err = freeAddress(); err != nil {
+		return "", "", err
+	}
+	if !c.Spec.Relayed {
+		return listen, listen, nil
+	}
+	if advertise, err = freeAddress(); err != nil {
+		return "", "", err
+	}
+	n.udp, err = newUDPRelay(advertise, listen, c.links.blocked(n))
+	return listen, advertise, err
+}
+
+func (c *Cluster) makeEntries() error {
+	document, err := writeJSON(c.Dir, "config.json", c.Spec.document())
+	if err != nil {
+		return err
+	}
+	for i := range c.Spec.Entries {
+		if err := c.makeEntry(i, document); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) makeEntry(i int, document string) error {
+	n := &Node{}
+	httpAddr, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	listen, advertise, err := c.quicAddress(n)
+	if err != nil {
+		return err
+	}
+	storeURL := c.Store.URL()
+	if c.Spec.Relayed {
+		addr, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		if n.storeTo, err = newTCPRelay(addr, c.Store.HTTP); err != nil {
+			return err
+		}
+		storeURL = "http://" + addr
+	}
+	id := fmt.Sprintf("entry-%d", i+1)
+	made, err := c.node("snipegw-entry", id, nil, httpAddr, map[string]any{
+		"id": id, "region": c.Spec.Region, "failure_domain": c.Spec.Domains[i%len(c.Spec.Domains)],
+		"http_address": httpAddr, "address": listen, "advertise_address": advertise,
+		"store":    map[string]any{"type": "consulkv", "addresses": []string{storeURL}, "timeout_ms": 1000},
+		"security": map[string]string{"mode": "development"}, "policy": c.Spec.Policy,
+		"log_level": "info", "bootstrap_config": document,
+	})
+	if err != nil {
+		return err
+	}
+	n.Process, n.ID, n.HTTP, n.QUIC = made.Process, id, httpAddr, advertise
+	c.Entries = append(c.Entries, n)
+	return nil
+}
+
+func (c *Cluster) makeAgents() error {
+	var seeds []string
+	for _, e := range c.Entries {
+		seeds = append(seeds, e.QUIC)
+	}
+	for i := range c.Spec.Agents {
+		if err := c.makeAgent(i, seeds); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) makeAgent(i int, seeds []string) error {
+	n := &Node{}
+	httpAddr, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	listen, advertise, err := c.quicAddress(n)
+	if err != nil {
+		return err
+	}
+	w := c.Spec.worker(i)
+	made, err := c.node("snipegw-agent", "agent-"+w.ID, nil, httpAddr, map[string]any{
+		"region": w.Region, "failure_domain": w.FailureDomain, "address": listen, "advertise_address": advertise,
+		"local_http_address": httpAddr, "entries": seeds,
+		"worker_api": map[string]any{"type": "httpworker", "address": c.Workers[i].URL(), "timeout_ms": 500},
+		"security":   map[string]string{"mode": "development"}, "log_level": "info",
+	})
+	if err != nil {
+		return err
+	}
+	n.Process, n.ID, n.HTTP, n.QUIC = made.Process, w.ID, httpAddr, advertise
+	c.Agents = append(c.Agents, n)
+	return nil
+}
+
+func (c *Cluster) makeBackends() error {
+	if c.Spec.Service == "" {
+		return nil
+	}
+	for _, a := range c.Agents {
+		addr, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		log := filepath.Join(c.Dir, "backend-"+a.ID+".requests")
+		n, err := c.node("snipegw-standin", "backend-"+a.ID, []string{"backend"}, addr, backend.Settings{
+			Address: addr, Agent: a.URL(), Service: c.Spec.Service, Slots: 8, LogFile: log,
+		})
+		if err != nil {
+			return err
+		}
+		n.ID, n.Log = a.ID, log
+		c.Backends = append(c.Backends, n)
+	}
+	return nil
+}
+
+// nodes returns all nodes in the order of their start.
+func (c *Cluster) nodes() []*Node {
+	var all []*Node
+	if c.Store != nil {
+		all = append(all, c.Store)
+	}
+	all = append(all, c.Workers...)
+	all = append(all, c.Entries...)
+	all = append(all, c.Agents...)
+	return append(all, c.Backends...)
+}
+
+func (c *Cluster) startAll() error {
+	c.links.nodes = append(append([]*Node{}, c.Entries...), c.Agents...)
+	for _, n := range c.nodes() {
+		if err := n.Start(); err != nil {
+			return err
+		}
+		if n == c.Store {
+			if err := awaitHTTP(n.URL()+"/standin/counts", 5*time.Second); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// awaitHTTP waits until url answers with status 200.
+func awaitHTTP(url string, limit time.Duration) error {
+	client := &http.Client{Timeout: time.Second}
+	deadline := time.Now().Add(limit)
+	for {
+		resp, err := client.Get(url)
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+			err = fmt.Errorf("status %d", resp.StatusCode)
+		}
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%s does not answer: %w", url, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Stop ends all processes with SIGTERM, the backend servers first and the store
+// last, and returns the longest time that a stop took.
+func (c *Cluster) Stop(limit time.Duration) (time.Duration, error) {
+	var longest time.Duration
+	var errs []error
+	for _, group := range [][]*Node{c.Backends, c.Agents, c.Entries, c.Workers, {c.Store}} {
+		took, err := terminate(group, limit)
+		longest = max(longest, took)
+		errs = append(errs, err)
+	}
+	c.closeRelays()
+	return longest, errors.Join(errs...)
+}
+
+func terminate(group []*Node, limit time.Duration) (time.Duration, error) {
+	var mu sync.Mutex
+	var longest time.Duration
+	var errs []error
+	var wg sync.WaitGroup
+	for _, n := range group {
+		wg.Go(func() {
+			took, err := n.Terminate(limit)
+			mu.Lock()
+			defer mu.Unlock()
+			longest = max(longest, took)
+			errs = append(errs, err)
+		})
+	}
+	wg.Wait()
+	return longest, errors.Join(errs...)
+}
+
+// Kill ends all processes at once.
+func (c *Cluster) Kill() {
+	var wg sync.WaitGroup
+	for _, n := range c.nodes() {
+		if n.Process != nil {
+			wg.Go(n.Process.Kill)
+		}
+	}
+	wg.Wait()
+	c.closeRelays()
+}
+
+func (c *Cluster) closeRelays() {
+	for _, n := range append(append([]*Node{}, c.Entries...), c.Agents...) {
+		if n.udp != nil {
+			n.udp.close()
+		}
+		if n.storeTo != nil {
+			n.storeTo.close()
+		}
+	}
+}
+
+// Restart kills a node, or stops it gracefully, and starts it again.
+func (c *Cluster) Restart(n *Node, graceful bool) (time.Duration, error) {
+	var took time.Duration
+	if graceful {
+		var err error
+		if took, err = n.Terminate(StopLimit); err != nil {
+			return took, err
+		}
+	} else {
+		n.Kill()
+	}
+	c.links.forget(n)
+	return took, n.Start()
+}
+
+// Cut cuts or joins the link between two nodes.
+func (c *Cluster) Cut(a, b *Node, on bool) { c.links.set(a, b, on) }
+
+// CutStore cuts or joins the link between an entry and the store.
+func (c *Cluster) CutStore(entry *Node, on bool) { entry.storeTo.setCut(on) }
+
+// Isolate cuts or joins all links of a node.
+func (c *Cluster) Isolate(n *Node, on bool) {
+	for _, other := range c.links.nodes {
+		if other != n {
+			c.links.set(n, other, on)
+		}
+	}
+	if n.storeTo != nil {
+		n.storeTo.setCut(on)
+	}
+}
+
+// JoinAll ends all cuts.
+func (c *Cluster) JoinAll() {
+	c.links.joinAll()
+	for _, e := range c.Entries {
+		if e.storeTo != nil {
+			e.storeTo.setCut(false)
+		}
+	}
+}
--- /dev/null
+++ b/internal/proof/demo.go
@@ -0,0 +1,130 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"snipegw/internal/model"
+	"snipegw/internal/standin/backend"
+)
+
+const (
+	demoRequests = 20
+	demoLimit    = 60 * time.Second
+)
+
+// Demo starts one store, three workers with agents and backend servers, and two
+// entries, runs a gang job, requests and a configuration patch, and prints what
+// became of each. It reports whether all outcomes were as stated.
+func Demo(ctx context.Context, e Env, out io.Writer) bool {
+	ctx, cancel := context.WithTimeout(ctx, demoLimit)
+	defer cancel()
+	c, err := Launch(ctx, e.Bin, e.Dir, DefaultSpec())
+	if err != nil {
+		fmt.Fprintln(out, "start:", err)
+		return false
+	}
+	defer c.Kill()
+	fmt.Fprintf(out, "started 1 store, 3 workers, 2 entries, 3 agents, 3 backend servers\n")
+	steps := []struct {
+		name string
+		run  func(context.Context, *Cluster) (string, error)
+	}{{"gang job", demoGang}, {"requests", demoRequestSet}, {"ticket", demoTicket}, {"configuration patch", demoPatch}}
+	ok := true
+	for _, s := range steps {
+		text, err := s.run(ctx, c)
+		if err != nil {
+			ok = false
+			text = "FAILED: " + err.Error()
+		}
+		fmt.Fprintf(out, "%s: %s\n", s.name, text)
+	}
+	took, err := c.Stop(StopLimit)
+	fmt.Fprintf(out, "stopped with SIGTERM, longest stop %s\n", took.Round(10*time.Millisecond))
+	if err != nil {
+		fmt.Fprintln(out, "stop FAILED:", err)
+		ok = false
+	}
+	return ok
+}
+
+func demoGang(ctx context.Context, c *Cluster) (string, error) {
+	client := NewClient(TeamToken("routes"))
+	job := model.Job{
+		ID: "route-plan-1", Team: "routes", Class: model.ClassPreemptible, DeclaredMS: 1500, CheckpointMS: 500,
+		Shape:   model.Shape{Tasks: 2, AcceleratorsPerTask: 8, CoresPerTask: 8, MemoryGBPerTask: 32, Adjacent: model.AdjacentRack},
+		Command: []string{"sleep", "1500"},
+	}
+	began := time.Now()
+	if _, err := client.Submit(ctx, c.Entries, job); err != nil {
+		return "", err
+	}
+	st, err := client.AwaitJob(ctx, c.Entries, job.ID, func(st model.JobStatus) bool { return st.State.Final() })
+	if err != nil {
+		return "", err
+	}
+	if st.State != model.JobDone {
+		return "", fmt.Errorf("job %s ended as %s: %s", job.ID, st.State, st.Reason.Sentence)
+	}
+	return fmt.Sprintf("%s of 2 x 8 accelerators is %s after %s on attempt %d", job.ID, st.State, time.Since(began).Round(10*time.Millisecond), st.Attempt), nil
+}
+
+func demoRequestSet(ctx context.Context, c *Cluster) (string, error) {
+	client := NewClient(TeamToken("cargo"))
+	for i := range demoRequests {
+		path := fmt.Sprintf("/manifests/%d", i)
+		body := []byte(path)
+		url := c.Entries[i%len(c.Entries)].URL() + "/v1/services/" + c.Spec.Service + "/request" + path + "?delay_ms=10"
+		a := client.Call(ctx, http.MethodPost, url, nil, body)
+		want := backend.Digest(http.MethodPost, path, body)
+		if !a.Complete() || a.Status != http.StatusOK || a.Header.Get(backend.DigestHeader) != want {
+			return "", fmt.Errorf("request %d: status %d code %d error %v", i, a.Status, a.Code, a.Err)
+		}
+	}
+	return fmt.Sprintf("%d of %d complete with the right digest", demoRequests, demoRequests), nil
+}
+
+// demoTicket runs a request with a ticket and asks for it through the other
+// entry.
+func demoTicket(ctx context.Context, c *Cluster) (string, error) {
+	client := NewClient(TeamToken("cargo"))
+	url := c.Entries[0].URL() + "/v1/services/" + c.Spec.Service + "/request/bookings/1"
+	first := client.Call(ctx, http.MethodPost, url, nil, []byte("booking"))
+	if !first.Complete() || first.Ticket == "" {
+		return "", fmt.Errorf("status %d code %d ticket %q error %v", first.Status, first.Code, first.Ticket, first.Err)
+	}
+	again := client.Call(ctx, http.MethodGet, c.Entries[1].URL()+"/v1/tickets/"+first.Ticket, nil, nil)
+	if !again.Complete() || string(again.Body) != string(first.Body) {
+		return "", fmt.Errorf("asked again: status %d code %d error %v", again.Status, again.Code, again.Err)
+	}
+	return "the other entry returned the recorded response of " + first.Ticket, nil
+}
+
+func demoPatch(ctx context.Context, c *Cluster) (string, error) {
+	client := NewClient(OperatorToken)
+	load := &patchLoad{cluster: c}
+	doc, err := client.Config(ctx, c.Entries[0])
+	if err != nil {
+		return "", err
+	}
+	began := time.Now()
+	load.patch(ctx, client, c.Entries[0], doc.Version, "run-1", 500)
+	if len(load.accepted) != 1 {
+		return "", fmt.Errorf("patch at version %d was not accepted", doc.Version)
+	}
+	total := c.Spec.Entries + c.Spec.Agents
+	for {
+		st, err := client.Status(ctx, c.Entries[1])
+		if err == nil && st.Config.Version == load.accepted[0].version && st.Config.InForce == total {
+			return fmt.Sprintf("version %d in force on %d of %d after %s", st.Config.Version, total, total, time.Since(began).Round(10*time.Millisecond)), nil
+		}
+		select {
+		case <-ctx.Done():
+			return "", fmt.Errorf("in force on %d of %d", st.Config.InForce, total)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/internal/proof/observer.go
@@ -0,0 +1,236 @@
+package proof
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"snipegw/internal/standin/worker"
+)
+
+// observeInterval is the time between two polls of a worker's log. The times
+// of events come from the worker and do not depend on it.
+const observeInterval = 100 * time.Millisecond
+
+// Observer reads the logs of the workers from outside and holds the run of
+// every task.
+type Observer struct {
+	workers []*Node
+	client  *http.Client
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+
+	mu    sync.Mutex
+	since map[string]uint64
+	runs  map[string]*taskRun // by task id and worker
+	// refused counts tasks that a worker refused for lack of resources.
+	refused int
+}
+
+// taskRun is one run of a task. EndMS is 0 while it runs.
+type taskRun struct {
+	job     string
+	attempt uint64
+	rank    int
+	worker  string
+	startMS int64
+	endMS   int64
+	state   string
+}
+
+// NewObserver begins to poll the workers.
+func NewObserver(workers []*Node) *Observer {
+	ctx, cancel := context.WithCancel(context.Background())
+	o := &Observer{
+		workers: workers, client: &http.Client{Timeout: 2 * time.Second}, cancel: cancel,
+		since: make(map[string]uint64), runs: make(map[string]*taskRun),
+	}
+	o.done.Go(func() {
+		for ctx.Err() == nil {
+			o.poll()
+			select {
+			case <-ctx.Done():
+			case <-time.After(observeInterval):
+			}
+		}
+	})
+	return o
+}
+
+// Stop ends the polling after a last poll.
+func (o *Observer) Stop() {
+	o.cancel()
+	o.done.Wait()
+	o.poll()
+}
+
+func (o *Observer) poll() {
+	for _, w := range o.workers {
+		o.mu.Lock()
+		since := o.since[w.ID]
+		o.mu.Unlock()
+		resp, err := o.client.Get(fmt.Sprintf("%s/standin/log?since=%d", w.URL(), since))
+		if err != nil {
+			continue
+		}
+		var events []worker.Event
+		err = json.NewDecoder(resp.Body).Decode(&events)
+		_ = resp.Body.Close()
+		if err == nil {
+			o.add(w.ID, events)
+		}
+	}
+}
+
+func (o *Observer) add(workerID string, events []worker.Event) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, e := range events {
+		o.since[workerID] = max(o.since[workerID], e.Seq)
+		key := e.Task + "@" + workerID
+		switch e.Event {
+		case "refused":
+			o.refused++
+		case "start":
+			job, attempt, rank := parseTaskID(e.Task)
+			o.runs[key] = &taskRun{job: job, attempt: attempt, rank: rank, worker: workerID, startMS: e.AtMS, state: "running"}
+		case "end":
+			if r := o.runs[key]; r != nil {
+				r.endMS, r.state = e.AtMS, string(e.State)
+			}
+		}
+	}
+}
+
+// parseTaskID splits job/attempt/rank; a job id may contain no slash.
+func parseTaskID(id string) (job string, attempt uint64, rank int) {
+	parts := strings.Split(id, "/")
+	if len(parts) != 3 {
+		return id, 0, 0
+	}
+	attempt, _ = strconv.ParseUint(parts[1], 10, 64)
+	rank, _ = strconv.Atoi(parts[2])
+	return parts[0], attempt, rank
+}
+
+// Attempt is one attempt to run a gang, as the workers saw it.
+type Attempt struct {
+	Job     string
+	Number  uint64
+	Started int   // tasks that started
+	FirstMS int64 // first start
+	LastMS  int64 // last end, or the time of the analysis
+	// PartialMS is the longest time during which at least one but not all tasks
+	// of the gang ran, before all tasks were done.
+	PartialMS int64
+	// Done is the number of tasks that ended as done.
+	Done int
+	// Duplicate is set if a rank ran on two workers at the same time.
+	Duplicate bool
+}
+
+// Attempts returns what the workers saw of a job with the given gang size.
+func (o *Observer) Attempts(job string, tasks int) []Attempt {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	byAttempt := make(map[uint64][]*taskRun)
+	for _, r := range o.runs {
+		if r.job == job {
+			byAttempt[r.attempt] = append(byAttempt[r.attempt], r)
+		}
+	}
+	var list []Attempt
+	for number, runs := range byAttempt {
+		list = append(list, analyse(job, number, runs, tasks, time.Now().UnixMilli()))
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Number < list[j].Number })
+	return list
+}
+
+// edge is a start (+1) or an end (-1) of a task.
+type edge struct {
+	atMS  int64
+	delta int
+}
+
+func analyse(job string, number uint64, runs []*taskRun, tasks int, nowMS int64) Attempt {
+	a := Attempt{Job: job, Number: number, Started: len(runs)}
+	var edges []edge
+	ranks := make(map[int][]*taskRun)
+	for _, r := range runs {
+		end := r.endMS
+		if end == 0 {
+			end = nowMS
+		}
+		if a.FirstMS == 0 || r.startMS < a.FirstMS {
+			a.FirstMS = r.startMS
+		}
+		a.LastMS = max(a.LastMS, end)
+		if r.state == "done" {
+			a.Done++
+			// A task that has done its work is not missing from the gang.
+			end = max(end, nowMS)
+		}
+		for _, other := range ranks[r.rank] {
+			if r.startMS < orNow(other.endMS, nowMS) && other.startMS < orNow(r.endMS, nowMS) {
+				a.Duplicate = true
+			}
+		}
+		ranks[r.rank] = append(ranks[r.rank], r)
+		edges = append(edges, edge{r.startMS, 1}, edge{end, -1})
+	}
+	a.PartialMS = longestPartial(edges, tasks, a.LastMS)
+	return a
+}
+
+func orNow(ms, nowMS int64) int64 {
+	if ms == 0 {
+		return nowMS
+	}
+	return ms
+}
+
+// longestPartial returns the longest time up to endMS in which the number of
+// running tasks was above 0 and below tasks.
+func longestPartial(edges []edge, tasks int, endMS int64) int64 {
+	sort.Slice(edges, func(i, j int) bool {
+		if edges[i].atMS != edges[j].atMS {
+			return edges[i].atMS < edges[j].atMS
+		}
+		return edges[i].delta > edges[j].delta
+	})
+	var longest, since int64
+	running := 0
+	partial := func() bool { return running > 0 && running < tasks }
+	for _, e := range edges {
+		was := partial()
+		running += e.delta
+		switch now := partial(); {
+		case was && !now:
+			longest = max(longest, min(e.atMS, endMS)-since)
+		case !was && now:
+			since = e.atMS
+		}
+	}
+	return longest
+}
+
+// Running returns the number of tasks of a job that run, and the time of the
+// last start among them in Unix milliseconds.
+func (o *Observer) Running(job string) (lastStartMS int64, running int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range o.runs {
+		if r.job == job && r.endMS == 0 {
+			running++
+			lastStartMS = max(lastStartMS, r.startMS)
+		}
+	}
+	return lastStartMS, running
+}
--- /dev/null
+++ b/internal/proof/p2_gang.go
@@ -0,0 +1,286 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"snipegw/internal/model"
+)
+
+const (
+	gangTasks = 3
+	// gangRunMS is the run time of a gang, longer than detection and restart.
+	gangRunMS = 6000
+	// partBound and plannedBound are the bounds of P2 for a part that runs
+	// without the rest.
+	partBound    = 5 * time.Second
+	plannedBound = 20 * time.Second
+	// gangEnd bounds the end of a gang after its fault has ended; it is no
+	// promise.
+	gangEnd = 25 * time.Second
+)
+
+// gangProof checks P2: an observer reads the task logs of the workers while
+// members, supervisor, planner, store and links fail during the reservation,
+// the start and the run of a gang.
+func gangProof() Proof {
+	return Proof{
+		Name: "gang-atomicity", Promise: "P2", Limit: 290 * time.Second,
+		Bound: "0 starts before all reservations, part alone at most 5s, 20s in a planned restart",
+		Run:   runGangProof,
+	}
+}
+
+// gangCase is one fault in the life of a gang.
+type gangCase struct {
+	name string
+	// running injects the fault while the gang runs, not while it starts.
+	running bool
+	planned bool
+	hold    time.Duration
+	// fault chooses the fault; first is the agent of rank 0, member another one.
+	fault func(c *Cluster, planner, first, member *Node) []fault
+}
+
+func gangCases() []gangCase {
+	one := func(f func(c *Cluster, planner, first, member *Node) fault) func(*Cluster, *Node, *Node, *Node) []fault {
+		return func(c *Cluster, planner, first, member *Node) []fault {
+			return []fault{f(c, planner, first, member)}
+		}
+	}
+	killMember := one(func(c *Cluster, _, _, m *Node) fault { return killed(c, m) })
+	killFirst := one(func(c *Cluster, _, f, _ *Node) fault { return killed(c, f) })
+	freezeMember := one(func(_ *Cluster, _, _, m *Node) fault { return frozen(m) })
+	freezeFirst := one(func(_ *Cluster, _, f, _ *Node) fault { return frozen(f) })
+	killPlanner := one(func(c *Cluster, p, _, _ *Node) fault { return killed(c, p) })
+	freezePlanner := one(func(_ *Cluster, p, _, _ *Node) fault { return frozen(p) })
+	isolateMember := one(func(c *Cluster, _, _, m *Node) fault { return isolated(c, m) })
+	cutMembers := one(func(c *Cluster, _, f, m *Node) fault { return cutLink(c, f, m) })
+	down := one(func(c *Cluster, _, _, _ *Node) fault { return storeDown(c.Store) })
+	loses := one(func(c *Cluster, _, _, _ *Node) fault { return storeLoses(c.Store) })
+	restart := one(func(_ *Cluster, _, _, m *Node) fault { return restarted(m) })
+	restartFirst := one(func(_ *Cluster, _, f, _ *Node) fault { return restarted(f) })
+	both := func(c *Cluster, p, _, m *Node) []fault { return []fault{killed(c, p), killed(c, m)} }
+	failing := one(func(c *Cluster, _, _, m *Node) fault {
+		return switched(c.workerOf(m), "fail tasks", map[string]any{"fail_tasks": true}, map[string]any{"fail_tasks": false})
+	})
+	short, long := 400*time.Millisecond, 3500*time.Millisecond
+	return []gangCase{
+		{"kill member at start", false, false, short, killMember},
+		{"kill supervisor at start", false, false, short, killFirst},
+		{"freeze member at start", false, false, long, freezeMember},
+		{"kill planner at start", false, false, short, killPlanner},
+		{"freeze planner at start", false, false, long, freezePlanner},
+		{"isolate member at start", false, false, long, isolateMember},
+		{"cut members at start", false, false, long, cutMembers},
+		{"store down at start", false, false, long, down},
+		{"store loses answers at start", false, false, long, loses},
+		{"worker fails tasks", false, false, long, failing},
+		{"kill planner and member at start", false, false, short, both},
+		{"kill member in run", true, false, short, killMember},
+		{"kill supervisor in run", true, false, short, killFirst},
+		{"freeze member in run", true, false, long, freezeMember},
+		{"freeze supervisor in run", true, false, long, freezeFirst},
+		{"isolate member in run", true, false, long, isolateMember},
+		{"cut members in run", true, false, long, cutMembers},
+		{"restart member in run", true, true, short, restart},
+		{"restart supervisor in run", true, true, short, restartFirst},
+	}
+}
+
+// restarted stops a node gracefully and starts it again.
+func restarted(n *Node) fault {
+	return fault{"restart " + n.Name,
+		func() error { _, err := n.Terminate(StopLimit); return err },
+		n.Start,
+	}
+}
+
+// workerOf returns the worker stand-in of an agent.
+func (c *Cluster) workerOf(agent *Node) *Node {
+	for _, w := range c.Workers {
+		if w.ID == agent.ID {
+			return w
+		}
+	}
+	return nil
+}
+
+// gangWorst is the worst that was seen over all cases.
+type gangWorst struct {
+	part, planned       time.Duration
+	partCase            string
+	early               int
+	attempts, completed int
+	duplicates          int
+}
+
+func runGangProof(ctx context.Context, e *Env) (Verdict, error) {
+	spec := DefaultSpec()
+	spec.Entries, spec.Agents, spec.PerRack, spec.Relayed, spec.Service = 2, 3, 3, true, ""
+	c, err := Launch(ctx, e.Bin, e.Dir, spec)
+	if err != nil {
+		return Verdict{}, err
+	}
+	defer c.Kill()
+	if e.Control {
+		for _, w := range c.Workers {
+			if err := SetFaults(w, map[string]any{"ignore_leases": true, "ignore_stops": true}); err != nil {
+				return Verdict{}, err
+			}
+		}
+	}
+	obs := NewObserver(c.Workers)
+	defer obs.Stop()
+	client := NewClient(OperatorToken)
+	var worst gangWorst
+	if err := e.unreachableMember(ctx, c, client, obs, &worst); err != nil {
+		return Verdict{}, err
+	}
+	cases := gangCases()
+	ran := 0
+	for i, gc := range cases {
+		if ctx.Err() != nil || (e.Control && worst.part > partBound) {
+			break
+		}
+		if err := e.gangCase(ctx, c, client, obs, gc, fmt.Sprintf("gang-%d", i), &worst); err != nil {
+			return Verdict{Measured: worst.String()}, fmt.Errorf("%s: %w", gc.name, err)
+		}
+		ran++
+	}
+	pass := worst.early == 0 && worst.part <= partBound && worst.planned <= plannedBound && worst.duplicates == 0 && ran == len(cases)
+	return Verdict{Pass: pass, Measured: fmt.Sprintf("%s, %d of %d cases", worst, ran, len(cases))}, nil
+}
+
+func (w gangWorst) String() string {
+	return fmt.Sprintf("%d early starts, part alone %s (%s), planned %s; %d attempts, %d gangs done, %d ranks twice",
+		w.early, w.part, w.partCase, w.planned, w.attempts, w.completed, w.duplicates)
+}
+
+func gangJob(id string) model.Job {
+	return model.Job{
+		ID: id, Team: "cargo", Class: model.ClassPreemptible, DeclaredMS: gangRunMS, CheckpointMS: 500,
+		Shape:   model.Shape{Tasks: gangTasks, AcceleratorsPerTask: 8, CoresPerTask: 8, MemoryGBPerTask: 16, Adjacent: model.AdjacentRack},
+		Command: []string{"sleep", fmt.Sprint(gangRunMS)},
+	}
+}
+
+// unreachableMember cuts one member off before the submission of a gang that
+// needs every worker. No task may start while it is cut off.
+func (e *Env) unreachableMember(ctx context.Context, c *Cluster, client *Client, obs *Observer, worst *gangWorst) error {
+	cut := pick(e, c.Agents)
+	c.Isolate(cut, true)
+	began := time.Now().UnixMilli()
+	job := gangJob("unreachable")
+	if _, err := client.Submit(ctx, c.Entries, job); err != nil {
+		c.Isolate(cut, false)
+		return err
+	}
+	sleep(ctx, 4*time.Second)
+	joined := time.Now().UnixMilli()
+	c.Isolate(cut, false)
+	end, err := e.awaitEnd(ctx, c, client, job.ID)
+	obs.poll()
+	for _, a := range obs.Attempts(job.ID, gangTasks) {
+		worst.attempts++
+		if a.FirstMS >= began && a.FirstMS < joined {
+			worst.early += a.Started
+		}
+	}
+	if err == nil && end.State == model.JobDone {
+		worst.completed++
+	}
+	return err
+}
+
+// awaitEnd waits until a job has ended, and cancels it after gangEnd.
+func (e *Env) awaitEnd(ctx context.Context, c *Cluster, client *Client, id string) (model.JobStatus, error) {
+	endCtx, cancel := context.WithTimeout(ctx, gangEnd)
+	defer cancel()
+	final := func(st model.JobStatus) bool { return st.State.Final() }
+	st, err := client.AwaitJob(endCtx, c.Entries, id, final)
+	if err == nil {
+		return st, nil
+	}
+	e.note("job %s has not ended: %v; it is cancelled", id, err)
+	if err := client.Cancel(ctx, c.Entries, id); err != nil {
+		return st, err
+	}
+	cancelCtx, cancelEnd := context.WithTimeout(ctx, gangEnd)
+	defer cancelEnd()
+	return client.AwaitJob(cancelCtx, c.Entries, id, final)
+}
+
+func (e *Env) gangCase(ctx context.Context, c *Cluster, client *Client, obs *Observer, gc gangCase, id string, worst *gangWorst) error {
+	if err := c.AwaitReady(ctx, readyLimit); err != nil {
+		return err
+	}
+	planner := c.Planner(ctx, client)
+	if planner == nil {
+		return fmt.Errorf("no planner is known")
+	}
+	job := gangJob(id)
+	if _, err := client.Submit(ctx, c.Entries, job); err != nil {
+		return err
+	}
+	first, member := c.Agents[0], c.Agents[1+e.Rand.IntN(len(c.Agents)-1)]
+	if gc.running {
+		waitCtx, cancel := context.WithTimeout(ctx, gangEnd)
+		defer cancel()
+		st, err := client.AwaitJob(waitCtx, c.Entries, id, func(st model.JobStatus) bool { return st.State == model.JobRunning })
+		if err != nil {
+			return err
+		}
+		first, member = c.ranked(st, first, member)
+		sleep(ctx, e.between([2]time.Duration{300 * time.Millisecond, time.Second}))
+	} else {
+		sleep(ctx, e.between([2]time.Duration{0, 60 * time.Millisecond}))
+	}
+	e.note("case %s: first %s, member %s, planner %s", gc.name, first.ID, member.ID, planner.ID)
+	var active sync.WaitGroup
+	for _, f := range gc.fault(c, planner, first, member) {
+		active.Go(func() { e.hold(ctx, f, gc.hold) })
+	}
+	active.Wait()
+	end, err := e.awaitEnd(ctx, c, client, id)
+	if err != nil {
+		return err
+	}
+	if end.State == model.JobDone {
+		worst.completed++
+	}
+	obs.poll()
+	worst.add(gc, obs.Attempts(id, gangTasks))
+	return nil
+}
+
+// add takes the attempts of one case into account.
+func (w *gangWorst) add(gc gangCase, attempts []Attempt) {
+	for _, a := range attempts {
+		w.attempts++
+		if a.Duplicate {
+			w.duplicates++
+		}
+		part := time.Duration(a.PartialMS) * time.Millisecond
+		if gc.planned {
+			w.planned = max(w.planned, part)
+		} else if part > w.part {
+			w.part, w.partCase = part, gc.name
+		}
+	}
+}
+
+// ranked returns the agents of rank 0 and of the last rank.
+func (c *Cluster) ranked(st model.JobStatus, first, member *Node) (*Node, *Node) {
+	for _, a := range c.Agents {
+		if len(st.Workers) > 0 && a.ID == st.Workers[0] {
+			first = a
+		}
+		if len(st.Workers) > 1 && a.ID == st.Workers[len(st.Workers)-1] {
+			member = a
+		}
+	}
+	return first, member
+}
--- /dev/null
+++ b/internal/proof/p6_leave.go
@@ -0,0 +1,143 @@
+package proof
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"snipegw/internal/standin/backend"
+)
+
+const (
+	// leaveBound is the bound of P6.
+	leaveBound = 3 * time.Second
+	// leaveObserve is the time for which a leaving backend server is observed.
+	leaveObserve = 7 * time.Second
+	leaveCallers = 40
+)
+
+// leaveProof checks P6: one backend server after the other leaves under load:
+// by its own order, by the drain of its worker, and by the graceful stop of its
+// agent, also while its agent was frozen or is cut off from an entry. Its own
+// record may show no request that began more than 3 s later.
+func leaveProof() Proof {
+	return Proof{
+		Name: "leaving-backend", Promise: "P6", Limit: 120 * time.Second,
+		Bound: "no new request from 3s after the leave",
+		Run:   runLeaveProof,
+	}
+}
+
+// leaveCase is one way to leave.
+type leaveCase struct {
+	name  string
+	leave func(c *Cluster, agent, server *Node) error
+}
+
+func leaveCases(ctx context.Context, c *Cluster, operator *Client) []leaveCase {
+	order := func(server *Node) error { return SetFaults(server, map[string]any{"leave": true}) }
+	return []leaveCase{
+		{"leave", func(_ *Cluster, _, server *Node) error { return order(server) }},
+		{"drain", func(_ *Cluster, agent, _ *Node) error {
+			return firstOf(c.Entries, func(e *Node) error {
+				return operator.JSON(ctx, http.MethodPost, e.URL()+"/v1/workers/"+agent.ID+"/drain", nil, nil)
+			})
+		}},
+		{"leave while cut off from an entry", func(c *Cluster, agent, server *Node) error {
+			c.Cut(agent, c.Entries[0], true)
+			return order(server)
+		}},
+		{"stop of the agent", func(_ *Cluster, agent, _ *Node) error {
+			go func() { _, _ = agent.Terminate(StopLimit) }()
+			return nil
+		}},
+	}
+}
+
+func runLeaveProof(ctx context.Context, e *Env) (Verdict, error) {
+	spec := DefaultSpec()
+	spec.Agents, spec.PerRack, spec.Relayed = 6, 3, true
+	c, err := Launch(ctx, e.Bin, e.Dir, spec)
+	if err != nil {
+		return Verdict{}, err
+	}
+	defer c.Kill()
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	defer stopLoad()
+	client := NewClient(TeamToken("cargo"))
+	for i := range leaveCallers {
+		callers.Go(func() { shortRequests(loadCtx, c, client, i) })
+	}
+	sleep(ctx, time.Second) // all backend servers receive requests before one leaves
+	var latest time.Duration
+	var worst string
+	before, late := 0, 0
+	for i, lc := range leaveCases(ctx, c, NewClient(OperatorToken)) {
+		agent, server := c.Agents[i], c.Backends[i]
+		began := time.Now()
+		e.note("%s: %s", lc.name, server.Name)
+		if !e.Control {
+			if err := lc.leave(c, agent, server); err != nil {
+				return Verdict{}, fmt.Errorf("%s: %w", lc.name, err)
+			}
+		}
+		sleep(ctx, leaveObserve)
+		starts, err := startsOf(server)
+		if err != nil {
+			return Verdict{}, err
+		}
+		for _, at := range starts {
+			after := at.Sub(began)
+			if after < 0 {
+				before++
+				continue
+			}
+			if after > leaveBound {
+				late++
+			}
+			if after > latest {
+				latest, worst = after, lc.name
+			}
+		}
+	}
+	measured := fmt.Sprintf("latest %s (%s), %d later than 3s, %d before the leave", latest.Round(time.Millisecond), worst, late, before)
+	return Verdict{Pass: late == 0 && before > 0, Measured: measured}, nil
+}
+
+// shortRequests sends idempotent requests until ctx ends.
+func shortRequests(ctx context.Context, c *Cluster, client *Client, caller int) {
+	for n := 0; ctx.Err() == nil; n++ {
+		e := c.Entries[(caller+n)%len(c.Entries)]
+		url := fmt.Sprintf("%s/v1/services/%s/request/short/%d/%d?delay_ms=20", e.URL(), c.Spec.Service, caller, n)
+		callCtx, cancel := context.WithTimeout(ctx, 5*time.Second)
+		a := client.Call(callCtx, http.MethodGet, url, nil, nil)
+		cancel()
+		if !a.Complete() {
+			sleep(ctx, 20*time.Millisecond)
+		}
+	}
+}
+
+// startsOf returns the times at which a backend server began its requests.
+func startsOf(server *Node) ([]time.Time, error) {
+	data, err := os.ReadFile(server.Log)
+	if err != nil {
+		return nil, err
+	}
+	var starts []time.Time
+	for _, line := range strings.Split(string(data), "\n") {
+		var rec backend.Record
+		if line == "" || json.Unmarshal([]byte(line), &rec) != nil || rec.EndedMS != 0 {
+			continue
+		}
+		starts = append(starts, time.UnixMilli(rec.AtMS))
+	}
+	return starts, nil
+}
--- /dev/null
+++ b/internal/proof/p7_rolling.go
@@ -0,0 +1,141 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	rollingCallers = 24
+	// longRequestMS is the run time of the longest requests of the load. Those
+	// of 60 s would make the proof last longer than all others together.
+	longRequestMS = 8000
+	// healthInterval is the time between two health checks of the callers'
+	// load balancer.
+	healthInterval = 300 * time.Millisecond
+)
+
+// rollingProof checks P7: all entries and agents are restarted one after the
+// other under load, and no request in progress is interrupted. The callers
+// follow /healthz as a load balancer does.
+func rollingProof() Proof {
+	return Proof{
+		Name: "rolling-restart", Promise: "P7", Limit: 180 * time.Second,
+		Bound: "0 interrupted, each stop at most 70s",
+		Run:   runRollingProof,
+	}
+}
+
+// rollingLoad sends requests through healthy entries and counts interrupted ones.
+type rollingLoad struct {
+	cluster                        *Cluster
+	client                         *Client
+	healthy                        []atomic.Bool
+	complete, refused, interrupted atomic.Int64
+	mu                             sync.Mutex
+	examples                       []string
+}
+
+func runRollingProof(ctx context.Context, e *Env) (Verdict, error) {
+	spec := DefaultSpec()
+	c, err := Launch(ctx, e.Bin, e.Dir, spec)
+	if err != nil {
+		return Verdict{}, err
+	}
+	defer c.Kill()
+	l := &rollingLoad{cluster: c, client: NewClient(TeamToken("cargo")), healthy: make([]atomic.Bool, len(c.Entries))}
+	// A kept-alive connection that the server closes while a request is on its
+	// way cannot be told from an interruption, so every request opens its own.
+	l.client.http = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	var running sync.WaitGroup
+	for i := range c.Entries {
+		running.Go(func() { l.check(loadCtx, i) })
+	}
+	sleep(ctx, time.Second) // the first health checks
+	for i := range rollingCallers {
+		random := rand.New(rand.NewPCG(e.Seed, uint64(i)))
+		running.Go(func() { l.run(loadCtx, random, i) })
+	}
+	sleep(ctx, time.Second)
+	var longest time.Duration
+	for _, n := range append(append([]*Node{}, c.Entries...), c.Agents...) {
+		took, err := c.Restart(n, !e.Control)
+		longest = max(longest, took)
+		e.note("restart of %s: stop took %s, %d interrupted so far", n.Name, took.Round(time.Millisecond), l.interrupted.Load())
+		if err == nil {
+			err = c.AwaitReady(ctx, readyLimit)
+		}
+		if err != nil {
+			return Verdict{Measured: l.String()}, err
+		}
+		sleep(ctx, time.Second)
+	}
+	stopLoad()
+	running.Wait()
+	for _, text := range l.examples {
+		e.note("interrupted: %s", text)
+	}
+	pass := l.interrupted.Load() == 0 && longest <= StopLimit && l.complete.Load() > 0
+	return Verdict{Pass: pass, Measured: fmt.Sprintf("%s, longest stop %s", l, longest.Round(10*time.Millisecond))}, nil
+}
+
+func (l *rollingLoad) String() string {
+	return fmt.Sprintf("%d interrupted; %d complete, %d refused as not run", l.interrupted.Load(), l.complete.Load(), l.refused.Load())
+}
+
+// check polls the health of an entry.
+func (l *rollingLoad) check(ctx context.Context, i int) {
+	client := &http.Client{Timeout: healthInterval, Transport: &http.Transport{DisableKeepAlives: true}}
+	for ctx.Err() == nil {
+		resp, err := client.Get(l.cluster.Entries[i].URL() + "/healthz")
+		ok := err == nil && resp.StatusCode == http.StatusOK
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		l.healthy[i].Store(ok)
+		sleep(ctx, healthInterval)
+	}
+}
+
+func (l *rollingLoad) run(ctx context.Context, random *rand.Rand, caller int) {
+	for n := 0; ctx.Err() == nil; n++ {
+		i := random.IntN(len(l.cluster.Entries))
+		if !l.healthy[i].Load() {
+			sleep(ctx, 10*time.Millisecond)
+			continue
+		}
+		delay := 50 + random.IntN(400)
+		if n%20 == caller%20 {
+			delay = longRequestMS
+		}
+		url := fmt.Sprintf("%s/v1/services/%s/request/rolling/%d/%d?delay_ms=%d", l.cluster.Entries[i].URL(), l.cluster.Spec.Service, caller, n, delay)
+		method := []string{http.MethodGet, http.MethodPost}[n%2]
+		a := l.client.Call(context.Background(), method, url, map[string]string{headerTimeout: strconv.Itoa(20_000)}, nil)
+		l.count(a, method, delay)
+	}
+}
+
+func (l *rollingLoad) count(a Answer, method string, delay int) {
+	switch {
+	case a.Complete() && a.Status == http.StatusOK:
+		l.complete.Add(1)
+	case a.NotRun() || isRefused(a.Err):
+		l.refused.Add(1)
+		time.Sleep(20 * time.Millisecond) // do not spin on refusals
+	default:
+		l.interrupted.Add(1)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if len(l.examples) < 10 {
+			l.examples = append(l.examples, fmt.Sprintf("%s of %d ms: status %d code %v error %v body %.200s", method, delay, a.Status, a.Code, a.Err, a.Body))
+		}
+	}
+}
--- /dev/null
+++ b/internal/proof/process.go
@@ -0,0 +1,136 @@
+// Package proof runs the programs of snipegw as separate processes on loopback,
+// injects faults into them, and checks the required properties from outside.
+// It is for development only.
+package proof
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Process is one program that can be started again after it has ended.
+type Process struct {
+	Name string
+	path string
+	args []string
+	log  string
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	done    chan struct{}
+	err     error
+	starts  int
+	started time.Time
+}
+
+func newProcess(dir, bin, program, name string, args ...string) *Process {
+	return &Process{Name: name, path: filepath.Join(bin, program), args: args, log: filepath.Join(dir, name+".log")}
+}
+
+// Start runs the program; its output is appended to a log file.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return fmt.Errorf("%s runs already", p.Name)
+	}
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	cmd := exec.Command(p.path, p.args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	// The processes must not outlive the program that tests them.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("%s: %w", p.Name, err)
+	}
+	done := make(chan struct{})
+	p.cmd, p.done, p.err, p.started = cmd, done, nil, time.Now()
+	p.starts++
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		p.cmd, p.err = nil, err
+		p.mu.Unlock()
+		close(done)
+	}()
+	return nil
+}
+
+// PID returns the process id, 0 if it does not run.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
+// Running reports whether the process runs (or is frozen).
+func (p *Process) Running() bool { return p.PID() != 0 }
+
+func (p *Process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// Freeze stops the process from running until Thaw.
+func (p *Process) Freeze() { p.signal(syscall.SIGSTOP) }
+
+// Thaw continues a frozen process.
+func (p *Process) Thaw() { p.signal(syscall.SIGCONT) }
+
+// Kill ends the process with SIGKILL and waits for its end.
+func (p *Process) Kill() {
+	p.signal(syscall.SIGKILL)
+	_, _ = p.wait(10 * time.Second)
+}
+
+// Terminate asks for a graceful stop and waits at most limit. It returns the
+// time that the stop took.
+func (p *Process) Terminate(limit time.Duration) (time.Duration, error) {
+	began := time.Now()
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGTERM)
+	ended, err := p.wait(limit)
+	took := time.Since(began)
+	if !ended {
+		p.Kill()
+		return took, fmt.Errorf("%s did not stop within %s", p.Name, limit)
+	}
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return took, fmt.Errorf("%s: %w", p.Name, err)
+	}
+	return took, nil
+}
+
+// wait reports whether the process ended within limit, and its error.
+func (p *Process) wait(limit time.Duration) (ended bool, err error) {
+	p.mu.Lock()
+	done, running := p.done, p.cmd != nil
+	p.mu.Unlock()
+	if !running {
+		return true, nil
+	}
+	select {
+	case <-done:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return true, p.err
+	case <-time.After(limit):
+		return false, nil
+	}
+}
--- /dev/null
+++ b/internal/proof/ready.go
@@ -0,0 +1,129 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"snipegw/internal/members"
+)
+
+// Workers returns the workers that an entry knows.
+func (c *Client) Workers(ctx context.Context, e *Node) ([]members.Worker, error) {
+	var out struct {
+		Workers []members.Worker `json:"workers"`
+	}
+	err := c.JSON(ctx, http.MethodGet, e.URL()+"/v1/workers", nil, &out)
+	return out.Workers, err
+}
+
+// Status is the part of an entry's summary that the proofs use.
+type Status struct {
+	Config struct {
+		Version uint64 `json:"version"`
+		InForce int    `json:"in_force"`
+		Total   int    `json:"total"`
+	} `json:"config"`
+	Planner struct {
+		Entry string `json:"entry"`
+		Epoch uint64 `json:"epoch"`
+	} `json:"planner"`
+	PlannerError string `json:"planner_error"`
+}
+
+// Status returns the summary of an entry.
+func (c *Client) Status(ctx context.Context, e *Node) (Status, error) {
+	var st Status
+	err := c.JSON(ctx, http.MethodGet, e.URL()+"/v1/status", nil, &st)
+	return st, err
+}
+
+// awaitReady waits until every running entry knows a planner that answers and
+// sees every worker alive with a healthy service.
+func (c *Cluster) awaitReady(ctx context.Context) error {
+	client := NewClient(OperatorToken)
+	defer client.http.CloseIdleConnections()
+	for {
+		err := c.readyError(ctx, client)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("the processes are not ready: %w (logs in %s)", err, c.Dir)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func (c *Cluster) readyError(ctx context.Context, client *Client) error {
+	for _, n := range c.nodes() {
+		if !n.Running() {
+			return fmt.Errorf("%s has ended", n.Name)
+		}
+	}
+	for _, e := range c.Entries {
+		st, err := client.Status(ctx, e)
+		if err != nil {
+			return fmt.Errorf("%s: %w", e.ID, err)
+		}
+		if st.Planner.Entry == "" || st.PlannerError != "" {
+			return fmt.Errorf("%s knows no planner: %s", e.ID, st.PlannerError)
+		}
+		workers, err := client.Workers(ctx, e)
+		if err != nil {
+			return fmt.Errorf("%s: %w", e.ID, err)
+		}
+		if n := c.usable(workers); n != c.Spec.Agents {
+			return fmt.Errorf("%s sees %d of %d workers", e.ID, n, c.Spec.Agents)
+		}
+	}
+	return nil
+}
+
+// usable counts the workers that are alive, with a healthy service if the
+// cluster has one.
+func (c *Cluster) usable(workers []members.Worker) int {
+	n := 0
+	for _, w := range workers {
+		healthy := c.Spec.Service == ""
+		for _, s := range w.State.Services {
+			healthy = healthy || (s.Service == c.Spec.Service && s.Healthy && !s.Leaving)
+		}
+		if w.Health == members.Alive && healthy && !w.State.Stopping {
+			n++
+		}
+	}
+	return n
+}
+
+// AwaitReady waits until the cluster is ready again, for at most limit.
+func (c *Cluster) AwaitReady(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return c.awaitReady(ctx)
+}
+
+// Planner returns the entry that holds the planner lease according to the
+// entries, or nil.
+func (c *Cluster) Planner(ctx context.Context, client *Client) *Node {
+	var best Status
+	for _, e := range c.Entries {
+		if !e.Running() {
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, time.Second)
+		st, err := client.Status(callCtx, e)
+		cancel()
+		if err == nil && st.Planner.Epoch > best.Planner.Epoch {
+			best = st
+		}
+	}
+	for _, e := range c.Entries {
+		if e.ID == best.Planner.Entry {
+			return e
+		}
+	}
+	return nil
+}
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -79,6 +79,13 @@
 	FailQuickly bool `json:"fail_quickly"`
 	// Refuse refuses connections.
 	Refuse bool `json:"refuse"`
+	// RefuseMS refuses connections for this many milliseconds; it then reads as
+	// 0. The fault switches cannot be reached meanwhile.
+	RefuseMS int `json:"refuse_ms"`
+	// Short is the share of responses, 0 to 1, that are sent as complete but hold
+	// only the first half of the body. No gateway can detect it; it shows that a
+	// checker does.
+	Short float64 `json:"short"`
 	// Silent stops the announcements.
 	Silent bool `json:"silent"`
 	// Leave announces that the backend server leaves, and stops announcing.
@@ -195,18 +202,26 @@
 	left := s.faults.Leave
 	f(&s.faults)
 	set := s.faults
+	s.faults.RefuseMS = 0
 	s.mu.Unlock()
 	if set.Leave && !left {
 		go func() { _ = s.Leave(context.Background()) }()
 	}
-	// A refusal breaks the connection of the order too, so it follows its answer.
-	go func() {
-		time.Sleep(refuseDelay)
-		_ = s.host.Refuse(set.Refuse)
-	}()
+	go s.refuse(set)
 	return set, nil
 }
 
+// refuse applies the switches for refused connections. A refusal breaks the
+// connection of the order too, so it follows its answer.
+func (s *Server) refuse(set Faults) {
+	time.Sleep(refuseDelay)
+	_ = s.host.Refuse(set.Refuse || set.RefuseMS > 0)
+	if set.RefuseMS > 0 {
+		time.Sleep(time.Duration(set.RefuseMS) * time.Millisecond)
+		_ = s.host.Refuse(set.Refuse)
+	}
+}
+
 // refuseDelay lets the answer to a fault order leave before connections close.
 const refuseDelay = 20 * time.Millisecond
 
--- a/internal/standin/backend/requests.go
+++ b/internal/standin/backend/requests.go
@@ -64,6 +64,7 @@
 	chunked bool // without Content-Length
 	broken  bool
 	fails   bool
+	short   bool // half of the body, sent as complete
 }
 
 func parseQuery(q url.Values) request {
@@ -95,6 +96,9 @@
 	}
 	digest := Digest(r.Method, r.URL.Path, body)
 	out := ResponseBody(digest, want.bytes)
+	if want.short {
+		out = out[:len(out)/2]
+	}
 	setHeader(w.Header(), digest, want, len(out))
 	if want.broken {
 		outcome = "broken"
@@ -145,6 +149,7 @@
 	} else if s.faults.Break > 0 && s.random.Float64() < s.faults.Break {
 		want.broken = true
 	}
+	want.short = s.faults.Short > 0 && s.random.Float64() < s.faults.Short
 	if len(s.records) >= maxLogRequests {
 		s.records = append([]Record(nil), s.records[maxLogRequests/2:]...)
 	}
--- a/internal/standin/kv/handlers.go
+++ b/internal/standin/kv/handlers.go
@@ -177,7 +177,7 @@
 		if parseErr != nil {
 			return false, false, parseErr
 		}
-		done = v.index == rev
+		done = v.index == rev || s.faults.IgnoreCAS
 	case "acquire":
 		id := query.Get("acquire")
 		if _, ok := s.sessions[id]; !ok {
--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -62,6 +62,9 @@
 	LoseNext    int     `json:"lose_next"`
 	// StaleMS serves reads from the state of that many milliseconds ago.
 	StaleMS int `json:"stale_ms"`
+	// IgnoreCAS lets every compare-and-swap succeed. No real service does; it
+	// shows that a checker detects lost updates.
+	IgnoreCAS bool `json:"ignore_cas"`
 	// LapseSessions ends all sessions when it is set; it then reads as false.
 	LapseSessions bool `json:"lapse_sessions"`
 }
--- a/internal/standin/worker/handlers.go
+++ b/internal/standin/worker/handlers.go
@@ -115,7 +115,11 @@
 	case "throttle":
 		apply = func(t *task, now time.Time) { t.setRate(now, body.Share) }
 	case "stop":
-		apply = func(t *task, now time.Time) { s.end(t, now, platform.TaskStopped, "stopped") }
+		apply = func(t *task, now time.Time) {
+			if !s.faults.IgnoreStops {
+				s.end(t, now, platform.TaskStopped, "stopped")
+			}
+		}
 	default:
 		http.Error(w, "unknown action", http.StatusNotFound)
 		return
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -64,6 +64,10 @@
 	// LoseNext is the number of next orders whose answer is lost after the
 	// effect.
 	LoseNext int `json:"lose_next"`
+	// IgnoreLeases lets tasks run on after their lease, and IgnoreStops after a
+	// stop. No real worker does; they show that a checker detects it.
+	IgnoreLeases bool `json:"ignore_leases"`
+	IgnoreStops  bool `json:"ignore_stops"`
 }
 
 // Event is the start or end of a task.
@@ -189,6 +193,9 @@
 			continue
 		}
 		t.sample(now)
+		if s.faults.IgnoreLeases {
+			t.lease = now.Add(time.Second)
+		}
 		if at, state, reason := t.nextEnd(); !at.After(now) {
 			s.end(t, at, state, reason)
 		}
