Deliver the answer to a fault order before connections break

The order that took the store down broke its own connection, so the proof took the order for failed and never ended the fault. Connections now break 20 ms later.

--- a/internal/proof/client.go
+++ b/internal/proof/client.go
@@ -221,7 +221,8 @@
 	if err != nil {
 		return err
 	}
-	client := &http.Client{Timeout: 3 * time.Second}
+	// A stand-in may break its connections as a fault, so none is kept.
+	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Post(n.URL()+"/standin/faults", "application/json", bytes.NewReader(data))
 	if err != nil {
 		return err
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -84,11 +84,17 @@
 	return nil
 }
 
-// Break closes all connections.
-func (h *Host) Break() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.breakLocked()
+// AnswerDelay lets the answer to an order for fault switches leave before the
+// connections are broken, including the one of the order.
+const AnswerDelay = 20 * time.Millisecond
+
+// BreakSoon closes all connections after AnswerDelay.
+func (h *Host) BreakSoon() {
+	time.AfterFunc(AnswerDelay, func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.breakLocked()
+	})
 }
 
 func (h *Host) breakLocked() {
--- a/internal/standin/kv/kv.go
+++ b/internal/standin/kv/kv.go
@@ -158,7 +158,7 @@
 	set := s.faults
 	s.mu.Unlock()
 	if down {
-		s.host.Break()
+		s.host.BreakSoon()
 	}
 	return set, nil
 }
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -134,7 +134,7 @@
 	set := s.faults
 	s.mu.Unlock()
 	if set.Down {
-		s.host.Break()
+		s.host.BreakSoon()
 	}
 	return set, nil
 }
