Add the replay of recorded traces with checker and baselines

Cause: policies need to be compared on the same traces by a checker that does not share their faults. Ruled out: an exact packing search on the large pool; with 1,400 workers it took over 6 minutes for one trace, so the search is bounded and a search that reaches the bound counts as unknown, never as a violation. Conclusion: the checker reports each kind of broken outcome in its tests.

--- /dev/null
+++ b/internal/replay/baseline.go
@@ -0,0 +1,295 @@
+package replay
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"snipegw/internal/model"
+	"snipegw/internal/planner/framework"
+)
+
+// Names of the baselines.
+const (
+	BaselineFIFO     = "baseline-fifo"
+	BaselineBackfill = "baseline-backfill"
+)
+
+const (
+	// maxStarts is the number of workers on which a job may fail before a
+	// baseline gives it up.
+	maxStarts = 3
+	// maxBackfill bounds the jobs that one decision tries to backfill.
+	maxBackfill = 200
+)
+
+func init() {
+	framework.Policies.Register(BaselineFIFO, func() framework.Scheduler { return &baseline{} })
+	framework.Policies.Register(BaselineBackfill, func() framework.Scheduler { return &baseline{backfill: true} })
+}
+
+// baseline runs jobs in order of arrival without preemption: first fit, or with
+// backfill by declared run times and best fit. It knows neither guarantees nor
+// faulty workers, except that it avoids a worker on which the job has failed.
+type baseline struct {
+	backfill bool
+	workers  []model.Worker
+	pool     *pool
+	jobs     map[string]*baselineJob
+	queue    []string
+	pending  []framework.Decision
+}
+
+type baselineJob struct {
+	job      model.Job
+	ranks    []int
+	running  bool
+	stopping bool
+	expected time.Time // declared end
+	attempt  uint64
+	avoid    map[int]bool
+	refused  bool
+}
+
+// SetTeams implements framework.Scheduler.
+func (b *baseline) SetTeams(time.Time, []model.Team) {}
+
+// SetWeights implements framework.Scheduler.
+func (b *baseline) SetWeights(model.Weights) {}
+
+// AddWorker implements framework.Scheduler.
+func (b *baseline) AddWorker(_ time.Time, w model.Worker) {
+	if b.jobs == nil {
+		b.jobs = make(map[string]*baselineJob)
+	}
+	if b.pool != nil {
+		if i, ok := b.pool.index[w.ID]; ok {
+			b.pool.up[i] = true
+			return
+		}
+	}
+	b.workers = append(b.workers, w)
+	old := b.pool
+	b.pool = nil
+	if old == nil || len(old.workers) != len(b.workers) {
+		b.rebuild(old)
+	}
+}
+
+func (b *baseline) rebuild(old *pool) {
+	b.pool = newPool(b.workers)
+	if old != nil {
+		copy(b.pool.free, old.free)
+		copy(b.pool.up, old.up)
+	}
+}
+
+// RemoveWorker implements framework.Scheduler.
+func (b *baseline) RemoveWorker(_ time.Time, id string) { b.pool.up[b.pool.index[id]] = false }
+
+// DrainWorker implements framework.Scheduler.
+func (b *baseline) DrainWorker(_ time.Time, id string, on bool) { b.pool.up[b.pool.index[id]] = !on }
+
+// Submit implements framework.Scheduler.
+func (b *baseline) Submit(_ time.Time, job model.Job) {
+	j := &baselineJob{job: job, avoid: make(map[int]bool)}
+	b.jobs[job.ID] = j
+	if !b.pool.fitsEmpty(job.Shape) {
+		j.refused = true
+		b.pending = append(b.pending, framework.Decision{Kind: framework.Refuse, Job: job.ID, Reason: model.Reason{Rule: "impossible_shape", Sentence: "The shape does not fit the whole pool."}})
+		return
+	}
+	b.queue = append(b.queue, job.ID)
+}
+
+// Restore implements framework.Scheduler.
+func (b *baseline) Restore(now time.Time, job model.Job, attempt uint64, workers []string, _ time.Time) {
+	j := &baselineJob{job: job, attempt: attempt, running: true, avoid: make(map[int]bool)}
+	for _, id := range workers {
+		j.ranks = append(j.ranks, b.pool.index[id])
+	}
+	j.expected = now.Add(time.Duration(job.DeclaredMS) * time.Millisecond)
+	b.jobs[job.ID] = j
+	take(b.pool.free, job.Shape.PerTask(), j.ranks)
+}
+
+// Cancel implements framework.Scheduler.
+func (b *baseline) Cancel(_ time.Time, id string) {
+	j, ok := b.jobs[id]
+	if !ok {
+		return
+	}
+	if j.running && !j.stopping {
+		j.stopping = true
+		b.pending = append(b.pending, framework.Decision{Kind: framework.Stop, Job: id, Attempt: j.attempt, Grace: maxGrace})
+		return
+	}
+	b.drop(id)
+	delete(b.jobs, id)
+}
+
+func (b *baseline) drop(id string) {
+	for i, q := range b.queue {
+		if q == id {
+			b.queue = append(b.queue[:i], b.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// GangStarted implements framework.Scheduler.
+func (b *baseline) GangStarted(time.Time, string, uint64) {}
+
+// GangEnded implements framework.Scheduler.
+func (b *baseline) GangEnded(_ time.Time, id string, end framework.End) {
+	j, ok := b.jobs[id]
+	if !ok || !j.running {
+		return
+	}
+	give(b.pool.free, j.job.Shape.PerTask(), j.ranks)
+	j.running = false
+	if end.Outcome == framework.OutcomeDone || j.stopping {
+		delete(b.jobs, id)
+		return
+	}
+	if end.Outcome == framework.OutcomeStartFailed {
+		j.avoid[b.pool.index[end.BlamedWorker]] = true
+		if len(j.avoid) >= maxStarts {
+			delete(b.jobs, id)
+			b.pending = append(b.pending, framework.Decision{Kind: framework.Fail, Job: id, Reason: model.Reason{Rule: "failed_on_several_workers", Sentence: fmt.Sprintf("The job failed on %d workers.", len(j.avoid))}})
+			return
+		}
+	}
+	b.queue = append([]string{id}, b.queue...)
+}
+
+// Decide implements framework.Scheduler.
+func (b *baseline) Decide(now time.Time) []framework.Decision {
+	decisions := b.pending
+	b.pending = nil
+	for len(b.queue) > 0 {
+		d, ok := b.start(now, b.queue[0])
+		if !ok {
+			break
+		}
+		decisions = append(decisions, d)
+		b.queue = b.queue[1:]
+	}
+	if b.backfill && len(b.queue) > 1 {
+		decisions = append(decisions, b.backfillBehind(now)...)
+	}
+	return decisions
+}
+
+func (b *baseline) start(now time.Time, id string) (framework.Decision, bool) {
+	j := b.jobs[id]
+	free := b.without(j.avoid)
+	ranks := b.fit(j.job.Shape, free)
+	if ranks == nil {
+		return framework.Decision{}, false
+	}
+	return b.place(now, id, ranks), true
+}
+
+// without returns the free resources with those of avoided workers removed.
+func (b *baseline) without(avoid map[int]bool) []model.Resources {
+	if len(avoid) == 0 {
+		return b.pool.free
+	}
+	free := append([]model.Resources(nil), b.pool.free...)
+	for w := range avoid {
+		free[w] = model.Resources{}
+	}
+	return free
+}
+
+func (b *baseline) fit(s model.Shape, free []model.Resources) []int {
+	if b.backfill {
+		return b.pool.bestFit(s, free)
+	}
+	return b.pool.firstFit(s, free)
+}
+
+func (b *baseline) place(now time.Time, id string, ranks []int) framework.Decision {
+	j := b.jobs[id]
+	j.attempt++
+	j.running, j.ranks = true, ranks
+	j.expected = now.Add(time.Duration(j.job.DeclaredMS) * time.Millisecond)
+	take(b.pool.free, j.job.Shape.PerTask(), ranks)
+	workers := make([]string, len(ranks))
+	for i, w := range ranks {
+		workers[i] = b.workers[w].ID
+	}
+	return framework.Decision{
+		Kind: framework.Place, Job: id, Attempt: j.attempt, Workers: workers,
+		Reason: model.Reason{Rule: "placed", Sentence: "The job was placed in order of arrival."},
+	}
+}
+
+// backfillBehind starts jobs behind the head that end, by their declared run
+// time, before the head could start.
+func (b *baseline) backfillBehind(now time.Time) []framework.Decision {
+	shadow := b.headStart(now)
+	var decisions []framework.Decision
+	kept := b.queue[:1:1]
+	for i, id := range b.queue[1:] {
+		j := b.jobs[id]
+		ends := now.Add(time.Duration(j.job.DeclaredMS) * time.Millisecond)
+		if i < maxBackfill && !ends.After(shadow) {
+			if d, ok := b.start(now, id); ok {
+				decisions = append(decisions, d)
+				continue
+			}
+		}
+		kept = append(kept, id)
+	}
+	b.queue = kept
+	return decisions
+}
+
+// headStart returns the time at which the head of the queue fits if all running
+// jobs end as declared.
+func (b *baseline) headStart(now time.Time) time.Time {
+	head := b.jobs[b.queue[0]]
+	var running []*baselineJob
+	for _, j := range b.jobs {
+		if j.running {
+			running = append(running, j)
+		}
+	}
+	sort.Slice(running, func(x, y int) bool {
+		if !running[x].expected.Equal(running[y].expected) {
+			return running[x].expected.Before(running[y].expected)
+		}
+		return running[x].job.ID < running[y].job.ID
+	})
+	free := append([]model.Resources(nil), b.without(head.avoid)...)
+	for _, j := range running {
+		give(free, j.job.Shape.PerTask(), j.ranks)
+		if b.pool.firstFit(head.job.Shape, free) != nil {
+			if j.expected.Before(now) {
+				return now
+			}
+			return j.expected
+		}
+	}
+	return now
+}
+
+// NextWake implements framework.Scheduler.
+func (b *baseline) NextWake() time.Time { return time.Time{} }
+
+// Explain implements framework.Scheduler.
+func (b *baseline) Explain(id string) (model.Reason, bool) {
+	j, ok := b.jobs[id]
+	if !ok {
+		return model.Reason{}, false
+	}
+	if j.running {
+		return model.Reason{Rule: "placed", Sentence: "The job runs."}, true
+	}
+	return model.Reason{Rule: "waiting_for_capacity", Sentence: "The job waits in order of arrival."}, true
+}
+
+// Unpacked implements framework.Scheduler.
+func (b *baseline) Unpacked() []string { return nil }
--- /dev/null
+++ b/internal/replay/measures.go
@@ -0,0 +1,206 @@
+package replay
+
+import (
+	"sort"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"snipegw/internal/model"
+	"snipegw/internal/planner/framework"
+)
+
+// largeJob is the number of accelerators from which a job counts as large.
+const largeJob = 8
+
+const (
+	maxDecisionNS      = int64(time.Minute)
+	decisionPrecision  = 3 // significant digits
+	nanosPerMicro      = 1000
+	bytesPerMB         = 1 << 20
+	percentile95       = 0.95
+	percentile99       = 0.99
+	hdrPercentile50    = 50
+	hdrPercentile99    = 99
+	minDecisionValueNS = 1
+)
+
+// Result is the result of a replay. Times are milliseconds unless named
+// otherwise.
+type Result struct {
+	Policy                string   `json:"policy"`
+	Jobs                  int      `json:"jobs"`
+	Done                  int      `json:"done"`
+	Cancelled             int      `json:"cancelled"`
+	Failed                int      `json:"failed"`
+	Refused               int      `json:"refused"`
+	Lost                  int      `json:"lost"`
+	PartialGangs          int      `json:"partial_gangs"`
+	Overcommits           int      `json:"overcommits"`
+	GuaranteeUnpacked     int      `json:"guarantee_unpacked"`
+	GuaranteeUnknown      int      `json:"guarantee_unknown"`
+	GuaranteeLate         int      `json:"guarantee_late"`
+	UrgentLate            int      `json:"urgent_late"`
+	CompletionMeanMS      float64  `json:"completion_mean_ms"`
+	CompletionP95MS       float64  `json:"completion_p95_ms"`
+	CompletionP99MS       float64  `json:"completion_p99_ms"`
+	LargeCompletionMeanMS float64  `json:"large_completion_mean_ms"`
+	LargeCompletionP95MS  float64  `json:"large_completion_p95_ms"`
+	StretchMean           float64  `json:"stretch_mean"`
+	Fragmentation         float64  `json:"fragmentation"`
+	WastedShare           float64  `json:"wasted_share"`
+	FailedStarts          int      `json:"failed_starts"`
+	Preemptions           int      `json:"preemptions"`
+	DecisionP50US         float64  `json:"decision_p50_us"`
+	DecisionP99US         float64  `json:"decision_p99_us"`
+	DecisionMaxUS         float64  `json:"decision_max_us"`
+	PeakMemoryMB          float64  `json:"peak_memory_mb"`
+	Violations            []string `json:"violations"`
+}
+
+// OK reports whether no stated outcome was broken.
+func (r *Result) OK() bool { return len(r.Violations) == 0 }
+
+type measures struct {
+	decisions   *hdrhistogram.Histogram
+	steps       int
+	peakHeap    uint64
+	preemptions int
+	failed      int
+	busy        float64 // accelerator-seconds
+	wasted      float64 // accelerator-seconds
+	waitTime    float64 // seconds in which some job waits
+	unusable    float64 // integral of the unusable share over waitTime
+}
+
+func newMeasures() *measures {
+	return &measures{decisions: hdrhistogram.New(minDecisionValueNS, maxDecisionNS, decisionPrecision)}
+}
+
+func (m *measures) decision(d time.Duration) {
+	m.steps++
+	_ = m.decisions.RecordValue(min(max(int64(d), minDecisionValueNS), maxDecisionNS))
+}
+
+// work accounts for the accelerators of an attempt. Only preemption and failed
+// starts waste work; work lost with a worker is not the policy's doing.
+func (m *measures) work(j *jobRun, ran, lost time.Duration, outcome framework.Outcome) {
+	accelerators := float64(j.event.Accelerators())
+	m.busy += accelerators * ran.Seconds()
+	switch outcome {
+	case framework.OutcomeStartFailed:
+		m.failed++
+		m.wasted += accelerators * ran.Seconds()
+	case framework.OutcomeStopped:
+		if !j.cancelled {
+			m.wasted += accelerators * lost.Seconds()
+		}
+	}
+}
+
+// interval accounts for fragmentation over d at the present state.
+func (m *measures) interval(e *Engine, d time.Duration) {
+	var largest model.Shape
+	waits := false
+	for _, id := range e.order {
+		j := e.jobs[id]
+		if j.state == model.JobQueued {
+			waits = true
+			if j.event.Accelerators() > largest.Accelerators() {
+				largest = j.event.Shape
+			}
+		}
+	}
+	if !waits || largest.Accelerators() == 0 {
+		return
+	}
+	m.waitTime += d.Seconds()
+	free := e.pool.freeAccelerators()
+	if free == 0 {
+		return
+	}
+	m.unusable += d.Seconds() * float64(free-e.pool.usableAccelerators(largest)) / float64(free)
+}
+
+func (e *Engine) report() *Result {
+	m := e.measure
+	e.check.close(e.now)
+	r := &Result{
+		Jobs:              len(e.order),
+		PartialGangs:      e.check.partial,
+		Overcommits:       e.check.overcommits,
+		GuaranteeUnpacked: e.check.unpacked,
+		GuaranteeUnknown:  e.check.unknown,
+		GuaranteeLate:     e.check.guaranteeLate,
+		UrgentLate:        e.check.urgentLate,
+		FailedStarts:      m.failed,
+		Preemptions:       m.preemptions,
+		DecisionP50US:     float64(m.decisions.ValueAtPercentile(hdrPercentile50)) / nanosPerMicro,
+		DecisionP99US:     float64(m.decisions.ValueAtPercentile(hdrPercentile99)) / nanosPerMicro,
+		DecisionMaxUS:     float64(m.decisions.Max()) / nanosPerMicro,
+		PeakMemoryMB:      float64(m.peakHeap) / bytesPerMB,
+		Violations:        append([]string{}, e.check.violations...),
+	}
+	if m.busy > 0 {
+		r.WastedShare = m.wasted / m.busy
+	}
+	if m.waitTime > 0 {
+		r.Fragmentation = m.unusable / m.waitTime
+	}
+	e.countEnds(r)
+	return r
+}
+
+func (e *Engine) countEnds(r *Result) {
+	var all, large []float64
+	stretch := 0.0
+	for _, id := range e.order {
+		j := e.jobs[id]
+		switch j.state {
+		case model.JobDone:
+			r.Done++
+			ms := float64(j.endedAt.Sub(at(j.event.T)).Milliseconds())
+			all = append(all, ms)
+			stretch += ms / float64(max(j.event.ActualMS, 1))
+			if j.event.Accelerators() >= largeJob {
+				large = append(large, ms)
+			}
+		case model.JobCancelled:
+			r.Cancelled++
+		case model.JobFailed:
+			r.Failed++
+		case model.JobRefused:
+			r.Refused++
+		default:
+			r.Lost++
+		}
+	}
+	r.CompletionMeanMS = mean(all)
+	r.CompletionP95MS = quantile(all, percentile95)
+	r.CompletionP99MS = quantile(all, percentile99)
+	r.LargeCompletionMeanMS = mean(large)
+	r.LargeCompletionP95MS = quantile(large, percentile95)
+	if len(all) > 0 {
+		r.StretchMean = stretch / float64(len(all))
+	}
+}
+
+func mean(v []float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, x := range v {
+		sum += x
+	}
+	return sum / float64(len(v))
+}
+
+func quantile(v []float64, q float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+	sorted := append([]float64(nil), v...)
+	sort.Float64s(sorted)
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
--- /dev/null
+++ b/internal/replay/pool.go
@@ -0,0 +1,197 @@
+package replay
+
+import (
+	"sort"
+
+	"snipegw/internal/model"
+)
+
+// pool is the layout of the workers with their free resources. The engine, the
+// checker and the baselines each hold their own.
+type pool struct {
+	workers []model.Worker
+	index   map[string]int
+	free    []model.Resources
+	up      []bool
+	// groups holds, for each adjacency, the workers that one gang may use.
+	groups map[model.Adjacency][][]int
+}
+
+func newPool(workers []model.Worker) *pool {
+	p := &pool{
+		workers: workers,
+		index:   make(map[string]int, len(workers)),
+		free:    make([]model.Resources, len(workers)),
+		up:      make([]bool, len(workers)),
+		groups:  make(map[model.Adjacency][][]int),
+	}
+	racks := map[string][]int{}
+	domains := map[string][]int{}
+	all := make([]int, len(workers))
+	for i, w := range workers {
+		p.index[w.ID] = i
+		p.free[i] = w.Capacity
+		p.up[i] = true
+		racks[w.Rack] = append(racks[w.Rack], i)
+		domains[w.FailureDomain] = append(domains[w.FailureDomain], i)
+		all[i] = i
+		p.groups[model.AdjacentHost] = append(p.groups[model.AdjacentHost], []int{i})
+	}
+	p.groups[model.AdjacentRack] = sortedGroups(racks)
+	p.groups[model.AdjacentFailureDomain] = sortedGroups(domains)
+	p.groups[model.AdjacentAny] = [][]int{all}
+	return p
+}
+
+func sortedGroups(byName map[string][]int) [][]int {
+	names := make([]string, 0, len(byName))
+	for name := range byName {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	groups := make([][]int, len(names))
+	for i, name := range names {
+		groups[i] = byName[name]
+	}
+	return groups
+}
+
+// candidates returns the groups of workers that a gang of shape s may use. The
+// adjacency of a single task does not matter.
+func (p *pool) candidates(s model.Shape) [][]int {
+	if g, ok := p.groups[s.Adjacent]; ok {
+		return g
+	}
+	return p.groups[model.AdjacentAny]
+}
+
+// copies returns how many tasks of the given size fit into free.
+func copies(per, free model.Resources, limit int) int {
+	n := limit
+	if per.Accelerators > 0 {
+		n = min(n, free.Accelerators/per.Accelerators)
+	}
+	if per.Cores > 0 {
+		n = min(n, free.Cores/per.Cores)
+	}
+	if per.MemoryGB > 0 {
+		n = min(n, free.MemoryGB/per.MemoryGB)
+	}
+	return max(n, 0)
+}
+
+// fitGroup places the tasks of s on workers of group in order and returns the
+// worker of each rank, or nil. Since the tasks are equal, the order decides
+// where they go but not whether they fit.
+func (p *pool) fitGroup(s model.Shape, free []model.Resources, group []int) []int {
+	per := s.PerTask()
+	ranks := make([]int, 0, s.Tasks)
+	for _, w := range group {
+		if !p.up[w] {
+			continue
+		}
+		for range copies(per, free[w], s.Tasks-len(ranks)) {
+			ranks = append(ranks, w)
+		}
+		if len(ranks) == s.Tasks {
+			return ranks
+		}
+	}
+	return nil
+}
+
+// firstFit returns the first placement of s, or nil.
+func (p *pool) firstFit(s model.Shape, free []model.Resources) []int {
+	for _, group := range p.candidates(s) {
+		if ranks := p.fitGroup(s, free, group); ranks != nil {
+			return ranks
+		}
+	}
+	return nil
+}
+
+// bestFit returns a placement that fills the fullest workers and groups first,
+// or nil.
+func (p *pool) bestFit(s model.Shape, free []model.Resources) []int {
+	var best []int
+	bestLeft := 0
+	for _, group := range p.candidates(s) {
+		ranks := p.fitGroup(s, free, byFreeAccelerators(group, free))
+		if ranks == nil {
+			continue
+		}
+		left := 0
+		for _, w := range group {
+			if p.up[w] {
+				left += free[w].Accelerators
+			}
+		}
+		if best == nil || left < bestLeft {
+			best, bestLeft = ranks, left
+		}
+	}
+	return best
+}
+
+// byFreeAccelerators returns group with the fullest workers first.
+func byFreeAccelerators(group []int, free []model.Resources) []int {
+	if len(group) == 1 {
+		return group
+	}
+	sorted := append([]int(nil), group...)
+	sort.SliceStable(sorted, func(a, b int) bool {
+		return free[sorted[a]].Accelerators < free[sorted[b]].Accelerators
+	})
+	return sorted
+}
+
+// take subtracts a gang from free.
+func take(free []model.Resources, per model.Resources, ranks []int) {
+	for _, w := range ranks {
+		free[w] = free[w].Sub(per)
+	}
+}
+
+// give adds a gang back to free.
+func give(free []model.Resources, per model.Resources, ranks []int) {
+	for _, w := range ranks {
+		free[w] = free[w].Add(per)
+	}
+}
+
+// fitsEmpty reports whether s fits the whole pool when nothing runs and all
+// workers are up.
+func (p *pool) fitsEmpty(s model.Shape) bool {
+	whole := newPool(p.workers)
+	return whole.firstFit(s, whole.free) != nil
+}
+
+// usableAccelerators returns how many of the free accelerators copies of s can
+// use as they lie.
+func (p *pool) usableAccelerators(s model.Shape) int {
+	free := append([]model.Resources(nil), p.free...)
+	used := 0
+	for _, group := range p.candidates(s) {
+		sorted := byFreeAccelerators(group, free)
+		for {
+			ranks := p.fitGroup(s, free, sorted)
+			if ranks == nil {
+				break
+			}
+			take(free, s.PerTask(), ranks)
+			used += s.Accelerators()
+		}
+	}
+	return used
+}
+
+// freeAccelerators returns the free accelerators of the workers that are up.
+func (p *pool) freeAccelerators() int {
+	n := 0
+	for i, f := range p.free {
+		if p.up[i] {
+			n += f.Accelerators
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,131 @@
+package replay
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"snipegw/internal/model"
+	"snipegw/internal/planner/framework"
+)
+
+func TestReplay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "replay")
+}
+
+const smallPool = `{"op":"pool","workers":[` +
+	`{"id":"w0","rack":"k0","failure_domain":"d0","region":"r","accelerators":8,"cores":32,"memory_gb":128},` +
+	`{"id":"w1","rack":"k0","failure_domain":"d0","region":"r","accelerators":8,"cores":32,"memory_gb":128}]}
+{"op":"teams","teams":[{"id":"a","weight":1,"guarantees":[{"count":1,"tasks":1,"accelerators_per_task":8,"cores_per_task":8,"memory_gb_per_task":8,"adjacent":"host"}]}]}
+`
+
+func submitLine(t int, job, class string, tasks, accelerators int) string {
+	return fmt.Sprintf(`{"t":%d,"op":"submit","job":%q,"team":"a","class":%q,"tasks":%d,"accelerators_per_task":%d,"cores_per_task":1,"memory_gb_per_task":1,"adjacent":"rack","declared_ms":60000,"actual_ms":60000,"checkpoint_ms":0}`+"\n", t, job, class, tasks, accelerators)
+}
+
+// scripted returns fixed decisions, one list for each call of Decide.
+type scripted struct {
+	baseline
+	rounds [][]framework.Decision
+}
+
+// Decide implements framework.Scheduler.
+func (s *scripted) Decide(time.Time) []framework.Decision {
+	if len(s.rounds) == 0 {
+		return nil
+	}
+	d := s.rounds[0]
+	s.rounds = s.rounds[1:]
+	return d
+}
+
+func replayScripted(lines string, rounds ...[]framework.Decision) *Result {
+	trace, err := Read(strings.NewReader(smallPool + lines))
+	Expect(err).NotTo(HaveOccurred())
+	return Run(trace, &scripted{rounds: rounds}, model.Weights{})
+}
+
+func place(job string, workers ...string) framework.Decision {
+	return framework.Decision{Kind: framework.Place, Job: job, Attempt: 1, Workers: workers}
+}
+
+var _ = Describe("checker", func() {
+	// Each case guards against a checker that accepts a broken outcome.
+	DescribeTable("reports a policy that breaks an outcome",
+		func(want string, lines string, rounds ...[]framework.Decision) {
+			Expect(replayScripted(lines, rounds...).Violations).To(ContainElement(ContainSubstring(want)))
+		},
+		Entry("a part of a gang", "1 of 2 tasks placed", submitLine(1, "j", "preemptible", 2, 1),
+			[]framework.Decision{place("j", "w0")}),
+		Entry("more than a worker has", "overcommitted", submitLine(1, "j", "preemptible", 2, 5),
+			[]framework.Decision{place("j", "w0", "w0")}),
+		Entry("a job that never ends", "has not ended", submitLine(1, "j", "preemptible", 1, 1)),
+		Entry("a refusal of a job that fits", "refused, but it fits", submitLine(1, "j", "preemptible", 1, 1),
+			[]framework.Decision{{Kind: framework.Refuse, Job: "j"}}),
+		Entry("a late urgent job", "claim of class urgent has waited",
+			submitLine(1, "j", "urgent", 1, 8)+submitLine(9000, "k", "preemptible", 1, 1),
+			nil, []framework.Decision{place("j", "w0"), place("k", "w1")}),
+		Entry("guarantees that do not pack", "do not pack", submitLine(1, "j", "preemptible", 2, 5),
+			[]framework.Decision{place("j", "w0", "w1")}),
+	)
+
+	It("accepts a gang that runs to its end", func() {
+		d := place("j", "w0", "w1")
+		d.Preemptible = true
+		r := replayScripted(submitLine(1, "j", "preemptible", 2, 5), []framework.Decision{d})
+		Expect(r.Violations).To(BeEmpty())
+		Expect(r.Done).To(Equal(1))
+		Expect(r.CompletionMeanMS).To(Equal(60000.0))
+	})
+})
+
+var _ = Describe("trace", func() {
+	DescribeTable("names the line and the reason of a bad trace",
+		func(line int, reason, text string) {
+			_, err := Read(strings.NewReader(text))
+			var te *TraceError
+			Expect(err).To(BeAssignableToTypeOf(te))
+			Expect(err.(*TraceError).Line).To(Equal(line))
+			Expect(err).To(MatchError(ContainSubstring(reason)))
+		},
+		Entry("no pool", 0, "begins with a pool", ""),
+		Entry("not JSON", 3, "invalid character", smallPool+"x"),
+		Entry("time goes back", 4, "comes after", smallPool+submitLine(5, "j", "preemptible", 1, 1)+submitLine(4, "k", "preemptible", 1, 1)),
+		Entry("unknown worker", 3, "unknown worker", smallPool+`{"t":1,"op":"worker_down","worker":"w9"}`),
+		Entry("job twice", 4, "occurs twice", smallPool+strings.Repeat(submitLine(5, "j", "preemptible", 1, 1), 2)),
+	)
+
+	It("lets the baselines end every job of the recorded traces", func() {
+		files, err := filepath.Glob("testdata/*.jsonl")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(files).NotTo(BeEmpty())
+		for _, name := range files {
+			f, err := os.Open(name)
+			Expect(err).NotTo(HaveOccurred())
+			trace, err := Read(f)
+			_ = f.Close()
+			Expect(err).NotTo(HaveOccurred())
+			for _, policy := range []string{BaselineFIFO, BaselineBackfill} {
+				factory, err := framework.Policies.Get(policy)
+				Expect(err).NotTo(HaveOccurred())
+				r := Run(trace, factory(), model.Weights{})
+				Expect(r.Lost).To(BeZero(), name)
+				Expect(r.PartialGangs+r.Overcommits).To(BeZero(), name)
+			}
+		}
+	})
+})
+
+func FuzzRead(f *testing.F) {
+	f.Add(smallPool + submitLine(1, "j", "urgent", 1, 8))
+	f.Fuzz(func(_ *testing.T, text string) {
+		_, _ = Read(strings.NewReader(text)) // must not panic
+	})
+}
