--- /dev/null
+++ b/cmd/snipegw-agent/main.go
@@ -0,0 +1,92 @@
+// Command snipegw-agent runs on each backend server host.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/jessevdk/go-flags"
+
+	"snipegw/internal/agent"
+	"snipegw/internal/kernel"
+	"snipegw/internal/platform"
+)
+
+const (
+	program         = "snipegw-agent"
+	exitFailure     = 1
+	exitBadSettings = 2
+)
+
+type options struct {
+	Settings      string `long:"settings" value-name:"FILE" description:"settings file (JSON)"`
+	CheckSettings bool   `long:"check-settings" description:"check the settings and exit"`
+	Version       bool   `long:"version" description:"print the version and exit"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &o); err != nil {
+		return fail(exitFailure, err)
+	}
+	if _, err := parser.Parse(); err != nil {
+		return parseFailed(err)
+	}
+	if o.Version {
+		fmt.Println(program, version())
+		return 0
+	}
+	var s agent.Settings
+	if err := kernel.LoadSettings(o.Settings, &s); err != nil {
+		return fail(exitBadSettings, err)
+	}
+	if o.CheckSettings {
+		return 0
+	}
+	if err := serve(s); err != nil {
+		return fail(exitFailure, err)
+	}
+	return 0
+}
+
+func serve(s agent.Settings) error {
+	if err := kernel.SetupLogging(os.Stderr, program, s.LogLevel); err != nil {
+		return err
+	}
+	api, err := platform.Open(s.WorkerAPI)
+	if err != nil {
+		return err
+	}
+	a, err := agent.New(s, api)
+	if err != nil {
+		return err
+	}
+	return kernel.Run(context.Background(), a)
+}
+
+func parseFailed(err error) int {
+	var fe *flags.Error
+	if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+		fmt.Println(fe.Message)
+		return 0
+	}
+	return fail(exitBadSettings, err)
+}
+
+func fail(status int, err error) int {
+	fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+	return status
+}
+
+func version() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		return info.Main.Version
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,264 @@
+// Package agent is the process on each backend server host: it admits requests
+// to the slots of the backend server, allocates the resources of the worker,
+// runs and supervises gangs, and reports all of it to its home entry.
+package agent
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"snipegw/internal/agent/arbiter"
+	"snipegw/internal/agent/gang"
+	"snipegw/internal/agent/gate"
+	"snipegw/internal/agent/heartbeat"
+	"snipegw/internal/agent/tickets"
+	"snipegw/internal/kernel"
+	"snipegw/internal/model"
+	"snipegw/internal/platform"
+	"snipegw/internal/result"
+	"snipegw/internal/transport"
+	"snipegw/internal/wire"
+)
+
+const (
+	// platformRetry is the time between attempts to reach the worker interface
+	// at the start.
+	platformRetry = 200 * time.Millisecond
+	// gateInterval is the time between two probes of failed backend servers.
+	gateInterval = 500 * time.Millisecond
+	// incarnationBytes is the length of the random incarnation.
+	incarnationBytes = 8
+)
+
+// Agent implements kernel.Component.
+type Agent struct {
+	settings    Settings
+	api         platform.WorkerAPI
+	creds       *transport.Credentials
+	incarnation string
+	worker      model.Worker
+	config      configHolder
+	dumper      *kernel.Dumper
+	stopping    atomic.Bool
+
+	arbiter *arbiter.Arbiter
+	tickets *tickets.Store
+	gate    *gate.Gate
+	gangs   *gang.Manager
+	beat    *heartbeat.Sender
+	pool    *transport.Pool
+	server  *transport.Server
+	local   *http.Server
+
+	localAddr string
+	cancel    context.CancelFunc
+	loops     sync.WaitGroup
+}
+
+// New returns an agent that uses the worker interface api.
+func New(s Settings, api platform.WorkerAPI) (*Agent, error) {
+	creds, err := transport.NewCredentials(s.Security)
+	if err != nil {
+		return nil, err
+	}
+	id := make([]byte, incarnationBytes)
+	if _, err := rand.Read(id); err != nil {
+		return nil, fmt.Errorf("incarnation: %w", err)
+	}
+	return &Agent{settings: s, api: api, creds: creds, incarnation: hex.EncodeToString(id), dumper: kernel.NewDumper()}, nil
+}
+
+// Name implements kernel.Component.
+func (a *Agent) Name() string { return "agent" }
+
+// Start implements kernel.Component. It waits for the worker interface, adopts
+// the tasks that already run, and only then accepts calls.
+func (a *Agent) Start(ctx context.Context) error {
+	ctx, a.cancel = context.WithCancel(ctx)
+	tasks, err := a.discover(ctx)
+	if err != nil {
+		return err
+	}
+	pool, err := transport.NewPool(poolAddress(a.settings.Address), a.creds)
+	if err != nil {
+		return err
+	}
+	a.pool = pool
+	a.build()
+	a.gangs.Adopt(tasks)
+	if err := a.listen(); err != nil {
+		_ = pool.Close()
+		return err
+	}
+	a.loop(func() { a.every(ctx, gang.TickInterval, a.gangs.Tick) })
+	a.loop(func() { a.every(ctx, gateInterval, func() { a.gate.Tick(ctx); a.tickets.Tick() }) })
+	a.loop(func() { a.beat.Run(ctx) })
+	log.WithFields(log.Fields{
+		"event": "agent_started", "worker": a.worker.ID, "incarnation": a.incarnation, "address": a.advertised(), "adopted": len(tasks),
+	}).Info("agent started")
+	return nil
+}
+
+// discover reads the description and the tasks of the worker.
+func (a *Agent) discover(ctx context.Context) ([]platform.Task, error) {
+	for {
+		worker, err := a.api.Worker(ctx)
+		var tasks []platform.Task
+		if err == nil {
+			tasks, err = a.api.Tasks(ctx)
+		}
+		if err == nil {
+			return tasks, a.setWorker(worker)
+		}
+		log.WithFields(log.Fields{"event": "worker_api_unavailable", "code": int(result.CodeOf(err))}).Warn(err.Error())
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(platformRetry):
+		}
+	}
+}
+
+func (a *Agent) setWorker(w model.Worker) error {
+	if w.ID == "" {
+		return errors.New("the worker interface names no worker id")
+	}
+	w.Region = a.settings.Region
+	w.FailureDomain = a.settings.FailureDomain
+	a.worker = w
+	return nil
+}
+
+// poolAddress returns the local address of outgoing connections: the host of
+// the listen address with any port.
+func poolAddress(listen string) string {
+	host, _, _ := net.SplitHostPort(listen)
+	return net.JoinHostPort(host, "0")
+}
+
+func (a *Agent) build() {
+	a.beat = heartbeat.New(heartbeat.Config{
+		Worker: a.worker.ID, Incarnation: a.incarnation, FailureDomain: a.settings.FailureDomain,
+		Seeds: a.settings.Entries, Caller: a.pool, Source: a, Now: time.Now,
+	})
+	a.arbiter = arbiter.New(a.incarnation, a.worker.Capacity, time.Now)
+	a.tickets = tickets.NewStore(a.worker.ID, a.incarnation, time.Now)
+	a.gate = gate.New(a.tickets, time.Now, a.beat.Changed)
+	a.gangs = gang.New(gang.Config{
+		Worker: a.worker.ID, API: a.api, Arbiter: a.arbiter, Caller: a.pool, Now: time.Now,
+		Spawn: func(f func()) { go f() }, Changed: a.beat.Changed,
+	})
+	a.register()
+}
+
+func (a *Agent) listen() error {
+	server, err := transport.Listen(a.settings.Address, a.creds, a.mux())
+	if err != nil {
+		return err
+	}
+	ln, err := net.Listen("tcp", a.settings.LocalHTTPAddress)
+	if err != nil {
+		_ = server.Close()
+		return fmt.Errorf("listen %s: %w", a.settings.LocalHTTPAddress, err)
+	}
+	a.server = server
+	a.localAddr = ln.Addr().String()
+	a.local = &http.Server{
+		Handler: a.localHandler(), ReadTimeout: localReadTimeout, WriteTimeout: localWriteTimeout, IdleTimeout: localIdleTimeout,
+	}
+	go func() { _ = a.local.Serve(ln) }() // ends with a.local.Close
+	return nil
+}
+
+func (a *Agent) loop(f func()) {
+	a.loops.Add(1)
+	go func() {
+		defer a.loops.Done()
+		f()
+	}()
+}
+
+func (a *Agent) every(ctx context.Context, interval time.Duration, f func()) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f()
+		}
+	}
+}
+
+// advertised returns the address under which others reach the agent. A listen
+// address with port 0 is replaced by the one that was bound.
+func (a *Agent) advertised() string {
+	if _, port, err := net.SplitHostPort(a.settings.AdvertiseAddress); err == nil && port != "0" {
+		return a.settings.AdvertiseAddress
+	}
+	return a.server.Addr()
+}
+
+// LocalAddr returns the address of the local HTTP server.
+func (a *Agent) LocalAddr() string { return a.localAddr }
+
+// Addr returns the address under which others reach the agent.
+func (a *Agent) Addr() string { return a.advertised() }
+
+// State implements heartbeat.Source.
+func (a *Agent) State() wire.WorkerState {
+	use := a.arbiter.Use()
+	return wire.WorkerState{
+		Worker:        a.worker,
+		Incarnation:   a.incarnation,
+		Address:       a.advertised(),
+		Services:      a.gate.ServiceStates(),
+		Gangs:         append(a.gangs.States(), a.reservations()...),
+		Draining:      use.Draining,
+		Quarantined:   use.Quarantined,
+		Stopping:      a.stopping.Load(),
+		ConfigVersion: a.config.version(),
+		Epoch:         a.arbiter.Epoch(),
+	}
+}
+
+// reservations returns the holds that no member represents yet.
+func (a *Agent) reservations() []wire.GangState {
+	var out []wire.GangState
+	for _, h := range a.arbiter.Holds() {
+		if h.State == arbiter.Reserved {
+			out = append(out, wire.GangState{Job: h.Job, Attempt: h.Attempt, State: string(h.State), Ranks: h.Ranks})
+		}
+	}
+	return out
+}
+
+// FreeSlots implements heartbeat.Source.
+func (a *Agent) FreeSlots() int { return a.gate.FreeSlots() }
+
+// Events implements heartbeat.Source.
+func (a *Agent) Events() []wire.GangEvent { return a.gangs.Events() }
+
+// Acknowledge implements heartbeat.Source.
+func (a *Agent) Acknowledge(seq uint64) { a.gangs.Acknowledge(seq) }
+
+// ConfigVersion implements heartbeat.Source.
+func (a *Agent) ConfigVersion() uint64 { return a.config.version() }
+
+// AdoptConfig implements heartbeat.Source.
+func (a *Agent) AdoptConfig(version uint64, document []byte) {
+	if err := a.config.adopt(version, document); err != nil {
+		log.WithFields(log.Fields{"event": "config_refused", "version": version, "code": int(result.CodeOf(err))}).Error(err.Error())
+	}
+}
--- /dev/null
+++ b/internal/agent/calls.go
@@ -0,0 +1,130 @@
+package agent
+
+import (
+	"context"
+
+	"snipegw/internal/agent/arbiter"
+	"snipegw/internal/result"
+	"snipegw/internal/transport"
+	"snipegw/internal/wire"
+)
+
+// mux returns the handlers of all calls that an agent serves.
+func (a *Agent) mux() *transport.Mux {
+	m := new(transport.Mux)
+	m.Handle(wire.KindRequest, transport.HandlerFunc(func(ctx context.Context, _ wire.Kind, s *transport.Stream) error {
+		return a.gate.ServeRequest(ctx, s)
+	}))
+	m.Handle(wire.KindTicketQuery, transport.HandlerFunc(func(ctx context.Context, _ wire.Kind, s *transport.Stream) error {
+		return a.gate.ServeTicketQuery(ctx, s)
+	}))
+	m.Handle(wire.KindTicketIssue, transport.Unary(a.gate.IssueTicket))
+	m.Handle(wire.KindReserve, transport.Unary(a.reserve))
+	m.Handle(wire.KindRelease, transport.Unary(a.release))
+	m.Handle(wire.KindStartGang, transport.Unary(a.startGang))
+	m.Handle(wire.KindStopGang, transport.Unary(a.stopGang))
+	m.Handle(wire.KindWorkerOrder, transport.Unary(a.workerOrder))
+	m.Handle(wire.KindReport, transport.Unary(a.reportState))
+	m.Handle(wire.KindConfigFetch, transport.Unary(a.config.fetch))
+	m.Handle(wire.KindArm, transport.Unary(a.arm))
+	m.Handle(wire.KindStart, transport.Unary(a.start))
+	m.Handle(wire.KindRenew, transport.Unary(a.renew))
+	m.Handle(wire.KindAbort, transport.Unary(a.abort))
+	m.Handle(wire.KindHandover, transport.Unary(a.handover))
+	return m
+}
+
+// ack answers an order of a planner. The state changes in any case, if only by
+// a higher epoch.
+func (a *Agent) ack(err error) (*wire.Ack, error) {
+	if err != nil {
+		return nil, err
+	}
+	a.beat.Changed()
+	return &wire.Ack{Epoch: a.arbiter.Epoch()}, nil
+}
+
+func (a *Agent) reserve(_ context.Context, req *wire.Reserve) (*wire.Ack, error) {
+	return a.ack(a.arbiter.Reserve(req))
+}
+
+func (a *Agent) release(_ context.Context, req *wire.Release) (*wire.Ack, error) {
+	return a.ack(a.arbiter.Release(req))
+}
+
+func (a *Agent) startGang(_ context.Context, req *wire.StartGang) (*wire.Ack, error) {
+	if err := a.arbiter.Check(req.Order); err != nil {
+		return nil, err
+	}
+	if a.stopping.Load() {
+		return nil, result.Errorf(result.Draining, "the agent stops")
+	}
+	return a.ack(a.gangs.StartGang(req))
+}
+
+func (a *Agent) stopGang(_ context.Context, req *wire.StopGang) (*wire.Ack, error) {
+	if err := a.arbiter.Check(req.Order); err != nil {
+		return nil, err
+	}
+	return a.ack(a.gangs.StopGang(req))
+}
+
+func (a *Agent) workerOrder(_ context.Context, req *wire.WorkerOrder) (*wire.Ack, error) {
+	if err := a.arbiter.Order(req); err != nil {
+		return nil, err
+	}
+	switch req.Action {
+	case arbiter.ActionDrain:
+		a.gate.SetDraining(true)
+	case arbiter.ActionRelease:
+		a.gate.SetDraining(a.stopping.Load())
+	}
+	return a.ack(nil)
+}
+
+// reportQuery is the empty request of wire.KindReport.
+type reportQuery struct{}
+
+func (a *Agent) reportState(context.Context, *reportQuery) (*wire.WorkerState, error) {
+	state := a.State()
+	return &state, nil
+}
+
+// checkAddressee refuses an order that would start something in another
+// incarnation. Renewals and aborts are fenced by attempt and term instead, so
+// that the successor process of a planned restart accepts them.
+func (a *Agent) checkAddressee(o *wire.GangOrder) error {
+	if o.Incarnation != a.incarnation {
+		return result.Errorf(result.StaleIncarnation, "the order is for incarnation %s, this is %s", o.Incarnation, a.incarnation)
+	}
+	return nil
+}
+
+func (a *Agent) arm(_ context.Context, req *wire.GangOrder) (*wire.Ack, error) {
+	if err := a.checkAddressee(req); err != nil {
+		return nil, err
+	}
+	return a.ack(a.gangs.Arm(req))
+}
+
+func (a *Agent) start(ctx context.Context, req *wire.GangOrder) (*wire.MemberReport, error) {
+	if err := a.checkAddressee(req); err != nil {
+		return nil, err
+	}
+	return a.gangs.Start(ctx, req)
+}
+
+func (a *Agent) renew(_ context.Context, req *wire.GangOrder) (*wire.MemberReport, error) {
+	return a.gangs.Renew(req)
+}
+
+func (a *Agent) abort(_ context.Context, req *wire.GangOrder) (*wire.MemberReport, error) {
+	return a.gangs.Abort(req)
+}
+
+func (a *Agent) handover(_ context.Context, req *wire.Handover) (*wire.Ack, error) {
+	if err := a.gangs.HandleHandover(req); err != nil {
+		return nil, err
+	}
+	return &wire.Ack{Epoch: a.arbiter.Epoch()}, nil
+}
--- /dev/null
+++ b/internal/agent/debug.go
@@ -0,0 +1,46 @@
+package agent
+
+import (
+	"expvar"
+	"sync/atomic"
+)
+
+// published is the agent whose metrics /debug/vars shows; tests run several
+// agents in one process, and expvar accepts a name only once.
+var published atomic.Pointer[Agent]
+
+func init() {
+	expvar.Publish("snipegw_agent", expvar.Func(func() any {
+		if a := published.Load(); a != nil {
+			return a.metrics()
+		}
+		return nil
+	}))
+}
+
+func (a *Agent) metrics() map[string]any {
+	return map[string]any{
+		"requests_active":  a.gate.Active(),
+		"free_slots":       a.gate.FreeSlots(),
+		"services":         a.gate.Dump(),
+		"tickets":          a.tickets.Stats(),
+		"gang_events":      len(a.gangs.Events()),
+		"heartbeats_sent":  a.beat.Stats().Sent,
+		"connections_open": a.pool.Connections(),
+		"calls_active":     a.server.Active(),
+		"config_version":   a.config.version(),
+		"epoch":            a.arbiter.Epoch(),
+	}
+}
+
+// register adds the parts of the state dump. None holds tokens or keys.
+func (a *Agent) register() {
+	a.dumper.Add("agent", func() any { return a.State() })
+	a.dumper.Add("services", func() any { return a.gate.Dump() })
+	a.dumper.Add("tickets", func() any { return a.tickets.Stats() })
+	a.dumper.Add("reservations", func() any { return a.arbiter.Holds() })
+	a.dumper.Add("gangs", func() any { return a.gangs.Dump() })
+	a.dumper.Add("gang_events", func() any { return a.gangs.Events() })
+	a.dumper.Add("heartbeat", func() any { return a.beat.Stats() })
+	published.Store(a)
+}
--- /dev/null
+++ b/internal/agent/gate/gate.go
@@ -0,0 +1,273 @@
+// Package gate admits requests to the slots of the backend servers on this host
+// and forwards them.
+package gate
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"snipegw/internal/agent/tickets"
+	"snipegw/internal/result"
+	"snipegw/internal/wire"
+)
+
+const (
+	// AnnounceTimeout is the time after which a backend server without a
+	// renewed announcement is no longer used.
+	AnnounceTimeout = 2 * time.Second
+	// forgetAfter is the time after which a silent backend server is no longer
+	// reported.
+	forgetAfter = time.Minute
+	// MaxTimeout bounds the deadline of a request, so that a graceful stop of
+	// 70 s outlasts every request.
+	MaxTimeout = 60 * time.Second
+	// maxServices bounds the services of one host.
+	maxServices = 64
+	// maxRetired bounds the memory of replaced instances of a service.
+	maxRetired = 64
+	// maxFailures is the number of consecutive failed exchanges after which a
+	// backend server is taken out of use.
+	maxFailures = 3
+	// dialTimeout bounds the connection to a backend server on the same host.
+	dialTimeout = time.Second
+	// idleConnTimeout is shorter than the idle timeouts of common HTTP servers
+	// (5 s and more): a connection that the server closes while a request is
+	// sent on it makes the outcome of that request unknown.
+	idleConnTimeout = 3 * time.Second
+)
+
+// Gate is safe for concurrent use. The request path takes no lock.
+type Gate struct {
+	now      func() time.Time
+	tickets  *tickets.Store
+	client   *http.Transport
+	services atomic.Pointer[map[string]*service]
+	draining atomic.Bool
+	active   atomic.Int64
+	// Changed is called after a change that heartbeats report.
+	changed func()
+
+	mu      sync.Mutex // serialises announcements
+	retired map[string][]string
+}
+
+// New returns a gate without backend servers. Changed is called after each
+// change of ServiceStates other than by the passage of time.
+func New(store *tickets.Store, now func() time.Time, changed func()) *Gate {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	g := &Gate{
+		now:     now,
+		tickets: store,
+		changed: changed,
+		retired: make(map[string][]string),
+		client: &http.Transport{
+			DialContext:            dialer.DialContext,
+			DisableCompression:     true, // bodies are passed on as they are
+			MaxIdleConnsPerHost:    maxSlots,
+			IdleConnTimeout:        idleConnTimeout,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+			ReadBufferSize:         4 << 10,
+			WriteBufferSize:        4 << 10,
+		},
+	}
+	g.services.Store(&map[string]*service{})
+	return g
+}
+
+// Announce records that a backend server is running. A new instance replaces
+// the old one; an instance that has left or has been replaced is refused.
+func (g *Gate) Announce(a Announcement) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if slices.Contains(g.retired[a.Service], a.Instance) {
+		return result.Errorf(result.Draining, "instance %s has left or has been replaced", a.Instance)
+	}
+	s := (*g.services.Load())[a.Service]
+	if s == nil {
+		return g.addService(a, now)
+	}
+	b := s.backend.Load()
+	switch {
+	case b.announced == a:
+		wasFresh := b.fresh(now)
+		b.seen.Store(now.UnixNano())
+		if !wasFresh {
+			g.changed()
+		}
+		return nil
+	case b.announced.Instance != a.Instance:
+		g.retire(a.Service, b.announced.Instance)
+	}
+	s.backend.Store(newBackend(a, now))
+	g.changed()
+	return nil
+}
+
+func newBackend(a Announcement, now time.Time) *backend {
+	b := &backend{announced: a}
+	b.seen.Store(now.UnixNano())
+	return b
+}
+
+func (g *Gate) addService(a Announcement, now time.Time) error {
+	old := *g.services.Load()
+	if len(old) >= maxServices {
+		return result.Errorf(result.Overloaded, "a host runs at most %d services", maxServices)
+	}
+	s := &service{name: a.Service}
+	s.backend.Store(newBackend(a, now))
+	fresh := maps.Clone(old)
+	fresh[a.Service] = s
+	g.services.Store(&fresh)
+	g.changed()
+	return nil
+}
+
+func (g *Gate) retire(service, instance string) {
+	list := append(g.retired[service], instance)
+	if len(list) > maxRetired {
+		list = list[1:]
+	}
+	g.retired[service] = list
+}
+
+// Leave records that a backend server stops. Once Leave has returned, it gets
+// no new request; requests in progress go on.
+func (g *Gate) Leave(a Announcement) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := (*g.services.Load())[a.Service]
+	if s == nil {
+		return result.Errorf(result.UnknownService, "service %s was not announced", a.Service)
+	}
+	b := s.backend.Load()
+	if b.announced.Instance != a.Instance {
+		return nil // a newer instance has replaced it
+	}
+	if !b.leaving.Swap(true) {
+		g.retire(a.Service, a.Instance)
+		g.changed()
+	}
+	return nil
+}
+
+// SetDraining refuses (on) or allows (off) new requests of all services.
+func (g *Gate) SetDraining(on bool) { g.draining.Store(on) }
+
+// Active returns the number of requests in progress.
+func (g *Gate) Active() int64 { return g.active.Load() }
+
+// FreeSlots returns the free slots of all services that take requests.
+func (g *Gate) FreeSlots() int {
+	if g.draining.Load() {
+		return 0
+	}
+	now := g.now()
+	free := 0
+	for _, s := range *g.services.Load() {
+		if b := s.backend.Load(); b.healthy(now) && !b.leaving.Load() {
+			free += s.free()
+		}
+	}
+	return free
+}
+
+// ServiceStates returns the services in order of name.
+func (g *Gate) ServiceStates() []wire.ServiceState {
+	now := g.now()
+	services := *g.services.Load()
+	out := make([]wire.ServiceState, 0, len(services))
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		b := services[name].backend.Load()
+		out = append(out, wire.ServiceState{
+			Service: name,
+			Slots:   b.announced.Slots,
+			Leaving: b.leaving.Load(),
+			Healthy: b.healthy(now),
+		})
+	}
+	return out
+}
+
+// Tick forgets services that have been silent for long and probes the backend
+// servers that were taken out of use.
+func (g *Gate) Tick(ctx context.Context) {
+	now := g.now()
+	for _, s := range *g.services.Load() {
+		b := s.backend.Load()
+		if b.down.Load() && b.fresh(now) && !b.leaving.Load() {
+			g.probe(ctx, b)
+		}
+	}
+	g.forget(now)
+}
+
+// probe returns a backend server to use if it accepts a connection.
+func (g *Gate) probe(ctx context.Context, b *backend) {
+	conn, err := g.client.DialContext(ctx, "tcp", b.announced.Address)
+	if err != nil {
+		return
+	}
+	_ = conn.Close()
+	b.failures.Store(0)
+	b.down.Store(false)
+	g.changed()
+}
+
+func (g *Gate) forget(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	old := *g.services.Load()
+	var fresh map[string]*service
+	for name, s := range old {
+		silent := now.UnixNano() - s.backend.Load().seen.Load()
+		if silent > int64(forgetAfter) && s.inflight.Load() == 0 {
+			if fresh == nil {
+				fresh = maps.Clone(old)
+			}
+			delete(fresh, name)
+			delete(g.retired, name)
+		}
+	}
+	if fresh != nil {
+		g.services.Store(&fresh)
+		g.changed()
+	}
+}
+
+// ServiceDump describes a service for the state dump.
+type ServiceDump struct {
+	Announcement
+	InFlight int64  `json:"in_flight"`
+	Served   uint64 `json:"served"`
+	Refused  uint64 `json:"refused"`
+	Leaving  bool   `json:"leaving"`
+	Healthy  bool   `json:"healthy"`
+}
+
+// Dump returns all services for the state dump.
+func (g *Gate) Dump() []ServiceDump {
+	now := g.now()
+	services := *g.services.Load()
+	out := make([]ServiceDump, 0, len(services))
+	for _, name := range slices.Sorted(maps.Keys(services)) {
+		s := services[name]
+		b := s.backend.Load()
+		out = append(out, ServiceDump{
+			Announcement: b.announced,
+			InFlight:     s.inflight.Load(),
+			Served:       s.served.Load(),
+			Refused:      s.refused.Load(),
+			Leaving:      b.leaving.Load(),
+			Healthy:      b.healthy(now),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/agent/gate/request.go
@@ -0,0 +1,276 @@
+package gate
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"snipegw/internal/agent/tickets"
+	"snipegw/internal/result"
+	"snipegw/internal/transport"
+	"snipegw/internal/wire"
+)
+
+// inlineBodyBytes is the length up to which a request body is read before the
+// backend server is contacted, so that a broken one is never sent.
+const inlineBodyBytes = 64 << 10
+
+// ServeRequest serves one request stream (wire.KindRequest).
+func (g *Gate) ServeRequest(ctx context.Context, s *transport.Stream) error {
+	var head wire.RequestHead
+	if err := s.Receive(&head); err != nil {
+		return err
+	}
+	if head.Ticket != "" {
+		// A used ticket is answered first: every refusal below states that the
+		// request was not run.
+		used, err := g.tickets.Check(head.Ticket, head.Team)
+		if err != nil {
+			return refuse(s, err)
+		}
+		if used {
+			return g.replay(s, head.Ticket, head.Team)
+		}
+	}
+	target, err := checkHead(&head)
+	if err != nil {
+		return refuse(s, err)
+	}
+	if head.TimeoutMS <= 0 {
+		return refuse(s, result.Errorf(result.DeadlineNotRun, "the deadline has passed before admission"))
+	}
+	svc := (*g.services.Load())[head.Service]
+	if svc == nil {
+		return refuse(s, result.Errorf(result.UnknownService, "no backend server on this worker has announced service %q", head.Service))
+	}
+	b, err := svc.acquire(g, g.now())
+	if err != nil {
+		return refuse(s, err)
+	}
+	defer svc.release()
+	run, err := g.begin(&head)
+	if err != nil {
+		return refuse(s, err)
+	}
+	if run == nil && head.Ticket != "" {
+		return g.replay(s, head.Ticket, head.Team)
+	}
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	svc.served.Add(1)
+	x := &exchange{gate: g, stream: s, head: &head, target: target, backend: b, run: run, answered: make(chan struct{})}
+	err = x.serve(ctx, svc.free())
+	if x.owner.Load() == ownerDeadline {
+		<-x.answered
+	}
+	return err
+}
+
+func refuse(s *transport.Stream, err error) error {
+	return s.Send(&wire.Admission{Fault: wire.FaultOf(err)})
+}
+
+// begin returns the ticket run of a request; nil for an idempotent request
+// without a ticket and for a ticket that is already in use.
+func (g *Gate) begin(head *wire.RequestHead) (*tickets.Run, error) {
+	switch {
+	case head.Ticket != "":
+		return g.tickets.Use(head.Ticket, head.Team)
+	case head.Idempotent:
+		return nil, nil
+	}
+	return g.tickets.Begin(head.Team), nil
+}
+
+// Owners of the sending direction of a stream.
+const (
+	ownerNone int32 = iota
+	ownerResponse
+	ownerDeadline
+)
+
+// exchange is one admitted request.
+type exchange struct {
+	gate    *Gate
+	stream  *transport.Stream
+	head    *wire.RequestHead
+	target  *url.URL
+	backend *backend
+	run     *tickets.Run // nil for an idempotent request
+	owner   atomic.Int32 // who sends the response head
+	gotConn atomic.Bool  // a connection was assigned, so bytes may have been sent
+	// answered is closed when the answer at the deadline has been written.
+	answered chan struct{}
+}
+
+func (x *exchange) serve(ctx context.Context, free int) error {
+	admission := wire.Admission{FreeSlots: free}
+	if x.run != nil {
+		admission.Ticket = x.run.Ticket
+	}
+	if err := x.stream.Send(&admission); err != nil {
+		x.notRun()
+		return err
+	}
+	timeout := min(time.Duration(x.head.TimeoutMS)*time.Millisecond, MaxTimeout)
+	deadline := time.Now().Add(timeout)
+	_ = x.stream.SetDeadline(deadline)
+	ctx, cancel := x.backendContext(ctx, deadline)
+	defer cancel()
+	body, err := x.requestBody()
+	if err != nil {
+		x.notRun()
+		return err
+	}
+	if x.run != nil {
+		timer := time.AfterFunc(timeout, x.deadline)
+		defer timer.Stop()
+	}
+	resp, err := x.gate.client.RoundTrip(x.request(ctx, body))
+	if err != nil {
+		return x.failed(ctx, err)
+	}
+	defer resp.Body.Close()
+	return x.respond(ctx, resp)
+}
+
+// backendContext returns the context of the call to the backend server. A
+// request with a ticket goes on when its caller has gone, so that the caller
+// can ask for the response.
+func (x *exchange) backendContext(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	if x.run != nil {
+		return context.WithTimeout(context.WithoutCancel(ctx), MaxTimeout)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	stop := context.AfterFunc(x.stream.Context(), cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// requestBody returns the body, nil for none.
+func (x *exchange) requestBody() (io.ReadCloser, error) {
+	n := x.head.BodyBytes
+	if n == 0 {
+		return nil, nil
+	}
+	r := x.stream.Body()
+	if n < 0 || n > inlineBodyBytes {
+		return io.NopCloser(r), nil
+	}
+	data := make([]byte, n)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return nil, err
+	}
+	if _, err := r.Read(make([]byte, 1)); err != io.EOF {
+		return nil, errors.Join(transport.ErrBroken, err)
+	}
+	return io.NopCloser(bytes.NewReader(data)), nil
+}
+
+// noBody is an empty body that http.Transport cannot recognise as such before
+// it reads it; a request without a recognisable body and without GetBody is
+// never sent twice.
+type noBody struct{}
+
+func (noBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (noBody) Close() error             { return nil }
+
+// request builds the request without GetBody. http.Transport sends a request
+// twice only if it has no body or GetBody, and a method or key field that marks
+// it as idempotent.
+func (x *exchange) request(ctx context.Context, body io.ReadCloser) *http.Request {
+	header, host := requestHeader(x.head)
+	target := *x.target
+	target.Scheme = "http"
+	target.Host = x.backend.announced.Address
+	if host == "" {
+		host = target.Host
+	}
+	if body == nil && !x.head.Idempotent && methodImpliesRetry(x.head.Method) {
+		body = noBody{}
+	}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { x.gotConn.Store(true) }}
+	req := &http.Request{
+		Method:        x.head.Method,
+		URL:           &target,
+		Host:          host,
+		Header:        header,
+		Body:          body,
+		ContentLength: x.head.BodyBytes,
+	}
+	return req.WithContext(httptrace.WithClientTrace(ctx, trace))
+}
+
+func methodImpliesRetry(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
+func (x *exchange) notRun() {
+	if x.run != nil {
+		x.run.NotRun()
+	}
+}
+
+// deadline answers the caller of a request with a ticket at its deadline; the
+// request goes on and its response is recorded.
+func (x *exchange) deadline() {
+	if !x.owner.CompareAndSwap(ownerNone, ownerDeadline) {
+		return
+	}
+	defer close(x.answered)
+	// The deadline of the stream has passed as well; this answer needs some time.
+	_ = x.stream.SetDeadline(time.Now().Add(dialTimeout))
+	_ = x.stream.Send(&wire.ResponseHead{Fault: wire.FaultOf(result.Errorf(result.DeadlineRan, "the deadline passed while the request was running"))})
+	_ = x.stream.Close()
+}
+
+// failed answers a request whose exchange with the backend server failed before
+// a response head.
+func (x *exchange) failed(ctx context.Context, err error) error {
+	fault := x.classify(ctx, err)
+	if x.run != nil {
+		if fault.Code.NotRun() {
+			x.run.NotRun()
+		} else {
+			x.run.Abandon()
+		}
+	}
+	if !x.owner.CompareAndSwap(ownerNone, ownerResponse) {
+		return nil
+	}
+	_ = x.stream.SetDeadline(time.Now().Add(dialTimeout))
+	return x.stream.Send(&wire.ResponseHead{Fault: wire.FaultOf(fault)})
+}
+
+func (x *exchange) classify(ctx context.Context, err error) *result.Error {
+	var op *net.OpError
+	refused := errors.As(err, &op) && op.Op == "dial"
+	sent := x.gotConn.Load()
+	switch {
+	case ctx.Err() != nil && !sent:
+		return result.Errorf(result.DeadlineNotRun, "the deadline passed before a connection to the backend server: %w", err)
+	case ctx.Err() != nil:
+		return result.Errorf(result.DeadlineRan, "the deadline passed while the request was running: %w", err)
+	}
+	x.backend.failed(refused)
+	if x.backend.down.Load() {
+		x.gate.changed()
+	}
+	if refused && !sent {
+		return result.Errorf(result.BackendUnavailable, "connect to the backend server: %w", err)
+	}
+	return result.Errorf(result.OutcomeUnknown, "the exchange with the backend server failed: %w", err)
+}
--- /dev/null
+++ b/internal/agent/gate/response.go
@@ -0,0 +1,174 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+
+	"snipegw/internal/agent/tickets"
+	"snipegw/internal/result"
+	"snipegw/internal/transport"
+	"snipegw/internal/wire"
+)
+
+// copyBufferBytes is the size of the buffers between backend server and stream.
+const copyBufferBytes = 16 << 10
+
+var copyBuffers = sync.Pool{New: func() any {
+	b := make([]byte, copyBufferBytes)
+	return &b
+}}
+
+// respond passes the response on and records it for a request with a ticket. An
+// error makes the server abort the stream, so that a broken response is never
+// closed as complete.
+func (x *exchange) respond(ctx context.Context, resp *http.Response) error {
+	out := wire.ResponseHead{Status: resp.StatusCode, Header: responseFields(resp.Header), BodyBytes: resp.ContentLength}
+	var recorder *recording
+	if x.run != nil {
+		recorder = &recording{response: tickets.Response{Status: out.Status, Header: out.Header}}
+	}
+	var send error
+	if !x.owner.CompareAndSwap(ownerNone, ownerResponse) {
+		send = errors.New("the deadline was answered before the response")
+	} else {
+		send = x.stream.SendBuffered(&out)
+	}
+	read, send := x.copyBody(resp, recorder, send)
+	if read != nil {
+		return x.broken(ctx, read)
+	}
+	x.backend.succeeded()
+	if recorder != nil {
+		x.run.Finish(recorder.result())
+	}
+	if x.owner.Load() == ownerDeadline {
+		return nil
+	}
+	return send
+}
+
+func (x *exchange) broken(ctx context.Context, err error) error {
+	if ctx.Err() == nil {
+		x.backend.failed(false)
+	}
+	if x.run != nil {
+		x.run.Abandon()
+	}
+	if x.owner.Load() == ownerDeadline {
+		return nil
+	}
+	return err
+}
+
+// copyBody copies the body to the stream, as long as that works, and to the
+// recorder. Without either it stops early.
+func (x *exchange) copyBody(resp *http.Response, recorder *recording, send error) (read, sent error) {
+	buffer := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buffer)
+	w := x.stream.BodyWriter(resp.ContentLength < 0)
+	for {
+		n, err := resp.Body.Read(*buffer)
+		piece := (*buffer)[:n]
+		if send == nil && n > 0 {
+			_, send = w.Write(piece)
+		}
+		if recorder != nil {
+			recorder.write(piece)
+		}
+		switch {
+		case err == io.EOF:
+			if send == nil {
+				send = w.Close()
+			}
+			return nil, send
+		case err != nil:
+			return err, send
+		case send != nil && recorder == nil:
+			return send, send
+		}
+	}
+}
+
+// recording collects a response up to the limit of tickets.
+type recording struct {
+	response tickets.Response
+	tooLong  bool
+}
+
+func (r *recording) write(p []byte) {
+	if r.tooLong || len(r.response.Body)+len(p) > tickets.MaxResponseBytes {
+		r.tooLong = true
+		r.response.Body = nil
+		return
+	}
+	r.response.Body = append(r.response.Body, p...)
+}
+
+func (r *recording) result() *tickets.Response {
+	if r.tooLong {
+		return nil
+	}
+	return &r.response
+}
+
+// ServeTicketQuery answers what became of a ticket (wire.KindTicketQuery).
+func (g *Gate) ServeTicketQuery(_ context.Context, s *transport.Stream) error {
+	var q wire.TicketQuery
+	if err := s.Receive(&q); err != nil {
+		return err
+	}
+	return g.replay(s, q.Ticket, q.Team)
+}
+
+// replay answers with the outcome of a ticket. It never runs the request.
+func (g *Gate) replay(s *transport.Stream, ticket, team string) error {
+	recorded, err := g.tickets.Lookup(ticket, team)
+	if err != nil && result.CodeOf(err).NotRun() {
+		return refuse(s, err)
+	}
+	if err := s.SendBuffered(&wire.Admission{Ticket: ticket}); err != nil {
+		return err
+	}
+	if err != nil {
+		return s.Send(&wire.ResponseHead{Fault: wire.FaultOf(err), Replayed: true})
+	}
+	head := wire.ResponseHead{
+		Status:    recorded.Status,
+		Header:    recorded.Header,
+		BodyBytes: int64(len(recorded.Body)),
+		Replayed:  true,
+	}
+	if err := s.SendBuffered(&head); err != nil {
+		return err
+	}
+	w := s.BodyWriter(false)
+	if _, err := w.Write(recorded.Body); err != nil {
+		return err
+	}
+	return w.Close()
+}
+
+// IssueTicket answers wire.KindTicketIssue.
+func (g *Gate) IssueTicket(_ context.Context, req *wire.TicketIssue) (*wire.TicketReply, error) {
+	s := (*g.services.Load())[req.Service]
+	if s == nil {
+		return nil, result.Errorf(result.UnknownService, "no backend server on this worker has announced service %q", req.Service)
+	}
+	b := s.backend.Load()
+	switch {
+	case g.draining.Load():
+		return nil, errDraining
+	case b.leaving.Load():
+		return nil, errLeaving
+	case !b.healthy(g.now()):
+		return nil, errUnhealthy
+	}
+	ticket, err := g.tickets.Issue(req.Team)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.TicketReply{Ticket: ticket, LifetimeMS: tickets.Lifetime.Milliseconds()}, nil
+}
--- /dev/null
+++ b/internal/agent/settings.go
@@ -0,0 +1,112 @@
+package agent
+
+import (
+	"net"
+	"net/netip"
+	"net/url"
+
+	"github.com/apex/log"
+
+	"snipegw/internal/kernel"
+	"snipegw/internal/platform"
+	"snipegw/internal/transport"
+)
+
+const (
+	defaultLogLevel        = "info"
+	defaultWorkerAPI       = "httpworker"
+	defaultWorkerTimeoutMS = 1000
+	// maxWorkerTimeoutMS keeps a call to the worker well below the task lease.
+	maxWorkerTimeoutMS = 2000
+)
+
+// Settings are the settings of snipegw-agent.
+type Settings struct {
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+	// Address is the UDP address on which the agent listens.
+	Address string `json:"address"`
+	// AdvertiseAddress is the address that others use; Address by default.
+	AdvertiseAddress string `json:"advertise_address,omitempty"`
+	// LocalHTTPAddress is the loopback address for the backend server and for
+	// operators on the host.
+	LocalHTTPAddress string `json:"local_http_address"`
+	// Entries are the seed addresses of entries.
+	Entries   []string           `json:"entries"`
+	WorkerAPI platform.Settings  `json:"worker_api"`
+	Security  transport.Security `json:"security"`
+	LogLevel  string             `json:"log_level,omitempty"`
+}
+
+// Provision implements kernel.Settings.
+func (s *Settings) Provision() {
+	if s.AdvertiseAddress == "" {
+		s.AdvertiseAddress = s.Address
+	}
+	if s.LogLevel == "" {
+		s.LogLevel = defaultLogLevel
+	}
+	if s.WorkerAPI.Type == "" {
+		s.WorkerAPI.Type = defaultWorkerAPI
+	}
+	if s.WorkerAPI.TimeoutMS == 0 {
+		s.WorkerAPI.TimeoutMS = defaultWorkerTimeoutMS
+	}
+	s.Security.Provision()
+}
+
+// Validate implements kernel.Settings.
+func (s *Settings) Validate(faults *kernel.Faults) {
+	if s.Region == "" {
+		faults.Add("region", "required")
+	}
+	if s.FailureDomain == "" {
+		faults.Add("failure_domain", "required")
+	}
+	checkAddress("address", s.Address, faults)
+	if s.AdvertiseAddress != s.Address {
+		checkAddress("advertise_address", s.AdvertiseAddress, faults)
+	}
+	if host, _, err := net.SplitHostPort(s.AdvertiseAddress); err == nil {
+		if ip, err := netip.ParseAddr(host); err != nil || ip.IsUnspecified() {
+			faults.Add("advertise_address", "must be an IP address that others can reach")
+		}
+	}
+	checkAddress("local_http_address", s.LocalHTTPAddress, faults)
+	if a, err := netip.ParseAddrPort(s.LocalHTTPAddress); err == nil && !a.Addr().IsLoopback() {
+		faults.Add("local_http_address", "must be a loopback address")
+	}
+	if len(s.Entries) == 0 {
+		faults.Add("entries", "at least one address is required")
+	}
+	for _, e := range s.Entries {
+		checkAddress("entries", e, faults)
+	}
+	s.validateWorkerAPI(faults)
+	s.Security.Validate("security", faults)
+	if _, err := log.ParseLevel(s.LogLevel); err != nil {
+		faults.Add("log_level", "must be debug, info, warn or error")
+	}
+}
+
+func (s *Settings) validateWorkerAPI(faults *kernel.Faults) {
+	if _, err := platform.Plugins.Get(s.WorkerAPI.Type); err != nil {
+		faults.Add("worker_api.type", "%v", err)
+	}
+	if u, err := url.Parse(s.WorkerAPI.Address); err != nil || u.Scheme == "" || u.Host == "" {
+		faults.Add("worker_api.address", "must be a base URL such as http://127.0.0.1:9100")
+	}
+	if s.WorkerAPI.TimeoutMS < 0 || s.WorkerAPI.TimeoutMS > maxWorkerTimeoutMS {
+		faults.Add("worker_api.timeout_ms", "must be 1 to %d", maxWorkerTimeoutMS)
+	}
+}
+
+func checkAddress(path, address string, faults *kernel.Faults) {
+	if address == "" {
+		faults.Add(path, "required")
+		return
+	}
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		faults.Add(path, "must be an IP address and a port: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/agent/stop.go
@@ -0,0 +1,72 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/apex/log"
+
+	"snipegw/internal/result"
+)
+
+const (
+	// settleTimeout bounds the wait for gangs that are starting or stopping:
+	// grace period, task lease and the time of the calls.
+	settleTimeout = 6 * time.Second
+	// reportTimeout bounds the wait for the acknowledgement of gang events.
+	reportTimeout = 2 * time.Second
+	// handoverReserve is the part of the stop that is kept for the handover.
+	handoverReserve = 3 * time.Second
+	// pollInterval is the time between two checks during the stop.
+	pollInterval = 20 * time.Millisecond
+)
+
+// Stop implements kernel.Component: no new work, requests in progress finish,
+// running tasks are handed over to the successor process.
+func (a *Agent) Stop(ctx context.Context) error {
+	a.stopping.Store(true)
+	a.gate.SetDraining(true)
+	a.arbiter.Stop()
+	a.beat.Changed()
+	a.gangs.Abandon()
+	waitCtx, cancel := context.WithCancel(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		cancel()
+		waitCtx, cancel = context.WithDeadline(ctx, deadline.Add(-handoverReserve))
+	}
+	defer cancel()
+	var errs []error
+	if !wait(waitCtx, func() bool { return a.gate.Active() == 0 }) {
+		errs = append(errs, result.Errorf(result.DeadlineRan, "%d requests were still in progress", a.gate.Active()))
+	}
+	bounded(waitCtx, settleTimeout, a.gangs.Settled)
+	bounded(waitCtx, reportTimeout, func() bool { return len(a.gangs.Events()) == 0 })
+	a.gangs.Handover(ctx)
+	a.cancel()
+	a.loops.Wait()
+	a.beat.Beat(ctx, true)
+	errs = append(errs, a.server.Close(), a.local.Close(), a.pool.Close())
+	log.WithFields(log.Fields{"event": "agent_stopped", "worker": a.worker.ID, "code": int(result.CodeOf(errors.Join(errs...)))}).Info("agent stopped")
+	return errors.Join(errs...)
+}
+
+func bounded(ctx context.Context, limit time.Duration, done func() bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return wait(ctx, done)
+}
+
+// wait polls until done or until ctx ends.
+func wait(ctx context.Context, done func() bool) bool {
+	t := time.NewTicker(pollInterval)
+	defer t.Stop()
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return done()
+		case <-t.C:
+		}
+	}
+	return true
+}
