--- a/internal/agent/gate/request.go
+++ b/internal/agent/gate/request.go
@@ -115,7 +115,7 @@
 	if x.run != nil {
 		admission.Ticket = x.run.Ticket
 	}
-	if err := x.stream.Send(&admission); err != nil {
+	if err := x.sendAdmission(&admission); err != nil {
 		x.notRun()
 		return err
 	}
@@ -141,6 +141,16 @@
 	return x.respond(ctx, resp)
 }
 
+// sendAdmission sends the admission at once if the entry may wait for it before
+// it sends the body. An idempotent request with a small body comes as a whole;
+// its admission goes out together with the response head, which saves a packet.
+func (x *exchange) sendAdmission(a *wire.Admission) error {
+	if x.run == nil && x.head.BodyBytes >= 0 && x.head.BodyBytes <= inlineBodyBytes {
+		return x.stream.SendBuffered(a)
+	}
+	return x.stream.Send(a)
+}
+
 // backendContext returns the context of the call to the backend server. A
 // request with a ticket goes on when its caller has gone, so that the caller
 // can ask for the response.
@@ -156,12 +166,10 @@
 	}
 }
 
-// requestBody returns the body, nil for none.
+// requestBody returns the body, nil for none. Even an empty body is read up to
+// its end frame: the entry holds that back until the caller knows the ticket.
 func (x *exchange) requestBody() (io.ReadCloser, error) {
 	n := x.head.BodyBytes
-	if n == 0 {
-		return nil, nil
-	}
 	r := x.stream.Body()
 	if n < 0 || n > inlineBodyBytes {
 		return io.NopCloser(r), nil
@@ -173,6 +181,9 @@
 	if _, err := r.Read(make([]byte, 1)); err != io.EOF {
 		return nil, errors.Join(transport.ErrBroken, err)
 	}
+	if n == 0 {
+		return nil, nil
+	}
 	return io.NopCloser(bytes.NewReader(data)), nil
 }
 
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"net/netip"
-	"net/url"
 
 	"github.com/apex/log"
 
@@ -90,11 +89,10 @@
 }
 
 func (s *Settings) validateWorkerAPI(faults *kernel.Faults) {
-	if _, err := platform.Plugins.Get(s.WorkerAPI.Type); err != nil {
-		faults.Add("worker_api.type", "%v", err)
-	}
-	if u, err := url.Parse(s.WorkerAPI.Address); err != nil || u.Scheme == "" || u.Host == "" {
-		faults.Add("worker_api.address", "must be a base URL such as http://127.0.0.1:9100")
+	if s.WorkerAPI.Address == "" {
+		faults.Add("worker_api.address", "required")
+	} else if _, err := platform.Open(s.WorkerAPI); err != nil {
+		faults.Add("worker_api", "%v", err)
 	}
 	if s.WorkerAPI.TimeoutMS < 0 || s.WorkerAPI.TimeoutMS > maxWorkerTimeoutMS {
 		faults.Add("worker_api.timeout_ms", "must be 1 to %d", maxWorkerTimeoutMS)
