Keep the resources of running tasks when a later attempt is released

Release of a higher attempt number dropped the hold of an older attempt whose tasks still ran, which allowed overcommitment.

--- a/internal/agent/arbiter/arbiter.go
+++ b/internal/agent/arbiter/arbiter.go
@@ -217,7 +217,7 @@
 	if h := a.holds[r.Job]; h != nil && h.Attempt == r.Attempt && h.started() {
 		return result.Errorf(result.ReservationConflict, "attempt %d of job %s has started", r.Attempt, r.Job)
 	}
-	delete(a.holds, r.Job)
+	a.dropUnstarted(r.Job)
 	a.attempts[r.Job] = attempt{number: r.Attempt, closed: true, seen: a.now()}
 	return nil
 }
@@ -286,10 +286,19 @@
 		delete(a.holds, job)
 	}
 	if a.attempts[job].number <= number {
+		a.dropUnstarted(job)
 		a.attempts[job] = attempt{number: number, closed: true, seen: a.now()}
 	}
 }
 
+// dropUnstarted drops the reservation of a job. Tasks that run keep their
+// resources until End, whatever is known of later attempts.
+func (a *Arbiter) dropUnstarted(job string) {
+	if h := a.holds[job]; h != nil && !h.started() {
+		delete(a.holds, job)
+	}
+}
+
 // Adopt records tasks that the worker already runs. They count even if they
 // exceed the capacity, because they use the resources in any case.
 func (a *Arbiter) Adopt(h Hold) {
--- a/internal/agent/tickets/store.go
+++ b/internal/agent/tickets/store.go
@@ -29,12 +29,12 @@
 // State is the state of a ticket.
 type State int32
 
-// States of a ticket. Issued changes to Running or Void, Running to Done or
+// States of a ticket. Issued changes to Running or Void, Running to Recorded or
 // Unknown; the others are final.
 const (
 	Issued State = iota + 1
 	Running
-	Done
+	Recorded
 	Unknown
 	// Void is a ticket that was not used in time or that a query has ended
 	// before its use; its request has not run and never will.
@@ -227,7 +227,7 @@
 	state := Unknown
 	if response != nil {
 		bytes = response.bytes()
-		state = Done
+		state = Recorded
 	}
 	if bytes > MaxResponseBytes {
 		response, bytes, state = nil, 0, Unknown
--- /dev/null
+++ b/internal/agent/tickets/tickets_test.go
@@ -0,0 +1,210 @@
+package tickets
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"snipegw/internal/result"
+)
+
+func TestTickets(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "tickets")
+}
+
+var _ = Describe("tickets", func() {
+	var (
+		now time.Time
+		s   *Store
+	)
+
+	BeforeEach(func() {
+		now = time.Unix(1000, 0)
+		s = NewStore("w1", "inc", func() time.Time { return now })
+	})
+
+	lookup := func(ticket, team string) result.Code {
+		_, err := s.Lookup(ticket, team)
+		return result.CodeOf(err)
+	}
+
+	It("returns the recorded response until the retention ends", func() {
+		run := s.Begin("red")
+		Expect(lookup(run.Ticket, "red")).To(Equal(result.InProgress))
+		run.Finish(&Response{Status: 201, Body: []byte("done")})
+		now = now.Add(Retention)
+		got, err := s.Lookup(run.Ticket, "red")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got.Body).To(Equal([]byte("done")))
+		now = now.Add(time.Second)
+		s.Tick()
+		Expect(lookup(run.Ticket, "red")).To(Equal(result.OutcomeUnknown))
+		Expect(s.Stats().KeptBytes).To(BeZero())
+	})
+
+	It("does not show a response to another team", func() {
+		run := s.Begin("red")
+		run.Finish(&Response{Status: 200})
+		Expect(lookup(run.Ticket, "blue")).To(Equal(result.Forbidden))
+	})
+
+	It("does not run a ticket that was taken too long ago", func() {
+		ticket, err := s.Issue("red")
+		Expect(err).NotTo(HaveOccurred())
+		now = now.Add(Lifetime + time.Millisecond)
+		run, err := s.Use(ticket, "red")
+		Expect(run).To(BeNil())
+		Expect(result.CodeOf(err)).To(Equal(result.TicketUnavailable))
+	})
+
+	It("never runs a ticket after a query was told that it had not run", func() {
+		ticket, err := s.Issue("red")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(lookup(ticket, "red")).To(Equal(result.TicketUnavailable))
+		run, err := s.Use(ticket, "red")
+		Expect(run).To(BeNil())
+		Expect(result.CodeOf(err)).To(Equal(result.TicketUnavailable))
+	})
+
+	It("drops the oldest responses beyond the limit of memory", func() {
+		var all []string
+		for range 12 {
+			run := s.Begin("red")
+			run.Finish(&Response{Status: 200, Body: make([]byte, MaxResponseBytes)})
+			all = append(all, run.Ticket)
+			Expect(s.Stats().KeptBytes).To(BeNumerically("<=", MaxTotalBytes))
+		}
+		Expect(lookup(all[0], "red")).To(Equal(result.OutcomeUnknown))
+		Expect(lookup(all[11], "red")).To(Equal(result.OK))
+	})
+
+	It("does not keep a response that is too long", func() {
+		run := s.Begin("red")
+		run.Finish(&Response{Status: 200, Body: make([]byte, MaxResponseBytes+1)})
+		Expect(lookup(run.Ticket, "red")).To(Equal(result.OutcomeUnknown))
+	})
+
+	It("bounds the tickets that wait for their use", func() {
+		for range maxIssued {
+			_, err := s.Issue("red")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, err := s.Issue("red")
+		Expect(result.CodeOf(err)).To(Equal(result.Overloaded))
+		now = now.Add(Lifetime + time.Second)
+		s.Tick()
+		_, err = s.Issue("red")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	DescribeTable("judges foreign tickets", func(ticket string, want result.Code) {
+		Expect(lookup(ticket, "red")).To(Equal(want))
+		_, err := s.Use(ticket, "red")
+		Expect(result.CodeOf(err)).To(Equal(want))
+	},
+		Entry("another worker", "w2/inc/1", result.BadTicket),
+		Entry("an earlier incarnation, which may have run it", "w1/old/1", result.OutcomeUnknown),
+		Entry("never issued", "w1/inc/7", result.BadTicket),
+		Entry("sequence 0", "w1/inc/0", result.BadTicket),
+		Entry("not a number", "w1/inc/x", result.BadTicket),
+		Entry("a part too many", "w1/inc/1/2", result.BadTicket),
+	)
+})
+
+// TestTicketModel guards against a second run of a ticket, against a run after
+// the statement that there was none, and against unbounded memory.
+func TestTicketModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		s := NewStore("w1", "inc", func() time.Time { return now })
+		runs := map[string]int{}
+		denied := map[string]bool{}
+		open := map[string]*Run{}
+		var all []string
+		pick := func(t *rapid.T) string {
+			if len(all) == 0 {
+				t.Skip("no ticket")
+			}
+			return rapid.SampledFrom(all).Draw(t, "ticket")
+		}
+		begin := func(t *rapid.T, r *Run) {
+			runs[r.Ticket]++
+			open[r.Ticket] = r
+			if runs[r.Ticket] > 1 || denied[r.Ticket] {
+				t.Fatalf("ticket %s runs %d times, denied before: %v", r.Ticket, runs[r.Ticket], denied[r.Ticket])
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"issue": func(t *rapid.T) {
+				if ticket, err := s.Issue("red"); err == nil {
+					all = append(all, ticket)
+				}
+			},
+			"begin": func(t *rapid.T) {
+				r := s.Begin("red")
+				all = append(all, r.Ticket)
+				begin(t, r)
+			},
+			"use": func(t *rapid.T) {
+				if r, err := s.Use(pick(t), "red"); err == nil && r != nil {
+					begin(t, r)
+				}
+			},
+			"finish": func(t *rapid.T) {
+				ticket := pick(t)
+				if r := open[ticket]; r != nil {
+					delete(open, ticket)
+					size := rapid.IntRange(0, MaxResponseBytes+1).Draw(t, "size")
+					r.Finish(&Response{Status: 200, Body: make([]byte, size)})
+				}
+			},
+			"lookup": func(t *rapid.T) {
+				ticket := pick(t)
+				_, err := s.Lookup(ticket, "red")
+				code := result.CodeOf(err)
+				if err != nil && code.NotRun() {
+					denied[ticket] = true
+					if runs[ticket] > 0 {
+						t.Fatalf("ticket %s has run, but the query said %s", ticket, code)
+					}
+				}
+				if open[ticket] != nil && code != result.InProgress {
+					t.Fatalf("running ticket %s reported as %s", ticket, code)
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 700).Draw(t, "s")) * time.Second)
+				s.Tick()
+			},
+			"": func(t *rapid.T) {
+				if kept := s.Stats().KeptBytes; kept > MaxTotalBytes {
+					t.Fatalf("%d bytes kept", kept)
+				}
+			},
+		})
+	})
+}
+
+// FuzzParse guards against panics and against two texts for one ticket.
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{"w1/inc/1", "w1/inc/01", "//", "w1/inc/18446744073709551616", "w/ä/7", ""} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		ticket, err := Parse(text)
+		if err != nil {
+			if result.CodeOf(err) != result.BadTicket {
+				t.Fatalf("%v", err)
+			}
+			return
+		}
+		if ticket.String() != text {
+			t.Fatalf("%s reads as %s with sequence %s", strconv.Quote(text), ticket, strconv.FormatUint(ticket.Sequence, 10))
+		}
+	})
+}
