--- a/internal/agent/gang/gang.go
+++ b/internal/agent/gang/gang.go
@@ -53,6 +53,13 @@
 	callTimeout = 600 * time.Millisecond
 	// workerTimeout bounds a call to the worker interface.
 	workerTimeout = time.Second
+	// renewTimeout bounds a renewal of a task lease, so that two attempts fit
+	// into taskSilence.
+	renewTimeout = 450 * time.Millisecond
+	// taskSilence is the time without an answer of the worker after which a task
+	// counts as lost. Together with the gang lease and the grace period it makes
+	// up the 5 s for which a part of a gang may run without the rest.
+	taskSilence = 2 * time.Second
 	// leaseMargin covers the time for which an unanswered call to the worker
 	// may still take effect.
 	leaseMargin = time.Second
--- a/internal/agent/gang/handover.go
+++ b/internal/agent/gang/handover.go
@@ -65,22 +65,26 @@
 		return nil
 	}
 	t.handover = true
+	window := HandoverWindow
+	if t.suspended {
+		window = max(t.leaseUntil.Sub(t.m.Now()), time.Millisecond)
+	}
 	var calls []func(context.Context)
 	for _, k := range t.tasks {
 		if !k.over {
-			calls = append(calls, func(ctx context.Context) { t.extend(ctx, k.id) })
+			calls = append(calls, func(ctx context.Context) { t.extend(ctx, k.id, window) })
 		}
 	}
 	for _, other := range t.notified() {
-		calls = append(calls, func(ctx context.Context) { t.notify(ctx, other) })
+		calls = append(calls, func(ctx context.Context) { t.notify(ctx, other, window) })
 	}
 	return calls
 }
 
-func (t *member) extend(ctx context.Context, id string) {
+func (t *member) extend(ctx context.Context, id string, window time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, workerTimeout)
 	defer cancel()
-	if _, err := t.m.API.Renew(ctx, id, HandoverWindow); err != nil {
+	if _, err := t.m.API.Renew(ctx, id, window); err != nil {
 		log.WithFields(log.Fields{"event": "handover_failed", "job": t.key.job, "task": id, "code": int(result.CodeOf(err))}).Warn(err.Error())
 	}
 }
@@ -96,10 +100,10 @@
 	return t.members[1:]
 }
 
-func (t *member) notify(ctx context.Context, other wire.Member) {
+func (t *member) notify(ctx context.Context, other wire.Member, window time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	msg := &wire.Handover{Job: t.key.job, Attempt: t.key.attempt, Worker: t.m.Worker, WindowMS: HandoverWindow.Milliseconds()}
+	msg := &wire.Handover{Job: t.key.job, Attempt: t.key.attempt, Worker: t.m.Worker, WindowMS: window.Milliseconds()}
 	if err := t.m.Caller.Call(ctx, other.Address, wire.KindHandover, msg, &wire.Ack{}); err != nil {
 		log.WithFields(log.Fields{"event": "handover_failed", "job": t.key.job, "worker": other.Worker, "code": int(result.CodeOf(err))}).Warn(err.Error())
 	}
@@ -128,8 +132,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.peers {
-		if p.Worker == worker {
-			p.handoverUntil = s.m.Now().Add(window)
+		if now := s.m.Now(); p.Worker == worker && !now.Before(p.handoverUntil) {
+			p.handoverUntil = now.Add(window)
 		}
 	}
 }
@@ -218,10 +222,12 @@
 	close(t.started)
 	if window := handoverLeft(group); window > 0 {
 		t.leaseUntil = now.Add(window)
+		t.suspended = true
 	}
 	for i, state := range group {
-		task := &task{rank: ranks[i], id: state.ID, answered: true, renewed: now.Add(-TaskRenewInterval)}
-		task.mayRunUntil = now.Add(HandoverWindow + leaseMargin)
+		task := &task{rank: ranks[i], id: state.ID, answered: true}
+		lease := max(TaskLease, time.Duration(state.LeaseMS)*time.Millisecond)
+		task.mayRunUntil = now.Add(lease + leaseMargin)
 		task.observe(state, now)
 		t.tasks = append(t.tasks, task)
 	}
--- /dev/null
+++ b/internal/agent/gang/harness_test.go
@@ -0,0 +1,293 @@
+package gang
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+
+	"snipegw/internal/agent/arbiter"
+	"snipegw/internal/model"
+	"snipegw/internal/platform"
+	"snipegw/internal/result"
+	"snipegw/internal/transport"
+	"snipegw/internal/wire"
+)
+
+// fakeWorker is a worker interface with leases on the clock of the cluster.
+type fakeWorker struct {
+	now     func() time.Time
+	tasks   map[string]*platform.Task
+	until   map[string]time.Time
+	peakGB  float64
+	refuse  bool // Run fails
+	silent  bool // no call is answered
+	lose    bool // Run takes effect, but its answer is lost
+	onStart func()
+	saved   int
+}
+
+func init() { log.SetLevel(log.FatalLevel) }
+
+var errSilent = errors.New("no answer")
+
+func (w *fakeWorker) lapse() {
+	for id, t := range w.tasks {
+		if t.State == platform.TaskRunning && w.now().After(w.until[id]) {
+			w.end(id, platform.TaskLapsed, "")
+		}
+	}
+}
+
+func (w *fakeWorker) end(id string, state platform.TaskState, reason string) {
+	w.tasks[id].State = state
+	w.tasks[id].Reason = reason
+	w.tasks[id].EndedMS = w.now().UnixMilli()
+}
+
+func (w *fakeWorker) get(id string) (platform.Task, error) {
+	w.lapse()
+	if w.silent {
+		return platform.Task{}, errSilent
+	}
+	t := w.tasks[id]
+	if t == nil {
+		return platform.Task{}, result.Errorf(result.NotFound, "no task %s", id)
+	}
+	return *t, nil
+}
+
+func (w *fakeWorker) Worker(context.Context) (model.Worker, error) { return model.Worker{}, nil }
+
+func (w *fakeWorker) Tasks(context.Context) ([]platform.Task, error) {
+	w.lapse()
+	var out []platform.Task
+	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
+		t := *w.tasks[id]
+		t.LeaseMS = w.until[id].Sub(w.now()).Milliseconds()
+		out = append(out, t)
+	}
+	return out, nil
+}
+
+func (w *fakeWorker) Run(_ context.Context, t platform.Task, lease time.Duration) (platform.Task, error) {
+	if w.silent || w.refuse {
+		return platform.Task{}, errSilent
+	}
+	w.onStart()
+	t.State = platform.TaskRunning
+	t.StartedMS = w.now().UnixMilli()
+	w.tasks[t.ID] = &t
+	w.until[t.ID] = w.now().Add(lease)
+	if w.lose {
+		return platform.Task{}, errSilent
+	}
+	return t, nil
+}
+
+func (w *fakeWorker) Renew(_ context.Context, id string, lease time.Duration) (platform.Task, error) {
+	t, err := w.get(id)
+	if err == nil {
+		w.until[id] = w.now().Add(lease)
+	}
+	return t, err
+}
+
+func (w *fakeWorker) Checkpoint(_ context.Context, id string) (platform.Task, error) {
+	t, err := w.get(id)
+	if err == nil && t.State == platform.TaskRunning {
+		w.saved++
+		w.tasks[id].CheckpointMS = w.now().UnixMilli() - t.StartedMS
+	}
+	return t, err
+}
+
+func (w *fakeWorker) Throttle(context.Context, string, float64) error { return nil }
+
+func (w *fakeWorker) Stop(_ context.Context, id string) (platform.Task, error) {
+	t, err := w.get(id)
+	if err == nil && t.State == platform.TaskRunning {
+		w.end(id, platform.TaskStopped, "")
+		t = *w.tasks[id]
+	}
+	return t, err
+}
+
+func (w *fakeWorker) Usage(context.Context) ([]platform.Usage, error) {
+	var out []platform.Usage
+	for id := range w.tasks {
+		out = append(out, platform.Usage{ID: id, PeakMemoryGB: w.peakGB})
+	}
+	return out, nil
+}
+
+func (w *fakeWorker) running() int {
+	w.lapse()
+	n := 0
+	for _, t := range w.tasks {
+		if t.State == platform.TaskRunning {
+			n++
+		}
+	}
+	return n
+}
+
+// node is one host: its worker survives the restarts of its agent.
+type node struct {
+	name    string
+	worker  *fakeWorker
+	agent   *Manager
+	arbiter *arbiter.Arbiter
+	cut     bool // no call from or to the node passes
+	events  []wire.GangEvent
+}
+
+// cluster is a network of nodes on one clock. Calls are synchronous.
+type cluster struct {
+	now   time.Time
+	nodes []*node
+	fault string // a violated rule, noticed inside a call
+}
+
+func newCluster(size int) *cluster {
+	c := &cluster{now: time.Unix(10_000, 0)}
+	for i := range size {
+		n := &node{name: fmt.Sprintf("w%d", i)}
+		n.worker = &fakeWorker{now: c.clock, tasks: map[string]*platform.Task{}, until: map[string]time.Time{}, onStart: c.checkStart}
+		c.nodes = append(c.nodes, n)
+		c.boot(n)
+	}
+	return c
+}
+
+func (c *cluster) clock() time.Time { return c.now }
+
+// boot starts a new process of the agent, which adopts the worker's tasks.
+func (c *cluster) boot(n *node) {
+	n.arbiter = arbiter.New("inc", model.Resources{Accelerators: 8}, c.clock)
+	n.agent = New(Config{
+		Worker: n.name, API: n.worker, Arbiter: n.arbiter, Caller: caller{c, n}, Now: c.clock,
+		Spawn: func(f func()) { f() }, Changed: func() {},
+	})
+	tasks, _ := n.worker.Tasks(context.Background())
+	n.agent.Adopt(tasks)
+}
+
+// crash ends the process of the agent.
+func (c *cluster) crash(n *node) { n.agent = nil }
+
+// checkStart notes a task start before all reservations are confirmed.
+func (c *cluster) checkStart() {
+	for _, n := range c.nodes {
+		if n.agent != nil && !n.arbiter.Held("job", 1) {
+			c.fault = "a task started while " + n.name + " held no reservation"
+		}
+	}
+}
+
+// advance moves the clock in steps of TickInterval.
+func (c *cluster) advance(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.now = c.now.Add(TickInterval)
+		for _, n := range c.nodes {
+			if n.agent != nil {
+				n.agent.Tick()
+				n.collect()
+			}
+		}
+	}
+}
+
+func (n *node) collect() {
+	for _, e := range n.agent.Events() {
+		n.events = append(n.events, e)
+		n.agent.Acknowledge(e.Seq)
+	}
+}
+
+func (c *cluster) members() []wire.Member {
+	var out []wire.Member
+	for i, n := range c.nodes {
+		out = append(out, wire.Member{Worker: n.name, Address: n.name, Incarnation: "inc", Ranks: []int{i}})
+	}
+	return out
+}
+
+func (c *cluster) reserve() {
+	for i, n := range c.nodes {
+		err := n.arbiter.Reserve(&wire.Reserve{
+			Order: wire.Order{Epoch: 1, Incarnation: "inc"}, Job: "job", Attempt: 1, Ranks: []int{i},
+			PerTask: model.Resources{Accelerators: 8}, ExpiryMS: 3000,
+		})
+		if err != nil {
+			panic(err)
+		}
+	}
+}
+
+func (c *cluster) start() error {
+	err := c.nodes[0].agent.StartGang(&wire.StartGang{Job: model.Job{ID: "job"}, Attempt: 1, Members: c.members()})
+	c.nodes[0].collect()
+	return err
+}
+
+func (c *cluster) running() int {
+	total := 0
+	for _, n := range c.nodes {
+		total += n.worker.running()
+	}
+	return total
+}
+
+// outcomes returns the outcomes that the supervisor reported.
+func (c *cluster) outcomes() []string {
+	var out []string
+	for _, e := range c.nodes[0].events {
+		out = append(out, e.Outcome)
+	}
+	return out
+}
+
+func (c *cluster) last() wire.GangEvent {
+	events := c.nodes[0].events
+	if len(events) == 0 {
+		return wire.GangEvent{}
+	}
+	return events[len(events)-1]
+}
+
+// caller delivers calls between nodes.
+type caller struct {
+	c    *cluster
+	from *node
+}
+
+func (k caller) Call(ctx context.Context, addr string, kind wire.Kind, msg, reply any) error {
+	i := slices.IndexFunc(k.c.nodes, func(n *node) bool { return n.name == addr })
+	to := k.c.nodes[i]
+	if to.cut || k.from.cut || to.agent == nil {
+		return &transport.CallError{Address: addr, Sent: true, Err: context.DeadlineExceeded}
+	}
+	var report *wire.MemberReport
+	var err error
+	switch kind {
+	case wire.KindArm:
+		err = to.agent.Arm(msg.(*wire.GangOrder))
+	case wire.KindStart:
+		report, err = to.agent.Start(ctx, msg.(*wire.GangOrder))
+	case wire.KindRenew:
+		report, err = to.agent.Renew(msg.(*wire.GangOrder))
+	case wire.KindAbort:
+		report, err = to.agent.Abort(msg.(*wire.GangOrder))
+	case wire.KindHandover:
+		err = to.agent.HandleHandover(msg.(*wire.Handover))
+	}
+	if report != nil {
+		*reply.(*wire.MemberReport) = *report
+	}
+	return err
+}
--- a/internal/agent/gang/member.go
+++ b/internal/agent/gang/member.go
@@ -37,12 +37,19 @@
 	resume  int64
 	started chan struct{} // closed when no first start is in progress
 
-	mu         sync.Mutex
-	term       uint64
-	phase      phase
-	tasks      []*task
-	committed  bool
+	mu        sync.Mutex
+	term      uint64
+	phase     phase
+	tasks     []*task
+	committed bool
+	// confirmed is unset in a successor process until the supervisor extends the
+	// gang lease; before that no task lease is renewed. Otherwise an agent that
+	// crashes again and again would keep its tasks alive without the rest.
+	confirmed  bool
 	leaseUntil time.Time
+	// suspended is set in the window of a planned restart, until the next
+	// renewal. The window is not extended by further planned restarts.
+	suspended  bool
 	stopAt     time.Time // end of the grace period
 	stopReason string
 	startedAt  time.Time
@@ -53,7 +60,7 @@
 func newMember(m *Manager, o *wire.GangOrder, hold arbiter.Hold) *member {
 	t := &member{
 		m: m, key: key{o.Job, o.Attempt}, spec: o.Spec, members: o.Members, perTask: hold.PerTask, resume: o.ResumeMS,
-		term: o.Term, phase: phaseArmed, started: make(chan struct{}),
+		term: o.Term, phase: phaseArmed, confirmed: true, started: make(chan struct{}),
 	}
 	for _, rank := range hold.Ranks {
 		t.tasks = append(t.tasks, &task{rank: rank, id: taskID(o.Job, o.Attempt, rank)})
@@ -159,7 +166,7 @@
 	t.step()
 }
 
-// renew extends the gang lease.
+// renew extends the gang lease. A lease of 0 only asks for the report.
 func (t *member) renew(o *wire.GangOrder) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -170,21 +177,35 @@
 	lease := min(time.Duration(o.LeaseMS)*time.Millisecond, Lease)
 	// A lease that has lapsed stays lapsed: the supervisor may have told the
 	// planner by now that the gang has ended.
-	if t.phase != phaseArmed && !now.After(t.leaseUntil) {
+	if t.phase != phaseArmed && lease > 0 && !now.After(t.leaseUntil) {
 		t.leaseUntil = now.Add(lease)
+		t.suspended = false
+		t.confirmLocked(now)
 	}
 	t.committed = t.committed || o.Committed
 	return nil
 }
 
+// confirmLocked has a successor process renew the task leases from now on.
+func (t *member) confirmLocked(now time.Time) {
+	if t.confirmed {
+		return
+	}
+	t.confirmed = true
+	for _, k := range t.tasks {
+		k.renewed = now.Add(-TaskRenewInterval)
+	}
+}
+
 // suspend keeps the gang lease for the window of a planned restart of the
 // supervisor's agent.
 func (t *member) suspend(window time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.m.Now()
-	if until := now.Add(window); !now.After(t.leaseUntil) && until.After(t.leaseUntil) {
+	if until := now.Add(window); !t.suspended && !now.After(t.leaseUntil) && until.After(t.leaseUntil) {
 		t.leaseUntil = until
+		t.suspended = true
 	}
 }
 
--- a/internal/agent/gang/supervisor.go
+++ b/internal/agent/gang/supervisor.go
@@ -29,8 +29,11 @@
 	outcome   framework.Outcome
 	blamed    string
 	message   string
-	adopted   bool // rebuilt from task labels; tells the planner once it runs
-	fenced    bool // a newer supervisor is in charge
+	// adopted is set in a successor process until every member has answered. A
+	// supervisor that crashes again and again would otherwise extend the leases
+	// of a gang of which a member is lost.
+	adopted bool
+	fenced  bool // a newer supervisor is in charge
 }
 
 // peer is a member as its supervisor sees it.
@@ -224,7 +227,7 @@
 func (s *supervisor) finalEvent() wire.GangEvent {
 	e := wire.GangEvent{
 		Job: s.key.job, Attempt: s.key.attempt, Outcome: string(s.outcome),
-		BlamedWorker: s.blamed, Message: cmp.Or(s.message, "the gang has ended"),
+		BlamedWorker: s.blamed, Message: cmp.Or(s.message, "the gang was stopped on request"),
 	}
 	kept := int64(-1)
 	for _, p := range s.peers {
@@ -250,7 +253,7 @@
 	for _, t := range r.Tasks {
 		p.tasks[t.Rank] = t
 		switch t.State {
-		case string(platform.TaskRunning), taskStarting, stateFailedRunning:
+		case string(platform.TaskRunning), taskStarting, taskStopping, stateFailedRunning:
 			running++
 		}
 	}
@@ -261,10 +264,16 @@
 			s.fail(now, framework.OutcomeLost, "", "member "+p.Worker+" does not know all of its tasks")
 			return
 		}
-		s.judge(p, t, now)
+		s.judgeFailure(p, t, now)
+	}
+	for _, rank := range p.Ranks {
+		s.judgeLoss(p, p.tasks[rank], now)
 	}
 	if s.adopted && !slices.ContainsFunc(s.peers, func(p *peer) bool { return len(p.tasks) < len(p.Ranks) }) {
 		s.adopted = false
+		for _, p := range s.peers {
+			p.tried = time.Time{}
+		}
 		s.emitRunning()
 	}
 	if s.phase == phaseRunning && !slices.ContainsFunc(s.peers, func(p *peer) bool { return !p.done() }) {
@@ -281,11 +290,13 @@
 	return true
 }
 
-func (s *supervisor) judge(p *peer, t wire.TaskReport, now time.Time) {
-	if s.phase == phaseStopping {
-		return
-	}
-	reason := "task " + taskID(s.key.job, s.key.attempt, t.Rank) + " on " + p.Worker + ": " + cmp.Or(t.Reason, t.State)
+func (s *supervisor) describe(p *peer, t wire.TaskReport) string {
+	return "task " + taskID(s.key.job, s.key.attempt, t.Rank) + " on " + p.Worker + ": " + cmp.Or(t.Reason, t.State)
+}
+
+// judgeFailure ends the gang for a task that failed by itself.
+func (s *supervisor) judgeFailure(p *peer, t wire.TaskReport, now time.Time) {
+	reason := s.describe(p, t)
 	switch t.State {
 	case string(platform.TaskOutOfMemory):
 		s.fail(now, framework.OutcomeOutOfMemory, "", reason)
@@ -295,8 +306,16 @@
 			outcome = framework.OutcomeStartFailed
 		}
 		s.fail(now, outcome, p.Worker, reason)
-	case string(platform.TaskLapsed), string(platform.TaskStopped):
-		s.fail(now, framework.OutcomeLost, "", reason)
+	}
+}
+
+// judgeLoss ends the gang for a task that was ended from outside. It comes
+// after judgeFailure for all tasks of a member, because a failed task makes the
+// member stop the others.
+func (s *supervisor) judgeLoss(p *peer, t wire.TaskReport, now time.Time) {
+	switch t.State {
+	case string(platform.TaskLapsed), string(platform.TaskStopped), taskStopping:
+		s.fail(now, framework.OutcomeLost, "", s.describe(p, t))
 	}
 }
 
@@ -310,6 +329,9 @@
 func (s *supervisor) call(p *peer, kind wire.Kind) {
 	ctx, cancel := context.WithTimeout(context.Background(), s.timeout(kind))
 	defer cancel()
+	if kind == wire.KindStart && !s.mayStart(p) {
+		return
+	}
 	report, err := s.send(ctx, p, kind)
 	s.mu.Lock()
 	now := s.m.Now()
@@ -323,6 +345,18 @@
 	s.step()
 }
 
+// mayStart reports whether the gang still starts. Another member may have
+// failed since the call became due.
+func (s *supervisor) mayStart(p *peer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase != phaseStarting {
+		p.busy = false
+		return false
+	}
+	return true
+}
+
 func (s *supervisor) timeout(kind wire.Kind) time.Duration {
 	if kind == wire.KindStart {
 		return workerTimeout + callTimeout // the answer comes after the worker's
@@ -408,8 +442,10 @@
 	case wire.KindRenew:
 		s.mu.Lock()
 		o.Committed = s.phase == phaseRunning
+		if !s.adopted {
+			o.LeaseMS = Lease.Milliseconds()
+		}
 		s.mu.Unlock()
-		o.LeaseMS = Lease.Milliseconds()
 	case wire.KindAbort:
 		s.mu.Lock()
 		o.GraceMS = s.grace.Milliseconds()
--- a/internal/agent/gang/task.go
+++ b/internal/agent/gang/task.go
@@ -13,6 +13,7 @@
 const (
 	taskPending  = "pending"  // not started
 	taskStarting = "starting" // the worker has not answered yet
+	taskStopping = "stopping" // still running, but the member is stopping it
 )
 
 // task is one task of a member. The fields are guarded by member.mu.
@@ -30,7 +31,7 @@
 	busy       bool      // a call is in progress
 	saved      bool      // the checkpoint before the stop has ended
 	over       bool      // the worker holds no resources for the task
-	lapsed     bool      // the worker has not answered for the whole task lease
+	lapsed     bool      // the worker has not answered for taskSilence
 	// mayRunUntil is the latest time at which the worker may still run the task
 	// without a further renewal.
 	mayRunUntil time.Time
@@ -45,6 +46,13 @@
 	}
 }
 
+// extend moves mayRunUntil; an unanswered call never shortens a longer lease.
+func (k *task) extend(until time.Time) {
+	if until.After(k.mayRunUntil) {
+		k.mayRunUntil = until
+	}
+}
+
 // due returns the call to the worker that is due for a task.
 func (t *member) due(k *task, now time.Time) func() {
 	if k.busy || k.over {
@@ -70,7 +78,10 @@
 }
 
 func (t *member) dueRenewal(k *task, now time.Time) func() {
-	if now.Sub(k.renewed) > TaskLease+leaseMargin {
+	if !t.confirmed {
+		return nil
+	}
+	if now.Sub(k.renewed) > taskSilence {
 		k.lapsed = true
 		t.stopLocked(now, 0, "the worker has not renewed a task lease")
 		return nil
@@ -79,8 +90,8 @@
 		return nil
 	}
 	// A renewal without an answer may have taken effect.
-	k.mayRunUntil = now.Add(workerTimeout + TaskLease + leaseMargin)
-	return t.call(k, now, workerTimeout, t.renewTask)
+	k.extend(now.Add(renewTimeout + TaskLease + leaseMargin))
+	return t.call(k, now, renewTimeout, t.renewTask)
 }
 
 func (t *member) call(k *task, now time.Time, timeout time.Duration, f func(ctx context.Context, k *task)) func() {
@@ -98,7 +109,8 @@
 	state, err := t.m.API.Renew(ctx, k.id, TaskLease)
 	t.finish(k, state, err, func(now time.Time) {
 		k.renewed = now
-		k.mayRunUntil = now.Add(TaskLease + leaseMargin)
+		lease := max(TaskLease, time.Duration(state.LeaseMS)*time.Millisecond)
+		k.mayRunUntil = now.Add(lease + leaseMargin)
 	})
 }
 
@@ -144,6 +156,9 @@
 		}
 	case k.lapsed && (!k.known || !ended(k.last.State)):
 		r.State = string(platform.TaskLapsed)
+	case k.known && !k.over && t.phase == phaseStopping:
+		r.State = taskStopping
+		r.Reason = t.stopReason
 	case k.known:
 		r.State = string(k.last.State)
 		r.Reason = k.last.Reason
