--- /dev/null
+++ b/internal/agent/gate/harness_test.go
@@ -0,0 +1,192 @@
+package gate
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"snipegw/internal/agent/tickets"
+	"snipegw/internal/transport"
+	"snipegw/internal/wire"
+)
+
+// rig is a gate behind a transport server, with a client.
+type rig struct {
+	gate    *Gate
+	tickets *tickets.Store
+	clock   atomic.Int64
+	server  *transport.Server
+	pool    *transport.Pool
+	ctx     context.Context
+	close   func()
+}
+
+func newRig(tb testing.TB) *rig {
+	r := &rig{}
+	r.clock.Store(time.Now().UnixNano())
+	now := func() time.Time { return time.Unix(0, r.clock.Load()) }
+	r.tickets = tickets.NewStore("w1", "inc", now)
+	r.gate = New(r.tickets, now, func() {})
+	creds, err := transport.NewCredentials(transport.Security{Mode: transport.ModeDevelopment})
+	check(tb, err)
+	mux := new(transport.Mux)
+	mux.Handle(wire.KindRequest, transport.HandlerFunc(func(ctx context.Context, _ wire.Kind, s *transport.Stream) error {
+		return r.gate.ServeRequest(ctx, s)
+	}))
+	mux.Handle(wire.KindTicketQuery, transport.HandlerFunc(func(ctx context.Context, _ wire.Kind, s *transport.Stream) error {
+		return r.gate.ServeTicketQuery(ctx, s)
+	}))
+	r.server, err = transport.Listen("127.0.0.1:0", creds, mux)
+	check(tb, err)
+	r.pool, err = transport.NewPool("127.0.0.1:0", creds)
+	check(tb, err)
+	var cancel context.CancelFunc
+	r.ctx, cancel = context.WithTimeout(context.Background(), time.Minute)
+	r.close = func() {
+		cancel()
+		_ = r.pool.Close()
+		_ = r.server.Close()
+	}
+	return r
+}
+
+func check(tb testing.TB, err error) {
+	tb.Helper()
+	if err != nil {
+		tb.Fatal(err)
+	}
+}
+
+func (r *rig) pass(d time.Duration) { r.clock.Add(int64(d)) }
+
+// answer is everything that comes back on a request stream.
+type answer struct {
+	admission wire.Admission
+	head      wire.ResponseHead
+	body      string
+	err       error // the stream broke
+}
+
+// head returns a request head with defaults for the empty fields.
+func head(h wire.RequestHead, body string) *wire.RequestHead {
+	h.Service = "svc"
+	if h.Team == "" {
+		h.Team = "red"
+	}
+	if h.Method == "" {
+		h.Method = http.MethodPost
+	}
+	if h.Target == "" {
+		h.Target = "/"
+	}
+	if h.TimeoutMS == 0 {
+		h.TimeoutMS = 10_000
+	}
+	h.ID = "req-1"
+	h.BodyBytes = int64(len(body))
+	return &h
+}
+
+func (r *rig) open(h wire.RequestHead, body string) *transport.Stream {
+	s, _, err := r.pool.Open(r.ctx, r.server.Addr(), wire.KindRequest, head(h, body))
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+func (r *rig) do(h wire.RequestHead, body string) answer {
+	s := r.open(h, body)
+	w := s.BodyWriter(false)
+	_, _ = io.WriteString(w, body)
+	_ = w.Close()
+	_ = s.CloseWrite()
+	return receive(s)
+}
+
+func receive(s *transport.Stream) answer {
+	var a answer
+	if a.err = s.Receive(&a.admission); a.err != nil || a.admission.Fault != nil {
+		return a
+	}
+	if a.err = s.Receive(&a.head); a.err != nil || a.head.Fault != nil {
+		return a
+	}
+	data, err := io.ReadAll(s.Body())
+	a.body, a.err = string(data), err
+	return a
+}
+
+func (r *rig) query(ticket, team string) answer {
+	s, done, err := r.pool.Open(r.ctx, r.server.Addr(), wire.KindTicketQuery, &wire.TicketQuery{Ticket: ticket, Team: team})
+	if err != nil {
+		panic(err)
+	}
+	defer done()
+	_ = s.CloseWrite()
+	return receive(s)
+}
+
+// backendServer answers raw bytes, so that it can break off anywhere.
+type backendServer struct {
+	ln    net.Listener
+	seen  atomic.Int32
+	reply atomic.Pointer[replyFunc]
+}
+
+// replyFunc returns the bytes of the n-th answer and whether the connection
+// stays open after it.
+type replyFunc func(n int32, r *http.Request, body string) (raw string, keep bool)
+
+func (b *backendServer) answer(f replyFunc) { b.reply.Store(&f) }
+
+const okReply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func newBackendServer(tb testing.TB) *backendServer {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	check(tb, err)
+	b := &backendServer{ln: ln}
+	b.answer(func(int32, *http.Request, string) (string, bool) { return okReply, true })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go b.serve(conn)
+		}
+	}()
+	return b
+}
+
+func (b *backendServer) serve(conn net.Conn) {
+	defer conn.Close()
+	br := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		raw, keep := (*b.reply.Load())(b.seen.Add(1), req, string(body))
+		if _, err := io.Copy(conn, strings.NewReader(raw)); err != nil || !keep {
+			return
+		}
+	}
+}
+
+func (b *backendServer) announce(g *Gate, instance string, slots int) {
+	err := g.Announce(Announcement{Service: "svc", Address: b.ln.Addr().String(), Slots: slots, Instance: instance})
+	if err != nil {
+		panic(err)
+	}
+}
