--- a/internal/agent/gate/gate_test.go
+++ b/internal/agent/gate/gate_test.go
@@ -15,6 +15,7 @@
 
 func TestGate(t *testing.T) {
 	RegisterFailHandler(Fail)
+	SetDefaultEventuallyTimeout(10 * time.Second) // the machine may be busy
 	RunSpecs(t, "gate")
 }
 
--- a/internal/agent/heartbeat/heartbeat.go
+++ b/internal/agent/heartbeat/heartbeat.go
@@ -174,6 +174,9 @@
 		Worker: s.Worker, Incarnation: s.Incarnation, Seq: s.seq,
 		Events: s.Source.Events(), FreeSlots: s.Source.FreeSlots(), Leaving: leaving,
 	}
+	if len(s.entries) > 0 {
+		msg.EntriesHash = wire.HashEntries(s.entries)
+	}
 	if s.acked != s.seq {
 		state.Seq = s.seq
 		msg.State = &state
