Add membership, routing, limits and the request path of an entry

An entry needs the worker table, the exchange between entries, and the path of a request before the HTTP API can be built on them.

The wire types change in three places: PeerUpdate lists silent workers in place of all living ones, since a list of all ids each second would be most of the traffic between entries; Heartbeat carries a hash of the agent's entry list; incarnations are defined to compare as strings, with NewIncarnation to make them. Stream gains Flush, with which a request waits for its admission before the body is sent.

--- /dev/null
+++ b/internal/entry/forward/ticket.go
@@ -0,0 +1,179 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"snipegw/internal/members"
+	"snipegw/internal/result"
+	"snipegw/internal/transport"
+	"snipegw/internal/wire"
+)
+
+const (
+	// maxTicketBytes bounds a ticket.
+	maxTicketBytes = 256
+	// ticketCallTimeout bounds a call that issues a ticket.
+	ticketCallTimeout = 2 * time.Second
+)
+
+// Ticket names one run of a non-idempotent request.
+type Ticket struct {
+	Worker      string
+	Incarnation string
+	Sequence    uint64
+}
+
+// String returns the form <worker>/<incarnation>/<sequence>.
+func (t Ticket) String() string {
+	return t.Worker + "/" + t.Incarnation + "/" + strconv.FormatUint(t.Sequence, 10)
+}
+
+// ParseTicket is the reverse of String. It accepts no other form.
+func ParseTicket(text string) (Ticket, error) {
+	parts := strings.Split(text, "/")
+	if len(text) > maxTicketBytes || len(parts) != 3 || !plainName(parts[0]) || !plainName(parts[1]) {
+		return Ticket{}, badTicket(text)
+	}
+	seq, err := strconv.ParseUint(parts[2], 10, 64)
+	if err != nil || strconv.FormatUint(seq, 10) != parts[2] {
+		return Ticket{}, badTicket(text)
+	}
+	return Ticket{Worker: parts[0], Incarnation: parts[1], Sequence: seq}, nil
+}
+
+func badTicket(text string) error {
+	return result.Errorf(result.BadTicket, "%.80q is no ticket of the form <worker>/<incarnation>/<sequence>", text)
+}
+
+// plainName accepts letters, digits, '.', '_', '-' and ':'.
+func plainName(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		if !letter && (c < '0' || c > '9') && c != '.' && c != '_' && c != '-' && c != ':' {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// address returns where the incarnation that issued t can be asked. The error
+// is result.OutcomeUnknown, since the ticket may have been used.
+func (f *Forwarder) address(m members.Membership, t Ticket) (string, error) {
+	w := m.View().Workers[t.Worker]
+	if w == nil {
+		return "", result.Errorf(result.OutcomeUnknown, "the worker %s of the ticket is not known to this entry at present", t.Worker)
+	}
+	if w.State.Incarnation != t.Incarnation {
+		return "", result.Errorf(result.OutcomeUnknown, "the agent of worker %s has restarted since it issued the ticket, and its records are lost", t.Worker)
+	}
+	return w.State.Address, nil
+}
+
+// runTicket runs a request with a ticket taken in advance: at the worker that
+// issued it and nowhere else. If that worker gives no answer, the outcome is
+// unknown even if nothing was sent, since the ticket may have been used before.
+func (c *call) runTicket(ctx context.Context) error {
+	t, err := ParseTicket(c.req.Ticket)
+	if err != nil {
+		return err
+	}
+	addr, err := c.f.address(c.f.Router.Members(), t)
+	if err != nil {
+		return err
+	}
+	out := c.attempt(ctx, addr)
+	switch {
+	case out.err == nil || out.started || errors.Is(out.err, ErrCallerGone):
+		return out.err
+	case ctx.Err() != nil:
+		c.ambiguous = true
+		return c.deadline(ctx)
+	}
+	if out.unreachable || !out.notRun && result.CodeOf(out.err) != result.InProgress {
+		c.ambiguous = true
+	}
+	return c.refusal(out.err)
+}
+
+// Query passes on the recorded response of a ticket. Errors are as for Do;
+// result.InProgress means that the request still runs.
+func (f *Forwarder) Query(ctx context.Context, team string, ticket Ticket, resp Responder) error {
+	addr, err := f.address(f.Router.Members(), ticket)
+	if err != nil {
+		return err
+	}
+	s, done, err := f.Pool.Open(ctx, addr, wire.KindTicketQuery, &wire.TicketQuery{Ticket: ticket.String(), Team: team})
+	if err != nil {
+		return result.Errorf(result.OutcomeUnknown, "the agent of worker %s cannot be reached: %v", ticket.Worker, err)
+	}
+	defer done()
+	stop := context.AfterFunc(ctx, s.Abort)
+	defer stop()
+	if err := f.query(ctx, s, resp); err != nil {
+		s.Abort()
+		return err
+	}
+	return nil
+}
+
+func (f *Forwarder) query(ctx context.Context, s *transport.Stream, resp Responder) error {
+	if err := s.CloseWrite(); err != nil {
+		return result.Errorf(result.OutcomeUnknown, "the connection to the worker broke: %v", err)
+	}
+	var adm wire.Admission
+	if err := s.Receive(&adm); err != nil {
+		return receiveFailed(err).err
+	}
+	if adm.Fault != nil {
+		return adm.Fault.Err()
+	}
+	c := &call{f: f, resp: resp}
+	var out outcome
+	c.receive(ctx, s, &out)
+	return out.err
+}
+
+// Issue obtains a ticket in advance from a worker of the service. A ticket that
+// is lost on the way expires unused, so that every failure may be retried.
+func (f *Forwarder) Issue(ctx context.Context, team, service string) (*wire.TicketReply, error) {
+	svc, err := f.Router.Service(service)
+	if err != nil {
+		return nil, err
+	}
+	c := &call{f: f, svc: svc}
+	for {
+		t := f.Router.Pick(svc, c.tried)
+		if t == nil {
+			return nil, result.Errorf(result.NoWorker, "no worker of the service %q issued a ticket", service)
+		}
+		reply, err := f.issueAt(ctx, t.Address, team, service)
+		if err == nil {
+			return reply, nil
+		}
+		c.tried = append(c.tried, t)
+		var ce *transport.CallError
+		again := errors.As(err, &ce) || refused(err).otherWorker
+		if !again {
+			return nil, err
+		}
+		if len(c.tried) >= min(maxUnreachable, len(svc.Targets)) || ctx.Err() != nil {
+			return nil, result.Errorf(result.NoWorker, "no worker of the service %q issued a ticket, the last answer was: %v", service, err)
+		}
+		if !f.Budget.Take() {
+			return nil, result.Errorf(result.RetryBudgetExhausted, "the last worker failed and the retries of this entry are used up")
+		}
+	}
+}
+
+func (f *Forwarder) issueAt(ctx context.Context, addr, team, service string) (*wire.TicketReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, ticketCallTimeout)
+	defer cancel()
+	reply := new(wire.TicketReply)
+	err := f.Pool.Call(ctx, addr, wire.KindTicketIssue, &wire.TicketIssue{Service: service, Team: team}, reply)
+	return reply, err
+}
--- /dev/null
+++ b/internal/entry/router/router.go
@@ -0,0 +1,288 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"snipegw/internal/entry/limits"
+	"snipegw/internal/members"
+	"snipegw/internal/result"
+	"snipegw/internal/wire"
+)
+
+const (
+	// SubsetSize bounds the workers that an entry uses for one service, and so
+	// its connections.
+	SubsetSize = 48
+	// clockInterval is the resolution of the time that loads decay by.
+	clockInterval = 10 * time.Millisecond
+)
+
+// Target is a worker that serves a service. It is immutable but for its Load.
+type Target struct {
+	Worker      string
+	Address     string
+	Incarnation string
+	Slots       int
+	Load        *Load
+}
+
+// Service is the routing snapshot of one service. It is immutable but for its
+// Limiter and the loads of its targets.
+type Service struct {
+	Name string
+	// Targets are the workers that may receive requests.
+	Targets []*Target
+	Limiter *limits.Limiter
+}
+
+type snapshot struct {
+	services map[string]*Service
+	byWorker map[string]*Target
+}
+
+// Router keeps the routing snapshots up to date with the membership.
+type Router struct {
+	self     string
+	members  members.Membership
+	started  time.Time
+	ms       atomic.Uint32
+	current  atomic.Pointer[snapshot]
+	maxQueue atomic.Int64
+}
+
+// New returns a Router for the entry self.
+func New(self string, m members.Membership) *Router {
+	r := &Router{self: self, members: m, started: time.Now()}
+	r.current.Store(&snapshot{})
+	return r
+}
+
+// Run follows the membership until ctx ends.
+func (r *Router) Run(ctx context.Context) {
+	t := time.NewTicker(clockInterval)
+	defer t.Stop()
+	for {
+		changed := r.members.Changed()
+		r.Rebuild()
+		for waiting := true; waiting; {
+			select {
+			case <-ctx.Done():
+				return
+			case <-changed:
+				waiting = false
+			case now := <-t.C:
+				r.SetTime(now.Sub(r.started))
+			}
+		}
+	}
+}
+
+// SetTime sets the time since the start that loads decay by.
+func (r *Router) SetTime(sinceStart time.Duration) {
+	r.ms.Store(uint32(sinceStart.Milliseconds()))
+}
+
+// Now returns the time of SetTime in milliseconds.
+func (r *Router) Now() uint32 { return r.ms.Load() }
+
+// SetMaxQueued sets the bound of each service's queue.
+func (r *Router) SetMaxQueued(n int) {
+	r.maxQueue.Store(int64(n))
+	for _, s := range r.current.Load().services {
+		s.Limiter.SetMaxQueued(n)
+	}
+}
+
+// Service returns the snapshot of the service. Errors are
+// result.UnknownService and, if it has no healthy worker, result.NoWorker.
+func (r *Router) Service(name string) (*Service, error) {
+	s := r.current.Load().services[name]
+	if s == nil {
+		return nil, result.Errorf(result.UnknownService, "no backend server has announced the service %q; check its name", name)
+	}
+	if len(s.Targets) == 0 {
+		return nil, result.Errorf(result.NoWorker, "all workers of the service %q are down, draining or leaving", name)
+	}
+	return s, nil
+}
+
+// ReportFree notes the free slots in a heartbeat of a worker.
+func (r *Router) ReportFree(worker string, free int) {
+	if t := r.current.Load().byWorker[worker]; t != nil {
+		t.Load.ReportFree(t.Slots, free, r.Now())
+	}
+}
+
+// Pick returns the better of two random targets by load per slot, without
+// those in tried; nil if none is left. A target on which this entry already
+// uses all slots is taken only if the others are in the same state.
+func (r *Router) Pick(s *Service, tried []*Target) *Target {
+	if len(tried) > 0 {
+		return r.pickUntried(s.Targets, tried)
+	}
+	return r.pickOf(s.Targets)
+}
+
+func (r *Router) pickOf(targets []*Target) *Target {
+	n := len(targets)
+	if n == 0 {
+		return nil
+	}
+	if n == 1 {
+		return targets[0]
+	}
+	x := rand.Uint64()
+	i := int(uint32(x) % uint32(n))
+	j := int(uint32(x>>32) % uint32(n-1))
+	if j >= i {
+		j++
+	}
+	best := better(targets[i], targets[j], r.ms.Load())
+	if best.Load.inflight.Load() < int64(best.Slots) {
+		return best
+	}
+	for k := range n {
+		if t := targets[(i+k)%n]; t.Load.inflight.Load() < int64(t.Slots) {
+			return t
+		}
+	}
+	return best
+}
+
+func better(a, b *Target, ms uint32) *Target {
+	if a.Load.at(ms)*float32(b.Slots) <= b.Load.at(ms)*float32(a.Slots) {
+		return a
+	}
+	return b
+}
+
+func (r *Router) pickUntried(targets, tried []*Target) *Target {
+	left := make([]*Target, 0, len(targets))
+	for _, t := range targets {
+		if !contains(tried, t) {
+			left = append(left, t)
+		}
+	}
+	return r.pickOf(left)
+}
+
+// contains compares workers, since a rebuild replaces targets.
+func contains(list []*Target, t *Target) bool {
+	for _, x := range list {
+		if x.Worker == t.Worker {
+			return true
+		}
+	}
+	return false
+}
+
+// Rebuild makes new snapshots from the current view.
+func (r *Router) Rebuild() {
+	old := r.current.Load()
+	next := &snapshot{services: make(map[string]*Service), byWorker: make(map[string]*Target)}
+	for _, w := range r.members.View().Workers {
+		for i := range w.State.Services {
+			r.addService(old, next, w, &w.State.Services[i])
+		}
+	}
+	for _, s := range next.services {
+		s.Targets = subset(r.self, s.Name, s.Targets)
+		slots := 0
+		for _, t := range s.Targets {
+			slots += t.Slots
+		}
+		s.Limiter.SetSlots(slots)
+	}
+	r.current.Store(next)
+}
+
+func (r *Router) addService(old, next *snapshot, w *members.Worker, st *wire.ServiceState) {
+	s := next.services[st.Service]
+	if s == nil {
+		s = &Service{Name: st.Service, Limiter: r.limiter(old, st.Service)}
+		next.services[st.Service] = s
+	}
+	t := &Target{
+		Worker:      w.State.Worker.ID,
+		Address:     w.State.Address,
+		Incarnation: w.State.Incarnation,
+		Slots:       st.Slots,
+	}
+	t.Load = next.loadOf(t)
+	if t.Load == nil {
+		t.Load = old.loadOf(t)
+	}
+	if t.Load == nil {
+		t.Load = &Load{}
+	}
+	next.byWorker[t.Worker] = t
+	if usable(w, st) {
+		s.Targets = append(s.Targets, t)
+	}
+}
+
+func (r *Router) limiter(old *snapshot, service string) *limits.Limiter {
+	if s := old.services[service]; s != nil {
+		return s.Limiter
+	}
+	l := limits.NewLimiter(nil)
+	l.SetMaxQueued(int(r.maxQueue.Load()))
+	return l
+}
+
+// usable reports whether a worker may receive new requests. Quarantine concerns
+// tasks only.
+func usable(w *members.Worker, st *wire.ServiceState) bool {
+	s := &w.State
+	return w.Health == members.Alive && !s.Draining && !s.Stopping && st.Healthy && !st.Leaving && st.Slots > 0
+}
+
+// loadOf returns the Load of t's incarnation, nil if there is none.
+func (s *snapshot) loadOf(t *Target) *Load {
+	if o := s.byWorker[t.Worker]; o != nil && o.Incarnation == t.Incarnation {
+		return o.Load
+	}
+	return nil
+}
+
+// subset returns the SubsetSize targets with the highest rendezvous hash, so
+// that a change of one worker changes at most one member.
+func subset(self, service string, targets []*Target) []*Target {
+	weight := make(map[*Target]uint64, len(targets))
+	for _, t := range targets {
+		weight[t] = xxhash.Sum64String(self + "\x00" + service + "\x00" + t.Worker)
+	}
+	sort.Slice(targets, func(i, j int) bool { return weight[targets[i]] > weight[targets[j]] })
+	if len(targets) > SubsetSize {
+		targets = targets[:SubsetSize]
+	}
+	return targets
+}
+
+// ServiceCounts describe the routing of one service.
+type ServiceCounts struct {
+	Limiter limits.LimiterCounts  `json:"limiter"`
+	Targets map[string]LoadCounts `json:"targets"`
+}
+
+// Counts returns the present state of all services.
+func (r *Router) Counts() map[string]ServiceCounts {
+	out := make(map[string]ServiceCounts)
+	for name, s := range r.current.Load().services {
+		c := ServiceCounts{Limiter: s.Limiter.Counts(), Targets: make(map[string]LoadCounts, len(s.Targets))}
+		for _, t := range s.Targets {
+			c.Targets[t.Worker] = t.Load.counts(r.Now())
+		}
+		out[name] = c
+	}
+	return out
+}
+
+// Members returns the membership that the router follows.
+func (r *Router) Members() members.Membership { return r.members }
--- /dev/null
+++ b/internal/entry/settings.go
@@ -0,0 +1,118 @@
+// Package entry assembles the parts of the program snipegw-entry.
+package entry
+
+import (
+	"net"
+	"os"
+	"regexp"
+	"slices"
+
+	"snipegw/internal/kernel"
+	"snipegw/internal/planner/framework"
+	"snipegw/internal/store"
+	"snipegw/internal/transport"
+)
+
+// Defaults of the settings.
+const (
+	defaultStoreType      = "consulkv"
+	defaultStoreTimeoutMS = 1000
+	defaultPolicy         = "loads"
+	defaultLogLevel       = "info"
+	maxStoreTimeoutMS     = 10_000
+)
+
+// Settings are the settings of snipegw-entry.
+type Settings struct {
+	ID            string `json:"id"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+	// HTTPAddress is the address of the HTTP API.
+	HTTPAddress string `json:"http_address"`
+	// Address is the QUIC address to listen on, AdvertiseAddress the one that
+	// other processes use; it defaults to Address.
+	Address          string             `json:"address"`
+	AdvertiseAddress string             `json:"advertise_address"`
+	Store            store.Settings     `json:"store"`
+	Security         transport.Security `json:"security"`
+	// Policy is the scheduling policy.
+	Policy   string `json:"policy"`
+	LogLevel string `json:"log_level"`
+	// BootstrapConfig is a file with the first configuration document. It is
+	// written to the store if there is none.
+	BootstrapConfig string `json:"bootstrap_config"`
+}
+
+var _ kernel.Settings = (*Settings)(nil)
+
+// Provision implements kernel.Settings.
+func (s *Settings) Provision() {
+	fill := func(field *string, value string) {
+		if *field == "" {
+			*field = value
+		}
+	}
+	fill(&s.AdvertiseAddress, s.Address)
+	fill(&s.Policy, defaultPolicy)
+	fill(&s.LogLevel, defaultLogLevel)
+	fill(&s.Store.Type, defaultStoreType)
+	if s.Store.TimeoutMS == 0 {
+		s.Store.TimeoutMS = defaultStoreTimeoutMS
+	}
+	s.Security.Provision()
+}
+
+// name is the form of ids and of the names of regions and failure domains, which
+// are parts of keys in the store.
+var name = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+// Validate implements kernel.Settings.
+func (s *Settings) Validate(faults *kernel.Faults) {
+	for _, f := range []struct{ path, value string }{{"id", s.ID}, {"region", s.Region}, {"failure_domain", s.FailureDomain}} {
+		if !name.MatchString(f.value) {
+			faults.Add(f.path, "%q must be 1 to 64 letters, digits, '.', '_' or '-'", f.value)
+		}
+	}
+	checkAddress(faults, "http_address", s.HTTPAddress, false)
+	checkAddress(faults, "address", s.Address, false)
+	checkAddress(faults, "advertise_address", s.AdvertiseAddress, true)
+	s.validateStore(faults)
+	s.Security.Validate("security", faults)
+	if !slices.Contains(framework.Policies.Names(), s.Policy) {
+		faults.Add("policy", "unknown policy %q, known: %v", s.Policy, framework.Policies.Names())
+	}
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel) {
+		faults.Add("log_level", "%q must be debug, info, warn or error", s.LogLevel)
+	}
+	if s.BootstrapConfig != "" {
+		if _, err := os.Stat(s.BootstrapConfig); err != nil {
+			faults.Add("bootstrap_config", "%v", err)
+		}
+	}
+}
+
+func (s *Settings) validateStore(faults *kernel.Faults) {
+	if !slices.Contains(store.Plugins.Names(), s.Store.Type) {
+		faults.Add("store.type", "unknown store %q, known: %v", s.Store.Type, store.Plugins.Names())
+	}
+	if len(s.Store.Addresses) == 0 {
+		faults.Add("store.addresses", "at least one address is required")
+	}
+	if s.Store.TimeoutMS < 1 || s.Store.TimeoutMS > maxStoreTimeoutMS {
+		faults.Add("store.timeout_ms", "must be from 1 to %d", maxStoreTimeoutMS)
+	}
+}
+
+// checkAddress accepts host:port. An advertised address needs a host that others
+// can reach and a port.
+func checkAddress(faults *kernel.Faults, path, addr string, advertised bool) {
+	host, port, err := net.SplitHostPort(addr)
+	switch {
+	case err != nil:
+		faults.Add(path, "%q must be host:port", addr)
+	case advertised && (host == "" || net.ParseIP(host).IsUnspecified()):
+		faults.Add(path, "%q must name a host that other processes can reach; set advertise_address", addr)
+	case advertised && (port == "" || port == "0"):
+		faults.Add(path, "%q must name the port; set advertise_address", addr)
+	}
+}
--- /dev/null
+++ b/internal/members/peers.go
@@ -0,0 +1,188 @@
+package members
+
+import (
+	"time"
+
+	"snipegw/internal/result"
+	"snipegw/internal/wire"
+)
+
+// peer is the table's own state of an entry, guarded by Table.mu.
+type peer struct {
+	entry Entry
+	// gotFull is set once a full update of this incarnation was applied.
+	gotFull bool
+}
+
+// SelfState is what an entry tells others of itself.
+type SelfState struct {
+	ConfigVersion uint64
+	Planner       bool
+	PlannerEpoch  uint64
+}
+
+// SetSelf updates the record of this entry.
+func (t *Table) SetSelf(now time.Time, s SelfState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := &t.peers[t.self].entry
+	e.LastSeen = now
+	t.setEntryState(e, s)
+}
+
+func (t *Table) setEntryState(e *Entry, s SelfState) {
+	if e.ConfigVersion == s.ConfigVersion && e.Planner == s.Planner && e.PlannerEpoch == s.PlannerEpoch {
+		return
+	}
+	e.ConfigVersion = s.ConfigVersion
+	e.Planner = s.Planner
+	e.PlannerEpoch = s.PlannerEpoch
+	t.markDirty()
+}
+
+// Listed adds the entries of a directory that are not known yet. They count as
+// silent until they are heard from.
+func (t *Table) Listed(now time.Time, infos []wire.EntryInfo) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, info := range infos {
+		p := t.peers[info.ID]
+		if p != nil && p.entry.Info.Incarnation >= info.Incarnation {
+			continue
+		}
+		t.peers[info.ID] = &peer{entry: Entry{Info: info, LastSeen: now, Health: Alive}}
+		t.markDirty()
+	}
+}
+
+// Peer applies an update of another entry. It reports whether the peer must
+// send a full one. The error result.StaleIncarnation comes for an update of an
+// earlier process of the peer.
+func (t *Table) Peer(now time.Time, u *wire.PeerUpdate) (needFull bool, err error) {
+	if u.From.ID == "" || u.From.ID == t.self {
+		return false, result.Errorf(result.BadRequest, "update from an entry named %q, which is empty or the receiver's own id", u.From.ID)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, err := t.peerOf(now, u.From)
+	if err != nil {
+		return false, err
+	}
+	t.seenPeer(p, now)
+	t.setEntryState(&p.entry, SelfState{ConfigVersion: u.ConfigVersion, Planner: u.Planner, PlannerEpoch: u.PlannerEpoch})
+	if !u.Full && !p.gotFull {
+		return true, nil
+	}
+	listed := make(map[string]bool, len(u.States))
+	for i := range u.States {
+		t.peerWorker(now, u.From.ID, &u.States[i])
+		listed[u.States[i].Worker.ID] = true
+	}
+	if u.Full {
+		p.gotFull = true
+		t.disown(u.From.ID, listed)
+	}
+	t.liveness(now, u)
+	return false, nil
+}
+
+func (t *Table) peerOf(now time.Time, from wire.EntryInfo) (*peer, error) {
+	p := t.peers[from.ID]
+	if p != nil && from.Incarnation < p.entry.Info.Incarnation {
+		return nil, result.Errorf(result.StaleIncarnation, "entry %s has the newer incarnation %s", from.ID, p.entry.Info.Incarnation)
+	}
+	if p == nil || from.Incarnation > p.entry.Info.Incarnation {
+		p = &peer{entry: Entry{Info: from, LastSeen: now, Health: Alive}}
+		t.peers[from.ID] = p
+		t.markDirty()
+	}
+	return p, nil
+}
+
+func (t *Table) seenPeer(p *peer, now time.Time) {
+	p.entry.LastSeen = now
+	if p.entry.Health != Alive {
+		p.entry.Health = Alive
+		t.markDirty()
+	}
+}
+
+// peerWorker applies the state of a worker that reports to the entry from.
+func (t *Table) peerWorker(now time.Time, from string, s *wire.WorkerState) {
+	if s.Worker.ID == "" {
+		return
+	}
+	r := t.workers[s.Worker.ID]
+	if r == nil {
+		r = &record{}
+		t.workers[s.Worker.ID] = r
+	}
+	if newerState(&r.state, s) {
+		r.state = *s
+		r.home = from
+		t.changed(r)
+		t.seen(r, now, now)
+		return
+	}
+	same := s.Incarnation == r.state.Incarnation && s.Seq == r.state.Seq
+	// Heartbeats that still arrive here outweigh the claim of another entry.
+	ours := r.home == t.self && now.Sub(r.lastSeen) < overdue
+	if same && !ours && r.home != from {
+		r.home = from
+		t.changed(r)
+		t.seen(r, now, now)
+	}
+}
+
+// disown removes the home of workers that a full update no longer lists; they
+// age out unless another entry lists them.
+func (t *Table) disown(from string, listed map[string]bool) {
+	for id, r := range t.workers {
+		if r.home == from && !listed[id] {
+			r.home = ""
+			t.changed(r)
+		}
+	}
+}
+
+// liveness refreshes the workers that report to the sender of u.
+func (t *Table) liveness(now time.Time, u *wire.PeerUpdate) {
+	silent := make(map[string]time.Duration, len(u.Silent))
+	for _, s := range u.Silent {
+		silent[s.Worker] = time.Duration(max(0, s.AgeMS)) * time.Millisecond
+	}
+	for id, r := range t.workers {
+		if r.home == u.From.ID {
+			t.seen(r, now.Add(-silent[id]), now)
+		}
+	}
+}
+
+func (t *Table) tickPeers(now time.Time) {
+	for id, p := range t.peers {
+		if id == t.self {
+			continue
+		}
+		if now.Sub(p.entry.LastSeen) > DeadAfter+retainDead {
+			delete(t.peers, id)
+			t.markDirty()
+			continue
+		}
+		if h := healthAt(p.entry.LastSeen, now); h != p.entry.Health {
+			p.entry.Health = h
+			t.markDirty()
+		}
+	}
+}
+
+// EntryList returns the entries that are not dead, this one included, in no
+// particular order.
+func (v *View) EntryList() []wire.EntryInfo {
+	list := make([]wire.EntryInfo, 0, len(v.Entries))
+	for _, e := range v.Entries {
+		if e.Health != Dead {
+			list = append(list, e.Info)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/members/service.go
@@ -0,0 +1,230 @@
+package members
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"snipegw/internal/config"
+	"snipegw/internal/store"
+	"snipegw/internal/transport"
+	"snipegw/internal/wire"
+)
+
+const (
+	// publishDelay collects the changes of a moment into one view, since a view
+	// copies the table.
+	publishDelay = 5 * time.Millisecond
+	// tickInterval is the time between checks of silence.
+	tickInterval = 200 * time.Millisecond
+	// callTimeout bounds a call to another entry.
+	callTimeout = time.Second
+)
+
+// Metrics of the exchange, exposed through expvar.
+var (
+	heartbeatsReceived = expvar.NewInt("members_heartbeats_received")
+	statesReceived     = expvar.NewInt("members_states_received")
+	updatesSent        = expvar.NewInt("members_updates_sent")
+	updatesReceived    = expvar.NewInt("members_updates_received")
+	updatesFailed      = expvar.NewInt("members_updates_failed")
+	directoryWrites    = expvar.NewInt("members_directory_writes")
+)
+
+// Options are the parts that a Service needs.
+type Options struct {
+	Self   wire.EntryInfo
+	Store  store.Store
+	Pool   *transport.Pool
+	Config config.Source
+	// Clock returns the present time; nil is time.Now.
+	Clock func() time.Time
+	// OnFreeSlots is called with the free slots of each heartbeat.
+	OnFreeSlots func(worker string, free int)
+}
+
+// Service keeps the Table of an entry: it serves heartbeats and the updates of
+// other entries, sends its own, and maintains the directory of entries.
+type Service struct {
+	Options
+	table  *Table
+	relay  *relay
+	sink   atomic.Pointer[EventSink]
+	epoch  atomic.Uint64 // highest epoch seen
+	hash   atomic.Pointer[entryList]
+	mu     sync.Mutex
+	links  map[string]*link
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+type entryList struct {
+	generation uint64
+	hash       uint64
+	entries    []wire.EntryInfo
+}
+
+// New returns a Service that does nothing before Start, except that its
+// handlers may be called.
+func New(o Options) *Service {
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
+	if o.OnFreeSlots == nil {
+		o.OnFreeSlots = func(string, int) {}
+	}
+	if o.Self.Incarnation == "" {
+		o.Self.Incarnation = wire.NewIncarnation(o.Clock())
+	}
+	return &Service{
+		Options: o,
+		table:   NewTable(o.Self, o.Clock()),
+		relay:   newRelay(),
+		links:   make(map[string]*link),
+	}
+}
+
+// SetSink sets the receiver of gang events.
+func (s *Service) SetSink(sink EventSink) { s.sink.Store(&sink) }
+
+// View implements Membership.
+func (s *Service) View() *View { return s.table.View() }
+
+// Changed implements Membership.
+func (s *Service) Changed() <-chan struct{} { return s.table.Changed() }
+
+// HighestEpoch returns the highest planner epoch that this entry has seen.
+func (s *Service) HighestEpoch() uint64 { return s.epoch.Load() }
+
+// Register adds the calls that the service serves to mux.
+func (s *Service) Register(mux *transport.Mux) {
+	mux.Handle(wire.KindHeartbeat, transport.Unary(s.heartbeat))
+	mux.Handle(wire.KindPeerUpdate, transport.Unary(s.peerUpdate))
+}
+
+// Name implements kernel.Component.
+func (s *Service) Name() string { return "members" }
+
+// Start implements kernel.Component.
+func (s *Service) Start(ctx context.Context) error {
+	ctx, s.cancel = context.WithCancel(ctx)
+	s.updateSelf()
+	s.run(ctx, s.publishLoop)
+	s.run(ctx, s.tickLoop)
+	s.run(ctx, s.directoryLoop)
+	return nil
+}
+
+// Stop implements kernel.Component. It removes this entry from the directory.
+func (s *Service) Stop(ctx context.Context) error {
+	s.cancel()
+	s.done.Wait()
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	return s.leaveDirectory(ctx)
+}
+
+func (s *Service) run(ctx context.Context, loop func(context.Context)) {
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		loop(ctx)
+	}()
+}
+
+func (s *Service) publishLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.table.Dirty():
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(publishDelay):
+		}
+		s.table.Publish()
+	}
+}
+
+func (s *Service) tickLoop(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		s.updateSelf()
+		s.table.Tick(s.Clock())
+		view := s.View()
+		s.relay.Keep(view.Workers)
+		s.ensureLinks(ctx, view)
+	}
+}
+
+func (s *Service) updateSelf() {
+	planner, epoch := false, uint64(0)
+	if sink := s.sink.Load(); sink != nil {
+		planner, epoch = (*sink).PlannerState()
+	}
+	s.observeEpoch(epoch)
+	if !planner {
+		epoch = s.epoch.Load()
+	}
+	s.table.SetSelf(s.Clock(), SelfState{ConfigVersion: s.configVersion(), Planner: planner, PlannerEpoch: epoch})
+}
+
+func (s *Service) configVersion() uint64 {
+	if c := s.Config.Current(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// observeEpoch notes an epoch and passes a new highest one on to the sink.
+func (s *Service) observeEpoch(epoch uint64) {
+	for {
+		old := s.epoch.Load()
+		if epoch <= old {
+			return
+		}
+		if s.epoch.CompareAndSwap(old, epoch) {
+			break
+		}
+	}
+	if sink := s.sink.Load(); sink != nil {
+		(*sink).ObserveEpoch(epoch)
+	}
+}
+
+// offerConfig tells the configuration that the process at addr has version.
+func (s *Service) offerConfig(version uint64, addr string) {
+	have := s.configVersion()
+	if version <= have {
+		return
+	}
+	s.Config.Offer(version, func(ctx context.Context) ([]byte, error) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		var reply wire.ConfigReply
+		err := s.Pool.Call(ctx, addr, wire.KindConfigFetch, &wire.ConfigFetch{Have: have}, &reply)
+		return reply.Document, err
+	})
+}
+
+// entries returns the list of entries for agents, computed once for each view.
+func (s *Service) entries() *entryList {
+	view := s.View()
+	if l := s.hash.Load(); l != nil && l.generation == view.Generation {
+		return l
+	}
+	list := view.EntryList()
+	l := &entryList{generation: view.Generation, hash: wire.HashEntries(list), entries: list}
+	s.hash.Store(l)
+	return l
+}
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -93,6 +93,9 @@
 	return s.bw.Flush()
 }
 
+// Flush sends what is buffered.
+func (s *Stream) Flush() error { return s.bw.Flush() }
+
 func (s *Stream) writeFrame(kind byte, payload []byte) error {
 	var head [frameHeaderBytes]byte
 	head[0] = kind
--- /dev/null
+++ b/internal/wire/incarnation.go
@@ -0,0 +1,33 @@
+package wire
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// NewIncarnation returns the name of a process that starts now. Names compare
+// as strings in the order of their times; the random part tells apart processes
+// with the same time.
+func NewIncarnation(now time.Time) string {
+	return fmt.Sprintf("%013x%04x", now.UnixMicro(), rand.Uint32()&0xffff)
+}
+
+// HashEntries identifies a list of entries by their ids, addresses and failure
+// domains in any order. It is never 0.
+func HashEntries(entries []EntryInfo) uint64 {
+	keys := make([]string, len(entries))
+	for i, e := range entries {
+		keys[i] = e.ID + "\x00" + e.Address + "\x00" + e.FailureDomain
+	}
+	sort.Strings(keys)
+	d := xxhash.New()
+	for _, k := range keys {
+		_, _ = d.WriteString(k)
+		_, _ = d.WriteString("\x01")
+	}
+	return d.Sum64() | 1
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -332,7 +332,8 @@
 }
 
 // WorkerState is everything that entries know of a worker. Seq grows with every
-// change within an incarnation.
+// change within an incarnation. Incarnations compare as strings: that of a
+// later process is greater, see NewIncarnation.
 type WorkerState struct {
 	Worker      model.Worker   `cbor:"1,keyasint" json:"worker"`
 	Incarnation string         `cbor:"2,keyasint" json:"incarnation"`
@@ -359,6 +360,8 @@
 	FreeSlots   int          `cbor:"6,keyasint,omitempty"`
 	// Leaving tells the entry that the agent stops and sends no more.
 	Leaving bool `cbor:"7,keyasint,omitempty"`
+	// EntriesHash is HashEntries of the entry list that the agent has.
+	EntriesHash uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // HeartbeatReply answers a heartbeat.
@@ -402,15 +405,25 @@
 	// Full is set when States hold all workers that report to From.
 	Full   bool          `cbor:"2,keyasint,omitempty"`
 	States []WorkerState `cbor:"3,keyasint,omitempty"`
-	// Alive lists workers that report to From and have not changed.
-	Alive         []string         `cbor:"4,keyasint,omitempty"`
+	// Silent lists the workers that report to From and were not heard from
+	// lately; all others that report to From are alive.
+	Silent        []SilentWorker   `cbor:"4,keyasint,omitempty"`
 	Events        []WorkerGangEvts `cbor:"5,keyasint,omitempty"`
 	ConfigVersion uint64           `cbor:"6,keyasint,omitempty"`
 	// Planner is set by the entry that holds the planner lease.
-	Planner      bool   `cbor:"7,keyasint,omitempty"`
+	Planner bool `cbor:"7,keyasint,omitempty"`
+	// PlannerEpoch is the epoch of the planner, from other entries the highest
+	// epoch that they have seen.
 	PlannerEpoch uint64 `cbor:"8,keyasint,omitempty"`
 }
 
+// SilentWorker is a worker whose heartbeats are overdue.
+type SilentWorker struct {
+	Worker string `cbor:"1,keyasint"`
+	// AgeMS is the time since its last heartbeat in milliseconds.
+	AgeMS int64 `cbor:"2,keyasint"`
+}
+
 // WorkerGangEvts are events of one worker's supervisors.
 type WorkerGangEvts struct {
 	Worker      string      `cbor:"1,keyasint"`
