Add the HTTP API, settings and wiring of snipegw-entry

The entry program needs its HTTP interface and the assembly of store, configuration, membership, planner host and routing.

Transport counts bytes and packets from the statistics of its connections, so the request path pays nothing for it. Membership uses an interface of its own for the configuration, since config imports members.

--- /dev/null
+++ b/cmd/snipegw-entry/main.go
@@ -0,0 +1,74 @@
+// Command snipegw-entry is the HTTP entry for callers and operators. One entry
+// of a region also plans its jobs.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/apex/log"
+	"github.com/jessevdk/go-flags"
+
+	"snipegw/internal/entry"
+	"snipegw/internal/kernel"
+	"snipegw/internal/planner"
+	"snipegw/internal/result"
+	_ "snipegw/internal/store/consulkv" // registers the store plug-in
+)
+
+// version is set by the linker.
+var version = "development"
+
+// exitSettings is the exit status for faulty settings.
+const exitSettings = 2
+
+type options struct {
+	Settings string `long:"settings" description:"settings file (JSON)" value-name:"FILE"`
+	Check    bool   `long:"check-settings" description:"check the settings and exit"`
+	Version  bool   `long:"version" description:"print the version and exit"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return 0
+		}
+		return exitSettings
+	}
+	if o.Version {
+		fmt.Println("snipegw-entry", version)
+		return 0
+	}
+	var s entry.Settings
+	if err := kernel.LoadSettings(o.Settings, &s); err != nil {
+		fmt.Fprintf(os.Stderr, "%d %s\n%v\n", int(result.InvalidSettings), result.InvalidSettings, err)
+		return exitSettings
+	}
+	if o.Check {
+		fmt.Println("settings are valid")
+		return 0
+	}
+	return serve(&s)
+}
+
+func serve(s *entry.Settings) int {
+	if err := kernel.SetupLogging(os.Stderr, "snipegw-entry", s.LogLevel); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	components, err := entry.Assemble(s, planner.CheckGuarantees)
+	if err == nil {
+		err = kernel.Run(context.Background(), components...)
+	}
+	if err != nil {
+		log.WithFields(log.Fields{"event": "failed", "code": int(result.CodeOf(err))}).Error(err.Error())
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/entry/httpapi/jobs.go
@@ -0,0 +1,182 @@
+package httpapi
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"snipegw/internal/entry/admission"
+	"snipegw/internal/entry/auth"
+	"snipegw/internal/model"
+	"snipegw/internal/result"
+)
+
+const (
+	// maxCancelIDs bounds the jobs of one bulk cancellation.
+	maxCancelIDs = 10_000
+	// defaultListLimit and maxListLimit bound the jobs of one list.
+	defaultListLimit = 100
+	maxListLimit     = 10_000
+)
+
+func (s *Server) handleJobs(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/jobs", s.caller(s.submitJob))
+	mux.HandleFunc("GET /v1/jobs", s.caller(s.listJobs))
+	mux.HandleFunc("POST /v1/jobs:cancel", s.caller(s.cancelJobs))
+	mux.HandleFunc("GET /v1/jobs/{job}", s.caller(s.jobStatus))
+	mux.HandleFunc("DELETE /v1/jobs/{job}", s.caller(s.cancelJob))
+	mux.HandleFunc("GET /v1/jobs/{job}/explain", s.caller(s.explainJob))
+}
+
+// submitJob serves POST /v1/jobs. A team's token submits for its own team; an
+// operator names the team in the job.
+func (s *Server) submitJob(w http.ResponseWriter, r *http.Request, who auth.Identity) error {
+	var job model.Job
+	if err := readJSON(w, r, &job); err != nil {
+		return err
+	}
+	if !who.Operator {
+		if job.Team != "" && job.Team != who.Team {
+			return result.Errorf(result.Forbidden, "the job names team %.64q and the token belongs to team %s; leave the field out or use a token of that team", job.Team, who.Team)
+		}
+		job.Team = who.Team
+	}
+	if _, err := s.teams.Get(job.Team); err != nil {
+		return err
+	}
+	if job.ID == "" {
+		job.ID = "job-" + s.ids.get()
+	}
+	if err := admission.CheckJob(&job); err != nil {
+		return err
+	}
+	if time.Since(s.started) > joinTime {
+		if err := admission.CheckFits(&job, s.Members.View()); err != nil {
+			return err
+		}
+	}
+	job.SubmittedMS = time.Now().UnixMilli()
+	status, err := s.Jobs.Submit(r.Context(), job)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusAccepted, status)
+	return nil
+}
+
+// status returns the status of the job in the path if who may see it.
+func (s *Server) status(r *http.Request, who auth.Identity) (model.JobStatus, error) {
+	id := r.PathValue("job")
+	if err := admission.CheckID(id); err != nil {
+		return model.JobStatus{}, err
+	}
+	status, err := s.Jobs.Status(r.Context(), id)
+	if err != nil {
+		return model.JobStatus{}, err
+	}
+	if !who.Operator && status.Job.Team != who.Team {
+		return model.JobStatus{}, result.Errorf(result.Forbidden, "the job %s belongs to another team", id)
+	}
+	return status, nil
+}
+
+func (s *Server) jobStatus(w http.ResponseWriter, r *http.Request, who auth.Identity) error {
+	status, err := s.status(r, who)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, status)
+	return nil
+}
+
+func (s *Server) explainJob(w http.ResponseWriter, r *http.Request, who auth.Identity) error {
+	status, err := s.status(r, who)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, map[string]any{
+		"job": status.Job.ID, "state": status.State, "attempt": status.Attempt,
+		"workers": status.Workers, "reason": status.Reason,
+	})
+	return nil
+}
+
+func (s *Server) listJobs(w http.ResponseWriter, r *http.Request, who auth.Identity) error {
+	limit := defaultListLimit
+	if text := r.URL.Query().Get("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxListLimit {
+			return result.Errorf(result.BadRequest, "the parameter limit is %.40q and must be a whole number from 1 to %d", text, maxListLimit)
+		}
+		limit = n
+	}
+	reply, err := s.Jobs.List(r.Context(), who.Team, limit)
+	if err != nil {
+		return err
+	}
+	if reply.Jobs == nil {
+		reply.Jobs = []model.JobStatus{}
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"jobs": reply.Jobs, "unpacked": reply.Unpacked, "epoch": reply.Epoch})
+	return nil
+}
+
+// cancelled is the answer for one job of a cancellation.
+type cancelled struct {
+	ID   string      `json:"id"`
+	Code result.Code `json:"code"`
+	Name string      `json:"name"`
+}
+
+func (s *Server) cancelJob(w http.ResponseWriter, r *http.Request, who auth.Identity) error {
+	id := r.PathValue("job")
+	if err := admission.CheckID(id); err != nil {
+		return err
+	}
+	codes, err := s.cancel(r, []string{id}, who)
+	if err != nil {
+		return err
+	}
+	switch codes[0] {
+	case result.OK, result.Accepted:
+		writeJSON(w, codes[0].Info().Status, cancelled{ID: id, Code: codes[0], Name: codes[0].String()})
+		return nil
+	}
+	return result.Errorf(codes[0], "the job %s was not cancelled: %s", id, strings.ReplaceAll(codes[0].String(), "_", " "))
+}
+
+func (s *Server) cancel(r *http.Request, ids []string, who auth.Identity) ([]result.Code, error) {
+	codes, err := s.Jobs.Cancel(r.Context(), ids, who.Team)
+	if err == nil && len(codes) != len(ids) {
+		err = result.Errorf(result.Internal, "the planner answered for %d of %d jobs", len(codes), len(ids))
+	}
+	return codes, err
+}
+
+func (s *Server) cancelJobs(w http.ResponseWriter, r *http.Request, who auth.Identity) error {
+	var body struct {
+		IDs []string `json:"ids"`
+	}
+	if err := readJSON(w, r, &body); err != nil {
+		return err
+	}
+	if len(body.IDs) == 0 || len(body.IDs) > maxCancelIDs {
+		return result.Errorf(result.BadRequest, "the field ids holds %d ids and must hold 1 to %d", len(body.IDs), maxCancelIDs)
+	}
+	for _, id := range body.IDs {
+		if err := admission.CheckID(id); err != nil {
+			return err
+		}
+	}
+	codes, err := s.cancel(r, body.IDs, who)
+	if err != nil {
+		return err
+	}
+	list := make([]cancelled, len(codes))
+	for i, c := range codes {
+		list[i] = cancelled{ID: body.IDs[i], Code: c, Name: c.String()}
+	}
+	writeJSON(w, http.StatusAccepted, map[string]any{"results": list})
+	return nil
+}
--- /dev/null
+++ b/internal/entry/httpapi/request.go
@@ -0,0 +1,308 @@
+package httpapi
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"snipegw/internal/entry/auth"
+	"snipegw/internal/entry/forward"
+	"snipegw/internal/result"
+	"snipegw/internal/wire"
+)
+
+// Defaults and bounds of limits that the configuration may set.
+const (
+	defaultTimeout = 30 * time.Second
+	// maxTimeout is the longest timeout of a request; kernel.StopLimit outlasts
+	// it.
+	maxTimeout          = 60 * time.Second
+	defaultMaxBodyBytes = 8 << 20
+	// maxHeaderFields bounds the header fields that are passed on.
+	maxHeaderFields = 100
+)
+
+// requestIDs makes ids that are unique within a region: a random prefix for
+// each process and a count.
+type requestIDs struct {
+	prefix atomic.Pointer[string]
+	next   atomic.Uint64
+}
+
+func (g *requestIDs) get() string {
+	p := g.prefix.Load()
+	if p == nil {
+		text := strconv.FormatUint(rand.Uint64(), 36) + "-"
+		g.prefix.CompareAndSwap(nil, &text)
+		p = g.prefix.Load()
+	}
+	return *p + strconv.FormatUint(g.next.Add(1), 36)
+}
+
+// serveRequest runs a request of a caller.
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, service, target string) {
+	id := s.ids.get()
+	resp := newResponder(w, r.Method, id)
+	defer responders.Put(resp)
+	ticket, err := s.request(r, resp, id, service, target)
+	switch {
+	case err == nil:
+	case errors.Is(err, forward.ErrAborted), errors.Is(err, forward.ErrCallerGone):
+		// Ends the connection, so that the caller cannot take a part of the
+		// response for the whole.
+		panic(http.ErrAbortHandler)
+	default:
+		if ticket != "" {
+			w.Header().Set(HeaderTicket, ticket)
+		}
+		if result.CodeOf(err) == result.Stopping {
+			w.Header().Set("Connection", "close")
+		}
+		writeError(w, id, err)
+	}
+}
+
+func (s *Server) request(r *http.Request, resp *responder, id, service, target string) (ticket string, err error) {
+	if s.closed.Load() {
+		return "", stoppingError()
+	}
+	who, err := s.auth.Authenticate(r.Header.Get("Authorization"))
+	if err != nil {
+		return "", err
+	}
+	req, timeout, err := s.parseRequest(r, who)
+	if err != nil {
+		return "", err
+	}
+	req.ID, req.Service, req.Target = id, service, target
+	if err := req.Team.Begin(); err != nil {
+		return "", err
+	}
+	defer req.Team.End()
+	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	defer cancel()
+	return s.Forwarder.Do(ctx, req, resp)
+}
+
+func (s *Server) parseRequest(r *http.Request, who auth.Identity) (*forward.Request, time.Duration, error) {
+	team, err := s.team(r, who)
+	if err != nil {
+		return nil, 0, err
+	}
+	timeout, err := s.timeout(r.Header.Get(HeaderTimeout))
+	if err != nil {
+		return nil, 0, err
+	}
+	idempotent, set, err := boolHeader(r.Header, HeaderIdempotent)
+	if err != nil {
+		return nil, 0, err
+	}
+	if !set {
+		idempotent = idempotentMethod(r.Method)
+	}
+	header, err := passedHeader(r)
+	if err != nil {
+		return nil, 0, err
+	}
+	ticket := r.Header.Get(HeaderTicket)
+	if ticket != "" {
+		if _, err := forward.ParseTicket(ticket); err != nil {
+			return nil, 0, err
+		}
+		idempotent = false
+	}
+	return &forward.Request{
+		Team:         team,
+		Method:       r.Method,
+		Header:       header,
+		Idempotent:   idempotent,
+		Ticket:       ticket,
+		Body:         r.Body,
+		BodyBytes:    r.ContentLength,
+		MaxBodyBytes: s.maxBodyBytes(),
+	}, timeout, nil
+}
+
+// idempotentMethod reports whether RFC 9110 defines the method as idempotent.
+func idempotentMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+func (s *Server) maxBodyBytes() int64 {
+	if n := s.limits.Load().MaxBodyBytes; n > 0 {
+		return n
+	}
+	return defaultMaxBodyBytes
+}
+
+func (s *Server) timeout(text string) (time.Duration, error) {
+	l := s.limits.Load()
+	longest := maxTimeout
+	if ms := time.Duration(l.MaxTimeoutMS) * time.Millisecond; ms > 0 && ms < longest {
+		longest = ms
+	}
+	if text == "" {
+		t := defaultTimeout
+		if ms := time.Duration(l.DefaultTimeoutMS) * time.Millisecond; ms > 0 {
+			t = ms
+		}
+		return min(t, longest), nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || ms < 1 || time.Duration(ms)*time.Millisecond > longest {
+		return 0, result.Errorf(result.BadRequest, "the header %s is %.40q and must be a whole number of milliseconds from 1 to %d", HeaderTimeout, text, longest.Milliseconds())
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// hopByHop are the header fields that belong to one connection (RFC 9110,
+// section 7.6.1), and the token, which is for this gateway only.
+var hopByHop = map[string]bool{
+	"Authorization": true, "Connection": true, "Keep-Alive": true, "Proxy-Connection": true,
+	"Proxy-Authenticate": true, "Proxy-Authorization": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true,
+}
+
+// passedHeader returns the fields of the request that go to the backend server.
+func passedHeader(r *http.Request) ([]wire.HeaderField, error) {
+	named := connectionNames(r.Header)
+	fields := make([]wire.HeaderField, 0, len(r.Header)+1)
+	for name, values := range r.Header {
+		if hopByHop[name] || strings.HasPrefix(name, headerPrefix) || named[name] {
+			continue
+		}
+		for _, v := range values {
+			fields = append(fields, wire.HeaderField{Name: name, Value: v})
+		}
+	}
+	if len(fields) > maxHeaderFields {
+		return nil, result.Errorf(result.BadRequest, "the request has %d header fields and may have %d", len(fields), maxHeaderFields)
+	}
+	if r.Host != "" {
+		fields = append(fields, wire.HeaderField{Name: "X-Forwarded-Host", Value: r.Host})
+	}
+	return fields, nil
+}
+
+// connectionNames returns the fields that the Connection field names.
+func connectionNames(h http.Header) map[string]bool {
+	values := h["Connection"]
+	if len(values) == 0 {
+		return nil
+	}
+	named := make(map[string]bool)
+	for _, v := range values {
+		for name := range strings.SplitSeq(v, ",") {
+			named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return named
+}
+
+var responders = sync.Pool{New: func() any { return new(responder) }}
+
+// responder writes the answer of a worker to the caller.
+type responder struct {
+	w      http.ResponseWriter
+	method string
+	id     string
+	ticket string
+}
+
+func newResponder(w http.ResponseWriter, method, id string) *responder {
+	r := responders.Get().(*responder)
+	*r = responder{w: w, method: method, id: id}
+	return r
+}
+
+// Ticket implements forward.Responder with a response 103.
+func (r *responder) Ticket(ticket string) error {
+	r.ticket = ticket
+	r.w.Header().Set(HeaderTicket, ticket)
+	r.w.WriteHeader(http.StatusEarlyHints)
+	return nil
+}
+
+// Head implements forward.Responder.
+func (r *responder) Head(h *wire.ResponseHead) error {
+	out := r.w.Header()
+	for _, f := range h.Header {
+		if !hopByHop[f.Name] && !strings.HasPrefix(f.Name, headerPrefix) {
+			out.Add(f.Name, f.Value)
+		}
+	}
+	if h.BodyBytes >= 0 && bodyAllowed(h.Status) {
+		out.Set("Content-Length", strconv.FormatInt(h.BodyBytes, 10))
+	}
+	out.Set(HeaderRequestID, r.id)
+	if r.ticket != "" {
+		out.Set(HeaderTicket, r.ticket)
+	}
+	r.w.WriteHeader(h.Status)
+	return nil
+}
+
+func bodyAllowed(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// Write implements io.Writer.
+func (r *responder) Write(p []byte) (int, error) {
+	if r.method == http.MethodHead {
+		return len(p), nil
+	}
+	return r.w.Write(p)
+}
+
+// Flush implements forward.Responder.
+func (r *responder) Flush() {
+	_ = http.NewResponseController(r.w).Flush()
+}
+
+// issueTicket serves POST /v1/services/{service}/tickets.
+func (s *Server) issueTicket(w http.ResponseWriter, r *http.Request, who auth.Identity) error {
+	team, err := s.team(r, who)
+	if err != nil {
+		return err
+	}
+	reply, err := s.Forwarder.Issue(r.Context(), team.ID, r.PathValue("service"))
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusCreated, map[string]any{"ticket": reply.Ticket, "lifetime_ms": reply.LifetimeMS})
+	return nil
+}
+
+// queryTicket serves GET /v1/tickets/{worker}/{incarnation}/{sequence}.
+func (s *Server) queryTicket(w http.ResponseWriter, r *http.Request, who auth.Identity) error {
+	team, err := s.team(r, who)
+	if err != nil {
+		return err
+	}
+	text := r.PathValue("worker") + "/" + r.PathValue("incarnation") + "/" + r.PathValue("sequence")
+	ticket, err := forward.ParseTicket(text)
+	if err != nil {
+		return err
+	}
+	timeout, err := s.timeout(r.Header.Get(HeaderTimeout))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	defer cancel()
+	resp := newResponder(w, r.Method, s.ids.get())
+	defer responders.Put(resp)
+	w.Header().Set(HeaderTicket, ticket.String())
+	return s.Forwarder.Query(ctx, team.ID, ticket, resp)
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,26 @@
+package entry
+
+import (
+	"expvar"
+
+	"snipegw/internal/entry/httpapi"
+	"snipegw/internal/entry/router"
+	"snipegw/internal/members"
+)
+
+// publishMetrics exposes the counters of an entry through /debug/vars.
+func publishMetrics(p parts, m *members.Service, r *router.Router, b *router.Budget, api *httpapi.Server) {
+	vars := map[string]func() any{
+		"entry_routing":      func() any { return r.Counts() },
+		"entry_teams":        func() any { return api.Teams() },
+		"entry_retries_left": func() any { return b.Left() },
+		"entry_workers":      func() any { return len(m.View().Workers) },
+		"store_calls":        func() any { return p.store.Calls() },
+		"transport":          func() any { return p.network.stats() },
+	}
+	for name, f := range vars {
+		if expvar.Get(name) == nil {
+			expvar.Publish(name, expvar.Func(f))
+		}
+	}
+}
--- a/internal/entry/router/router.go
+++ b/internal/entry/router/router.go
@@ -58,11 +58,19 @@
 
 // New returns a Router for the entry self.
 func New(self string, m members.Membership) *Router {
-	r := &Router{self: self, members: m, started: time.Now()}
-	r.current.Store(&snapshot{})
+	r := new(Router)
+	r.Init(self, m)
 	return r
 }
 
+// Init makes a zero Router ready. ReportFree must not be called before.
+func (r *Router) Init(self string, m members.Membership) {
+	r.self = self
+	r.members = m
+	r.started = time.Now()
+	r.current.Store(&snapshot{})
+}
+
 // Run follows the membership until ctx ends.
 func (r *Router) Run(ctx context.Context) {
 	t := time.NewTicker(clockInterval)
--- a/internal/members/service.go
+++ b/internal/members/service.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"snipegw/internal/config"
+	"snipegw/internal/model"
 	"snipegw/internal/store"
 	"snipegw/internal/transport"
 	"snipegw/internal/wire"
@@ -33,12 +33,18 @@
 	directoryWrites    = expvar.NewInt("members_directory_writes")
 )
 
+// ConfigSource is the part of config.Source that a Service needs.
+type ConfigSource interface {
+	Current() *model.Config
+	Offer(version uint64, fetch func(context.Context) ([]byte, error))
+}
+
 // Options are the parts that a Service needs.
 type Options struct {
 	Self   wire.EntryInfo
 	Store  store.Store
 	Pool   *transport.Pool
-	Config config.Source
+	Config ConfigSource
 	// Clock returns the present time; nil is time.Now.
 	Clock func() time.Time
 	// OnFreeSlots is called with the free slots of each heartbeat.
--- /dev/null
+++ b/internal/transport/stats.go
@@ -0,0 +1,74 @@
+package transport
+
+import (
+	"sync"
+
+	"github.com/quic-go/quic-go"
+)
+
+// Stats counts the traffic of QUIC connections, with QUIC's own overhead and
+// without UDP and IP headers.
+type Stats struct {
+	BytesSent       uint64 `json:"bytes_sent"`
+	BytesReceived   uint64 `json:"bytes_received"`
+	PacketsSent     uint64 `json:"packets_sent"`
+	PacketsReceived uint64 `json:"packets_received"`
+	Connections     int    `json:"connections"`
+}
+
+func (s *Stats) add(c quic.ConnectionStats) {
+	s.BytesSent += c.BytesSent
+	s.BytesReceived += c.BytesReceived
+	s.PacketsSent += c.PacketsSent
+	s.PacketsReceived += c.PacketsReceived
+}
+
+// Add adds the counts of o.
+func (s *Stats) Add(o Stats) {
+	s.BytesSent += o.BytesSent
+	s.BytesReceived += o.BytesReceived
+	s.PacketsSent += o.PacketsSent
+	s.PacketsReceived += o.PacketsReceived
+	s.Connections += o.Connections
+}
+
+// tracker sums the counters of open and closed connections. Only opening and
+// closing a connection takes its lock.
+type tracker struct {
+	mu     sync.Mutex
+	open   map[*quic.Conn]struct{}
+	closed Stats
+}
+
+func (t *tracker) watch(c *quic.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.open == nil {
+		t.open = make(map[*quic.Conn]struct{})
+	}
+	t.open[c] = struct{}{}
+	go func() {
+		<-c.Context().Done()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.open, c)
+		t.closed.add(c.ConnectionStats())
+	}()
+}
+
+func (t *tracker) stats() Stats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.closed
+	for c := range t.open {
+		s.add(c.ConnectionStats())
+	}
+	s.Connections = len(t.open)
+	return s
+}
+
+// Stats returns the traffic of all connections that the server accepted.
+func (s *Server) Stats() Stats { return s.tracker.stats() }
+
+// Stats returns the traffic of all connections that the pool dialed.
+func (p *Pool) Stats() Stats { return p.tracker.stats() }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -79,6 +79,7 @@
 	ln      *quic.Listener
 	cancel  context.CancelFunc
 	active  atomic.Int64
+	tracker tracker
 }
 
 // Listen opens addr (UDP) and serves calls until Close.
@@ -122,6 +123,7 @@
 		if err != nil {
 			return
 		}
+		s.tracker.watch(conn)
 		go s.serveConn(ctx, conn)
 	}
 }
@@ -175,6 +177,8 @@
 	tr    *quic.Transport
 	conns sync.Map // address -> *pooled
 	stop  context.CancelFunc
+
+	tracker tracker
 }
 
 type pooled struct {
@@ -274,6 +278,7 @@
 	if err != nil {
 		return nil, err
 	}
+	p.tracker.watch(c)
 	e.conn.Store(c)
 	return c, nil
 }
