Give development certificates an authority of their own

Two processes in development mode refused each other with "signed by unknown authority": each made a self-signed certificate with the same name and key, and verification passes over an authority that equals the certificate in both. The test used one set of credentials for both ends and could not see it.

The authority now has a key and a name of its own, still derived, and the certificate is signed by it. A test connects two sets of credentials; it fails on the earlier code.

--- a/internal/transport/tls.go
+++ b/internal/transport/tls.go
@@ -124,37 +124,65 @@
 	return c.current.Load()
 }
 
-// developmentMaterial derives the same authority and certificate in every
-// process, so that processes on one machine accept each other without files.
+// developmentMaterial derives the same authority in every process, so that
+// processes on one machine accept each other without files. The certificate has
+// a key and a name of its own: verification passes over an authority that
+// equals the certificate in both.
 func developmentMaterial() (*material, error) {
-	seed := sha256.Sum256([]byte("snipegw development key, not a secret"))
+	authorityKey, err := developmentKey("authority")
+	if err != nil {
+		return nil, err
+	}
+	authority, err := developmentCertificate(serverName+" development authority", &authorityKey.PublicKey, nil, authorityKey)
+	if err != nil {
+		return nil, err
+	}
+	key, err := developmentKey("certificate")
+	if err != nil {
+		return nil, err
+	}
+	leaf, err := developmentCertificate(serverName, &key.PublicKey, authority, authorityKey)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(authority)
+	cert := tls.Certificate{Certificate: [][]byte{leaf.Raw}, PrivateKey: key, Leaf: leaf}
+	return &material{cert: cert, pool: pool, loaded: time.Now()}, nil
+}
+
+func developmentKey(purpose string) (*ecdsa.PrivateKey, error) {
+	seed := sha256.Sum256([]byte("snipegw development key, not a secret: " + purpose))
 	key, err := ecdsa.ParseRawPrivateKey(elliptic.P256(), seed[:])
 	if err != nil {
 		return nil, fmt.Errorf("development key: %w", err)
 	}
+	return key, nil
+}
+
+// developmentCertificate returns a certificate for key signed by parent, or an
+// authority if parent is nil.
+func developmentCertificate(name string, key *ecdsa.PublicKey, parent *x509.Certificate, signer *ecdsa.PrivateKey) (*x509.Certificate, error) {
 	template := &x509.Certificate{
 		SerialNumber:          big.NewInt(1),
-		Subject:               pkix.Name{CommonName: serverName},
+		Subject:               pkix.Name{CommonName: name},
 		DNSNames:              []string{serverName},
 		NotBefore:             time.Unix(0, 0),
 		NotAfter:              time.Unix(0, 0).AddDate(200, 0, 0),
-		IsCA:                  true,
+		IsCA:                  parent == nil,
 		BasicConstraintsValid: true,
-		KeyUsage:              x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		KeyUsage:              x509.KeyUsageDigitalSignature,
 		ExtKeyUsage:           []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		return nil, fmt.Errorf("development certificate: %w", err)
+	if parent == nil {
+		template.KeyUsage |= x509.KeyUsageCertSign
+		parent = template
 	}
-	leaf, err := x509.ParseCertificate(der)
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, key, signer)
 	if err != nil {
 		return nil, fmt.Errorf("development certificate: %w", err)
 	}
-	pool := x509.NewCertPool()
-	pool.AddCert(leaf)
-	cert := tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}
-	return &material{cert: cert, pool: pool, loaded: time.Now()}, nil
+	return x509.ParseCertificate(der)
 }
 
 func (c *Credentials) serverConfig() *tls.Config {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -123,6 +123,18 @@
 		Expect(NotSent(err)).To(BeTrue())
 	})
 
+	// Each process makes its own certificates in development mode; a test with
+	// one set of credentials cannot see that those of two processes differ.
+	It("accepts a peer with development credentials of another process", func() {
+		other, err := NewCredentials(Security{Mode: ModeDevelopment})
+		Expect(err).NotTo(HaveOccurred())
+		peer, err := NewPool("127.0.0.1:0", other)
+		Expect(err).NotTo(HaveOccurred())
+		defer peer.Close()
+		var ack wire.Ack
+		Expect(peer.Call(ctx, server.Addr(), wire.KindRelease, &wire.Release{Attempt: 3}, &ack)).To(Succeed())
+	})
+
 	It("refuses a peer without a certificate", func() {
 		conn, err := quic.DialAddr(ctx, server.Addr(), &tls.Config{InsecureSkipVerify: true, NextProtos: []string{ALPN}}, quicConfig())
 		if err == nil { // TLS 1.3 reports the refusal after the client's handshake
