--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -20,11 +20,15 @@
 	// maxUnreachable bounds the workers that one request tries after failures
 	// other than a full worker.
 	maxUnreachable = 4
-	// fullBackoff is the shortest pause after all workers were found full; the
-	// pause is random between one and two of it and doubles up to
-	// maxFullBackoff.
-	fullBackoff    = 5 * time.Millisecond
-	maxFullBackoff = 100 * time.Millisecond
+	// maxFull bounds the full workers that one request meets, so that it cannot
+	// use up the retries of all others.
+	maxFull = 8
+	// fullPerRound is the number of full workers between two pauses. The first
+	// retry is immediate, since two random workers may be full by chance.
+	fullPerRound = 2
+	// fullBackoff is the shortest pause after a round; the pause is random
+	// between one and two of it and doubles with each round.
+	fullBackoff = 5 * time.Millisecond
 )
 
 // ErrAborted is returned when the response broke off after a part of it was
@@ -81,6 +85,7 @@
 	ticket    string
 	tried     []*router.Target
 	failures  int
+	full      int
 	backoff   time.Duration
 }
 
@@ -170,37 +175,51 @@
 	}
 	c.tried = append(c.tried, t)
 	if out.full {
-		c.svc.Limiter.Full()
-	} else if c.failures++; c.failures >= maxUnreachable {
-		return false, c.refusal(out.err)
+		return c.nextAfterFull(ctx, out.err)
 	}
-	if len(c.tried) >= len(c.svc.Targets) && !out.full {
+	if c.failures++; c.failures >= maxUnreachable || len(c.tried) >= len(c.svc.Targets) {
 		return false, c.refusal(out.err)
 	}
-	if !c.f.Budget.Take() {
-		return false, c.refusal(result.Errorf(result.RetryBudgetExhausted, "the last worker answered %s and the retries of this entry are used up", result.CodeOf(out.err)))
+	return c.takeRetry(out.err)
+}
+
+// nextAfterFull decides about a request that met a full worker.
+func (c *call) nextAfterFull(ctx context.Context, cause error) (retry bool, err error) {
+	c.svc.Limiter.Full()
+	if c.full++; c.full >= maxFull {
+		return false, c.refusal(cause)
+	}
+	if retry, err := c.takeRetry(cause); !retry {
+		return false, err
 	}
-	if len(c.tried) >= len(c.svc.Targets) {
-		return c.waitFull(ctx)
+	if c.full%fullPerRound != 0 && len(c.tried) < len(c.svc.Targets) {
+		return true, nil
+	}
+	return c.pause(ctx)
+}
+
+func (c *call) takeRetry(cause error) (retry bool, err error) {
+	if !c.f.Budget.Take() {
+		return false, c.refusal(result.Errorf(result.RetryBudgetExhausted, "the last worker answered %s and the retries of this entry are used up", result.CodeOf(cause)))
 	}
 	return true, nil
 }
 
-// waitFull pauses after all workers were found full and lets the request try
-// them again.
-func (c *call) waitFull(ctx context.Context) (bool, error) {
-	pause := c.backoff + rand.N(c.backoff)
-	c.backoff = min(2*c.backoff, maxFullBackoff)
-	timer := time.NewTimer(pause)
+// pause waits after a round of full workers and lets the request try all
+// workers again.
+func (c *call) pause(ctx context.Context) (retry bool, err error) {
+	timer := time.NewTimer(c.backoff + rand.N(c.backoff))
 	defer timer.Stop()
+	c.backoff *= 2
 	select {
 	case <-ctx.Done():
 		return false, c.deadline(ctx)
 	case <-timer.C:
 	}
 	c.tried = c.tried[:0]
-	if svc, err := c.f.Router.Service(c.req.Service); err == nil && svc.Limiter == c.svc.Limiter {
-		c.svc = svc
+	if svc, err := c.f.Router.Service(c.req.Service); err == nil {
+		// The limiter of a service never changes while it has workers.
+		c.svc = &router.Service{Name: svc.Name, Targets: svc.Targets, Limiter: c.svc.Limiter}
 	}
 	return true, nil
 }
--- /dev/null
+++ b/internal/entry/forward/ticket_test.go
@@ -0,0 +1,29 @@
+package forward
+
+import (
+	"testing"
+
+	"snipegw/internal/result"
+)
+
+// Guards against two texts for one ticket, which would let a request run twice.
+func FuzzTicket(f *testing.F) {
+	f.Add("w1/0000000000000000a/1")
+	f.Add("w1//1")
+	f.Add("w1/a/01")
+	f.Add("w1/a/+1")
+	f.Add("w1/a/18446744073709551616")
+	f.Add("a/b/c/d")
+	f.Fuzz(func(t *testing.T, text string) {
+		ticket, err := ParseTicket(text)
+		if err != nil {
+			if result.CodeOf(err) != result.BadTicket {
+				t.Fatalf("code %d", result.CodeOf(err))
+			}
+			return
+		}
+		if ticket.String() != text {
+			t.Fatalf("%q was read as %q", text, ticket)
+		}
+	})
+}
--- /dev/null
+++ b/internal/entry/limits/limits_test.go
@@ -0,0 +1,256 @@
+package limits
+
+import (
+	"context"
+	"math"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"snipegw/internal/model"
+	"snipegw/internal/result"
+)
+
+func TestLimits(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "limits")
+}
+
+func teamsOf(weights map[string]int) *Teams {
+	c := &model.Config{}
+	for id, w := range weights {
+		c.Teams = append(c.Teams, model.Team{ID: id, Weight: w})
+	}
+	ts := &Teams{}
+	ts.SetConfig(c)
+	return ts
+}
+
+func team(ts *Teams, id string) *Team {
+	t, err := ts.Get(id)
+	Expect(err).NotTo(HaveOccurred())
+	return t
+}
+
+// waiters starts n requests of a team that wait, and returns after all of them
+// are in the queue. Each sends its team on served when it gets capacity.
+func waiters(l *Limiter, t *Team, n int, served chan<- string, failed *atomic.Int64) {
+	ginkgo.GinkgoHelper()
+	before := l.waiting.Load()
+	for range n {
+		go func() {
+			if err := l.Acquire(context.Background(), t); err != nil {
+				failed.Add(1)
+				return
+			}
+			served <- t.ID
+		}()
+	}
+	Eventually(l.waiting.Load).Should(Equal(before + int64(n)))
+}
+
+var _ = ginkgo.Describe("Limiter", func() {
+	ginkgo.It("serves waiting teams in proportion to their weights, whatever their order of arrival", func() {
+		ts := teamsOf(map[string]int{"heavy": 3, "light": 1})
+		l := NewLimiter(nil)
+		l.SetSlots(1)
+		Expect(l.Acquire(context.Background(), team(ts, "light"))).To(Succeed())
+		served := make(chan string, 200)
+		var failed atomic.Int64
+		waiters(l, team(ts, "light"), 60, served, &failed)
+		waiters(l, team(ts, "heavy"), 60, served, &failed)
+		counts := map[string]int{}
+		for range 40 {
+			l.Release(time.Millisecond)
+			counts[<-served]++
+		}
+		Expect(counts["heavy"]).To(BeNumerically("~", 30, 1))
+		Expect(failed.Load()).To(BeZero())
+	})
+
+	ginkgo.It("refuses the team that fills the queue and not the others", func() {
+		ts := teamsOf(map[string]int{"flood": 1, "small": 1})
+		l := NewLimiter(nil)
+		l.SetSlots(1)
+		l.SetMaxQueued(10)
+		Expect(l.Acquire(context.Background(), team(ts, "flood"))).To(Succeed())
+		served := make(chan string, 50)
+		var floodFailed, smallFailed atomic.Int64
+		waiters(l, team(ts, "flood"), 10, served, &floodFailed)
+		for range 4 {
+			go func() {
+				if l.Acquire(context.Background(), team(ts, "small")) != nil {
+					smallFailed.Add(1)
+				}
+			}()
+		}
+		Eventually(floodFailed.Load).Should(Equal(int64(4)))
+		Expect(l.waiting.Load()).To(Equal(int64(10)))
+		err := l.Acquire(context.Background(), team(ts, "flood"))
+		Expect(result.CodeOf(err)).To(Equal(result.Overloaded))
+		Expect(smallFailed.Load()).To(BeZero())
+	})
+
+	ginkgo.It("refuses at once what would wait beyond its deadline", func() {
+		ts := teamsOf(map[string]int{"a": 1})
+		l := NewLimiter(nil)
+		l.SetSlots(1)
+		Expect(l.Acquire(context.Background(), team(ts, "a"))).To(Succeed())
+		l.Release(10 * time.Second)
+		Expect(l.Acquire(context.Background(), team(ts, "a"))).To(Succeed())
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		Expect(result.CodeOf(l.Acquire(ctx, team(ts, "a")))).To(Equal(result.Overloaded))
+		Expect(ctx.Err()).NotTo(HaveOccurred())
+	})
+
+	ginkgo.It("gives up at the deadline and loses no capacity", func() {
+		ts := teamsOf(map[string]int{"a": 1})
+		l := NewLimiter(nil)
+		l.SetSlots(1)
+		Expect(l.Acquire(context.Background(), team(ts, "a"))).To(Succeed())
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		Expect(result.CodeOf(l.Acquire(ctx, team(ts, "a")))).To(Equal(result.DeadlineNotRun))
+		l.Release(0)
+		Expect(l.Counts().InFlight).To(BeZero())
+		Expect(l.Acquire(context.Background(), team(ts, "a"))).To(Succeed())
+	})
+
+	ginkgo.It("lowers the limit for full workers once in an interval and raises it again", func() {
+		now := time.Unix(1000, 0)
+		ts := teamsOf(map[string]int{"a": 1})
+		l := NewLimiter(func() time.Time { return now })
+		l.SetSlots(100)
+		for range 50 {
+			Expect(l.Acquire(context.Background(), team(ts, "a"))).To(Succeed())
+		}
+		l.Full()
+		l.Full()
+		Expect(l.Counts().Limit).To(Equal(int64(45)))
+		now = now.Add(shrinkInterval)
+		l.Full()
+		Expect(l.Counts().Limit).To(Equal(int64(40)))
+		for range 20_000 {
+			l.completed(time.Millisecond)
+		}
+		Expect(l.Counts().Limit).To(Equal(int64(100)))
+	})
+
+	ginkgo.It("never exceeds its limit and never loses capacity under concurrent use", func() {
+		ts := teamsOf(map[string]int{"a": 1, "b": 5})
+		l := NewLimiter(nil)
+		l.SetSlots(4)
+		var running, highest atomic.Int64
+		var done sync.WaitGroup
+		for i := range 64 {
+			t := team(ts, []string{"a", "b"}[i%2])
+			done.Go(func() {
+				for range 200 {
+					if l.Acquire(context.Background(), t) != nil {
+						continue
+					}
+					n := running.Add(1)
+					for old := highest.Load(); n > old && !highest.CompareAndSwap(old, n); old = highest.Load() {
+						continue
+					}
+					running.Add(-1)
+					l.Release(time.Microsecond)
+				}
+			})
+		}
+		done.Wait()
+		Expect(highest.Load()).To(BeNumerically("<=", 4))
+		c := l.Counts()
+		Expect([]int64{c.InFlight, c.Waiting, c.Limit}).To(Equal([]int64{0, 0, 4}))
+	})
+})
+
+var _ = ginkgo.Describe("Teams", func() {
+	ginkgo.It("keeps counters over a change of the configuration and refuses unknown teams", func() {
+		ts := teamsOf(map[string]int{"a": 1})
+		Expect(team(ts, "a").Begin()).To(Succeed())
+		ts.SetConfig(&model.Config{Teams: []model.Team{{ID: "a", Weight: 2, MaxRequests: 1}}})
+		Expect(result.CodeOf(team(ts, "a").Begin())).To(Equal(result.Overloaded))
+		team(ts, "a").End()
+		Expect(team(ts, "a").Begin()).To(Succeed())
+		_, err := ts.Get("b")
+		Expect(result.CodeOf(err)).To(Equal(result.UnknownTeam))
+	})
+})
+
+// Guards against a queue that loses or repeats waiters, and against a share of
+// a backlogged team that falls behind its weight, under random interleavings.
+func TestFairQueueUnderRandomInterleavings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := newFairQueue()
+		teams := []*Team{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+		weights := map[*Team]int{}
+		for _, tm := range teams {
+			weights[tm] = rapid.IntRange(1, 9).Draw(t, "weight")
+		}
+		in := map[*waiter]bool{}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				tm := rapid.SampledFrom(teams).Draw(t, "team")
+				in[q.push(tm, weights[tm])] = true
+			},
+			"pop": func(t *rapid.T) {
+				w := q.pop()
+				if (w == nil) != (len(in) == 0) || w != nil && !in[w] {
+					t.Fatalf("pop returned %v with %d waiters", w, len(in))
+				}
+				delete(in, w)
+			},
+			"remove": func(t *rapid.T) {
+				for w := range in {
+					if !q.remove(w) || q.remove(w) {
+						t.Fatal("remove does not report what it did")
+					}
+					delete(in, w)
+					return
+				}
+			},
+			"evict": func(t *rapid.T) {
+				if len(in) > 0 {
+					w := q.evict()
+					if !in[w] {
+						t.Fatal("evicted a waiter that is not in the queue")
+					}
+					delete(in, w)
+				}
+			},
+			"": func(t *rapid.T) {
+				if q.size != len(in) {
+					t.Fatalf("size %d in place of %d", q.size, len(in))
+				}
+			},
+		})
+		const backlog, rounds = 200, 100
+		total := 0.0
+		for _, tm := range teams {
+			for range backlog {
+				q.push(tm, weights[tm])
+			}
+			total += float64(weights[tm])
+		}
+		for q.size > len(teams)*backlog {
+			q.pop() // what the first part left
+		}
+		served := map[*Team]int{}
+		for range rounds {
+			served[q.pop().team]++
+		}
+		for _, tm := range teams {
+			want := rounds * float64(weights[tm]) / total
+			if math.Abs(float64(served[tm])-want) > float64(len(teams)+weights[tm]) {
+				t.Fatalf("team %s of weight %d got %d of %d, its share is %.1f", tm.ID, weights[tm], served[tm], rounds, want)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/entry/router/router_test.go
@@ -0,0 +1,201 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"snipegw/internal/members"
+	"snipegw/internal/model"
+	"snipegw/internal/result"
+	"snipegw/internal/wire"
+)
+
+func TestRouter(t *testing.T) {
+	RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "router")
+}
+
+const service = "pricing"
+
+type fixedMembers struct{ view *members.View }
+
+func (f *fixedMembers) View() *members.View      { return f.view }
+func (f *fixedMembers) Changed() <-chan struct{} { return nil }
+
+func viewOf(n int) *members.View {
+	v := &members.View{Workers: make(map[string]*members.Worker)}
+	for i := range n {
+		id := fmt.Sprintf("w%04d", i)
+		v.Workers[id] = &members.Worker{Health: members.Alive, State: wire.WorkerState{
+			Worker: model.Worker{ID: id}, Incarnation: "1", Address: id + ":1",
+			Services: []wire.ServiceState{{Service: service, Slots: 8, Healthy: true}},
+		}}
+	}
+	return v
+}
+
+func routerOf(v *members.View) (*Router, *Service) {
+	ginkgo.GinkgoHelper()
+	r := New("entry", &fixedMembers{v})
+	r.Rebuild()
+	s, err := r.Service(service)
+	Expect(err).NotTo(HaveOccurred())
+	return r, s
+}
+
+func target(s *Service, worker string) *Target {
+	for _, t := range s.Targets {
+		if t.Worker == worker {
+			return t
+		}
+	}
+	return nil
+}
+
+var _ = ginkgo.Describe("Router", func() {
+	ginkgo.It("leaves out workers that must not receive new requests", func() {
+		v := viewOf(7)
+		v.Workers["w0000"].Health = members.Suspect
+		v.Workers["w0001"].State.Draining = true
+		v.Workers["w0002"].State.Stopping = true
+		v.Workers["w0003"].State.Services[0].Leaving = true
+		v.Workers["w0004"].State.Services[0].Healthy = false
+		v.Workers["w0005"].State.Services[0].Slots = 0
+		_, s := routerOf(v)
+		Expect(s.Targets).To(HaveLen(1))
+		Expect(s.Targets[0].Worker).To(Equal("w0006"))
+		Expect(s.Limiter.Counts().Slots).To(Equal(int64(8)))
+	})
+
+	ginkgo.It("tells an unknown service from one without healthy workers", func() {
+		v := viewOf(1)
+		v.Workers["w0000"].Health = members.Dead
+		r := New("entry", &fixedMembers{v})
+		r.Rebuild()
+		_, err := r.Service(service)
+		Expect(result.CodeOf(err)).To(Equal(result.NoWorker))
+		_, err = r.Service("other")
+		Expect(result.CodeOf(err)).To(Equal(result.UnknownService))
+	})
+
+	ginkgo.It("uses a bounded subset that changes by one worker when one is lost", func() {
+		v := viewOf(1400)
+		r, s := routerOf(v)
+		Expect(s.Targets).To(HaveLen(SubsetSize))
+		before := map[string]bool{}
+		for _, t := range s.Targets {
+			before[t.Worker] = true
+		}
+		v.Workers[s.Targets[5].Worker].Health = members.Dead
+		r.Rebuild()
+		s, _ = r.Service(service)
+		kept := 0
+		for _, t := range s.Targets {
+			if before[t.Worker] {
+				kept++
+			}
+		}
+		Expect(s.Targets).To(HaveLen(SubsetSize))
+		Expect(kept).To(Equal(SubsetSize - 1))
+	})
+
+	ginkgo.It("keeps loads over a rebuild and starts a new incarnation without them", func() {
+		v := viewOf(2)
+		r, s := routerOf(v)
+		target(s, "w0000").Load.Begin()
+		target(s, "w0001").Load.Begin()
+		v.Workers["w0001"].State.Incarnation = "2"
+		r.Rebuild()
+		s, _ = r.Service(service)
+		Expect(target(s, "w0000").Load.InFlight()).To(Equal(int64(1)))
+		Expect(target(s, "w0001").Load.InFlight()).To(BeZero())
+	})
+
+	ginkgo.It("spreads requests that stay in progress evenly", func() {
+		r, s := routerOf(viewOf(10))
+		for range 80 {
+			r.Pick(s, nil).Load.Begin()
+		}
+		for _, t := range s.Targets {
+			Expect(t.Load.InFlight()).To(Equal(int64(8)))
+		}
+	})
+
+	ginkgo.It("does not try the same worker twice", func() {
+		r, s := routerOf(viewOf(3))
+		var tried []*Target
+		for range 3 {
+			t := r.Pick(s, tried)
+			Expect(contains(tried, t)).To(BeFalse())
+			tried = append(tried, t)
+		}
+		Expect(r.Pick(s, tried)).To(BeNil())
+	})
+
+	ginkgo.It("prefers workers that other entries load less", func() {
+		r, s := routerOf(viewOf(2))
+		r.ReportFree("w0000", 1)
+		for range 5 {
+			Expect(r.Pick(s, nil).Worker).To(Equal("w0001"))
+		}
+		r.SetTime(reportLifetime)
+		Expect(target(s, "w0000").Load.at(r.Now())).To(BeZero())
+	})
+
+	// A worker that fails at once is idle all the time; without the penalty it
+	// would win every comparison.
+	ginkgo.It("sends few requests to a worker that fails quickly", func() {
+		r, s := routerOf(viewOf(10))
+		bad, failed := s.Targets[0], 0
+		const requests = 10_000
+		for i := range requests {
+			r.SetTime(time.Duration(i) * time.Millisecond)
+			t := r.Pick(s, nil)
+			t.Load.Begin()
+			if t == bad {
+				failed++
+			}
+			t.Load.End(t == bad, r.Now())
+		}
+		Expect(failed).To(BeNumerically(">", 0), "a worker that recovers must be found again")
+		Expect(failed).To(BeNumerically("<", requests/200))
+	})
+
+	ginkgo.It("forgets failures over time", func() {
+		l := &Load{}
+		l.Begin()
+		l.End(true, 1000)
+		Expect(l.at(1000)).To(BeNumerically("~", failurePenalty, 0.01))
+		Expect(l.at(1000 + uint32(penaltyHalfLife.Milliseconds()))).To(BeNumerically("~", failurePenalty/2.0, 0.01))
+		Expect(l.at(1000 + 20*uint32(penaltyHalfLife.Milliseconds()))).To(BeZero())
+	})
+})
+
+var _ = ginkgo.Describe("Budget", func() {
+	ginkgo.It("allows 20% of requests and a least rate, and saves up a bounded amount", func() {
+		b := NewBudget()
+		for b.Take() {
+			continue
+		}
+		for range 100 {
+			b.Request()
+		}
+		taken := 0
+		for b.Take() {
+			taken++
+		}
+		Expect(taken).To(Equal(20))
+		for range MinRetriesPerSecond {
+			b.Refill()
+		}
+		Expect(b.Left()).To(Equal(int64(MinRetriesPerSecond)))
+		for range 10_000 {
+			b.Request()
+		}
+		Expect(b.Left()).To(Equal(int64(maxBudget / milli)))
+	})
+})
--- /dev/null
+++ b/internal/entry/settings_test.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"snipegw/internal/config"
+	"snipegw/internal/kernel"
+	"snipegw/internal/members"
+	"snipegw/internal/model"
+	"snipegw/internal/planner/framework"
+	"snipegw/internal/store"
+	"snipegw/internal/wire"
+)
+
+func init() {
+	store.Plugins.Register("test-store", func(store.Settings) (store.Store, error) { return nil, nil })
+	framework.Policies.Register("test-policy", func() framework.Scheduler { return nil })
+}
+
+const validSettings = `{"id":"e1","region":"ica","failure_domain":"ica-norte","http_address":"127.0.0.1:0","address":"127.0.0.1:7000",
+"store":{"type":"test-store","addresses":["http://127.0.0.1:1"]},"security":{"mode":"development"},"policy":"test-policy"}`
+
+// Guards against faults that are reported one at a time or not at all.
+func TestSettings(t *testing.T) {
+	var s Settings
+	if err := kernel.ParseSettings([]byte(validSettings), &s); err != nil {
+		t.Fatal(err)
+	}
+	if s.AdvertiseAddress != s.Address || s.Store.TimeoutMS != defaultStoreTimeoutMS || s.LogLevel != defaultLogLevel {
+		t.Errorf("defaults: %+v", s)
+	}
+	err := kernel.ParseSettings([]byte(`{"id":"a b","region":"","adress":1,"http_address":"x","address":":7000",
+"store":{"type":"none","timeout_ms":-1},"security":{"mode":"off"},"policy":"none","log_level":"loud","bootstrap_config":"/nonexistent/file"}`), &Settings{})
+	var faults kernel.Faults
+	if !errors.As(err, &faults) {
+		t.Fatalf("error %v", err)
+	}
+	for _, path := range []string{"id", "region", "failure_domain", "adress", "http_address", "advertise_address", "store.type", "store.addresses",
+		"store.timeout_ms", "security.mode", "policy", "log_level", "bootstrap_config"} {
+		if !strings.Contains("\n"+err.Error(), "\n"+path+": ") {
+			t.Errorf("no fault for %s in:\n%v", path, err)
+		}
+	}
+}
+
+type fixed struct{ view *members.View }
+
+func (f *fixed) View() *members.View      { return f.view }
+func (f *fixed) Changed() <-chan struct{} { return nil }
+
+// Guards against a shrunken pool that blocks patches of other parts, and
+// against dead workers that make guarantees seem to pack.
+func TestPackerChecksChangedGuaranteesAgainstHealthyWorkers(t *testing.T) {
+	view := &members.View{Workers: map[string]*members.Worker{}}
+	p := &packer{members: &fixed{view: view}, config: &currentOnly{config: &model.Config{}}}
+	seen := -1
+	p.check = func(_ []model.Team, workers []model.Worker) []string {
+		seen = len(workers)
+		return []string{"does not pack"}
+	}
+	guaranteed := []model.Team{{ID: "a", Guarantees: []model.Guarantee{{Count: 1}}}}
+	if p.pack(guaranteed) != nil {
+		t.Error("refused before any worker is known")
+	}
+	add := func(id string, h members.Health) {
+		view.Workers[id] = &members.Worker{Health: h, State: wire.WorkerState{Worker: model.Worker{ID: id}}}
+	}
+	add("up", members.Alive)
+	add("down", members.Dead)
+	if len(p.pack(guaranteed)) != 1 || seen != 1 {
+		t.Errorf("checked against %d workers", seen)
+	}
+	p.config = &currentOnly{config: &model.Config{Teams: guaranteed}}
+	if p.pack(append([]model.Team{{ID: "b"}}, guaranteed...)) != nil {
+		t.Error("refused a patch that leaves the guarantees as they are")
+	}
+}
+
+// currentOnly is a config.Source of which only Current is used.
+type currentOnly struct {
+	config.Source
+	config *model.Config
+}
+
+func (c *currentOnly) Current() *model.Config { return c.config }
--- /dev/null
+++ b/internal/members/random_test.go
@@ -0,0 +1,192 @@
+package members
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"snipegw/internal/result"
+	"snipegw/internal/wire"
+)
+
+// region is a model of several entries and agents. Agents hold the truth;
+// updates between entries are queued and may be lost, duplicated, delayed and
+// reordered.
+type region struct {
+	now     time.Time
+	tables  []*Table
+	agents  map[string]*agentModel
+	flying  []flight
+	highest map[string]map[string]position // by table and worker
+}
+
+type agentModel struct {
+	incarnation int
+	seq         uint64
+	home        int
+	acked       bool
+}
+
+type flight struct {
+	to int
+	u  wire.PeerUpdate
+}
+
+type position struct {
+	incarnation string
+	seq         uint64
+}
+
+func (p position) before(o position) bool {
+	return p.incarnation < o.incarnation || p.incarnation == o.incarnation && p.seq < o.seq
+}
+
+func newRegion(entries, workers int) *region {
+	r := &region{now: start, agents: make(map[string]*agentModel), highest: make(map[string]map[string]position)}
+	for i := range entries {
+		t := NewTable(entryInfo(fmt.Sprint("e", i), 1), r.now)
+		r.tables = append(r.tables, t)
+		r.highest[t.self] = make(map[string]position)
+	}
+	for i := range workers {
+		r.agents[fmt.Sprint("w", i)] = &agentModel{incarnation: 1, seq: 1, home: i % entries}
+	}
+	return r
+}
+
+func (r *region) heartbeat(t *rapid.T, worker string) {
+	a := r.agents[worker]
+	table := r.tables[a.home]
+	need, err := table.Heartbeat(r.now, beat(worker, a.incarnation, a.seq, !a.acked))
+	if err != nil {
+		t.Fatalf("heartbeat of the newest incarnation refused: %v", err)
+	}
+	a.acked = !need
+}
+
+func (r *region) send(from int, full bool) {
+	t := r.tables[from]
+	states, silent, _ := t.Own(r.now, 0, full)
+	for to := range r.tables {
+		if to != from {
+			r.flying = append(r.flying, flight{to: to, u: wire.PeerUpdate{From: entryInfo(t.self, 1), Full: full, States: states, Silent: silent}})
+		}
+	}
+}
+
+func (r *region) deliver(t *rapid.T, f flight) {
+	if _, err := r.tables[f.to].Peer(r.now, &f.u); err != nil {
+		t.Fatalf("update refused: %v", err)
+	}
+}
+
+// check fails if the state of a worker went back in a view.
+func (r *region) check(t *rapid.T) {
+	for _, table := range r.tables {
+		table.Publish()
+		for id, w := range table.View().Workers {
+			p := position{w.State.Incarnation, w.State.Seq}
+			if p.before(r.highest[table.self][id]) {
+				t.Fatalf("%s: the state of %s went back from %v to %v", table.self, id, r.highest[table.self][id], p)
+			}
+			r.highest[table.self][id] = p
+		}
+	}
+}
+
+// Guards against states that go back and tables that stay apart when messages
+// between entries are lost, duplicated and reordered.
+func TestExchangeUnderRandomInterleavings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRegion(3, 3)
+		worker := rapid.SampledFrom([]string{"w0", "w1", "w2"})
+		entry := rapid.IntRange(0, 2)
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) {
+				a := r.agents[worker.Draw(t, "worker")]
+				a.seq++
+				a.acked = false
+			},
+			"restart": func(t *rapid.T) {
+				a := r.agents[worker.Draw(t, "worker")]
+				a.incarnation++
+				a.seq = 1
+				a.acked = false
+			},
+			"move": func(t *rapid.T) {
+				a := r.agents[worker.Draw(t, "worker")]
+				a.home = entry.Draw(t, "entry")
+				a.acked = false
+			},
+			"heartbeat": func(t *rapid.T) { r.heartbeat(t, worker.Draw(t, "worker")) },
+			"old heartbeat": func(t *rapid.T) {
+				id := worker.Draw(t, "worker")
+				a := r.agents[id]
+				table := r.tables[a.home]
+				before := table.View().Workers[id]
+				_, err := table.Heartbeat(r.now, beat(id, a.incarnation-1, 99, true))
+				if before != nil && before.State.Incarnation == inc(a.incarnation) && result.CodeOf(err) != result.StaleIncarnation {
+					t.Fatalf("an older incarnation was accepted: %v", err)
+				}
+			},
+			"send": func(t *rapid.T) { r.send(entry.Draw(t, "entry"), rapid.Bool().Draw(t, "full")) },
+			"clock": func(t *rapid.T) {
+				r.now = r.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			},
+			"deliver": func(t *rapid.T) {
+				if len(r.flying) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(r.flying)-1).Draw(t, "message")
+				f := r.flying[i]
+				switch rapid.SampledFrom([]string{"deliver", "duplicate", "lose"}).Draw(t, "fate") {
+				case "deliver":
+					r.flying = append(r.flying[:i], r.flying[i+1:]...)
+				case "lose":
+					r.flying = append(r.flying[:i], r.flying[i+1:]...)
+					return
+				}
+				r.deliver(t, f)
+			},
+			"": r.check,
+		})
+		r.flying = nil
+		r.settle(t)
+	})
+}
+
+// settle lets two quiet rounds pass and checks that all tables agree with the
+// agents. The time before the first is long enough for an earlier home to see
+// that its worker has left.
+func (r *region) settle(t *rapid.T) {
+	r.now = r.now.Add(2 * overdue)
+	for range 2 {
+		for id := range r.agents {
+			r.heartbeat(t, id)
+			r.heartbeat(t, id)
+		}
+		for i := range r.tables {
+			r.send(i, true)
+		}
+		for _, f := range r.flying {
+			r.deliver(t, f)
+		}
+		r.flying = nil
+		r.now = r.now.Add(time.Second)
+	}
+	r.check(t)
+	for _, table := range r.tables {
+		table.Tick(r.now)
+		for id, a := range r.agents {
+			w := table.View().Workers[id]
+			if w == nil || w.State.Incarnation != inc(a.incarnation) || w.State.Seq != a.seq || w.Health != Alive {
+				t.Fatalf("%s does not agree with agent %s (%+v): %+v", table.self, id, a, w)
+			}
+			if want := r.tables[a.home].self; w.Home != want {
+				t.Fatalf("%s has %s as the home of %s in place of %s", table.self, w.Home, id, want)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/members/service_test.go
@@ -0,0 +1,187 @@
+package members
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"snipegw/internal/model"
+	"snipegw/internal/result"
+	"snipegw/internal/store"
+	"snipegw/internal/transport"
+	"snipegw/internal/wire"
+)
+
+// memoryStore holds one key. Other operations than get and compare-and-swap
+// are not used here.
+type memoryStore struct {
+	store.Store
+	mu    sync.Mutex
+	entry store.Entry
+	down  atomic.Bool
+}
+
+func (m *memoryStore) Get(context.Context, string) (store.Entry, error) {
+	if m.down.Load() {
+		return store.Entry{}, result.Errorf(result.StoreUnavailable, "down")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.entry, nil
+}
+
+func (m *memoryStore) CompareAndSwap(_ context.Context, _ string, rev uint64, value []byte) (bool, error) {
+	if m.down.Load() {
+		return false, result.Errorf(result.StoreUnavailable, "down")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.entry.Revision != rev {
+		return false, nil
+	}
+	m.entry = store.Entry{Value: value, Revision: rev + 1}
+	return true, nil
+}
+
+type versionSource struct {
+	version atomic.Uint64
+	offered atomic.Uint64
+}
+
+func (v *versionSource) Current() *model.Config { return &model.Config{Version: v.version.Load()} }
+func (v *versionSource) Offer(version uint64, _ func(context.Context) ([]byte, error)) {
+	v.offered.Store(version)
+}
+
+type recordingSink struct {
+	planner atomic.Bool
+	epoch   atomic.Uint64
+	highest atomic.Uint64
+	events  atomic.Int64
+}
+
+func (s *recordingSink) GangEvents(_, _ string, events []wire.GangEvent) uint64 {
+	if !s.planner.Load() {
+		return 0
+	}
+	s.events.Add(int64(len(events)))
+	return events[len(events)-1].Seq
+}
+func (s *recordingSink) PlannerState() (bool, uint64) { return s.planner.Load(), s.epoch.Load() }
+func (s *recordingSink) ObserveEpoch(e uint64)        { s.highest.Store(e) }
+
+type runningEntry struct {
+	*Service
+	config *versionSource
+	sink   *recordingSink
+	addr   string
+}
+
+func runEntry(id string, st store.Store) *runningEntry {
+	ginkgo.GinkgoHelper()
+	creds, err := transport.NewCredentials(transport.Security{Mode: transport.ModeDevelopment})
+	Expect(err).NotTo(HaveOccurred())
+	pool, err := transport.NewPool("127.0.0.1:0", creds)
+	Expect(err).NotTo(HaveOccurred())
+	mux := &transport.Mux{}
+	srv, err := transport.Listen("127.0.0.1:0", creds, mux)
+	Expect(err).NotTo(HaveOccurred())
+	e := &runningEntry{config: &versionSource{}, sink: &recordingSink{}, addr: srv.Addr()}
+	e.Service = New(Options{Self: wire.EntryInfo{ID: id, Address: srv.Addr(), Region: "r", FailureDomain: "f"}, Store: st, Pool: pool, Config: e.config})
+	e.SetSink(e.sink)
+	e.Register(mux)
+	Expect(e.Start(context.Background())).To(Succeed())
+	ginkgo.DeferCleanup(func() {
+		_ = e.Stop(context.Background())
+		_ = pool.Close()
+		_ = srv.Close()
+	})
+	return e
+}
+
+var _ = ginkgo.Describe("Service", func() {
+	var (
+		kv   *memoryStore
+		a, b *runningEntry
+	)
+	const patience = 5 * time.Second
+
+	ginkgo.BeforeEach(func() {
+		kv = &memoryStore{}
+		a = runEntry("a", kv)
+		b = runEntry("b", kv)
+		Eventually(func() int { return len(a.View().Entries) }, patience).Should(Equal(2))
+		Eventually(func() int { return len(b.View().Entries) }, patience).Should(Equal(2))
+	})
+
+	send := func(e *runningEntry, hb *wire.Heartbeat) *wire.HeartbeatReply {
+		ginkgo.GinkgoHelper()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		reply := &wire.HeartbeatReply{}
+		Expect(a.Pool.Call(ctx, e.addr, wire.KindHeartbeat, hb, reply)).To(Succeed())
+		return reply
+	}
+
+	ginkgo.It("passes worker states, versions and epochs on to the other entry", func() {
+		hb := beat("w", 1, 1, true)
+		hb.State.Epoch = 41
+		a.config.version.Store(7)
+		send(a, hb)
+		Eventually(func() *Worker { return b.View().Workers["w"] }, patience).ShouldNot(BeNil())
+		Expect(b.View().Workers["w"].Home).To(Equal("a"))
+		Eventually(b.sink.highest.Load, patience).Should(Equal(uint64(41)))
+		Eventually(b.config.offered.Load, patience).Should(Equal(uint64(7)))
+		Eventually(func() uint64 { return b.View().Entries["a"].ConfigVersion }, patience).Should(Equal(uint64(7)))
+	})
+
+	ginkgo.It("passes gang events on to the planner and its acknowledgement back", func() {
+		b.sink.epoch.Store(3)
+		b.sink.planner.Store(true)
+		Eventually(func() bool { _, ok := a.View().Planner(); return ok }, patience).Should(BeTrue())
+		hb := beat("w", 1, 1, true)
+		hb.Events = []wire.GangEvent{{Seq: 4, Job: "j"}, {Seq: 5, Job: "j"}}
+		send(a, hb)
+		Eventually(func() uint64 { return send(a, beat("w", 1, 1, false)).AckedEvents }, patience).Should(Equal(uint64(5)))
+		Expect(b.sink.events.Load()).To(Equal(int64(2)))
+	})
+
+	ginkgo.It("sends the list of entries only to agents that do not have it", func() {
+		reply := send(a, beat("w", 1, 1, true))
+		Expect(reply.Entries).To(HaveLen(2))
+		hb := beat("w", 1, 1, false)
+		hb.EntriesHash = wire.HashEntries(reply.Entries)
+		Expect(send(a, hb).Entries).To(BeEmpty())
+	})
+
+	ginkgo.It("keeps the exchange up while the store is down", func() {
+		kv.down.Store(true)
+		send(a, beat("w", 1, 1, true))
+		Eventually(func() *Worker { return b.View().Workers["w"] }, patience).ShouldNot(BeNil())
+	})
+
+	ginkgo.It("leaves the directory when it stops", func() {
+		Expect(b.leaveDirectory(context.Background())).To(Succeed())
+		var d directory
+		Expect(json.Unmarshal(kv.entry.Value, &d)).To(Succeed())
+		Expect(d.Entries).To(HaveLen(1))
+		Expect(d.Entries[0].ID).To(Equal("a"))
+	})
+})
+
+var _ = ginkgo.Describe("directory", func() {
+	ginkgo.It("drops a record that has not changed for 30 s by the reader's own clock", func() {
+		seen := make(map[string]observation)
+		e := wire.EntryInfo{ID: "e", Incarnation: "1", UpdatedMS: 1}
+		Expect(staleRecord(seen, e, start)).To(BeFalse())
+		Expect(staleRecord(seen, e, start.Add(directoryStale))).To(BeFalse())
+		Expect(staleRecord(seen, e, start.Add(directoryStale+1))).To(BeTrue())
+		e.UpdatedMS = 2
+		Expect(staleRecord(seen, e, start.Add(directoryStale+2))).To(BeFalse())
+	})
+})
--- a/internal/wire/incarnation.go
+++ b/internal/wire/incarnation.go
@@ -13,7 +13,7 @@
 // as strings in the order of their times; the random part tells apart processes
 // with the same time.
 func NewIncarnation(now time.Time) string {
-	return fmt.Sprintf("%013x%04x", now.UnixMicro(), rand.Uint32()&0xffff)
+	return fmt.Sprintf("%014x%04x", now.UnixMicro(), rand.Uint32()&0xffff)
 }
 
 // HashEntries identifies a list of entries by their ids, addresses and failure
