--- /dev/null
+++ b/internal/config/inforce.go
@@ -0,0 +1,43 @@
+package config
+
+import (
+	"sort"
+
+	"snipegw/internal/members"
+)
+
+// Report says where a version is in force.
+type Report struct {
+	Version uint64 `json:"version"`
+	InForce int    `json:"in_force"`
+	Total   int    `json:"total"`
+	// Missing names the processes that have not confirmed the version, as
+	// "entry <id>" or "agent <worker>", in order.
+	Missing []string `json:"missing,omitempty"`
+}
+
+// Complete reports whether the version is in force everywhere.
+func (r Report) Complete() bool { return r.Total > 0 && r.InForce == r.Total }
+
+// InForce counts the processes of view that have version or a newer one. A
+// process that cannot be reached counts as missing until it is dropped from
+// the membership.
+func InForce(view *members.View, version uint64) Report {
+	r := Report{Version: version}
+	count := func(name string, have uint64, health members.Health) {
+		r.Total++
+		if have >= version && health != members.Dead {
+			r.InForce++
+			return
+		}
+		r.Missing = append(r.Missing, name)
+	}
+	for id, e := range view.Entries {
+		count("entry "+id, e.ConfigVersion, e.Health)
+	}
+	for id, w := range view.Workers {
+		count("agent "+id, w.State.ConfigVersion, w.Health)
+	}
+	sort.Strings(r.Missing)
+	return r
+}
