--- /dev/null
+++ b/internal/jobs/forward.go
@@ -0,0 +1,206 @@
+package jobs
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"strconv"
+	"time"
+
+	"snipegw/internal/model"
+	"snipegw/internal/result"
+	"snipegw/internal/transport"
+	"snipegw/internal/wire"
+)
+
+const (
+	// submitTimeout bounds Submit and Cancel. A change of planner takes the 2 s
+	// of the lease and the read of the pages.
+	submitTimeout = 6 * time.Second
+	// queryTimeout bounds the wait for the planner's answer to Status and List.
+	queryTimeout = 1500 * time.Millisecond
+	orderWait    = 5 * time.Second
+	// tryTimeout bounds one call to the planner, so that a dead planner does not
+	// use up the time in which its successor could answer.
+	tryTimeout    = 3500 * time.Millisecond
+	firstTryPause = 25 * time.Millisecond
+	maxTryPause   = 400 * time.Millisecond
+)
+
+// plannerAddress returns the address of the planner by the membership or by the
+// lease, whichever has the higher epoch.
+func (h *Host) plannerAddress() (string, bool) {
+	var addr, incarnation string
+	var epoch uint64
+	if e, ok := h.o.Membership.View().Planner(); ok {
+		addr, incarnation, epoch = e.Info.Address, e.Info.Incarnation, e.PlannerEpoch
+	}
+	if v := h.known.Load(); v != nil && v.Holder != "" && v.Epoch >= epoch {
+		addr, incarnation = v.Address, v.Incarnation
+	}
+	return addr, addr != "" && incarnation != h.o.Entry.Incarnation
+}
+
+// askPlanner calls the planner, wherever it is, and repeats the call while there
+// is none or its answer was lost. The call must be idempotent. Ambiguous is set
+// if an earlier try may have taken effect.
+func askPlanner[Req, Reply any](ctx context.Context, h *Host, kind wire.Kind, req *Req, local func(*term, context.Context, *Req) (*Reply, error)) (reply *Reply, ambiguous bool, err error) {
+	pause := firstTryPause
+	err = result.Errorf(result.NoPlanner, "the region has no planner at the moment")
+	for {
+		r, terr := tryPlanner(ctx, h, kind, req, local)
+		if terr == nil {
+			return r, ambiguous, nil
+		}
+		var re *result.Error
+		switch {
+		case !errors.As(terr, &re):
+			ambiguous = ambiguous || !transport.NotSent(terr)
+		case isCode(terr, result.OutcomeUnknown, result.BrokenResponse, result.Internal):
+			ambiguous = true
+		case !isCode(terr, result.NotPlanner, result.NoPlanner, result.Stopping, result.Fenced):
+			return nil, ambiguous, terr
+		}
+		if !sleep(ctx, pause) {
+			return nil, ambiguous, err
+		}
+		pause = min(2*pause, maxTryPause)
+	}
+}
+
+func tryPlanner[Req, Reply any](ctx context.Context, h *Host, kind wire.Kind, req *Req, local func(*term, context.Context, *Req) (*Reply, error)) (*Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	if t := h.term.Load(); t != nil {
+		return local(t, ctx, req)
+	}
+	addr, ok := h.plannerAddress()
+	if !ok {
+		return nil, result.Errorf(result.NoPlanner, "the region has no planner at the moment")
+	}
+	reply := new(Reply)
+	if err := h.o.Pool.Call(ctx, addr, kind, req, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// Submit implements Service.
+func (h *Host) Submit(ctx context.Context, job model.Job) (model.JobStatus, error) {
+	if job.ID == "" {
+		job.ID = "job-" + rand.Text()
+	}
+	if job.SubmittedMS == 0 {
+		job.SubmittedMS = time.Now().UnixMilli()
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	reply, ambiguous, err := askPlanner(ctx, h, wire.KindJobSubmit, &wire.JobSubmit{Job: job}, (*term).serveSubmit)
+	switch {
+	case err == nil:
+		return reply.Status, nil
+	case ambiguous && isCode(err, result.NoPlanner, result.StoreUnavailable):
+		// The last answer says not accepted, but an earlier try may still be.
+		return model.JobStatus{}, h.resolveSubmit(job)
+	}
+	return model.JobStatus{}, err
+}
+
+// resolveSubmit looks for a job whose submission had no answer.
+func (h *Host) resolveSubmit(job model.Job) error {
+	ctx, cancel := context.WithTimeout(h.ctx, pageCallTimeout)
+	defer cancel()
+	if r, err := h.readRecord(ctx, job.ID); err == nil && !sameJob(&r.Status.Job, &job) {
+		return result.Errorf(result.JobConflict, "job %s exists with other fields", job.ID)
+	}
+	return errOutcomeUnknown(job.ID)
+}
+
+// Status implements Service.
+func (h *Host) Status(ctx context.Context, id string) (model.JobStatus, error) {
+	pctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	reply, _, err := askPlanner(pctx, h, wire.KindJobStatus, &wire.JobQuery{ID: id}, (*term).serveStatus)
+	if err == nil {
+		return reply.Status, nil
+	}
+	if isCode(err, result.UnknownJob) {
+		return model.JobStatus{}, err
+	}
+	return h.statusFromStore(ctx, id, err)
+}
+
+// statusFromStore answers while the planner is away. A job that is missing from
+// the page is not called unknown: the store may have returned an older state.
+func (h *Host) statusFromStore(ctx context.Context, id string, cause error) (model.JobStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, pageCallTimeout)
+	defer cancel()
+	r, err := h.readRecord(ctx, id)
+	if err != nil {
+		return model.JobStatus{}, result.Errorf(result.NoPlanner, "the planner does not answer (%s), and the store has no answer either: %s", result.MessageOf(cause), result.MessageOf(err))
+	}
+	st := r.Status
+	fields := map[string]string{
+		"source": "store",
+		"age_ms": strconv.FormatInt(time.Now().UnixMilli()-st.UpdatedMS, 10),
+	}
+	for k, v := range st.Reason.Fields {
+		fields[k] = v
+	}
+	st.Reason.Fields = fields
+	return st, nil
+}
+
+func (h *Host) readRecord(ctx context.Context, id string) (Record, error) {
+	e, err := h.o.Store.Get(ctx, PageKey(h.o.Entry.Region, PageOf(id)))
+	if err != nil {
+		return Record{}, err
+	}
+	d, err := decodePage(e.Value)
+	if err != nil {
+		return Record{}, err
+	}
+	if r, ok := d.find(id); ok {
+		return r, nil
+	}
+	return Record{}, result.Errorf(result.UnknownJob, "job %s is not on its page", id)
+}
+
+// Cancel implements Service.
+func (h *Host) Cancel(ctx context.Context, ids []string, team string) ([]result.Code, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	reply, ambiguous, err := askPlanner(ctx, h, wire.KindJobCancel, &wire.JobCancel{IDs: ids, Team: team}, (*term).serveCancel)
+	if err != nil {
+		if ambiguous {
+			return nil, result.Errorf(result.OutcomeUnknown, "whether the cancellation was recorded is not known; repeat it")
+		}
+		return nil, err
+	}
+	if len(reply.Codes) != len(ids) {
+		return nil, result.Errorf(result.Internal, "the planner answered %d of %d ids", len(reply.Codes), len(ids))
+	}
+	return reply.Codes, nil
+}
+
+// List implements Service.
+func (h *Host) List(ctx context.Context, team string, limit int) (wire.JobListReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	reply, _, err := askPlanner(ctx, h, wire.KindJobList, &wire.JobListQuery{Team: team, Limit: limit}, (*term).serveList)
+	if err != nil {
+		return wire.JobListReply{}, err
+	}
+	return *reply, nil
+}
+
+// WorkerOrder implements Service.
+func (h *Host) WorkerOrder(ctx context.Context, worker, action string) error {
+	ctx, cancel := context.WithTimeout(ctx, orderWait)
+	defer cancel()
+	_, ambiguous, err := askPlanner(ctx, h, wire.KindPlanner, &wire.PlannerOrder{Worker: worker, Action: action}, (*term).serveOrder)
+	if err != nil && ambiguous {
+		return result.Errorf(result.OutcomeUnknown, "whether worker %s has carried out %s is not known; repeat the order", worker, action)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/jobs/host.go
@@ -0,0 +1,215 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"snipegw/internal/config"
+	"snipegw/internal/members"
+	"snipegw/internal/model"
+	"snipegw/internal/planner/framework"
+	"snipegw/internal/result"
+	"snipegw/internal/store"
+	"snipegw/internal/transport"
+	"snipegw/internal/wire"
+)
+
+// metrics holds the counters of the package.
+var metrics = expvar.NewMap("jobs")
+
+// Caller makes unary calls to other processes; *transport.Pool implements it.
+type Caller interface {
+	Call(ctx context.Context, addr string, kind wire.Kind, msg, reply any) error
+}
+
+// Options are the parts that a Host uses.
+type Options struct {
+	Store      store.Store
+	Membership members.Membership
+	Pool       Caller
+	Config     config.Source
+	// Policy makes the scheduler of a planner term.
+	Policy framework.Factory
+	// Entry is this process. Its Incarnation must differ from that of every
+	// earlier process with the same ID.
+	Entry wire.EntryInfo
+}
+
+// Host takes part in the election of the region's planner and is the planner
+// while it holds the lease. It implements kernel.Component, Service and
+// members.EventSink.
+type Host struct {
+	o       Options
+	started time.Time
+
+	term atomic.Pointer[term] // nil while another process is the planner
+	// known is the latest lease seen in the store.
+	known atomic.Pointer[leaseValue]
+	// highest is the highest epoch seen anywhere.
+	highest atomic.Uint64
+
+	ctx      context.Context // ends when the program must end at once
+	cancel   context.CancelFunc
+	stopping chan struct{}
+	stopOnce sync.Once
+	done     chan struct{}
+}
+
+var (
+	_ Service           = (*Host)(nil)
+	_ members.EventSink = (*Host)(nil)
+)
+
+// New returns a Host that takes part in the election after Start.
+func New(o Options) *Host {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Host{o: o, ctx: ctx, cancel: cancel, stopping: make(chan struct{}), done: make(chan struct{})}
+	return h
+}
+
+// Name implements kernel.Component.
+func (h *Host) Name() string { return "jobs" }
+
+// Start implements kernel.Component.
+func (h *Host) Start(ctx context.Context) error {
+	context.AfterFunc(ctx, h.cancel)
+	h.started = time.Now()
+	h.o.Config.OnChange(func(c *model.Config) {
+		if t := h.term.Load(); t != nil {
+			t.post(func() { t.applyConfig(c) })
+		}
+	})
+	go h.elect()
+	return nil
+}
+
+// Stop implements kernel.Component. A planner finishes its writes and releases
+// the lease, so that another entry takes over at once.
+func (h *Host) Stop(ctx context.Context) error {
+	h.stopOnce.Do(func() { close(h.stopping) })
+	select {
+	case <-h.done:
+		return nil
+	case <-ctx.Done():
+		h.cancel()
+		<-h.done
+		return ctx.Err()
+	}
+}
+
+// Register adds the handlers of calls from other entries to mux.
+func (h *Host) Register(mux *transport.Mux) {
+	mux.Handle(wire.KindJobSubmit, transport.Unary(onPlanner(h, (*term).serveSubmit)))
+	mux.Handle(wire.KindJobStatus, transport.Unary(onPlanner(h, (*term).serveStatus)))
+	mux.Handle(wire.KindJobCancel, transport.Unary(onPlanner(h, (*term).serveCancel)))
+	mux.Handle(wire.KindJobList, transport.Unary(onPlanner(h, (*term).serveList)))
+	mux.Handle(wire.KindPlanner, transport.Unary(onPlanner(h, (*term).serveOrder)))
+}
+
+// onPlanner refuses calls while this process is not the planner.
+func onPlanner[Req, Reply any](h *Host, f func(*term, context.Context, *Req) (*Reply, error)) func(context.Context, *Req) (*Reply, error) {
+	return func(ctx context.Context, req *Req) (*Reply, error) {
+		t := h.term.Load()
+		if t == nil {
+			return nil, errNotPlanner()
+		}
+		return f(t, ctx, req)
+	}
+}
+
+func errNotPlanner() error {
+	return result.Errorf(result.NotPlanner, "this entry does not hold the planner lease")
+}
+
+// PlannerState implements members.EventSink.
+func (h *Host) PlannerState() (bool, uint64) {
+	if t := h.term.Load(); t != nil {
+		return true, t.epoch
+	}
+	return false, h.highest.Load()
+}
+
+// ObserveEpoch implements members.EventSink. A planner that learns of a higher
+// epoch steps down.
+func (h *Host) ObserveEpoch(epoch uint64) {
+	for {
+		old := h.highest.Load()
+		if epoch <= old {
+			return
+		}
+		if h.highest.CompareAndSwap(old, epoch) {
+			break
+		}
+	}
+	if t := h.term.Load(); t != nil && epoch > t.epoch {
+		t.end("a higher epoch was seen")
+	}
+}
+
+// GangEvents implements members.EventSink.
+func (h *Host) GangEvents(worker, incarnation string, events []wire.GangEvent) uint64 {
+	t := h.term.Load()
+	if t == nil {
+		return 0
+	}
+	return t.offerEvents(worker, incarnation, events)
+}
+
+// DumpState returns the state of the planner for /debug/state.
+func (h *Host) DumpState() any {
+	state := map[string]any{"highest_epoch": h.highest.Load(), "lease": h.known.Load()}
+	if t := h.term.Load(); t != nil {
+		ctx, cancel := context.WithTimeout(h.ctx, time.Second)
+		defer cancel()
+		_ = t.do(ctx, func() { state["planner"] = t.dump() })
+	}
+	return state
+}
+
+// sleep waits for about d, spread by half so that entries that failed together
+// do not call the store again together. It reports false if ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d/2 + rand.N(d))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// isCode reports whether err carries one of codes.
+func isCode(err error, codes ...result.Code) bool {
+	var e *result.Error
+	if !errors.As(err, &e) {
+		return false
+	}
+	for _, c := range codes {
+		if e.Code == c {
+			return true
+		}
+	}
+	return false
+}
+
+func logEvent(event string, fields log.Fields) *log.Entry {
+	fields["event"] = event
+	return log.WithFields(fields)
+}
+
+func encodeJSON(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // v is a plain struct of this package
+	}
+	return data
+}
--- /dev/null
+++ b/internal/jobs/serve.go
@@ -0,0 +1,347 @@
+package jobs
+
+import (
+	"context"
+	"reflect"
+	"sort"
+	"time"
+
+	"snipegw/internal/model"
+	"snipegw/internal/result"
+	"snipegw/internal/wire"
+)
+
+const (
+	// recordTimeout bounds the wait of a call until its change is durable. The
+	// store's own timeout and one repetition fit in.
+	recordTimeout = 3 * time.Second
+	// MaxCancel bounds the ids of one cancellation.
+	MaxCancel = 10_000
+	// MaxList bounds the jobs of one list.
+	MaxList = 10_000
+)
+
+func (t *term) serveSubmit(ctx context.Context, req *wire.JobSubmit) (*wire.JobReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	answer := make(chan submitAnswer, 1)
+	if err := t.do(ctx, func() { t.submit(req.Job, func(a submitAnswer) { answer <- a }) }); err != nil {
+		return nil, errOutcomeUnknown(req.Job.ID)
+	}
+	select {
+	case a := <-answer:
+		if a.err != nil {
+			return nil, a.err
+		}
+		return &wire.JobReply{Status: a.status}, nil
+	case <-ctx.Done():
+		return nil, errOutcomeUnknown(req.Job.ID)
+	}
+}
+
+func errOutcomeUnknown(id string) error {
+	return result.Errorf(result.OutcomeUnknown, "whether job %s was accepted is not known yet; ask for its status, or submit it again under the same id", id)
+}
+
+type submitAnswer struct {
+	status model.JobStatus
+	err    error
+}
+
+// submit records a job. Reply is called once, on the goroutine of the term.
+func (t *term) submit(spec model.Job, reply func(submitAnswer)) {
+	j := t.jobs[spec.ID]
+	if j != nil {
+		if !sameJob(&j.rec.Status.Job, &spec) {
+			reply(submitAnswer{err: result.Errorf(result.JobConflict, "job %s exists with other fields", spec.ID)})
+			return
+		}
+		t.answerRecorded(j, j.page.version, reply, nil)
+		return
+	}
+	j, err := t.newJob(spec)
+	if err != nil {
+		reply(submitAnswer{err: err})
+		return
+	}
+	version := t.changed(j)
+	j.page.encoded(j)
+	t.answerRecorded(j, version, reply, func() { t.withdraw(j) })
+}
+
+// newJob checks what only the planner can check and adds the job to its page.
+func (t *term) newJob(spec model.Job) (*job, error) {
+	p := t.pages[PageOf(spec.ID)]
+	switch {
+	case t.draining.Load():
+		return nil, errNotPlanner()
+	case t.suspended() || p.failing:
+		return nil, result.Errorf(result.StoreUnavailable, "the store does not answer; the job was not accepted")
+	}
+	if err := t.checkTeam(spec); err != nil {
+		return nil, err
+	}
+	j := &job{page: p}
+	j.rec.Status = model.JobStatus{Job: spec, State: model.JobQueued,
+		Reason: model.Reason{Rule: "accepted", Sentence: "The job is recorded and waits for the scheduler."}}
+	size := len(encodeJSON(&j.rec))
+	if size > MaxRecordBytes {
+		return nil, result.Errorf(result.BadRequest, "the job has %d bytes, more than the limit of %d", size, MaxRecordBytes)
+	}
+	droppable := 0
+	for _, e := range p.ended() {
+		droppable += e.size
+	}
+	if p.bytes-droppable+size > MaxPageBytes {
+		return nil, result.Errorf(result.JobIndexFull, "page %s of the job index is full", p.key)
+	}
+	p.jobs[spec.ID] = j
+	t.jobs[spec.ID] = j
+	t.active[spec.Team]++
+	metrics.Add("submitted", 1)
+	return j, nil
+}
+
+func (t *term) checkTeam(spec model.Job) error {
+	c := t.h.o.Config.Current()
+	if c == nil {
+		return result.Errorf(result.ConfigVersionUnknown, "the planner has no configuration yet")
+	}
+	team, ok := c.Team(spec.Team)
+	if !ok {
+		return result.Errorf(result.UnknownTeam, "team %s is not in configuration version %d", spec.Team, c.Version)
+	}
+	limit := team.MaxQueuedJobs
+	if limit == 0 {
+		limit = c.Limits.MaxQueuedJobs
+	}
+	if limit > 0 && t.active[spec.Team] >= limit {
+		return result.Errorf(result.Overloaded, "team %s has %d jobs that have not ended, its limit", spec.Team, limit)
+	}
+	return nil
+}
+
+// withdraw takes back a job that has not been sent to the store.
+func (t *term) withdraw(j *job) {
+	j.page.remove(j)
+	delete(t.jobs, j.id())
+	if !j.rec.Status.State.Final() {
+		t.active[j.rec.Status.Job.Team]--
+	}
+}
+
+// answerRecorded replies once the job is durable. The first time, the job is
+// handed to the scheduler, so that a refusal goes into the answer.
+func (t *term) answerRecorded(j *job, version uint64, reply func(submitAnswer), withdraw func()) {
+	t.await(j.page, version, func(err error) {
+		if err != nil {
+			if isCode(err, result.OutcomeUnknown) {
+				err = errOutcomeUnknown(j.id())
+			}
+			reply(submitAnswer{err: err})
+			return
+		}
+		j.recorded = true
+		if !j.admitted && j.att == nil && t.settled && j.rec.Status.State == model.JobQueued {
+			t.admit(j)
+			t.decide()
+		}
+		j.answered = true
+		st := t.status(j)
+		if st.State == model.JobRefused {
+			reply(submitAnswer{err: result.Errorf(result.ImpossibleShape, "job %s: %s", st.Job.ID, st.Reason.Sentence)})
+			return
+		}
+		reply(submitAnswer{status: st})
+	}, withdraw)
+}
+
+// sameJob compares what the caller chose.
+func sameJob(a, b *model.Job) bool {
+	x, y := *a, *b
+	x.SubmittedMS, y.SubmittedMS = 0, 0
+	if len(x.Command) == 0 && len(y.Command) == 0 {
+		x.Command, y.Command = nil, nil
+	}
+	return reflect.DeepEqual(x, y)
+}
+
+// status returns the status of j with the scheduler's present reason.
+func (t *term) status(j *job) model.JobStatus {
+	st := j.rec.Status
+	if j.admitted && st.State != model.JobStopping {
+		if r, ok := t.sched.Explain(j.id()); ok {
+			st.Reason = r
+		}
+	}
+	return st
+}
+
+func (t *term) serveStatus(ctx context.Context, req *wire.JobQuery) (*wire.JobReply, error) {
+	var reply *wire.JobReply
+	err := t.do(ctx, func() {
+		if j := t.jobs[req.ID]; j != nil {
+			reply = &wire.JobReply{Status: t.status(j)}
+		}
+	})
+	switch {
+	case err != nil:
+		return nil, errNotPlanner()
+	case reply == nil && t.suspended():
+		return nil, errNotPlanner() // a newer planner may have accepted the job
+	case reply == nil:
+		return nil, result.Errorf(result.UnknownJob, "there is no job %s", req.ID)
+	}
+	return reply, nil
+}
+
+func (t *term) serveCancel(ctx context.Context, req *wire.JobCancel) (*wire.JobCancelReply, error) {
+	if len(req.IDs) > MaxCancel {
+		return nil, result.Errorf(result.BadRequest, "%d ids exceed the limit of %d", len(req.IDs), MaxCancel)
+	}
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	codes := make([]result.Code, len(req.IDs))
+	durable := make(chan int, len(req.IDs))
+	waiting := 0
+	if err := t.do(ctx, func() { waiting = t.cancelAll(req, codes, durable) }); err != nil {
+		return nil, errNotPlanner()
+	}
+	pending := make(map[int]bool)
+	for i, c := range codes {
+		if c == result.Accepted {
+			pending[i] = true
+		}
+	}
+	for ; waiting > 0; waiting-- {
+		select {
+		case i := <-durable:
+			delete(pending, i)
+		case <-ctx.Done():
+			waiting = 1
+		}
+	}
+	// A cancellation that is not durable takes effect in this term, but a
+	// successor may not know of it.
+	for i := range pending {
+		codes[i] = result.OutcomeUnknown
+	}
+	return &wire.JobCancelReply{Codes: codes}, nil
+}
+
+// cancelAll fills codes and returns the number of changes whose index will be
+// sent to durable.
+func (t *term) cancelAll(req *wire.JobCancel, codes []result.Code, durable chan<- int) int {
+	waiting := 0
+	for i, id := range req.IDs {
+		j := t.jobs[id]
+		codes[i] = t.cancel(j, req.Team)
+		if codes[i] != result.Accepted {
+			continue
+		}
+		waiting++
+		t.await(j.page, j.page.version, func(err error) {
+			if err == nil {
+				durable <- i
+			}
+		}, nil)
+	}
+	return waiting
+}
+
+func (t *term) cancel(j *job, team string) result.Code {
+	switch {
+	case j == nil && t.suspended():
+		return result.NoPlanner
+	case j == nil:
+		return result.UnknownJob
+	case team != "" && team != j.rec.Status.Job.Team:
+		return result.Forbidden
+	case j.rec.Status.State.Final():
+		return result.OK
+	case j.rec.Status.Cancel:
+		return result.Accepted
+	}
+	j.rec.Status.Cancel = true
+	metrics.Add("cancel_requests", 1)
+	if j.admitted {
+		t.sched.Cancel(time.Now(), j.id())
+	}
+	if j.att == nil && t.settled {
+		t.cancelled(j)
+	} else if t.suspended() {
+		// Without the lease nothing is decided, but stops may go on.
+		t.stopAttempt(j, defaultGrace, "The job was cancelled on request.")
+	}
+	t.changed(j)
+	return result.Accepted
+}
+
+func (t *term) serveList(ctx context.Context, req *wire.JobListQuery) (*wire.JobListReply, error) {
+	limit := req.Limit
+	if limit <= 0 || limit > MaxList {
+		limit = MaxList
+	}
+	reply := &wire.JobListReply{Epoch: t.epoch}
+	err := t.do(ctx, func() {
+		reply.Unpacked = t.sched.Unpacked()
+		for _, j := range t.jobs {
+			if !j.rec.Status.State.Final() && (req.Team == "" || req.Team == j.rec.Status.Job.Team) {
+				reply.Jobs = append(reply.Jobs, t.status(j))
+			}
+		}
+	})
+	if err != nil {
+		return nil, errNotPlanner()
+	}
+	sort.Slice(reply.Jobs, func(a, b int) bool {
+		x, y := &reply.Jobs[a].Job, &reply.Jobs[b].Job
+		if x.SubmittedMS != y.SubmittedMS {
+			return x.SubmittedMS < y.SubmittedMS
+		}
+		return x.ID < y.ID
+	})
+	if len(reply.Jobs) > limit {
+		reply.Jobs = reply.Jobs[:limit]
+	}
+	return reply, nil
+}
+
+func (t *term) serveOrder(ctx context.Context, req *wire.PlannerOrder) (*wire.Ack, error) {
+	if t.h.o.Membership.View().Workers[req.Worker] == nil {
+		return nil, result.Errorf(result.UnknownWorker, "worker %s is not in the membership", req.Worker)
+	}
+	switch req.Action {
+	case actionDrain, actionQuarantine, actionRelease:
+	default:
+		return nil, result.Errorf(result.BadRequest, "action: %q must be drain, quarantine or release", req.Action)
+	}
+	if err := t.orderWorker(ctx, req.Worker, req.Action); err != nil {
+		return nil, err
+	}
+	err := t.do(ctx, func() { t.noteOrder(req) })
+	return &wire.Ack{Epoch: t.epoch}, err
+}
+
+// noteOrder tells the scheduler of an operator's order that the agent has
+// confirmed, before the next report of the agent does.
+func (t *term) noteOrder(req *wire.PlannerOrder) {
+	b := t.workers[req.Worker]
+	if b == nil {
+		return
+	}
+	now := time.Now()
+	switch req.Action {
+	case actionQuarantine:
+		b.judged, b.probing = false, false
+		b.held = now
+	case actionRelease:
+		b.judged, b.probing = false, false
+		b.held = time.Time{}
+	}
+	drain := req.Action != actionRelease
+	if drain != b.drained {
+		b.drained = drain
+		t.sched.DrainWorker(now, req.Worker, drain)
+	}
+}
