--- a/internal/jobs/serve.go
+++ b/internal/jobs/serve.go
@@ -269,8 +269,9 @@
 	}
 	if j.att == nil && t.settled {
 		t.cancelled(j)
-	} else if t.suspended() {
-		// Without the lease nothing is decided, but stops may go on.
+	} else if j.att != nil {
+		// The stop does not wait for the decision of the scheduler, since nothing
+		// is decided without the lease or during a graceful stop.
 		t.stopAttempt(j, defaultGrace, "The job was cancelled on request.")
 	}
 	t.changed(j)
