Test takeover, faults of the store and two planners

Cause: the planner host had one spec. Change: specs for takeover, fencing, worker failures, the job index and ten fault cases of a submission; a rapid property over two hosts with lapsing leases, lost answers and crashes.

--- a/internal/jobs/fakes_test.go
+++ b/internal/jobs/fakes_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -26,6 +27,7 @@
 
 func TestJobs(t *testing.T) {
 	suiteT = t
+	log.SetLevel(log.FatalLevel)
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "jobs")
 }
--- /dev/null
+++ b/internal/jobs/faults_test.go
@@ -0,0 +1,274 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"snipegw/internal/model"
+	"snipegw/internal/planner/framework"
+	"snipegw/internal/result"
+	"snipegw/internal/store/storetest"
+)
+
+// pageFault applies fault to the calls of op on job pages, for the first n
+// matching calls.
+func pageFault(op string, fault storetest.Fault, n int64) func(string, string) storetest.Fault {
+	var count atomic.Int64
+	return func(o, key string) storetest.Fault {
+		if strings.HasPrefix(key, "snipegw/jobs/") && (op == "" || o == op) && count.Add(1) <= n {
+			return fault
+		}
+		return storetest.None
+	}
+}
+
+func onPage(r *region, id string) bool {
+	d, err := decodePage(r.store.Peek(PageKey("north", PageOf(id))))
+	if err != nil {
+		return false
+	}
+	_, ok := d.find(id)
+	return ok
+}
+
+const always = int64(1) << 40
+
+var _ = Describe("a submission with a faulty store", func() {
+	// Guards against an answer that says "not accepted" for a job that is
+	// recorded, and against one that says "accepted" for a job that is not.
+	DescribeTable("has a truthful answer",
+		func(op string, fault storetest.Fault, n int64, want ...result.Code) {
+			inRegion(1, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+				h := r.addHost("e1")
+				Expect(until(10*time.Second, isPlanner(h))).To(BeTrue())
+				r.store.SetRule(pageFault(op, fault, n))
+				_, err := h.Submit(ctx, testJob("j1", 1, 8))
+				code := result.CodeOf(err)
+				Expect(want).To(ContainElement(code), fmt.Sprint(err))
+				if code == result.OK {
+					Expect(onPage(r, "j1")).To(BeTrue())
+				}
+				if code == result.OutcomeUnknown {
+					Expect(err.Error()).To(ContainSubstring("j1"))
+				}
+				r.store.SetRule(nil)
+				time.Sleep(15 * time.Second)
+				if code.NotRun() && code != result.OK {
+					Expect(onPage(r, "j1")).To(BeFalse())
+					Expect(r.startsOf("j1")).To(BeEmpty())
+					return
+				}
+				st, err := h.Submit(ctx, testJob("j1", 1, 8))
+				Expect(err).NotTo(HaveOccurred())
+				Expect(st.State).To(Equal(model.JobRunning))
+				Expect(r.startsOf("j1")).To(HaveLen(1))
+			})
+		},
+		Entry("write down once", storetest.OpCAS, storetest.Down, int64(1), result.OK),
+		Entry("write down", storetest.OpCAS, storetest.Down, always, result.OutcomeUnknown),
+		Entry("answer of the write lost once", storetest.OpCAS, storetest.AnswerLost, int64(1), result.OK),
+		Entry("answers of all writes lost", storetest.OpCAS, storetest.AnswerLost, always, result.OK),
+		Entry("write takes effect late", storetest.OpCAS, storetest.LateEffect, int64(1), result.OK),
+		Entry("all writes take effect late", storetest.OpCAS, storetest.LateEffect, always, result.OK, result.OutcomeUnknown),
+		Entry("writes slow", storetest.OpCAS, storetest.Slow, always, result.OK),
+		Entry("reads down", storetest.OpGet, storetest.Down, always, result.OutcomeUnknown, result.OK),
+		Entry("reads stale", storetest.OpGet, storetest.Stale, int64(3), result.OK),
+		Entry("all down", "", storetest.Down, always, result.OutcomeUnknown),
+	)
+
+	It("is refused at once while the store is known to be down", func() {
+		inRegion(1, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+			h := r.addHost("e1")
+			Expect(until(10*time.Second, isPlanner(h))).To(BeTrue())
+			r.store.SetRule(func(string, string) storetest.Fault { return storetest.Down })
+			time.Sleep(3 * time.Second)
+			began := time.Now()
+			_, err := h.Submit(ctx, testJob("j1", 1, 8))
+			Expect(result.CodeOf(err)).To(Equal(result.StoreUnavailable))
+			Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond))
+		})
+	})
+
+	// Guards against an outage of the store that ends running gangs, loses their
+	// end, or is followed by a burst of calls.
+	It("leaves running gangs alone and records their end afterwards", func() {
+		inRegion(1, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+			h := running(ctx, r)
+			h2 := r.addHost("e2")
+			submit(ctx, h, "j2")
+			r.store.SetRule(func(string, string) storetest.Fault { return storetest.Down })
+			before := total(r.store.Calls())
+			time.Sleep(30 * time.Second)
+			perSecond := float64(total(r.store.Calls())-before) / 30
+			GinkgoWriter.Printf("store calls per second in an outage, 2 entries: %.1f\n", perSecond)
+			Expect(perSecond).To(BeNumerically("<", 15))
+			r.endGang("j1", framework.OutcomeDone)
+			time.Sleep(10 * time.Second)
+			Expect(r.startsOf("j1")).To(HaveLen(1))
+			Expect(r.startsOf("j2")).To(BeEmpty())
+			r.store.SetRule(nil)
+			Expect(until(15*time.Second, func() bool { return stateOf(h2, "j2") == model.JobRunning })).To(BeTrue())
+			Expect(stateOf(h2, "j1")).To(Equal(model.JobDone))
+			Expect(r.startsOf("j1")).To(HaveLen(1))
+		})
+	})
+})
+
+func total(calls map[string]uint64) (n uint64) {
+	for _, c := range calls {
+		n += c
+	}
+	return n
+}
+
+// TestTwoPlanners interleaves faults, submissions, crashes and lapsing leases of
+// two hosts. It guards against a lost record, an epoch that goes back, and a
+// start by a planner whose lease has passed on.
+func TestTwoPlanners(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(0, 7), 5, 25).Draw(rt, "steps")
+		waits := rapid.SliceOfN(rapid.IntRange(1, 2500), len(steps), len(steps)).Draw(rt, "waits_ms")
+		var failure error
+		synctest.Test(t, func(*testing.T) { failure = twoPlanners(steps, waits) })
+		if failure != nil {
+			rt.Fatal(failure)
+		}
+	})
+}
+
+func twoPlanners(steps, waits []int) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := newRegion(3, 3*time.Millisecond)
+	defer r.stopAll()
+	defer cancel()
+	go r.deliver(ctx, 100*time.Millisecond)
+	hosts := []*Host{r.addHost("e0"), r.addHost("e1")}
+	time.Sleep(8 * time.Second)
+	accepted := map[string]bool{}
+	refused := map[string]bool{}
+	for i, step := range steps {
+		switch step {
+		case 0, 1, 2:
+			id := fmt.Sprint("j", i)
+			_, err := hosts[step%2].Submit(ctx, testJob(id, 1, 4))
+			switch code := result.CodeOf(err); {
+			case err == nil:
+				accepted[id] = true
+			case code.NotRun():
+				refused[id] = true
+			}
+		case 3:
+			r.store.SetRule(func(_, key string) storetest.Fault {
+				if key == LeaseKey("north") {
+					return storetest.Down
+				}
+				return storetest.None
+			})
+		case 4:
+			r.store.SetRule(pageFault(storetest.OpCAS, storetest.AnswerLost, 2))
+		case 5:
+			r.store.SetRule(pageFault(storetest.OpCAS, storetest.LateEffect, 2))
+		case 6:
+			r.kill(hosts[i%2])
+			hosts[i%2] = r.addHost(fmt.Sprintf("e%d", i+2))
+		case 7:
+			r.store.SetRule(nil)
+		}
+		time.Sleep(time.Duration(waits[i]) * time.Millisecond)
+	}
+	r.store.SetRule(nil)
+	time.Sleep(20 * time.Second)
+	return checkHistory(ctx, r, hosts[0], accepted, refused)
+}
+
+func checkHistory(ctx context.Context, r *region, h *Host, accepted, refused map[string]bool) error {
+	for id := range accepted {
+		if !onPage(r, id) {
+			return fmt.Errorf("accepted job %s has no record", id)
+		}
+		if _, err := h.Status(ctx, id); err != nil {
+			return fmt.Errorf("accepted job %s: %w", id, err)
+		}
+	}
+	for id := range refused {
+		if onPage(r, id) || len(r.startsOf(id)) > 0 {
+			return fmt.Errorf("job %s was refused and is recorded", id)
+		}
+	}
+	if err := epochsGrow(r); err != nil {
+		return err
+	}
+	running := map[string]int{}
+	for _, w := range r.View().Workers {
+		for _, g := range w.State.Gangs {
+			running[g.Job]++
+		}
+	}
+	for id, n := range running {
+		if n != 1 {
+			return fmt.Errorf("job %s runs %d times", id, n)
+		}
+	}
+	for id := range accepted {
+		if len(running) < 6 && running[id] == 0 {
+			return fmt.Errorf("job %s does not run although the pool has room", id)
+		}
+	}
+	return nil
+}
+
+// epochsGrow checks the writes of the lease and of each page, and that no start
+// carries a lower epoch than an earlier one at the same worker.
+func epochsGrow(r *region) error {
+	var last leaseValue
+	for _, data := range r.store.History(LeaseKey("north")) {
+		var v leaseValue
+		if err := json.Unmarshal(data, &v); err != nil {
+			return err
+		}
+		if !v.newer(last) {
+			return fmt.Errorf("lease went from %+v to %+v", last, v)
+		}
+		last = v
+	}
+	for i := range Pages {
+		var epoch, seq uint64
+		for _, data := range r.store.History(PageKey("north", i)) {
+			d, err := decodePage(data)
+			if err != nil {
+				return err
+			}
+			if d.Epoch < epoch || d.Epoch == epoch && d.Seq <= seq {
+				return fmt.Errorf("page %d went from %d/%d to %d/%d", i, epoch, seq, d.Epoch, d.Seq)
+			}
+			epoch, seq = d.Epoch, d.Seq
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	highest := map[string]uint64{}
+	attempts := map[string]uint64{}
+	for _, s := range r.starts {
+		w := s.Members[0].Worker
+		if s.Order.Epoch < highest[w] {
+			return errors.New("a fenced planner started a gang")
+		}
+		highest[w] = s.Order.Epoch
+		if s.Attempt <= attempts[s.Job.ID] {
+			return fmt.Errorf("job %s started attempt %d after %d", s.Job.ID, s.Attempt, attempts[s.Job.ID])
+		}
+		attempts[s.Job.ID] = s.Attempt
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/jobs/takeover_test.go
@@ -0,0 +1,305 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"snipegw/internal/members"
+	"snipegw/internal/model"
+	"snipegw/internal/planner/framework"
+	"snipegw/internal/result"
+	"snipegw/internal/store/storetest"
+	"snipegw/internal/wire"
+)
+
+func submit(ctx context.Context, h *Host, ids ...string) {
+	for _, id := range ids {
+		_, err := h.Submit(ctx, testJob(id, 1, 8))
+		ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	}
+}
+
+// running starts a host and runs job j1 on it.
+func running(ctx context.Context, r *region) *Host {
+	h := r.addHost("e1")
+	ExpectWithOffset(1, until(10*time.Second, isPlanner(h))).To(BeTrue())
+	submit(ctx, h, "j1")
+	ExpectWithOffset(1, until(time.Second, func() bool { return stateOf(h, "j1") == model.JobRunning })).To(BeTrue())
+	return h
+}
+
+var _ = Describe("a change of planner", func() {
+	// Guards against a running gang that is stopped or started twice because its
+	// planner was replaced.
+	It("keeps running gangs and queued jobs after a crash", func() {
+		inRegion(1, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+			h := running(ctx, r)
+			submit(ctx, h, "j2")
+			h2 := r.addHost("e2")
+			time.Sleep(10 * time.Second)
+			began := time.Now()
+			r.kill(h)
+			Expect(until(5*time.Second, isPlanner(h2))).To(BeTrue())
+			Expect(time.Since(began)).To(BeNumerically("<", 2700*time.Millisecond))
+			Expect(stateOf(h2, "j1")).To(Equal(model.JobRunning))
+			Expect(stateOf(h2, "j2")).To(Equal(model.JobQueued))
+			time.Sleep(10 * time.Second)
+			Expect(r.startsOf("j1")).To(HaveLen(1))
+			r.endGang("j1", framework.OutcomeDone)
+			Expect(until(2*time.Second, func() bool { return stateOf(h2, "j2") == model.JobRunning })).To(BeTrue())
+			Expect(stateOf(h2, "j1")).To(Equal(model.JobDone))
+		})
+	})
+
+	It("is immediate after a graceful stop", func() {
+		inRegion(1, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+			h := running(ctx, r)
+			h2 := r.addHost("e2")
+			time.Sleep(10 * time.Second)
+			began := time.Now()
+			Expect(h.Stop(ctx)).To(Succeed())
+			Expect(until(5*time.Second, isPlanner(h2))).To(BeTrue())
+			Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+		})
+	})
+
+	// Guards against an attempt that its planner recorded and never started, and
+	// that no later planner would run.
+	It("starts a recorded attempt again under a higher number", func() {
+		inRegion(1, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+			rec := Record{Status: model.JobStatus{Job: testJob("j1", 1, 8), State: model.JobStarting, Attempt: 3, Workers: []string{"w00"}},
+				Members: []wire.Member{{Worker: "w00", Address: "addr-w00", Incarnation: "i1", Ranks: []int{0}}}}
+			doc := pageDoc{Epoch: 9, Seq: 4, Jobs: []json.RawMessage{encodeJSON(rec)}}
+			r.store.Put(PageKey("north", PageOf("j1")), doc.encode())
+			r.store.Put(LeaseKey("north"), encodeJSON(leaseValue{Holder: "gone", Incarnation: "gone-1", Epoch: 9, Renewal: 8}))
+			h := r.addHost("e1")
+			Expect(until(15*time.Second, func() bool { return stateOf(h, "j1") == model.JobRunning })).To(BeTrue())
+			starts := r.startsOf("j1")
+			Expect(starts).To(HaveLen(1))
+			Expect(starts[0].Attempt).To(BeNumerically("==", 4))
+			Expect(starts[0].Order.Epoch).To(BeNumerically(">", 9))
+		})
+	})
+
+	// Guards against a gang that runs on although its job has ended or is
+	// unknown, and keeps its accelerators for ever.
+	It("stops gangs without a matching record", func() {
+		inRegion(1, 3*time.Millisecond, 50*time.Millisecond, func(_ context.Context, r *region) {
+			r.update("w00", func(w *members.Worker) {
+				w.State.Gangs = []wire.GangState{{Job: "stray", Attempt: 1, State: gangRunning}}
+			})
+			h := r.addHost("e1")
+			Expect(until(10*time.Second, isPlanner(h))).To(BeTrue())
+			Expect(until(10*time.Second, func() bool { return len(r.View().Workers["w00"].State.Gangs) == 0 })).To(BeTrue())
+		})
+	})
+
+	// Guards against a planner that goes on after a pause of its process: the
+	// pages are fenced, so neither records nor starts come from it.
+	It("fences a planner that was paused", func() {
+		inRegion(2, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+			h := running(ctx, r)
+			old := h.term.Load()
+			key := LeaseKey("north")
+			r.store.SetRule(func(_, k string) storetest.Fault {
+				if k == key {
+					return storetest.Down
+				}
+				return storetest.None
+			})
+			time.Sleep(2500 * time.Millisecond)
+			Expect(old.suspended()).To(BeTrue())
+			_, err := h.Submit(ctx, testJob("late", 1, 8))
+			Expect(result.CodeOf(err)).To(Equal(result.StoreUnavailable))
+			r.store.SetRule(nil)
+			r.store.Put(key, encodeJSON(leaseValue{Holder: "x", Incarnation: "x-1", Epoch: 50, Renewal: 1}))
+			Expect(until(2*time.Second, func() bool { return h.term.Load() == nil })).To(BeTrue())
+			Expect(h.highest.Load()).To(BeNumerically("==", 50))
+		})
+	})
+})
+
+var _ = Describe("failures of workers", func() {
+	It("queues the job of a dead worker again and blames it", func() {
+		inRegion(2, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+			h := running(ctx, r)
+			r.update("w00", func(w *members.Worker) { w.Health = members.Dead; w.State.Gangs = nil })
+			Expect(until(2*time.Second, func() bool { return len(r.startsOf("j1")) == 2 })).To(BeTrue())
+			second := r.startsOf("j1")[1]
+			Expect(second.Members[0].Worker).To(Equal("w01"))
+			Expect(second.Attempt).To(BeNumerically("==", 2))
+			Expect(until(time.Second, func() bool { return stateOf(h, "j1") == model.JobRunning })).To(BeTrue())
+		})
+	})
+
+	// Guards against an endless loop of placements at the speed of the network.
+	It("tries again with a pause when a worker refuses", func() {
+		inRegion(1, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+			h := r.addHost("e1")
+			Expect(until(10*time.Second, isPlanner(h))).To(BeTrue())
+			reserves := 0
+			r.mu.Lock()
+			r.refuse = func(_ string, kind wire.Kind) error {
+				if kind == wire.KindReserve {
+					reserves++
+					return result.Errorf(result.WorkerFull, "full")
+				}
+				return nil
+			}
+			r.mu.Unlock()
+			submit(ctx, h, "j1")
+			time.Sleep(20 * time.Second)
+			r.mu.Lock()
+			Expect(reserves).To(BeNumerically(">", 5))
+			Expect(reserves).To(BeNumerically("<", 40))
+			Expect(r.starts).To(BeEmpty())
+			r.refuse = nil
+			r.mu.Unlock()
+			Expect(until(5*time.Second, func() bool { return stateOf(h, "j1") == model.JobRunning })).To(BeTrue())
+		})
+	})
+})
+
+var _ = Describe("the job index", func() {
+	It("answers a repeated submission with the same job and refuses another one", func() {
+		inRegion(1, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+			h := running(ctx, r)
+			st, err := h.Submit(ctx, testJob("j1", 1, 8))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(st.State).To(Equal(model.JobRunning))
+			_, err = h.Submit(ctx, testJob("j1", 2, 8))
+			Expect(result.CodeOf(err)).To(Equal(result.JobConflict))
+			_, err = h.Submit(ctx, testJob("huge", 5000, 8))
+			Expect(result.CodeOf(err)).To(Equal(result.ImpossibleShape))
+			j := testJob("b1", 1, 8)
+			j.Team = "nobody"
+			_, err = h.Submit(ctx, j)
+			Expect(result.CodeOf(err)).To(Equal(result.UnknownTeam))
+		})
+	})
+
+	It("limits the jobs of a team that have not ended", func() {
+		inRegion(1, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+			h := running(ctx, r)
+			codes := []result.Code{}
+			for i := range 3 {
+				j := testJob(fmt.Sprint("b", i), 1, 8)
+				j.Team = "b"
+				_, err := h.Submit(ctx, j)
+				codes = append(codes, result.CodeOf(err))
+			}
+			Expect(codes).To(Equal([]result.Code{result.OK, result.OK, result.Overloaded}))
+		})
+	})
+
+	// Guards against one store write for each job of a bulk cancellation.
+	It("cancels hundreds of jobs with one write for each page", func() {
+		inRegion(1, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+			h := running(ctx, r)
+			ids := []string{}
+			done := make(chan error, 600)
+			for i := range 600 {
+				id := fmt.Sprint("c", i)
+				ids = append(ids, id)
+				go func() {
+					_, err := h.Submit(ctx, testJob(id, 1, 8))
+					done <- err
+				}()
+			}
+			for range ids {
+				Expect(<-done).To(Succeed())
+			}
+			time.Sleep(time.Second)
+			before := len(pageWrites(r))
+			codes, err := h.Cancel(ctx, append(ids, "nobody", "j1"), "a")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(codes[:600]).To(HaveEach(result.Accepted))
+			Expect(codes[600:]).To(Equal([]result.Code{result.UnknownJob, result.Accepted}))
+			time.Sleep(3 * time.Second)
+			// One write for each of 64 pages, and one or two for the running job.
+			Expect(len(pageWrites(r)) - before).To(BeNumerically("<=", Pages+2))
+			Expect(stateOf(h, "j1")).To(Equal(model.JobCancelled))
+			codes, err = h.Cancel(ctx, []string{"c1"}, "b")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(codes).To(Equal([]result.Code{result.Forbidden}))
+		})
+	})
+
+	It("answers from the store while there is no planner, with the age", func() {
+		inRegion(1, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+			h := running(ctx, r)
+			time.Sleep(5 * time.Second)
+			h2 := r.addHost("e2")
+			time.Sleep(100 * time.Millisecond)
+			r.kill(h)
+			unknown := make(chan error)
+			go func() {
+				_, err := h2.Status(ctx, "nobody")
+				unknown <- err
+			}()
+			st, err := h2.Status(ctx, "j1")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(st.State).To(Equal(model.JobRunning))
+			Expect(st.Reason.Fields).To(HaveKeyWithValue("source", "store"))
+			Expect(st.Reason.Fields).To(HaveKey("age_ms"))
+			Expect(result.CodeOf(<-unknown)).To(Equal(result.NoPlanner))
+		})
+	})
+
+	It("drops ended jobs, the oldest first, when a page is full", func() {
+		p := newPage("north", 0)
+		t := &term{jobs: map[string]*job{}, pages: [Pages]*page{}}
+		for i := range 40 {
+			j := &job{page: p}
+			j.rec.Status = model.JobStatus{Job: testJob(fmt.Sprint("e", i), 1, 1), State: model.JobDone, EndedMS: int64(i)}
+			j.rec.Status.Job.Command = []string{string(make([]byte, 5000))}
+			p.jobs[j.id()], t.jobs[j.id()] = j, j
+		}
+		p.snapshot(1)
+		Expect(p.bytes).To(BeNumerically(">", MaxPageBytes))
+		Expect(t.trim(p)).To(BeTrue())
+		Expect(p.bytes).To(BeNumerically("<=", MaxPageBytes))
+		Expect(p.jobs).NotTo(HaveKey("e0"))
+		Expect(p.jobs).To(HaveKey("e39"))
+		Expect(len(p.snapshot(1).encode())).To(BeNumerically("<=", MaxPageBytes+64))
+	})
+
+	It("starts a gang of 2 x 8 within 100 ms at p99 with a store of 3 ms", func() {
+		inRegion(2, 3*time.Millisecond, 5*time.Millisecond, func(ctx context.Context, r *region) {
+			h := r.addHost("e1")
+			Expect(until(10*time.Second, isPlanner(h))).To(BeTrue())
+			var took []time.Duration
+			for i := range 200 {
+				id := fmt.Sprint("t", i)
+				began := time.Now()
+				_, err := h.Submit(ctx, testJob(id, 2, 8))
+				Expect(err).NotTo(HaveOccurred())
+				for len(r.startsOf(id)) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				took = append(took, time.Since(began))
+				r.endGang(id, framework.OutcomeDone)
+				Expect(until(time.Second, func() bool { return stateOf(h, id) == model.JobDone })).To(BeTrue())
+			}
+			sort.Slice(took, func(a, b int) bool { return took[a] < took[b] })
+			p99 := took[len(took)*99/100]
+			GinkgoWriter.Printf("submit to start, virtual clock: p50 %v p99 %v\n", took[len(took)/2], p99)
+			Expect(p99).To(BeNumerically("<", 100*time.Millisecond))
+		})
+	})
+})
+
+// pageWrites returns every page that was written, in order for each page.
+func pageWrites(r *region) [][]byte {
+	var all [][]byte
+	for i := range Pages {
+		all = append(all, r.store.History(PageKey("north", i))...)
+	}
+	return all
+}
