--- a/internal/config/inforce.go
+++ b/internal/config/inforce.go
@@ -6,8 +6,8 @@
 	"snipegw/internal/members"
 )
 
-// Report says where a version is in force.
-type Report struct {
+// InForceReport says where a version is in force.
+type InForceReport struct {
 	Version uint64 `json:"version"`
 	InForce int    `json:"in_force"`
 	Total   int    `json:"total"`
@@ -17,13 +17,13 @@
 }
 
 // Complete reports whether the version is in force everywhere.
-func (r Report) Complete() bool { return r.Total > 0 && r.InForce == r.Total }
+func (r InForceReport) Complete() bool { return r.Total > 0 && r.InForce == r.Total }
 
 // InForce counts the processes of view that have version or a newer one. A
 // process that cannot be reached counts as missing until it is dropped from
 // the membership.
-func InForce(view *members.View, version uint64) Report {
-	r := Report{Version: version}
+func InForce(view *members.View, version uint64) InForceReport {
+	r := InForceReport{Version: version}
 	count := func(name string, have uint64, health members.Health) {
 		r.Total++
 		if have >= version && health != members.Dead {
--- a/internal/config/patch.go
+++ b/internal/config/patch.go
@@ -9,8 +9,6 @@
 	"strings"
 	"time"
 
-	jsonpatch "github.com/evanphx/json-patch/v5"
-
 	"github.com/apex/log"
 
 	"snipegw/internal/kernel"
@@ -129,27 +127,6 @@
 	return nil
 }
 
-// applyPatch returns the patched document.
-func applyPatch(doc []byte, p PatchRequest) ([]byte, error) {
-	if p.Type == MergePatch {
-		if p.Patch[0] != '{' {
-			return nil, errors.New("a merge-patch must be an object")
-		}
-		return jsonpatch.MergePatch(doc, p.Patch)
-	}
-	ops, err := jsonpatch.DecodePatch(p.Patch)
-	if err != nil {
-		return nil, err
-	}
-	if len(ops) > MaxPatchOperations {
-		return nil, fmt.Errorf("%d operations exceed the limit of %d", len(ops), MaxPatchOperations)
-	}
-	options := jsonpatch.NewApplyOptions()
-	options.AccumulatedCopySizeLimit = MaxDocumentBytes
-	options.SupportNegativeIndices = false // RFC 6902 has none
-	return ops.ApplyWithOptions(doc, options)
-}
-
 // build applies and checks p. The problems name every fault found.
 func (m *Manager) build(stored []byte, current *model.Config, p PatchRequest) (*model.Config, []string, error) {
 	p.Patch = bytes.TrimSpace(p.Patch)
