Add snipegwctl

Cause: operators and callers need a command line. New result code 312 entry_unreachable, since no existing code says that the entry itself was not reached.

--- /dev/null
+++ b/internal/ctl/config.go
@@ -0,0 +1,365 @@
+package ctl
+
+import (
+	"bytes"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+
+	"snipegw/internal/config"
+	"snipegw/internal/model"
+	"snipegw/internal/result"
+)
+
+func (a *app) configCommands() []command {
+	return []command{
+		{name: "get", short: "Print the document in force", long: "Example: snipegwctl config get > config.json", data: &configGet{app: a}},
+		{name: "diff", short: "Compare an edited document with the one in force", long: "FILE is a whole document, for example the edited output of config get.\nWith --json the difference is printed as a merge patch.\n\nExample: snipegwctl config diff config.json", data: &configDiff{app: a}},
+		{name: "patch", short: "Submit a patch", long: patchHelp, data: &configPatch{app: a}},
+		{name: "wait", short: "Wait until a version is in force everywhere", long: "Without VERSION it waits for the present one. Ends with status 4 when the time is over.\n\nExample: snipegwctl config wait 12 --for 9s", data: &configWait{app: a}},
+		{name: "history", short: "List the accepted patches", long: "Example: snipegwctl config history", data: &configHistory{app: a}},
+		{name: "status", short: "Show where the present version is in force", long: "Example: snipegwctl config status --watch", data: &configStatus{app: a}},
+	}
+}
+
+const patchHelp = `FILE holds a JSON patch (RFC 6902, an array), a merge patch (RFC 7396, an object),
+or with --document a whole edited document; "-" reads standard input.
+The id makes a repetition safe: the same id is accepted at most once.
+
+Examples:
+  snipegwctl config patch change.json --dry-run
+  snipegwctl config patch change.json --base 11 --id raise-casa --wait
+  snipegwctl config get | edit | snipegwctl config patch --document -`
+
+type configGet struct {
+	*app `no-flag:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *configGet) Execute([]string) error {
+	var doc json.RawMessage
+	if err := c.client.get(c.ctx, "/v1/config", &doc); err != nil {
+		return err
+	}
+	return c.printRaw(doc)
+}
+
+// readFile reads a file of bounded size; "-" is standard input.
+func (a *app) readFile(name string) ([]byte, error) {
+	in := a.env.Stdin
+	if name != "-" {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, usagef("%v", err)
+		}
+		defer f.Close()
+		in = f
+	}
+	data, err := io.ReadAll(io.LimitReader(in, config.MaxDocumentBytes+1))
+	if err != nil {
+		return nil, usagef("read %s: %v", name, err)
+	}
+	if len(data) > config.MaxDocumentBytes {
+		return nil, usagef("%s is larger than %d bytes", name, config.MaxDocumentBytes)
+	}
+	if !json.Valid(data) {
+		return nil, usagef("%s is not valid JSON", name)
+	}
+	return bytes.TrimSpace(data), nil
+}
+
+// documentPatch returns the merge patch from the document in force to edited,
+// and the version on which it is based: the one that the edited document names.
+func (a *app) documentPatch(edited []byte) (current, patch []byte, base uint64, err error) {
+	var doc json.RawMessage
+	if err := a.client.get(a.ctx, "/v1/config", &doc); err != nil {
+		return nil, nil, 0, err
+	}
+	var head struct {
+		Version uint64 `json:"version"`
+	}
+	if err := json.Unmarshal(edited, &head); err != nil {
+		return nil, nil, 0, usagef("the edited document is not an object: %v", err)
+	}
+	patch, err = jsonpatch.CreateMergePatch(doc, edited)
+	if err != nil {
+		return nil, nil, 0, usagef("the edited document cannot be compared: %v", err)
+	}
+	return doc, patch, head.Version, nil
+}
+
+type configDiff struct {
+	*app `no-flag:"true"`
+	Args struct {
+		File string `positional-arg-name:"FILE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *configDiff) Execute([]string) error {
+	edited, err := c.readFile(c.Args.File)
+	if err != nil {
+		return err
+	}
+	current, patch, _, err := c.documentPatch(edited)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.printRaw(patch)
+	}
+	var a, b any
+	if err := errors.Join(json.Unmarshal(current, &a), json.Unmarshal(edited, &b)); err != nil {
+		return err
+	}
+	lines := diffValues("", a, b, nil)
+	if len(lines) == 0 {
+		lines = []string{"no difference"}
+	}
+	for _, l := range lines {
+		fmt.Fprintln(c.env.Stdout, l)
+	}
+	return nil
+}
+
+// diffValues lists the paths at which a and b differ.
+func diffValues(path string, a, b any, lines []string) []string {
+	if reflect.DeepEqual(a, b) {
+		return lines
+	}
+	am, aok := a.(map[string]any)
+	bm, bok := b.(map[string]any)
+	if aok && bok {
+		keys := make(map[string]bool)
+		for k := range am {
+			keys[k] = true
+		}
+		for k := range bm {
+			keys[k] = true
+		}
+		for _, k := range sortedKeys(keys) {
+			lines = diffValues(path+"/"+k, am[k], bm[k], lines)
+		}
+		return lines
+	}
+	al, aok := a.([]any)
+	bl, bok := b.([]any)
+	if aok && bok {
+		for i := range max(len(al), len(bl)) {
+			lines = diffValues(path+"/"+strconv.Itoa(i), at(al, i), at(bl, i), lines)
+		}
+		return lines
+	}
+	if a != nil {
+		lines = append(lines, "- "+path+" "+compact(a))
+	}
+	if b != nil {
+		lines = append(lines, "+ "+path+" "+compact(b))
+	}
+	return lines
+}
+
+func at(list []any, i int) any {
+	if i < len(list) {
+		return list[i]
+	}
+	return nil
+}
+
+func compact(v any) string {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Sprint(v)
+	}
+	return string(data)
+}
+
+type configPatch struct {
+	*app     `no-flag:"true"`
+	Base     uint64        `long:"base" description:"version on which the patch is based (default: the present one)"`
+	ID       string        `long:"id" description:"id of the patch (default: a random one)"`
+	Author   string        `long:"author" description:"name for the history"`
+	DryRun   bool          `long:"dry-run" description:"check only"`
+	Document bool          `long:"document" description:"FILE is a whole edited document"`
+	Wait     bool          `long:"wait" description:"wait until the version is in force everywhere"`
+	For      time.Duration `long:"for" description:"longest wait" default:"9s"`
+	Args     struct {
+		File string `positional-arg-name:"FILE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *configPatch) Execute([]string) error {
+	req, err := c.request()
+	if err != nil {
+		return err
+	}
+	var res config.PatchResult
+	err = c.client.call(c.ctx, http.MethodPost, "/v1/config/patch", req, &res)
+	if err != nil {
+		if exitStatus(result.CodeOf(err)) == ExitUnknown {
+			fmt.Fprintf(c.env.Stderr, "Repeat with --id %s --base %d; the patch is accepted at most once.\n", req.ID, req.BaseVersion)
+		}
+		return err
+	}
+	if c.JSON {
+		err = c.printJSON(res)
+	} else {
+		fmt.Fprintf(c.env.Stdout, "%s\n", res.Message)
+	}
+	if err == nil && c.Wait && !c.DryRun {
+		return c.waitInForce(res.Version, c.For)
+	}
+	return err
+}
+
+func (c *configPatch) request() (config.PatchRequest, error) {
+	req := config.PatchRequest{ID: c.ID, BaseVersion: c.Base, DryRun: c.DryRun, Author: c.Author, Type: config.MergePatch}
+	data, err := c.readFile(c.Args.File)
+	if err != nil {
+		return req, err
+	}
+	if req.ID == "" {
+		req.ID = "patch-" + strings.ToLower(rand.Text()[:12])
+	}
+	req.Patch = data
+	base := uint64(0)
+	switch {
+	case c.Document:
+		if _, req.Patch, base, err = c.documentPatch(data); err != nil {
+			return req, err
+		}
+	case data[0] == '[':
+		req.Type = config.JSONPatch
+	}
+	if req.BaseVersion == 0 {
+		req.BaseVersion = base
+	}
+	if req.BaseVersion == 0 {
+		var doc model.Config
+		if err := c.client.get(c.ctx, "/v1/config", &doc); err != nil {
+			return req, err
+		}
+		req.BaseVersion = doc.Version
+	}
+	return req, nil
+}
+
+func (a *app) inForce() (config.InForceReport, error) {
+	var r config.InForceReport
+	err := a.client.get(a.ctx, "/v1/config/status", &r)
+	return r, err
+}
+
+// waitInForce waits until version, or a later one, is in force everywhere.
+func (a *app) waitInForce(version uint64, limit time.Duration) error {
+	end := time.Now().Add(limit)
+	for {
+		r, err := a.inForce()
+		if err == nil && r.Version >= version && r.Complete() {
+			return a.printInForce(r)
+		}
+		if time.Now().After(end) || !a.pause(200*time.Millisecond) {
+			if err != nil {
+				return err
+			}
+			return result.Errorf(result.ConfigNotInForceYet, "version %d: the entry has version %d, in force on %d of %d; missing: %s", version, r.Version, r.InForce, r.Total, strings.Join(r.Missing, ", "))
+		}
+	}
+}
+
+func (a *app) printInForce(r config.InForceReport) error {
+	if a.JSON {
+		return a.printJSON(r)
+	}
+	fmt.Fprintf(a.env.Stdout, "version %d in force on %d of %d\n", r.Version, r.InForce, r.Total)
+	if len(r.Missing) > 0 {
+		fmt.Fprintln(a.env.Stdout, "missing:", strings.Join(r.Missing, ", "))
+	}
+	return nil
+}
+
+type configWait struct {
+	*app `no-flag:"true"`
+	For  time.Duration `long:"for" description:"longest wait" default:"9s"`
+	Args struct {
+		Version uint64 `positional-arg-name:"VERSION"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *configWait) Execute([]string) error { return c.waitInForce(c.Args.Version, c.For) }
+
+type configStatus struct {
+	*app `no-flag:"true"`
+	watchOptions
+}
+
+// Execute implements flags.Commander.
+func (c *configStatus) Execute([]string) error {
+	return c.repeat(c.watchOptions, func() error {
+		r, err := c.inForce()
+		if err != nil {
+			return err
+		}
+		return c.printInForce(r)
+	})
+}
+
+type configHistory struct {
+	*app `no-flag:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *configHistory) Execute([]string) error {
+	var doc model.Config
+	if err := c.client.get(c.ctx, "/v1/config", &doc); err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.printJSON(doc.Patches)
+	}
+	var rows [][]string
+	for _, p := range doc.Patches {
+		rows = append(rows, []string{strconv.FormatUint(p.Version, 10), p.ID, p.Author, p.Time.UTC().Format(time.RFC3339)})
+	}
+	return c.table("version patch author time", rows)
+}
+
+type teamList struct {
+	*app `no-flag:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *teamList) Execute([]string) error {
+	var doc model.Config
+	if err := c.client.get(c.ctx, "/v1/config", &doc); err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.printJSON(doc.Teams)
+	}
+	var rows [][]string
+	for _, t := range doc.Teams {
+		var shapes []string
+		for _, g := range t.Guarantees {
+			shapes = append(shapes, fmt.Sprintf("%d of %s", g.Count, shapeText(g.Shape)))
+		}
+		rows = append(rows, []string{t.ID, strconv.Itoa(t.Weight), strings.Join(shapes, "; "), strconv.Itoa(len(t.TokenHashes))})
+	}
+	return c.table("team weight guarantees tokens", rows)
+}
+
+func shapeText(s model.Shape) string {
+	return fmt.Sprintf("%dx%d/%s", s.Tasks, s.AcceleratorsPerTask, s.Adjacent)
+}
--- /dev/null
+++ b/internal/ctl/ctl.go
@@ -0,0 +1,277 @@
+// Package ctl implements the command line snipegwctl. It uses only the HTTP API
+// of an entry.
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"snipegw/internal/result"
+)
+
+// Exit statuses.
+const (
+	ExitOK      = 0
+	ExitRefused = 1 // refused; what was asked for did not run
+	ExitUsage   = 2 // faulty command line or settings
+	ExitUnknown = 3 // the outcome is not known
+	ExitNotYet  = 4 // not yet in force, in progress, or the time to wait is over
+	ExitFailed  = 5 // it ran and failed, or was cancelled
+)
+
+// Env is the environment of a run.
+type Env struct {
+	Stdin   io.Reader
+	Stdout  io.Writer
+	Stderr  io.Writer
+	Getenv  func(string) string
+	Version string
+}
+
+// global holds the options that every command has.
+type global struct {
+	Address string        `long:"address" short:"a" description:"HTTP address of an entry, host:port (environment SNIPEGW_ADDRESS)" value-name:"HOST:PORT"`
+	Token   string        `long:"token" description:"bearer token; prefer the environment SNIPEGW_TOKEN, since others can see command lines" value-name:"TOKEN"`
+	JSON    bool          `long:"json" description:"print JSON instead of tables"`
+	Timeout time.Duration `long:"timeout" description:"longest time of one call" default:"30s"`
+	Version func()        `long:"version" description:"print the version and exit"`
+}
+
+// app is one run of the program.
+type app struct {
+	global
+	env    Env
+	ctx    context.Context
+	client *client
+}
+
+// command is a part of the command tree.
+type command struct {
+	name, short, long string
+	data              any
+	sub               []command
+}
+
+// errVersion ends a run after the version was printed.
+var errVersion = errors.New("version printed")
+
+// Run executes one command line and returns the exit status.
+func Run(ctx context.Context, args []string, env Env) int {
+	a := &app{env: env, ctx: ctx}
+	err := a.execute(args)
+	return a.report(err)
+}
+
+func (a *app) execute(args []string) (err error) {
+	defer func() {
+		if r := recover(); r == errVersion {
+			err = nil
+		} else if r != nil {
+			panic(r)
+		}
+	}()
+	a.global.Version = func() {
+		fmt.Fprintln(a.env.Stdout, "snipegwctl", a.env.Version)
+		panic(errVersion)
+	}
+	p := flags.NewNamedParser("snipegwctl", flags.HelpFlag|flags.PassDoubleDash)
+	p.LongDescription = longHelp
+	if _, err := p.AddGroup("Options", "", &a.global); err != nil {
+		return err
+	}
+	if err := addCommands(p.Command, a.commands()); err != nil {
+		return err
+	}
+	p.CommandHandler = func(c flags.Commander, rest []string) error {
+		if len(rest) > 0 {
+			return &usageError{fmt.Sprintf("unexpected argument %q", rest[0])}
+		}
+		if err := a.connect(); err != nil {
+			return err
+		}
+		return c.Execute(nil)
+	}
+	_, err = p.ParseArgs(args)
+	return err
+}
+
+func addCommands(parent *flags.Command, list []command) error {
+	for _, c := range list {
+		data := c.data
+		if data == nil {
+			data = &struct{}{}
+		}
+		cmd, err := parent.AddCommand(c.name, c.short, c.long, data)
+		if err != nil {
+			return fmt.Errorf("command %s: %w", c.name, err)
+		}
+		if err := addCommands(cmd, c.sub); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const longHelp = `Operates a snipegw system through the HTTP API of an entry.
+
+Examples:
+  snipegwctl --address 127.0.0.1:8080 status --watch
+  snipegwctl job submit --team casa --tasks 2 --accelerators 8 --adjacent rack -- train.sh
+  snipegwctl config patch change.json --wait
+
+Exit status: 0 success, 1 refused and not run, 2 usage or settings, 3 outcome unknown, 4 not yet, 5 ran and failed.`
+
+func (a *app) commands() []command {
+	return []command{
+		{name: "config", short: "Read and change the configuration", sub: a.configCommands()},
+		{name: "team", short: "Show teams", sub: []command{
+			{name: "list", short: "List teams, weights and guarantees", long: "Example: snipegwctl team list", data: &teamList{app: a}},
+		}},
+		{name: "job", short: "Submit and follow jobs", sub: a.jobCommands()},
+		{name: "request", short: "Send a request to a service", long: requestHelp, data: &request{app: a}},
+		{name: "ticket", short: "Ask what became of a request", long: "Prints the recorded response of a request that was not marked idempotent.\n\nExample: snipegwctl ticket w07/0000018f/12", data: &ticket{app: a}},
+		{name: "worker", short: "Show and control workers", sub: a.workerCommands()},
+		{name: "status", short: "Summary of the system", long: "Example: snipegwctl status --watch", data: &status{app: a}},
+		{name: "dump", short: "State of one process", long: "Prints /debug/state of the process at ADDRESS, an entry or the local address of an agent.\n\nExample: snipegwctl dump 127.0.0.1:8080", data: &dump{app: a}},
+	}
+}
+
+// usageError is a fault of the command line.
+type usageError struct{ message string }
+
+func (e *usageError) Error() string { return e.message }
+
+func usagef(format string, args ...any) error {
+	return &usageError{fmt.Sprintf(format, args...)}
+}
+
+// connect checks the address and makes the client.
+func (a *app) connect() error {
+	address, token := a.Address, a.Token
+	if address == "" {
+		address = a.env.Getenv("SNIPEGW_ADDRESS")
+	}
+	if token == "" {
+		token = a.env.Getenv("SNIPEGW_TOKEN")
+	}
+	if address == "" {
+		address = "127.0.0.1:8080"
+	}
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	u, err := url.Parse(address)
+	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+		return usagef("address: %q must be host:port", address)
+	}
+	a.client = newClient(strings.TrimSuffix(address, "/"), token, a.Timeout)
+	return nil
+}
+
+// report prints err and returns the exit status.
+func (a *app) report(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var fe *flags.Error
+	if errors.As(err, &fe) {
+		if fe.Type == flags.ErrHelp {
+			fmt.Fprintln(a.env.Stdout, fe.Message)
+			return ExitOK
+		}
+		fmt.Fprintln(a.env.Stderr, "usage:", fe.Message)
+		return ExitUsage
+	}
+	var ue *usageError
+	if errors.As(err, &ue) {
+		fmt.Fprintln(a.env.Stderr, "usage:", ue.message)
+		return ExitUsage
+	}
+	code := result.CodeOf(err)
+	if a.JSON {
+		_ = a.printJSON(map[string]any{"code": code, "name": code.String(), "message": result.MessageOf(err), "ran": code.Info().Ran})
+	} else {
+		fmt.Fprintf(a.env.Stderr, "%d %s: %s\n", int(code), code, result.MessageOf(err))
+		if action := code.Info().Action; action != "" {
+			fmt.Fprintln(a.env.Stderr, "What to do:", action)
+		}
+	}
+	return exitStatus(code)
+}
+
+// exitStatus gives the kind of an outcome.
+func exitStatus(code result.Code) int {
+	switch code {
+	case result.OK, result.Accepted:
+		return ExitOK
+	case result.InProgress, result.ConfigNotInForceYet:
+		return ExitNotYet
+	case result.InvalidSettings:
+		return ExitUsage
+	case result.Cancelled:
+		return ExitFailed
+	}
+	switch code.Info().Ran {
+	case result.RanNo:
+		return ExitRefused
+	case result.RanYes:
+		return ExitFailed
+	}
+	return ExitUnknown
+}
+
+func (a *app) printJSON(v any) error {
+	e := json.NewEncoder(a.env.Stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// printRaw prints JSON as it came, indented.
+func (a *app) printRaw(data json.RawMessage) error { return a.printJSON(data) }
+
+// watchOptions are the options of commands that people leave open.
+type watchOptions struct {
+	Watch    bool          `long:"watch" short:"w" description:"repeat until interrupted"`
+	Interval time.Duration `long:"interval" description:"time between repetitions" default:"2s"`
+}
+
+const clearScreen = "\x1b[H\x1b[2J"
+
+// repeat runs show once, or until the program is interrupted.
+func (a *app) repeat(o watchOptions, show func() error) error {
+	if !o.Watch {
+		return show()
+	}
+	for {
+		if !a.JSON {
+			fmt.Fprint(a.env.Stdout, clearScreen)
+		}
+		if err := show(); err != nil {
+			// A watch outlives a restart of the entry.
+			fmt.Fprintln(a.env.Stderr, err)
+		}
+		if !a.pause(max(o.Interval, 100*time.Millisecond)) {
+			return nil
+		}
+	}
+}
+
+// pause reports false if the program was interrupted.
+func (a *app) pause(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-a.ctx.Done():
+		return false
+	}
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -56,6 +56,7 @@
 	JobIndexFull         Code = 309
 	BackendUnavailable   Code = 310
 	TicketUnavailable    Code = 311
+	EntryUnreachable     Code = 312
 
 	Fenced              Code = 400
 	StaleIncarnation    Code = 401
@@ -123,6 +124,7 @@
 	{JobIndexFull, "job_index_full", http.StatusInsufficientStorage, RanNo, "Retry after ended jobs have been dropped."},
 	{BackendUnavailable, "backend_unavailable", http.StatusServiceUnavailable, RanNo, "Retry; another worker takes the request."},
 	{TicketUnavailable, "ticket_unavailable", http.StatusServiceUnavailable, RanNo, "Take a new ticket."},
+	{EntryUnreachable, "entry_unreachable", http.StatusServiceUnavailable, RanNo, "Check the address, or use another entry."},
 
 	{Fenced, "fenced", http.StatusConflict, RanNo, "None; a newer planner is in charge."},
 	{StaleIncarnation, "stale_incarnation", http.StatusConflict, RanNo, "None; the agent has restarted since."},
