Order by value, preempt by value, reserve for large jobs

Cause: the first version placed waiting jobs only in free room, so large gangs waited behind small ones.

Change: value per second of running orders the queue and decides preemption; the first large job that finds no place reserves the workers on which it can start first, and later starts there are marked to leave first.

--- a/internal/planner/batch.go
+++ b/internal/planner/batch.go
@@ -1,10 +1,12 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"snipegw/internal/model"
+	"snipegw/internal/planner/estimate"
 	"snipegw/internal/planner/explain"
 	"snipegw/internal/planner/framework"
 	"snipegw/internal/planner/pool"
@@ -13,82 +15,220 @@
 	"snipegw/internal/planner/score"
 )
 
-func reclaimVictims(now time.Time, workers []*pool.Worker, per model.Resources) ([]*pool.Gang, float64, bool) {
-	return reclaim.Victims(now, workers, per, func(*pool.Gang) bool { return true })
+// claimCost is the cost of stopping a gang for a claim.
+func claimCost(now time.Time) func(*pool.Gang) float64 {
+	return func(g *pool.Gang) float64 { return reclaim.Cost(g, now) }
 }
 
-// stopCost is the cost of making room for n tasks on a worker.
-func stopCost(now time.Time, w *pool.Worker, s model.Shape, n int) float64 {
+// roomCost is the cost of making room for n tasks on a worker.
+func roomCost(w *pool.Worker, s model.Shape, n int, costOf func(*pool.Gang) float64) float64 {
 	workers := make([]*pool.Worker, n)
 	for i := range workers {
 		workers[i] = w
 	}
-	_, cost, ok := reclaimVictims(now, workers, s.PerTask())
+	_, cost, ok := reclaim.Victims(workers, s.PerTask(), costOf)
 	if !ok {
-		return 1e9
+		return impossible
 	}
 	return cost
 }
 
+// impossible is the cost of room that no stop can free.
+const impossible = 1e12
+
 type ranked struct {
-	j   *job
-	key float64
+	j              *job
+	density, value float64
 }
 
-// placeBatch starts waiting jobs as preemptible ones where there is room.
+// placeBatch starts waiting jobs as preemptible ones, in room that is free or
+// that gangs of lower value give up.
 func (p *Planner) placeBatch(now time.Time) {
-	order := p.rank(now)
-	for _, r := range order {
+	p.reservation = nil
+	attempts := 0
+	for _, r := range p.rank(now) {
 		if len(p.out) >= maxPlacements {
 			p.more = true
 			return
 		}
-		p.tryBatch(now, r.j)
+		if p.tryBatch(now, r.j) {
+			continue
+		}
+		if attempts < maxPreemptors && p.mayPreempt(r.j) {
+			attempts++
+			if p.preemptFor(now, r) {
+				continue
+			}
+		}
+		if p.reservation == nil && size(r.j.Shape) >= largeSize {
+			p.reserve(now, r.j)
+		}
 	}
 }
 
+const (
+	// maxPreemptors bounds the searches for victims in one pass.
+	maxPreemptors = 4
+	// largeSize is the size from which a waiting job gets a reservation.
+	largeSize = 8
+)
+
+// reservation keeps later jobs off the workers on which a large job is expected
+// to start, or marks them as the first to leave.
+type reservation struct {
+	j     *job
+	start time.Time
+	on    map[*pool.Worker]bool
+}
+
 func (p *Planner) rank(now time.Time) []ranked {
-	params := queue.Params{SizePower: 1, Patience: 10 * time.Minute}
 	order := make([]ranked, 0, len(p.queue))
 	for _, j := range p.queue {
 		if now.Before(j.notBefore) {
 			continue
 		}
-		key := queue.Key(queue.Item{Size: size(j.Shape), Remaining: p.remaining(j), Waited: now.Sub(j.submitted)}, params)
-		order = append(order, ranked{j, key})
-	}
-	slices.SortStableFunc(order, func(a, b ranked) int {
-		switch {
-		case a.key < b.key:
-			return -1
-		case a.key > b.key:
-			return 1
-		}
-		return 0
-	})
+		it := p.item(now, j)
+		order = append(order, ranked{j, p.params.Density(it), p.params.Value(it)})
+	}
+	slices.SortStableFunc(order, func(a, b ranked) int { return cmp.Compare(b.density, a.density) })
 	return order
 }
 
+func (p *Planner) item(now time.Time, j *job) queue.Item {
+	it := queue.Item{Size: size(j.Shape), Remaining: p.remaining(j), Waited: j.waited}
+	if j.state == waiting {
+		it.Waited += now.Sub(j.since)
+	}
+	if g := j.gang; g != nil && !g.Started.IsZero() {
+		it.Remaining = estimate.Remaining(p.estimates.Total(j.Team, declared(j)), j.kept+now.Sub(g.Started))
+	}
+	return it
+}
+
 func (p *Planner) tryBatch(now time.Time, j *job) bool {
 	if at, ok := p.blocked[j.Shape]; ok && at == p.pool.Releases {
 		return false
 	}
+	runs := p.remaining(j)
 	workers := p.finder.Find(p.pool, score.Request{
-		Shape: j.Shape,
-		Room:  (*pool.Worker).Free,
-		Exclude: func(w *pool.Worker) bool {
-			return w.Probing && len(w.Gangs) > 0 || p.faults.Avoid(j.ID, w.ID)
+		Shape:   j.Shape,
+		Room:    (*pool.Worker).Free,
+		Exclude: func(w *pool.Worker) bool { return p.unfit(j, w) },
+		Cost: func(w *pool.Worker, n int) float64 {
+			cost := suspicion(w, n)
+			if p.reserved(w) && now.Add(runs).After(p.reservation.start) {
+				cost += reservedCost
+			}
+			return cost
 		},
-		Cost: suspicion,
 	})
 	if workers == nil {
 		p.noRoom(j)
 		return false
 	}
 	p.start(now, j, workers, nil, "")
+	for _, w := range workers {
+		j.gang.Backfilled = j.gang.Backfilled || p.reserved(w)
+	}
 	return true
 }
 
+// reservedCost makes every other place better than a reserved one.
+const reservedCost = 200
+
+func (p *Planner) reserved(w *pool.Worker) bool { return p.reservation != nil && p.reservation.on[w] }
+
+func (p *Planner) unfit(j *job, w *pool.Worker) bool {
+	return w.Probing && len(w.Gangs) > 0 || p.faults.Avoid(j.ID, w.ID)
+}
+
+// mayPreempt reports whether a search for victims is worth its time.
+func (p *Planner) mayPreempt(j *job) bool { return !j.parked }
+
+// preemptFor stops gangs of lower value if that makes room for a job.
+func (p *Planner) preemptFor(now time.Time, r ranked) bool {
+	j, runs := r.j, p.remaining(r.j)
+	costOf := func(g *pool.Gang) float64 {
+		v := p.jobs[g.ID]
+		harm := p.params.Harm(p.item(now, v), reclaim.Lost(g, now), runs)
+		if g.Backfilled {
+			harm /= backfillDiscount
+		}
+		return harm
+	}
+	workers := p.finder.Find(p.pool, score.Request{
+		Shape:   j.Shape,
+		Room:    movable,
+		Exclude: func(w *pool.Worker) bool { return p.unfit(j, w) || w.Probing },
+		Cost: func(w *pool.Worker, n int) float64 {
+			return suspicion(w, n) + harmScale*roomCost(w, j.Shape, n, costOf)/r.value
+		},
+	})
+	if workers == nil {
+		return false
+	}
+	victims, harm, ok := reclaim.Victims(workers, j.Shape.PerTask(), costOf)
+	if !ok || harm*p.params.Margin > r.value {
+		return false
+	}
+	p.start(now, j, workers, victims, explain.PreemptedForShort)
+	return true
+}
+
+const (
+	// backfillDiscount lowers the harm of stopping a gang that was started on
+	// reserved room.
+	backfillDiscount = 4
+	// harmScale makes the harm outweigh the leftover of a place.
+	harmScale = 1000
+)
+
+// movable is the room that preemptible gangs could leave.
+func movable(w *pool.Worker) model.Resources {
+	room := w.Capacity
+	for _, g := range w.Gangs {
+		if !g.Fixed {
+			continue
+		}
+		for _, o := range g.Workers {
+			if o == w {
+				room = room.Sub(g.Per)
+			}
+		}
+	}
+	return room
+}
+
+// reserve chooses the workers on which a large job is expected to start first.
+func (p *Planner) reserve(now time.Time, j *job) {
+	ends := func(w *pool.Worker) time.Duration {
+		var latest time.Duration
+		for _, g := range w.Gangs {
+			if v := p.jobs[g.ID]; !g.Fixed && v != nil {
+				latest = max(latest, p.item(now, v).Remaining)
+			}
+		}
+		return latest
+	}
+	workers := p.finder.Find(p.pool, score.Request{
+		Shape:   j.Shape,
+		Room:    movable,
+		Exclude: func(w *pool.Worker) bool { return p.unfit(j, w) || w.Probing },
+		Cost:    func(w *pool.Worker, _ int) float64 { return ends(w).Seconds() },
+	})
+	if workers == nil {
+		return
+	}
+	r := &reservation{j: j, on: make(map[*pool.Worker]bool)}
+	for _, w := range workers {
+		r.on[w] = true
+		if at := now.Add(ends(w)); at.After(r.start) {
+			r.start = at
+		}
+	}
+	p.reservation = r
+}
+
 // noRoom notes that a job found no place.
 func (p *Planner) noRoom(j *job) {
 	if len(p.blocked) > maxShapes {
--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -9,6 +9,7 @@
 	"snipegw/internal/planner/framework"
 	"snipegw/internal/planner/packing"
 	"snipegw/internal/planner/pool"
+	"snipegw/internal/planner/reclaim"
 	"snipegw/internal/planner/score"
 )
 
@@ -95,6 +96,7 @@
 		p.preempt(now, vj, explain.Stopping(rule, j.ID, 0))
 	}
 	p.dequeue(j)
+	j.waited += now.Sub(j.since)
 	p.hold(now, j, workers)
 	j.preempted = len(victims)
 	if pool.Ready(j.gang) {
@@ -262,7 +264,7 @@
 		}
 		o := option{slot: place, job: p.within(place, j.Shape)}
 		var ok bool
-		o.victims, o.cost, ok = reclaimVictims(now, o.job, j.Shape.PerTask())
+		o.victims, o.cost, ok = reclaim.Victims(o.job, j.Shape.PerTask(), claimCost(now))
 		if !ok {
 			return false
 		}
@@ -298,7 +300,7 @@
 	}
 	add(p.finder.Find(p.pool, score.Request{Shape: s.Shape, Exclude: exclude,
 		Room: func(w *pool.Worker) model.Resources { return w.Capacity.Sub(w.Pinned) },
-		Cost: func(w *pool.Worker, n int) float64 { return stopCost(now, w, s.Shape, n) + suspicion(w, n) },
+		Cost: func(w *pool.Worker, n int) float64 { return roomCost(w, s.Shape, n, claimCost(now)) + suspicion(w, n) },
 	}))
 	return out
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -17,6 +17,7 @@
 	"snipegw/internal/planner/framework"
 	"snipegw/internal/planner/packing"
 	"snipegw/internal/planner/pool"
+	"snipegw/internal/planner/queue"
 	"snipegw/internal/planner/score"
 )
 
@@ -65,7 +66,9 @@
 	stops     int
 	submitted time.Time
 	// since is when the job last began to wait.
-	since     time.Time
+	since time.Time
+	// waited is the time waited before since.
+	waited    time.Duration
 	notBefore time.Time
 	kept      time.Duration
 	gang      *pool.Gang
@@ -77,7 +80,7 @@
 
 // Planner implements framework.Scheduler.
 type Planner struct {
-	weights   model.Weights
+	params    queue.Params
 	pool      *pool.Pool
 	plan      *packing.Plan
 	estimates *estimate.Tracker
@@ -98,6 +101,8 @@
 
 	// health counts changes of the set of usable workers.
 	health uint64
+	// reservation is made anew in each pass.
+	reservation *reservation
 	// blocked holds, per shape, the state of the pool in which it found no room.
 	blocked  map[model.Shape]uint64
 	feasible map[model.Shape]feasibility
@@ -122,7 +127,7 @@
 func New(w model.Weights) *Planner {
 	p := pool.New()
 	return &Planner{
-		weights:   w,
+		params:    queue.ParamsOf(w),
 		pool:      p,
 		plan:      packing.New(p),
 		estimates: estimate.New(),
@@ -144,7 +149,7 @@
 
 // SetWeights implements framework.Scheduler.
 func (p *Planner) SetWeights(w model.Weights) {
-	p.weights = w
+	p.params = queue.ParamsOf(w)
 	p.dirty = true
 }
 
--- a/internal/planner/queue/queue.go
+++ b/internal/planner/queue/queue.go
@@ -1,35 +1,67 @@
-// Package queue orders the waiting jobs.
+// Package queue orders the waiting jobs and says who may preempt whom.
 //
-// The priority of a job is its expected work, in accelerator-seconds, divided by
-// the time it has waited: short work first gives the lowest mean completion time,
-// and the division makes every job's priority grow without bound, so that neither
-// large gangs nor small jobs starve.
+// The value of a job is what a second of running it is worth: one over its
+// expected remaining run time (short jobs first gives the lowest mean completion
+// time), times a power of its size (large jobs first leaves only small ones
+// waiting, which fit anywhere, so that no free accelerator lies useless), times
+// an aging factor that grows with the time waited, so that neither large gangs nor
+// small jobs starve. The weights of the configuration set the two powers.
+//
+// The queue is ordered by value per accelerator. A waiting job may preempt gangs
+// if its value exceeds the sum of theirs by a margin; the margin and the aging of
+// both sides keep two jobs from stopping each other in turn.
 package queue
 
 import (
 	"math"
 	"time"
+
+	"snipegw/internal/model"
 )
 
 // Item is what the order depends on.
 type Item struct {
 	Size      float64 // accelerators
 	Remaining time.Duration
-	Waited    time.Duration
+	// Waited is the time since submission in which the job did not run.
+	Waited time.Duration
 }
 
 // Params weighs the goals.
 type Params struct {
-	// SizePower weighs the size of a job against its run time; below 1, large
-	// jobs come earlier, which keeps room together.
-	SizePower float64
-	// Patience is the waiting time that halves the work of a job in the order.
+	RunPower, SizePower float64
+	// Patience is the waiting time that doubles the value of a job.
 	Patience time.Duration
+	// Margin is the factor by which a waiting job must exceed its victims.
+	Margin float64
+}
+
+// ParamsOf derives the parameters from the weights of the configuration.
+func ParamsOf(w model.Weights) Params {
+	most := max(w.CompletionTime, w.Fragmentation)
+	if most <= 0 {
+		w, most = model.Weights{CompletionTime: 1}, 1
+	}
+	return Params{
+		RunPower:  w.CompletionTime / most,
+		SizePower: 1.5 * max(0, w.Fragmentation-w.CompletionTime) / most,
+		Patience:  20 * time.Minute,
+		Margin:    1.5,
+	}
 }
 
-// Key returns the place in the order; lower is earlier.
-func Key(it Item, p Params) float64 {
-	work := it.Remaining.Seconds() * math.Pow(it.Size, p.SizePower)
+// Value returns the worth of running a job per second.
+func (p Params) Value(it Item) float64 {
 	aging := 1 + it.Waited.Seconds()/p.Patience.Seconds()
-	return work / aging
+	return aging * math.Pow(it.Size, p.SizePower) / math.Pow(max(it.Remaining.Seconds(), 1), p.RunPower)
+}
+
+// Density returns the worth per accelerator; higher is earlier.
+func (p Params) Density(it Item) float64 { return p.Value(it) / it.Size }
+
+// Harm returns what a stop costs in the units of Value: the value of the victim,
+// raised by the share of its delay that is lost work and restart.
+func (p Params) Harm(victim Item, lost, winnerRuns time.Duration) float64 {
+	const restart = 5 * time.Second
+	return p.Value(victim) * (1 + (lost+restart).Seconds()/max(winnerRuns.Seconds(), 1))
 }
--- a/internal/planner/reclaim/reclaim.go
+++ b/internal/planner/reclaim/reclaim.go
@@ -41,10 +41,9 @@
 }
 
 // Victims returns the gangs to stop so that tasks of size per fit on workers,
-// by rank, and their cost. ok is false if even all eligible gangs free too
-// little. Gangs that already stop count as gone.
-func Victims(now time.Time, workers []*pool.Worker, per model.Resources,
-	eligible func(*pool.Gang) bool) (out []*pool.Gang, cost float64, ok bool) {
+// by rank, and their cost by costOf. ok is false if even all preemptible gangs
+// free too little. Gangs that already stop count as gone.
+func Victims(workers []*pool.Worker, per model.Resources, costOf func(*pool.Gang) float64) (out []*pool.Gang, cost float64, ok bool) {
 	need := demand(workers, per)
 	for i := range need {
 		d := &need[i]
@@ -55,7 +54,7 @@
 			}
 		}
 		for !d.amount.Fits(d.room) {
-			g := cheapest(d.w, now, out, d.amount.Sub(d.room), eligible)
+			g := cheapest(d.w, out, d.amount.Sub(d.room), costOf)
 			if g == nil {
 				return nil, 0, false
 			}
@@ -63,9 +62,9 @@
 			d.room = d.room.Add(on(g, d.w))
 		}
 	}
-	out = prune(out, need, now)
+	out = prune(out, need, costOf)
 	for _, g := range out {
-		cost += Cost(g, now)
+		cost += costOf(g)
 	}
 	return out, cost, true
 }
@@ -97,19 +96,18 @@
 	return sum
 }
 
-func cheapest(w *pool.Worker, now time.Time, out []*pool.Gang, lack model.Resources,
-	eligible func(*pool.Gang) bool) *pool.Gang {
+func cheapest(w *pool.Worker, out []*pool.Gang, lack model.Resources, costOf func(*pool.Gang) float64) *pool.Gang {
 	var best *pool.Gang
 	lowest := 0.0
 	for _, g := range w.Gangs {
-		if g.Fixed || g.Stopping || slices.Contains(out, g) || !eligible(g) {
+		if g.Fixed || g.Stopping || slices.Contains(out, g) {
 			continue
 		}
 		freed := share(on(g, w), lack)
 		if freed == 0 {
 			continue
 		}
-		if c := Cost(g, now) / freed; best == nil || c < lowest {
+		if c := costOf(g) / freed; best == nil || c < lowest {
 			best, lowest = g, c
 		}
 	}
@@ -131,7 +129,7 @@
 }
 
 // prune drops gangs without which the room still suffices.
-func prune(out []*pool.Gang, need []deficit, now time.Time) []*pool.Gang {
+func prune(out []*pool.Gang, need []deficit, costOf func(*pool.Gang) float64) []*pool.Gang {
 	if len(out) < 2 {
 		return out
 	}
@@ -145,7 +143,7 @@
 	}
 	byCost := slices.Clone(out)
 	slices.SortStableFunc(byCost, func(a, b *pool.Gang) int {
-		switch ca, cb := Cost(a, now), Cost(b, now); {
+		switch ca, cb := costOf(a), costOf(b); {
 		case ca > cb:
 			return -1
 		case ca < cb:
