Let a job return to workers on which it failed if it fits nowhere else

Change: the exclusion only holds while the shape fits elsewhere in an idle pool; a job without proof against it is at fault after 5 failures that no other job shares.

--- a/internal/planner/batch.go
+++ b/internal/planner/batch.go
@@ -110,6 +110,7 @@
 		return false
 	}
 	runs := p.remaining(j)
+	p.judgePicky(j)
 	workers := p.finder.Find(p.pool, score.Request{
 		Shape:   j.Shape,
 		Room:    (*pool.Worker).Free,
@@ -138,8 +139,19 @@
 
 func (p *Planner) reserved(w *pool.Worker) bool { return p.reservation != nil && p.reservation.on[w] }
 
+// unfit reports whether a worker is closed to a job although it is usable.
 func (p *Planner) unfit(j *job, w *pool.Worker) bool {
-	return w.Probing && len(w.Gangs) > 0 || p.faults.Avoid(j.ID, w.ID)
+	return w.Probing && len(w.Gangs) > 0 || j.picky && p.faults.Avoid(j.ID, w.ID)
+}
+
+// judgePicky decides whether a job keeps off the workers on which it failed. It
+// does not if its shape fits nowhere else even in an idle pool.
+func (p *Planner) judgePicky(j *job) {
+	j.picky = p.faults.Failing(j.ID) && p.finder.Find(p.pool, score.Request{
+		Shape:   j.Shape,
+		Room:    func(w *pool.Worker) model.Resources { return w.Capacity },
+		Exclude: func(w *pool.Worker) bool { return p.faults.Avoid(j.ID, w.ID) },
+	}) != nil
 }
 
 // mayPreempt reports whether a search for victims is worth its time.
--- a/internal/planner/faults/faults.go
+++ b/internal/planner/faults/faults.go
@@ -7,7 +7,8 @@
 // different jobs reach quarantineWeight, or after maxFailures failed starts
 // since its last good one. A job is at fault when it failed on faultWorkers
 // workers that no other job speaks against, most of them proven by a gang that
-// runs there; without proof it takes unprovenWorkers. A job's failures are taken
+// runs there; without proof it takes unprovenFailures, which may repeat on
+// a worker if the shape fits nowhere else. A job's failures are taken
 // back from the workers when it is found at fault, so a burst of bad jobs does
 // not empty the pool.
 //
@@ -29,12 +30,12 @@
 	quarantineWeight = 1.5
 	// maxFailures bounds the failed starts on one worker before quarantine.
 	maxFailures = 3
-	// maxWitnesses bounds the jobs remembered per worker; a quarantined worker
-	// needs no more.
-	maxWitnesses    = 8
-	faultWorkers    = 3
-	faultProven     = 2
-	unprovenWorkers = 5
+	// maxWitnesses bounds the jobs remembered per worker and the failures
+	// remembered per job; no rule needs more.
+	maxWitnesses     = 8
+	faultWorkers     = 3
+	faultProven      = 2
+	unprovenFailures = 5
 	// FirstBackoff and MaxBackoff bound the time until a probe.
 	FirstBackoff = 30 * time.Second
 	MaxBackoff   = 10 * time.Minute
@@ -77,7 +78,7 @@
 	if len(r.jobs) < maxWitnesses && !slices.Contains(r.jobs, job) {
 		r.jobs = append(r.jobs, job)
 	}
-	if !t.Avoid(job, worker) {
+	if len(t.jobs[job]) < maxWitnesses {
 		t.jobs[job] = append(t.jobs[job], Failure{worker, proven})
 	}
 	return r.failures >= maxFailures || t.weight(r) >= quarantineWeight
@@ -86,11 +87,22 @@
 func (t *Tracker) weight(r *record) float64 {
 	sum := 0.0
 	for _, j := range r.jobs {
-		sum += 1 / float64(max(len(t.jobs[j]), 1))
+		sum += 1 / float64(max(len(t.distinct(j)), 1))
 	}
 	return sum
 }
 
+// distinct returns the workers on which a job failed.
+func (t *Tracker) distinct(job string) []string {
+	var out []string
+	for _, f := range t.jobs[job] {
+		if !slices.Contains(out, f.Worker) {
+			out = append(out, f.Worker)
+		}
+	}
+	return out
+}
+
 // Avoid reports whether a job failed on a worker before.
 func (t *Tracker) Avoid(job, worker string) bool {
 	for _, f := range t.jobs[job] {
@@ -111,12 +123,16 @@
 // that show it.
 func (t *Tracker) AtFault(job string) ([]string, bool) {
 	var against []string
-	proven := 0
+	failures, proven := 0, 0
 	for _, f := range t.jobs[job] {
 		r := t.workers[f.Worker]
 		if r != nil && len(r.jobs) > 1 {
 			continue
 		}
+		failures++
+		if slices.Contains(against, f.Worker) {
+			continue
+		}
 		against = append(against, f.Worker)
 		if f.Proven {
 			proven++
@@ -125,7 +141,7 @@
 	if len(against) >= faultWorkers && proven >= faultProven {
 		return against, true
 	}
-	return against, len(against) >= unprovenWorkers
+	return against, failures >= unprovenFailures
 }
 
 // Forget drops a job that ended; if it was at fault itself, its failures no
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -58,9 +58,11 @@
 
 type job struct {
 	model.Job
-	seq       uint64
-	state     state
-	parked    bool
+	seq    uint64
+	state  state
+	parked bool
+	// picky jobs keep off the workers on which they failed.
+	picky     bool
 	cancelled bool
 	attempt   uint64
 	stops     int
