Register the worker interface in snipegw-agent

Cause: make run failed with unknown worker interface httpworker; the plug-in was written after the agent's wiring.

--- a/cmd/snipegw-agent/main.go
+++ b/cmd/snipegw-agent/main.go
@@ -13,6 +13,7 @@
 	"snipegw/internal/agent"
 	"snipegw/internal/kernel"
 	"snipegw/internal/platform"
+	_ "snipegw/internal/platform/httpworker" // registers the worker interface
 )
 
 const (
