Deliver what was sent before a call breaks off

Ruled out: a missing ticket record; the record is made before the admission. Change: end the stream without an end frame, which is a broken body as well. Conclusion: a caller gets its ticket even when the answer breaks off.

--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -260,6 +260,13 @@
 	return s.CloseWrite()
 }
 
+// breakOff ends the call without an end frame, so that a body in progress is
+// broken for the peer. Unlike a reset it does not discard what was sent before,
+// such as an admission with its ticket.
+func (s *Stream) breakOff() {
+	_ = s.Close()
+}
+
 // Abort resets the stream in both directions; the peer sees a broken body.
 func (s *Stream) Abort() {
 	s.qs.CancelRead(resetAborted)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -165,7 +165,7 @@
 	if !errors.Is(err, io.EOF) && !errors.Is(err, context.Canceled) {
 		log.WithFields(log.Fields{"event": "call_failed", "kind": int(kind), "code": int(result.CodeOf(err)), "error": err.Error()}).Debug("call failed")
 	}
-	st.Abort()
+	st.breakOff()
 }
 
 // Pool opens calls to peers. It holds at most one connection per address, dials
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -36,6 +36,15 @@
 		}
 		return s.Send(&wire.Ack{Epoch: r.Attempt})
 	}
+	if kind == wire.KindTicketQuery {
+		if err := s.Receive(&wire.TicketQuery{}); err != nil {
+			return err
+		}
+		if err := s.Send(&wire.Admission{Ticket: "w/i/1"}); err != nil {
+			return err
+		}
+		return errors.New("broken on purpose")
+	}
 	var head wire.RequestHead
 	if err := s.Receive(&head); err != nil {
 		return err
@@ -115,6 +124,23 @@
 		Expect(err).To(MatchError(ErrBroken))
 	})
 
+	It("delivers what was sent before a call breaks off", func() {
+		// A reset discards data that the peer has not read yet; the ticket of a
+		// broken request was lost that way in about one of twenty runs.
+		const calls = 200
+		for range calls {
+			s, done, err := pool.Open(ctx, server.Addr(), wire.KindTicketQuery, &wire.TicketQuery{})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(s.CloseWrite()).To(Succeed())
+			var a wire.Admission
+			Expect(s.Receive(&a)).To(Succeed())
+			Expect(a.Ticket).To(Equal("w/i/1"))
+			_, err = io.ReadAll(s.Body())
+			Expect(err).To(MatchError(ErrBroken))
+			done()
+		}
+	})
+
 	It("reports an unreachable peer as not sent", func() {
 		unused, err := net.ListenPacket("udp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
