Add a benchmark of the request path and free slots at the end of a response

A slot is released when the backend server has ended its response, before the end is passed on; with 60 callers on 60 slots the benchmark saw refusals with worker_full otherwise.

--- /dev/null
+++ b/internal/agent/gate/bench_test.go
@@ -0,0 +1,169 @@
+package gate
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"snipegw/internal/wire"
+)
+
+const (
+	benchCallers = 60
+	maxMicros    = 10_000_000
+)
+
+var benchBody = bytes.Repeat([]byte("x"), 256)
+
+// load runs b.N calls by benchCallers goroutines and reports percentiles.
+func load(b *testing.B, call func() error) {
+	var left atomic.Int64
+	left.Store(int64(b.N))
+	var mu sync.Mutex
+	total := hdrhistogram.New(1, maxMicros, 3)
+	var wg sync.WaitGroup
+	b.ReportAllocs()
+	b.ResetTimer()
+	cpu := processorTime(b)
+	for range benchCallers {
+		wg.Go(func() {
+			h := hdrhistogram.New(1, maxMicros, 3)
+			for left.Add(-1) >= 0 {
+				begun := time.Now()
+				if err := call(); err != nil {
+					b.Error(err)
+					return
+				}
+				_ = h.RecordValue(time.Since(begun).Microseconds())
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			total.Merge(h)
+		})
+	}
+	wg.Wait()
+	b.StopTimer()
+	b.ReportMetric(float64(total.ValueAtQuantile(50)), "p50-µs")
+	b.ReportMetric(float64(total.ValueAtQuantile(99)), "p99-µs")
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "req/s")
+	b.ReportMetric(float64((processorTime(b)-cpu).Microseconds())/float64(b.N), "cpu-µs/op")
+	b.ReportMetric(0, "ns/op")
+}
+
+// processorTime is less sensitive to the load of the machine than latency.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	check(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func benchServer(b *testing.B) *httptest.Server {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body)
+	}))
+	b.Cleanup(s.Close)
+	return s
+}
+
+// BenchmarkDirect calls the backend server directly.
+func BenchmarkDirect(b *testing.B) {
+	s := benchServer(b)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchCallers}}
+	load(b, func() error {
+		resp, err := client.Post(s.URL, "text/plain", bytes.NewReader(benchBody))
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		_, err = io.Copy(io.Discard, resp.Body)
+		return err
+	})
+}
+
+// BenchmarkAgent calls the same backend server through transport and gate.
+func BenchmarkAgent(b *testing.B) {
+	for _, idempotent := range []bool{true, false} {
+		b.Run(fmt.Sprintf("idempotent=%v", idempotent), func(b *testing.B) {
+			s := benchServer(b)
+			r := newRig(b)
+			defer r.close()
+			announced := Announcement{Service: "svc", Address: s.Listener.Addr().String(), Slots: benchCallers, Instance: "i"}
+			check(b, r.gate.Announce(announced))
+			stop := renew(r.gate, announced)
+			defer stop()
+			load(b, func() error { return r.benchCall(idempotent) })
+		})
+	}
+}
+
+func (r *rig) benchCall(idempotent bool) error {
+	h := head(wire.RequestHead{Idempotent: idempotent, Header: []wire.HeaderField{{Name: "Content-Type", Value: "text/plain"}}}, string(benchBody))
+	s, done, err := r.pool.Open(r.ctx, r.server.Addr(), wire.KindRequest, h)
+	if err != nil {
+		return err
+	}
+	defer done()
+	var admission wire.Admission
+	if !idempotent { // as an entry does, see package forward
+		if err := s.Flush(); err != nil {
+			return err
+		}
+		if err := s.Receive(&admission); err != nil {
+			err = fmt.Errorf("admission: %w", err)
+			return err
+		}
+	}
+	w := s.BodyWriter(false)
+	_, _ = w.Write(benchBody)
+	_ = w.Close()
+	_ = s.CloseWrite()
+	if idempotent {
+		if err := s.Receive(&admission); err != nil {
+			err = fmt.Errorf("admission: %w", err)
+			return err
+		}
+	}
+	if admission.Fault != nil {
+		return admission.Fault.Err()
+	}
+	var response wire.ResponseHead
+	if err := s.Receive(&response); err != nil {
+		err = fmt.Errorf("head: %w", err)
+		return err
+	}
+	if response.Fault != nil {
+		return response.Fault.Err()
+	}
+	n, err := io.Copy(io.Discard, s.Body())
+	if err == nil && n != int64(len(benchBody)) {
+		err = fmt.Errorf("%d bytes came back", n)
+	}
+	return err
+}
+
+// renew repeats an announcement until the returned function is called.
+func renew(g *Gate, a Announcement) func() {
+	done := make(chan struct{})
+	go func() {
+		t := time.NewTicker(time.Second)
+		defer t.Stop()
+		for {
+			select {
+			case <-t.C:
+				_ = g.Announce(a)
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() { close(done) }
+}
--- a/internal/agent/gate/harness_test.go
+++ b/internal/agent/gate/harness_test.go
@@ -20,7 +20,7 @@
 type rig struct {
 	gate    *Gate
 	tickets *tickets.Store
-	clock   atomic.Int64
+	offset  atomic.Int64 // the gate's clock is ahead by this
 	server  *transport.Server
 	pool    *transport.Pool
 	ctx     context.Context
@@ -29,8 +29,11 @@
 
 func newRig(tb testing.TB) *rig {
 	r := &rig{}
-	r.clock.Store(time.Now().UnixNano())
-	now := func() time.Time { return time.Unix(0, r.clock.Load()) }
+	base := time.Now()
+	now := func() time.Time { return base.Add(time.Duration(r.offset.Load())) }
+	if _, bench := tb.(*testing.B); bench {
+		now = time.Now
+	}
 	r.tickets = tickets.NewStore("w1", "inc", now)
 	r.gate = New(r.tickets, now, func() {})
 	creds, err := transport.NewCredentials(transport.Security{Mode: transport.ModeDevelopment})
@@ -63,7 +66,7 @@
 	}
 }
 
-func (r *rig) pass(d time.Duration) { r.clock.Add(int64(d)) }
+func (r *rig) pass(d time.Duration) { r.offset.Add(int64(d)) }
 
 // answer is everything that comes back on a request stream.
 type answer struct {
--- a/internal/agent/gate/request.go
+++ b/internal/agent/gate/request.go
@@ -54,18 +54,23 @@
 	if err != nil {
 		return refuse(s, err)
 	}
-	defer svc.release()
 	run, err := g.begin(&head)
 	if err != nil {
+		svc.release()
 		return refuse(s, err)
 	}
 	if run == nil && head.Ticket != "" {
+		svc.release()
 		return g.replay(s, head.Ticket, head.Team)
 	}
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	svc.served.Add(1)
-	x := &exchange{gate: g, stream: s, head: &head, target: target, backend: b, run: run, answered: make(chan struct{})}
+	x := &exchange{gate: g, stream: s, head: &head, target: target, service: svc, backend: b, run: run}
+	if run != nil {
+		x.answered = make(chan struct{})
+	}
+	defer x.releaseSlot()
 	err = x.serve(ctx, svc.free())
 	if x.owner.Load() == ownerDeadline {
 		<-x.answered
@@ -102,7 +107,9 @@
 	stream  *transport.Stream
 	head    *wire.RequestHead
 	target  *url.URL
+	service *service
 	backend *backend
+	freed   bool         // the slot has been released
 	run     *tickets.Run // nil for an idempotent request
 	owner   atomic.Int32 // who sends the response head
 	gotConn atomic.Bool  // a connection was assigned, so bytes may have been sent
@@ -110,6 +117,16 @@
 	answered chan struct{}
 }
 
+// releaseSlot frees the slot once. It is called when the backend server has
+// ended its response, before the end is passed on: a caller that sends its next
+// request at once then finds the slot free.
+func (x *exchange) releaseSlot() {
+	if !x.freed {
+		x.freed = true
+		x.service.release()
+	}
+}
+
 func (x *exchange) serve(ctx context.Context, free int) error {
 	admission := wire.Admission{FreeSlots: free}
 	if x.run != nil {
--- a/internal/agent/gate/response.go
+++ b/internal/agent/gate/response.go
@@ -80,6 +80,7 @@
 		}
 		switch {
 		case err == io.EOF:
+			x.releaseSlot()
 			if send == nil {
 				send = w.Close()
 			}
