--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -48,13 +51,42 @@
 	qs *quic.Stream
 	br *bufio.Reader
 	bw *bufio.Writer
+	// body is the latest body reader; its buffer may be in use until its end.
+	body *bodyReader
+	// closed is set when CloseWrite has ended, so that nothing writes any more.
+	closed   atomic.Bool
+	released atomic.Bool
 }
 
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, streamBufferBytes) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, streamBufferBytes) }}
+)
+
 func newStream(qs *quic.Stream) *Stream {
-	return &Stream{
-		qs: qs,
-		br: bufio.NewReaderSize(qs, streamBufferBytes),
-		bw: bufio.NewWriterSize(qs, streamBufferBytes),
+	s := &Stream{qs: qs, br: readers.Get().(*bufio.Reader), bw: writers.Get().(*bufio.Writer)}
+	s.br.Reset(qs)
+	s.bw.Reset(qs)
+	return s
+}
+
+// release returns the buffers that nothing uses any more, when the call has
+// ended. A buffer that another goroutine may still use, for a body
+// that was not read to its end or a direction that was not closed, is left to
+// the garbage collector.
+func (s *Stream) release() {
+	if s.released.Swap(true) {
+		return
+	}
+	if s.body == nil || s.body.done.Load() {
+		s.br.Reset(nil)
+		readers.Put(s.br)
+		s.br = nil // a use after the end must not read another call's data
+	}
+	if s.closed.Load() {
+		s.bw.Reset(nil)
+		writers.Put(s.bw)
+		s.bw = nil
 	}
 }
 
@@ -64,6 +96,9 @@
 // Context ends when the peer resets the stream or the connection ends.
 func (s *Stream) Context() context.Context { return s.qs.Context() }
 
+// messages holds buffers for the encoding of messages.
+var messages = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
 // Send writes a message and flushes it.
 func (s *Stream) Send(v any) error {
 	if err := s.SendBuffered(v); err != nil {
@@ -74,11 +109,13 @@
 
 // SendBuffered writes a message that goes out with the next flush.
 func (s *Stream) SendBuffered(v any) error {
-	data, err := wire.Marshal(v)
-	if err != nil {
+	buf := messages.Get().(*bytes.Buffer)
+	defer messages.Put(buf)
+	buf.Reset()
+	if err := wire.MarshalTo(buf, v); err != nil {
 		return err
 	}
-	return s.writeFrame(frameMessage, data)
+	return s.writeFrame(frameMessage, buf.Bytes())
 }
 
 // SendFault writes err in place of a message and flushes it.
@@ -97,10 +134,14 @@
 func (s *Stream) Flush() error { return s.bw.Flush() }
 
 func (s *Stream) writeFrame(kind byte, payload []byte) error {
-	var head [frameHeaderBytes]byte
-	head[0] = kind
-	binary.BigEndian.PutUint32(head[1:], uint32(len(payload)))
-	if _, err := s.bw.Write(head[:]); err != nil {
+	if s.bw.Available() < frameHeaderBytes {
+		if err := s.bw.Flush(); err != nil {
+			return err
+		}
+	}
+	head := append(s.bw.AvailableBuffer(), kind)
+	head = binary.BigEndian.AppendUint32(head, uint32(len(payload)))
+	if _, err := s.bw.Write(head); err != nil {
 		return err
 	}
 	_, err := s.bw.Write(payload)
@@ -108,11 +149,16 @@
 }
 
 func (s *Stream) readHeader() (kind byte, length int, err error) {
-	var head [frameHeaderBytes]byte
-	if _, err := io.ReadFull(s.br, head[:]); err != nil {
+	head, err := s.br.Peek(frameHeaderBytes)
+	if err != nil {
+		if err == io.EOF && len(head) > 0 {
+			err = io.ErrUnexpectedEOF
+		}
 		return 0, 0, err
 	}
-	return head[0], int(binary.BigEndian.Uint32(head[1:])), nil
+	kind, length = head[0], int(binary.BigEndian.Uint32(head[1:]))
+	_, err = s.br.Discard(frameHeaderBytes)
+	return kind, length, err
 }
 
 // Receive reads a message into v. A fault sent in its place is returned as a
@@ -128,10 +174,32 @@
 	if kind != frameMessage && kind != frameFault {
 		return fmt.Errorf("transport: frame of type %d in place of a message", kind)
 	}
+	if length <= streamBufferBytes {
+		return s.decodeBuffered(kind, length, v)
+	}
 	data := make([]byte, length)
 	if _, err := io.ReadFull(s.br, data); err != nil {
 		return err
 	}
+	return decode(kind, data, v)
+}
+
+// decodeBuffered decodes a short message out of the read buffer; the decoder
+// copies what it keeps.
+func (s *Stream) decodeBuffered(kind byte, length int, v any) error {
+	data, err := s.br.Peek(length)
+	if err != nil {
+		if err == io.EOF && len(data) > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		return err
+	}
+	err = decode(kind, data, v)
+	_, _ = s.br.Discard(length)
+	return err
+}
+
+func decode(kind byte, data []byte, v any) error {
 	if kind == frameMessage {
 		return wire.Unmarshal(data, v)
 	}
@@ -186,19 +254,22 @@
 // Body returns the reader of the body that comes next. It returns io.EOF only
 // after an end frame with the right length, and ErrBroken for a body that
 // breaks off.
-func (s *Stream) Body() io.Reader { return &bodyReader{s: s} }
+func (s *Stream) Body() io.Reader {
+	s.body = &bodyReader{s: s}
+	return s.body
+}
 
 type bodyReader struct {
 	s     *Stream
 	left  int // bytes left of the current frame
 	total uint64
-	done  bool
+	done  atomic.Bool
 }
 
 // Read implements io.Reader.
 func (r *bodyReader) Read(p []byte) (int, error) {
 	for r.left == 0 {
-		if r.done {
+		if r.done.Load() {
 			return 0, io.EOF
 		}
 		if err := r.nextFrame(); err != nil {
@@ -230,14 +301,16 @@
 }
 
 func (r *bodyReader) readEnd() error {
-	var end [endPayloadBytes]byte
-	if _, err := io.ReadFull(r.s.br, end[:]); err != nil {
+	end, err := r.s.br.Peek(endPayloadBytes)
+	if err != nil {
 		return brokenBody(err)
 	}
-	if total := binary.BigEndian.Uint64(end[:]); total != r.total {
+	total := binary.BigEndian.Uint64(end)
+	_, _ = r.s.br.Discard(endPayloadBytes)
+	if total != r.total {
 		return fmt.Errorf("%w: %d bytes in place of %d", ErrBroken, r.total, total)
 	}
-	r.done = true
+	r.done.Store(true)
 	return nil
 }
 
@@ -247,10 +320,15 @@
 
 // CloseWrite ends the sending direction after a flush.
 func (s *Stream) CloseWrite() error {
+	if s.closed.Load() {
+		return nil
+	}
 	if err := s.bw.Flush(); err != nil {
 		return err
 	}
-	return s.qs.Close()
+	err := s.qs.Close()
+	s.closed.Store(true)
+	return err
 }
 
 // Close ends the call in both directions after a flush. Unread data of the
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -143,6 +143,7 @@
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	st := newStream(qs)
+	defer st.release()
 	kind, err := st.br.ReadByte()
 	if err != nil {
 		st.Abort()
@@ -285,17 +286,21 @@
 
 // Open begins a call of the given kind and buffers msg as its first message;
 // it goes out with the first flush (Send, BodyWriter.Close, CloseWrite). Errors
-// are *CallError. The caller ends the call with done.
+// are *CallError. The caller ends the call with done, when no other goroutine
+// reads from the stream any more.
 func (p *Pool) Open(ctx context.Context, addr string, kind wire.Kind, msg any) (s *Stream, done func(), err error) {
 	e := p.entry(addr)
 	e.busy.Add(1)
 	e.used.Store(time.Now().UnixNano())
-	done = func() { e.busy.Add(-1) }
 	s, err = p.openStream(ctx, addr, e, kind, msg)
 	if err != nil {
-		done()
+		e.busy.Add(-1)
 		return nil, nil, &CallError{Address: addr, Err: err}
 	}
+	done = func() {
+		s.release()
+		e.busy.Add(-1)
+	}
 	return s, done, nil
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
@@ -22,6 +23,7 @@
 )
 
 var (
+	bufMode = mustBuf()
 	encMode = mustEnc()
 	decMode = mustDec()
 )
@@ -34,6 +36,14 @@
 	return m
 }
 
+func mustBuf() cbor.UserBufferEncMode {
+	m, err := cbor.CoreDetEncOptions().UserBufferEncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
 func mustDec() cbor.DecMode {
 	m, err := cbor.DecOptions{
 		MaxNestedLevels:  MaxDepth,
@@ -60,6 +70,18 @@
 	return data, nil
 }
 
+// MarshalTo appends the encoding of v to buf.
+func MarshalTo(buf *bytes.Buffer, v any) error {
+	before := buf.Len()
+	if err := bufMode.MarshalToBuffer(v, buf); err != nil {
+		return fmt.Errorf("encode %T: %w", v, err)
+	}
+	if n := buf.Len() - before; n > MaxMessageBytes {
+		return fmt.Errorf("encode %T: %d bytes exceed the limit of %d", v, n, MaxMessageBytes)
+	}
+	return nil
+}
+
 // Unmarshal decodes data into v.
 func Unmarshal(data []byte, v any) error {
 	if len(data) > MaxMessageBytes {
