--- /dev/null
+++ b/internal/bench/main.go
@@ -0,0 +1,97 @@
+// Command bench measures the request path, routing decisions and the cost of
+// membership, each against its baseline in the same run. It starts the built
+// programs as separate processes on loopback and prints a table.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+type options struct {
+	Bin     string        `long:"bin" default:"bin" description:"directory of the built programs"`
+	Only    []string      `long:"only" description:"section to run: requests, routing or membership; may be repeated"`
+	Peers   []int         `long:"peers" description:"numbers of agents in the section membership" default:"10" default:"150" default:"350" default:"700" default:"1400"`
+	Measure time.Duration `long:"measure" default:"5s" description:"time of each measurement"`
+}
+
+// section is one part of the report.
+type section struct {
+	name string
+	run  func(o *options, r *report) error
+}
+
+var sections = []section{
+	{"requests", requestSection},
+	{"routing", routingSection},
+	{"membership", membershipSection},
+}
+
+// report collects rows of a table.
+type report struct {
+	w *tabwriter.Writer
+}
+
+func (r *report) title(format string, args ...any) {
+	_ = r.w.Flush()
+	fmt.Printf("\n%s\n", fmt.Sprintf(format, args...))
+}
+
+func (r *report) row(cells ...any) {
+	parts := make([]string, len(cells))
+	for i, c := range cells {
+		switch v := c.(type) {
+		case float64:
+			parts[i] = fmt.Sprintf("%.2f", v)
+		default:
+			parts[i] = fmt.Sprint(v)
+		}
+	}
+	fmt.Fprintln(r.w, strings.Join(parts, "\t"))
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var fe *flags.Error
+		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(2)
+	}
+	r := &report{w: tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)}
+	fmt.Printf("%d processors, load average %s, %s\n", runtime.NumCPU(), loadAverage(), runtime.Version())
+	failed := false
+	for _, s := range sections {
+		if len(o.Only) > 0 && !slices.Contains(o.Only, s.name) {
+			continue
+		}
+		if err := s.run(&o, r); err != nil {
+			fmt.Fprintf(os.Stderr, "section %s: %v\n", s.name, err)
+			failed = true
+		}
+		_ = r.w.Flush()
+	}
+	if failed {
+		os.Exit(1)
+	}
+}
+
+// loadAverage returns the load of the machine in the last minute, since other
+// work on it disturbs all figures.
+func loadAverage() string {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	first, _, _ := strings.Cut(string(data), " ")
+	return first
+}
--- /dev/null
+++ b/internal/bench/membership.go
@@ -0,0 +1,252 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"snipegw/internal/model"
+	"snipegw/internal/transport"
+	"snipegw/internal/wire"
+)
+
+const (
+	// packetOverhead is the length of UDP and IPv4 headers.
+	packetOverhead = 28
+	// changeEvery is the number of heartbeats between two changes of an agent's
+	// state. An agent changes a few times for each task and request burst; one
+	// change in 30 s is far above the 16,400 task starts and ends a day of the
+	// target scale.
+	changeEvery = 30
+	// settleTime lets an entry finish handshakes and a garbage collection.
+	settleTime = 5 * time.Second
+	// maxDials bounds the handshakes in progress.
+	maxDials = 20
+)
+
+// lightAgent speaks the protocol of an agent's heartbeats over a connection of
+// its own.
+type lightAgent struct {
+	pool  *transport.Pool
+	state wire.WorkerState
+	acked bool
+	hash  uint64
+	beats int
+}
+
+// sample is what one entry used per second of a measurement.
+type sample struct {
+	agents   int
+	resident float64 // MB
+	cpu      float64 // share of one core
+	bytes    float64 // per second, with UDP and IP headers
+	packets  float64 // per second
+}
+
+// membershipSection measures two entries: one is the home of all agents, the
+// other learns them through the exchange. The baseline is the same pair without
+// agents.
+func membershipSection(o *options, r *report) error {
+	r.title("Membership: entry A is home to all agents (heartbeat each second, a change each %d s), entry B learns them from A", changeEvery)
+	r.row("agents", "entry", "resident MB", "added MB", "core share", "added", "bytes/s", "packets/s", "store bytes/s (both)", "missed heartbeats")
+	var home, remote []sample
+	for _, n := range append([]int{0}, o.Peers...) {
+		a, b, err := membershipRow(o, r, n, home, remote)
+		if err != nil {
+			return err
+		}
+		home, remote = append(home, a), append(remote, b)
+	}
+	r.title("Slopes by least squares over %d sizes", len(home))
+	r.row("entry", "KB resident per agent", "core share per 1,000 agents", "bytes/s per agent")
+	for _, s := range []struct {
+		name    string
+		samples []sample
+	}{{"A (home)", home}, {"B (learns)", remote}} {
+		r.row(s.name, 1024*slope(s.samples, func(x sample) float64 { return x.resident }),
+			fmt.Sprintf("%.2f%%", 1000*100*slope(s.samples, func(x sample) float64 { return x.cpu })),
+			slope(s.samples, func(x sample) float64 { return x.bytes }))
+	}
+	return nil
+}
+
+func membershipRow(o *options, r *report, n int, home, remote []sample) (a, b sample, err error) {
+	reg, err := startRegion(o.Bin, 2)
+	if err != nil {
+		return a, b, err
+	}
+	defer reg.close()
+	creds, err := transport.NewCredentials(development)
+	if err != nil {
+		return a, b, err
+	}
+	agents, err := makeAgents(n, creds)
+	defer func() {
+		for _, ag := range agents {
+			_ = ag.pool.Close()
+		}
+	}()
+	if err != nil {
+		return a, b, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var missed, connected atomic.Int64
+	var wg sync.WaitGroup
+	gate := make(chan struct{}, maxDials)
+	for _, ag := range agents {
+		wg.Go(func() { ag.run(ctx, reg.entries[0].quic, gate, &connected, &missed) })
+	}
+	if err := waitFor("agents", func() bool { return connected.Load() == int64(n) }); err != nil {
+		return a, b, err
+	}
+	time.Sleep(settleTime)
+	missed.Store(0)
+	samples, storeBytes, err := measure(reg, o.Measure, n)
+	if err != nil {
+		return a, b, err
+	}
+	for i, list := range [][]sample{home, remote} {
+		s := samples[i]
+		base := s
+		if len(list) > 0 {
+			base = list[0]
+		}
+		r.row(n, []string{"A", "B"}[i], s.resident, s.resident-base.resident, fmt.Sprintf("%.2f%%", 100*s.cpu),
+			fmt.Sprintf("%.2f%%", 100*(s.cpu-base.cpu)), fmt.Sprintf("%.0f", s.bytes), fmt.Sprintf("%.0f", s.packets), fmt.Sprintf("%.0f", storeBytes), missed.Load())
+	}
+	cancel()
+	wg.Wait()
+	return samples[0], samples[1], nil
+}
+
+// measure returns what each entry used per second, and the bytes per second
+// between both entries and the store.
+func measure(reg *region, d time.Duration, n int) ([]sample, float64, error) {
+	type reading struct {
+		usage
+		transport.Stats
+	}
+	read := func() ([]reading, error) {
+		list := make([]reading, len(reg.entries))
+		for i, e := range reg.entries {
+			var err error
+			if list[i].Stats, err = e.traffic(); err != nil {
+				return nil, err
+			}
+			if list[i].usage, err = e.usage(); err != nil {
+				return nil, err
+			}
+		}
+		return list, nil
+	}
+	before, err := read()
+	if err != nil {
+		return nil, 0, err
+	}
+	storeBefore, begin := reg.store.bytes.Load(), time.Now()
+	time.Sleep(d)
+	after, err := read()
+	if err != nil {
+		return nil, 0, err
+	}
+	seconds := time.Since(begin).Seconds()
+	samples := make([]sample, len(after))
+	for i := range after {
+		x, y := before[i], after[i]
+		packets := float64(y.PacketsSent+y.PacketsReceived-x.PacketsSent-x.PacketsReceived) / seconds
+		samples[i] = sample{
+			agents:   n,
+			resident: float64(y.resident) / (1 << 20),
+			cpu:      (y.cpu - x.cpu).Seconds() / seconds,
+			bytes:    float64(y.BytesSent+y.BytesReceived-x.BytesSent-x.BytesReceived)/seconds + packets*packetOverhead,
+			packets:  packets,
+		}
+	}
+	return samples, float64(reg.store.bytes.Load()-storeBefore) / seconds, nil
+}
+
+func makeAgents(n int, creds *transport.Credentials) ([]*lightAgent, error) {
+	agents := make([]*lightAgent, 0, n)
+	for i := range n {
+		pool, err := transport.NewPool("127.0.0.1:0", creds)
+		if err != nil {
+			return agents, err
+		}
+		id := fmt.Sprintf("w%04d", i)
+		agents = append(agents, &lightAgent{pool: pool, state: wire.WorkerState{
+			Worker: model.Worker{
+				ID: id, Rack: fmt.Sprint("rack-", i/3), FailureDomain: benchDomain, Region: benchRegion,
+				Capacity: model.Resources{Accelerators: 8, Cores: 32, MemoryGB: 128},
+			},
+			Incarnation: wire.NewIncarnation(time.Now()), Seq: 1, Address: "127.0.0.1:1",
+			Services: []wire.ServiceState{{Service: benchService, Slots: 8, Healthy: true}},
+			Gangs:    []wire.GangState{{Job: "job-" + id, Attempt: 1, State: "running", Ranks: []int{0, 1, 2, 3}}},
+		}})
+	}
+	return agents, nil
+}
+
+func (a *lightAgent) run(ctx context.Context, addr string, gate chan struct{}, connected, missed *atomic.Int64) {
+	gate <- struct{}{}
+	ok := a.beat(ctx, addr)
+	<-gate
+	if ok {
+		connected.Add(1)
+	}
+	next := time.Now().Add(rand.N(time.Second))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(next)):
+		}
+		next = next.Add(time.Second)
+		if !a.beat(ctx, addr) {
+			missed.Add(1)
+		} else if !ok {
+			ok = true
+			connected.Add(1)
+		}
+	}
+}
+
+func (a *lightAgent) beat(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if a.beats++; a.beats%changeEvery == 0 {
+		a.state.Seq++
+		a.acked = false
+	}
+	hb := &wire.Heartbeat{Worker: a.state.Worker.ID, Incarnation: a.state.Incarnation, Seq: a.state.Seq, FreeSlots: 8, EntriesHash: a.hash}
+	if !a.acked {
+		hb.State = &a.state
+	}
+	var reply wire.HeartbeatReply
+	if err := a.pool.Call(ctx, addr, wire.KindHeartbeat, hb, &reply); err != nil {
+		return false
+	}
+	a.acked = !reply.NeedState
+	if len(reply.Entries) > 0 {
+		a.hash = wire.HashEntries(reply.Entries)
+	}
+	return true
+}
+
+// slope returns the slope of f over the number of agents by least squares.
+func slope(samples []sample, f func(sample) float64) float64 {
+	n := float64(len(samples))
+	var sx, sy, sxx, sxy float64
+	for _, s := range samples {
+		x, y := float64(s.agents), f(s)
+		sx, sy, sxx, sxy = sx+x, sy+y, sxx+x*x, sxy+x*y
+	}
+	d := n*sxx - sx*sx
+	if d == 0 {
+		return 0
+	}
+	return (n*sxy - sx*sy) / d
+}
--- /dev/null
+++ b/internal/bench/region.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+
+	"snipegw/internal/entry"
+	"snipegw/internal/store"
+	"snipegw/internal/transport"
+)
+
+const (
+	benchToken  = "bench"
+	benchRegion = "bench"
+	benchDomain = "domain-1"
+)
+
+var development = transport.Security{Mode: transport.ModeDevelopment}
+
+// region is a store and entries.
+type region struct {
+	*fleet
+	store   *countingProxy
+	entries []*entryProcess
+}
+
+type entryProcess struct {
+	*process
+	http string
+	quic string
+}
+
+// startRegion starts a store and n entries and waits until they are ready.
+func startRegion(bin string, n int) (*region, error) {
+	f, err := newFleet(bin)
+	if err != nil {
+		return nil, err
+	}
+	r := &region{fleet: f}
+	if err := r.startAll(n); err != nil {
+		r.close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *region) startAll(n int) error {
+	addrs, err := freeAddresses(1 + 2*n)
+	if err != nil {
+		return err
+	}
+	if _, err := r.start("store", "snipegw-standin", []string{"store"}, map[string]any{"address": addrs[0]}); err != nil {
+		return err
+	}
+	if r.store, err = newCountingProxy(addrs[0]); err != nil {
+		return err
+	}
+	bootstrap := filepath.Join(r.dir, "bootstrap.json")
+	if err := os.WriteFile(bootstrap, firstConfig(), 0o600); err != nil {
+		return err
+	}
+	for i := range n {
+		e := &entryProcess{http: addrs[1+2*i], quic: addrs[2+2*i]}
+		name := fmt.Sprint("entry-", i+1)
+		e.process, err = r.start(name, "snipegw-entry", nil, entry.Settings{
+			ID: name, Region: benchRegion, FailureDomain: benchDomain, HTTPAddress: e.http, Address: e.quic,
+			Store:    store.Settings{Type: "consulkv", Addresses: []string{"http://" + r.store.addr()}, TimeoutMS: 1000},
+			Security: development, Policy: "loads", LogLevel: "warn", AdvertiseAddress: e.quic, BootstrapConfig: bootstrap,
+		})
+		if err != nil {
+			return err
+		}
+		r.entries = append(r.entries, e)
+	}
+	for i, e := range r.entries {
+		if err := waitFor("entry", answers("http://"+e.http+"/healthz", benchToken)); err != nil {
+			return fmt.Errorf("%w: %s", err, r.log(fmt.Sprint("entry-", i+1)))
+		}
+	}
+	return nil
+}
+
+func firstConfig() []byte {
+	sum := sha256.Sum256([]byte(benchToken))
+	data, _ := json.Marshal(map[string]any{
+		"version": 1,
+		"teams":   []map[string]any{{"id": "bench", "weight": 1, "token_hashes": []string{hex.EncodeToString(sum[:])}}},
+		"weights": map[string]any{"completion_time": 1, "fragmentation": 0.3},
+		"limits":  map[string]any{},
+	})
+	return data
+}
+
+// traffic reads the QUIC counters of an entry.
+func (e *entryProcess) traffic() (transport.Stats, error) {
+	resp, err := http.Get("http://" + e.http + "/debug/vars")
+	if err != nil {
+		return transport.Stats{}, err
+	}
+	defer resp.Body.Close()
+	var vars struct {
+		Transport map[string]transport.Stats `json:"transport"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&vars); err != nil {
+		return transport.Stats{}, err
+	}
+	var sum transport.Stats
+	for _, s := range vars.Transport {
+		sum.Add(s)
+	}
+	return sum, nil
+}
+
+// countingProxy forwards TCP connections to one address and counts their bytes.
+type countingProxy struct {
+	ln     net.Listener
+	target string
+	bytes  atomic.Int64
+}
+
+func newCountingProxy(target string) (*countingProxy, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &countingProxy{ln: ln, target: target}
+	go p.accept()
+	return p, nil
+}
+
+func (p *countingProxy) addr() string { return p.ln.Addr().String() }
+
+func (p *countingProxy) accept() {
+	for {
+		c, err := p.ln.Accept()
+		if err != nil {
+			return
+		}
+		go p.forward(c)
+	}
+}
+
+func (p *countingProxy) forward(c net.Conn) {
+	defer c.Close()
+	t, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	defer t.Close()
+	go func() {
+		_, _ = io.Copy(t, counted{c, &p.bytes})
+		t.Close()
+	}()
+	_, _ = io.Copy(c, counted{t, &p.bytes})
+}
+
+type counted struct {
+	r io.Reader
+	n *atomic.Int64
+}
+
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.n.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/bench/requests.go
@@ -0,0 +1,218 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"snipegw/internal/model"
+)
+
+const (
+	benchService = "bench"
+	connections  = 60
+	bodyBytes    = 64
+	// pacedPerConnection is the rate of each connection in the paced rows, in
+	// requests per second: 1,800 in all, far below saturation.
+	pacedPerConnection = 30
+	warmUp             = time.Second
+	// benchSlots leaves the concurrency to the 60 connections; a worker of the
+	// two deployments has 8 slots, which the last rows show.
+	benchSlots    = 64
+	workloadSlots = 8
+	maxLatency    = int64(60 * time.Second / time.Microsecond)
+)
+
+// load is one way to send requests.
+type load struct {
+	url    string
+	method string
+	header http.Header
+	paced  bool
+}
+
+// outcome are the figures of one load.
+type outcome struct {
+	p50, p99 time.Duration
+	rate     float64
+	failed   int64
+}
+
+// requestSection measures requests through entry and agent against direct calls
+// of the same backend server.
+func requestSection(o *options, r *report) error {
+	r.title("Request path, %d connections, body of %d bytes; all processes share the machine", connections, bodyBytes)
+	r.row("load", "path", "p50 ms", "p99 ms", "requests/s", "added p50 ms", "added p99 ms", "of direct throughput", "failed")
+	for _, slots := range []int{benchSlots, workloadSlots} {
+		if err := requestRows(o, r, slots); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func requestRows(o *options, r *report, slots int) error {
+	reg, backend, err := startWorker(o.Bin, slots)
+	if err != nil {
+		return err
+	}
+	defer reg.close()
+	direct := "http://" + backend + "/x"
+	through := "http://" + reg.entries[0].http + "/v1/services/" + benchService + "/request/x"
+	if err := waitFor("service", answers(through, benchToken)); err != nil {
+		return fmt.Errorf("%w: %s", err, reg.log("agent"))
+	}
+	modes := []bool{false, true}
+	if slots == workloadSlots {
+		modes = modes[:1]
+	}
+	for _, paced := range modes {
+		name := fmt.Sprintf("saturated, %d slots", slots)
+		if paced {
+			name = fmt.Sprintf("paced at %d/s, %d slots", connections*pacedPerConnection, slots)
+		}
+		base := run(o, load{url: direct, method: http.MethodPost, paced: paced})
+		r.row(name, "direct", ms(base.p50), ms(base.p99), fmt.Sprintf("%.0f", base.rate), "", "", "", base.failed)
+		for _, idempotent := range []string{"true", "false"} {
+			got := run(o, load{url: through, method: http.MethodPost, paced: paced, header: http.Header{
+				"Authorization": {"Bearer " + benchToken}, "Snipegw-Idempotent": {idempotent},
+			}})
+			path := "entry and agent"
+			if idempotent == "false" {
+				path = "entry and agent, with ticket (103)"
+			}
+			r.row(name, path, ms(got.p50), ms(got.p99), fmt.Sprintf("%.0f", got.rate),
+				ms(got.p50-base.p50), ms(got.p99-base.p99), fmt.Sprintf("%.0f%%", 100*got.rate/base.rate), got.failed)
+		}
+	}
+	return nil
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// startWorker starts a region with one entry, one worker, its agent and its
+// backend server, and returns the address of the backend server.
+func startWorker(bin string, slots int) (*region, string, error) {
+	reg, err := startRegion(bin, 1)
+	if err != nil {
+		return nil, "", err
+	}
+	addrs, err := freeAddresses(4)
+	if err == nil {
+		err = reg.startWorker(addrs, slots)
+	}
+	if err != nil {
+		reg.close()
+		return nil, "", err
+	}
+	return reg, addrs[3], nil
+}
+
+func (r *region) startWorker(addrs []string, slots int) error {
+	worker := model.Worker{ID: "w1", Rack: "r1", FailureDomain: benchDomain, Region: benchRegion, Capacity: model.Resources{Accelerators: 8, Cores: 32, MemoryGB: 128}}
+	if _, err := r.start("worker", "snipegw-standin", []string{"worker"}, map[string]any{"address": addrs[0], "worker": worker}); err != nil {
+		return err
+	}
+	if err := waitFor("worker", answers("http://"+addrs[0]+"/v1/worker", "")); err != nil {
+		return err
+	}
+	_, err := r.start("agent", "snipegw-agent", nil, map[string]any{
+		"region": benchRegion, "failure_domain": benchDomain, "address": addrs[1], "local_http_address": addrs[2],
+		"entries": []string{r.entries[0].quic}, "security": development, "log_level": "warn",
+		"worker_api": map[string]any{"type": "httpworker", "address": "http://" + addrs[0], "timeout_ms": 1000},
+	})
+	if err != nil {
+		return err
+	}
+	_, err = r.start("backend", "snipegw-standin", []string{"backend"}, map[string]any{
+		"address": addrs[3], "agent": "http://" + addrs[2], "service": benchService, "slots": slots,
+	})
+	return err
+}
+
+// run sends requests for the measuring time after a warm-up.
+func run(o *options, l load) outcome {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections, MaxConnsPerHost: connections}}
+	defer client.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(context.Background(), warmUp+o.Measure)
+	defer cancel()
+	begin := time.Now().Add(warmUp)
+	var wg sync.WaitGroup
+	var failed, done atomic.Int64
+	parts := make([]*hdrhistogram.Histogram, connections)
+	for i := range parts {
+		h := hdrhistogram.New(1, maxLatency, 3)
+		parts[i] = h
+		wg.Go(func() {
+			l.loop(ctx, client, i, func(at time.Time, took time.Duration, err error) {
+				switch {
+				case at.Before(begin):
+				case err != nil:
+					failed.Add(1)
+				default:
+					done.Add(1)
+					_ = h.RecordValue(took.Microseconds())
+				}
+			})
+		})
+	}
+	wg.Wait()
+	all := hdrhistogram.New(1, maxLatency, 3)
+	for _, h := range parts {
+		all.Merge(h)
+	}
+	quantile := func(q float64) time.Duration { return time.Duration(all.ValueAtQuantile(q)) * time.Microsecond }
+	return outcome{p50: quantile(50), p99: quantile(99), rate: float64(done.Load()) / o.Measure.Seconds(), failed: failed.Load()}
+}
+
+// loop sends requests one after the other, or at the fixed rate of a paced load.
+func (l *load) loop(ctx context.Context, client *http.Client, i int, record func(time.Time, time.Duration, error)) {
+	interval := time.Second / pacedPerConnection
+	next := time.Now().Add(interval * time.Duration(i) / connections)
+	for ctx.Err() == nil {
+		if l.paced {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(time.Until(next)):
+			}
+			next = next.Add(interval)
+		}
+		at := time.Now()
+		err := l.send(ctx, client)
+		if ctx.Err() != nil {
+			return
+		}
+		record(at, time.Since(at), err)
+	}
+}
+
+func (l *load) send(ctx context.Context, client *http.Client) error {
+	req, err := http.NewRequestWithContext(ctx, l.method, l.url, bytes.NewReader(make([]byte, bodyBytes)))
+	if err != nil {
+		return err
+	}
+	for name, values := range l.header {
+		req.Header[name] = values
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.New(resp.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/routing.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"snipegw/internal/entry/limits"
+	"snipegw/internal/entry/router"
+	"snipegw/internal/members"
+	"snipegw/internal/model"
+	"snipegw/internal/wire"
+)
+
+const (
+	routingWorkers = 1400
+	// batch is the number of decisions between two looks at the clock.
+	routingBatch = 1000
+)
+
+var routingThreads = []int{1, 2, 4, 8}
+
+type fixedMembers struct{ view *members.View }
+
+func (f *fixedMembers) View() *members.View      { return f.view }
+func (f *fixedMembers) Changed() <-chan struct{} { return nil }
+
+func routingView(n int) *members.View {
+	v := &members.View{Workers: make(map[string]*members.Worker)}
+	for i := range n {
+		id := fmt.Sprintf("w%04d", i)
+		v.Workers[id] = &members.Worker{Health: members.Alive, State: wire.WorkerState{
+			Worker: model.Worker{ID: id}, Incarnation: "1", Address: "127.0.0.1:1",
+			Services: []wire.ServiceState{{Service: benchService, Slots: 8, Healthy: true}},
+		}}
+	}
+	return v
+}
+
+// routingSection measures decisions for one service at several numbers of
+// threads. The baseline is the rate of one thread in the same run.
+func routingSection(o *options, r *report) error {
+	routes := router.New("bench", &fixedMembers{routingView(routingWorkers)})
+	routes.Rebuild()
+	teams := &limits.Teams{}
+	teams.SetConfig(&model.Config{Teams: []model.Team{{ID: "bench", Weight: 1}}})
+	team, err := teams.Get("bench")
+	if err != nil {
+		return err
+	}
+	pick := func() error {
+		svc, err := routes.Service(benchService)
+		if err != nil {
+			return err
+		}
+		t := routes.Pick(svc, nil)
+		t.Load.Begin()
+		t.Load.End(false, routes.Now())
+		return nil
+	}
+	whole := func() error {
+		if err := team.Begin(); err != nil {
+			return err
+		}
+		defer team.End()
+		svc, err := routes.Service(benchService)
+		if err != nil {
+			return err
+		}
+		if err := svc.Limiter.Acquire(context.Background(), team); err != nil {
+			return err
+		}
+		defer svc.Limiter.Release(0)
+		return pick()
+	}
+	r.title("Routing decisions, %d workers, subset of %d", routingWorkers, router.SubsetSize)
+	r.row("decision", "threads", "million/s", "ns each", "of linear scaling")
+	for _, c := range []struct {
+		name string
+		f    func() error
+	}{{"choice of a worker", pick}, {"choice with team and service counters", whole}} {
+		if err := scaling(o, r, c.name, c.f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func scaling(o *options, r *report, name string, f func() error) error {
+	base := 0.0
+	for _, threads := range routingThreads {
+		rate, err := decisionRate(threads, o.Measure/5, f)
+		if err != nil {
+			return err
+		}
+		if threads == 1 {
+			base = rate
+		}
+		r.row(name, threads, rate/1e6, float64(threads)*1e9/rate, fmt.Sprintf("%.0f%%", 100*rate/(base*float64(threads))))
+	}
+	return nil
+}
+
+// decisionRate returns the decisions per second of all threads.
+func decisionRate(threads int, d time.Duration, f func() error) (float64, error) {
+	var wg sync.WaitGroup
+	counts := make([]int, threads)
+	errs := make([]error, threads)
+	begin := time.Now()
+	for i := range threads {
+		wg.Go(func() {
+			n := 0
+			for time.Since(begin) < d {
+				for range routingBatch {
+					if err := f(); err != nil {
+						errs[i] = err
+						return
+					}
+				}
+				n += routingBatch
+			}
+			counts[i] = n
+		})
+	}
+	wg.Wait()
+	total := 0
+	for i, n := range counts {
+		if errs[i] != nil {
+			return 0, errs[i]
+		}
+		total += n
+	}
+	return float64(total) / time.Since(begin).Seconds(), nil
+}
