--- /dev/null
+++ b/internal/entry/forward/forward.go
@@ -0,0 +1,259 @@
+// Package forward carries a caller's request to a worker and the answer back.
+// It decides what is sent again after a failure.
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"snipegw/internal/entry/limits"
+	"snipegw/internal/entry/router"
+	"snipegw/internal/result"
+	"snipegw/internal/transport"
+	"snipegw/internal/wire"
+)
+
+const (
+	// maxUnreachable bounds the workers that one request tries after failures
+	// other than a full worker.
+	maxUnreachable = 4
+	// maxFull bounds the full workers that one request meets, so that it cannot
+	// use up the retries of all others.
+	maxFull = 8
+	// fullPerRound is the number of full workers between two pauses. The first
+	// retry is immediate, since two random workers may be full by chance.
+	fullPerRound = 2
+	// fullBackoff is the shortest pause after a round; the pause is random
+	// between one and two of it and doubles with each round.
+	fullBackoff = 5 * time.Millisecond
+)
+
+// ErrAborted is returned when the response broke off after a part of it was
+// passed on. The caller's connection must be aborted.
+var ErrAborted = errors.New("forward: the response broke off")
+
+// Request is a request of a caller. The deadline is that of the context.
+type Request struct {
+	ID         string
+	Team       *limits.Team
+	Service    string
+	Method     string
+	Target     string // path and query
+	Header     []wire.HeaderField
+	Idempotent bool
+	// Ticket is set for a ticket taken in advance.
+	Ticket string
+	Body   io.Reader
+	// BodyBytes is the length of Body; -1 if unknown.
+	BodyBytes int64
+	// MaxBodyBytes bounds Body.
+	MaxBodyBytes int64
+}
+
+// Responder receives the answer to a request.
+type Responder interface {
+	// Ticket is called when a worker has admitted a non-idempotent request and
+	// before the request runs.
+	Ticket(ticket string) error
+	// Head is called once before the body.
+	Head(h *wire.ResponseHead) error
+	io.Writer
+	// Flush makes what was written visible to the caller.
+	Flush()
+}
+
+// Forwarder sends requests to workers. It is safe for concurrent use.
+type Forwarder struct {
+	Router *router.Router
+	Pool   *transport.Pool
+	Budget *router.Budget
+}
+
+// call is the state of one request.
+type call struct {
+	f    *Forwarder
+	req  *Request
+	resp Responder
+	svc  *router.Service
+	body *body
+	// ambiguous is set once the request may have run at some worker; no later
+	// refusal may then state that it was not run.
+	ambiguous bool
+	ticket    string
+	tried     []*router.Target
+	failures  int
+	full      int
+	backoff   time.Duration
+}
+
+// Do runs a request. A nil error means that the complete response was passed
+// on. Errors are *result.Error for a refusal before any byte of a response,
+// ErrAborted, and ErrCallerGone. The ticket is returned if there is one.
+func (f *Forwarder) Do(ctx context.Context, req *Request, resp Responder) (ticket string, err error) {
+	svc, err := f.Router.Service(req.Service)
+	if err != nil && req.Ticket == "" {
+		return "", err
+	}
+	b, err := readBody(req.Body, req.BodyBytes, req.MaxBodyBytes)
+	if err != nil {
+		return "", err
+	}
+	c := &call{f: f, req: req, resp: resp, svc: svc, body: b, ticket: req.Ticket, backoff: fullBackoff}
+	defer c.release()
+	f.Budget.Request()
+	if req.Ticket != "" {
+		return c.ticket, c.runTicket(ctx)
+	}
+	if err := svc.Limiter.Acquire(ctx, req.Team); err != nil {
+		return "", callerError(ctx, err)
+	}
+	begin := time.Now()
+	err = c.run(ctx)
+	ran := time.Since(begin)
+	if err != nil {
+		ran = 0
+	}
+	svc.Limiter.Release(ran)
+	return c.ticket, err
+}
+
+// release returns the buffer unless a writer may still use it.
+func (c *call) release() {
+	if c.body.rest == nil {
+		c.body.free()
+	}
+}
+
+// run tries workers until one answers or the request must not be tried again.
+func (c *call) run(ctx context.Context) error {
+	for {
+		t := c.f.Router.Pick(c.svc, c.tried)
+		if t == nil {
+			return c.refusal(result.Errorf(result.NoWorker, "no other worker of the service %q is left to try", c.req.Service))
+		}
+		if err := ctx.Err(); err != nil {
+			return c.deadline(ctx)
+		}
+		out := c.attemptAt(ctx, t)
+		if out.err == nil {
+			return nil
+		}
+		retry, err := c.next(ctx, t, out)
+		if !retry {
+			return err
+		}
+	}
+}
+
+func (c *call) attemptAt(ctx context.Context, t *router.Target) outcome {
+	t.Load.Begin()
+	out := c.attempt(ctx, t.Address)
+	t.Load.End(out.blame, c.f.Router.Now())
+	if out.admitted || out.full {
+		t.Load.ReportFree(t.Slots, out.free, c.f.Router.Now())
+	}
+	return out
+}
+
+// next decides after a failed attempt at t whether the request is tried again.
+func (c *call) next(ctx context.Context, t *router.Target, out outcome) (retry bool, err error) {
+	if out.started || errors.Is(out.err, ErrCallerGone) {
+		return false, out.err
+	}
+	if !out.notRun {
+		c.ambiguous = true
+	}
+	if ctx.Err() != nil {
+		return false, c.deadline(ctx)
+	}
+	again := out.notRun && out.otherWorker || !out.notRun && c.req.Idempotent
+	if !again || !c.body.replayable() {
+		return false, c.refusal(out.err)
+	}
+	c.tried = append(c.tried, t)
+	if out.full {
+		return c.nextAfterFull(ctx, out.err)
+	}
+	if c.failures++; c.failures >= maxUnreachable || len(c.tried) >= len(c.svc.Targets) {
+		return false, c.refusal(out.err)
+	}
+	return c.takeRetry(out.err)
+}
+
+// nextAfterFull decides about a request that met a full worker.
+func (c *call) nextAfterFull(ctx context.Context, cause error) (retry bool, err error) {
+	c.svc.Limiter.Full()
+	if c.full++; c.full >= maxFull {
+		return false, c.refusal(cause)
+	}
+	if retry, err := c.takeRetry(cause); !retry {
+		return false, err
+	}
+	if c.full%fullPerRound != 0 && len(c.tried) < len(c.svc.Targets) {
+		return true, nil
+	}
+	return c.pause(ctx)
+}
+
+func (c *call) takeRetry(cause error) (retry bool, err error) {
+	if !c.f.Budget.Take() {
+		return false, c.refusal(result.Errorf(result.RetryBudgetExhausted, "the last worker answered %s and the retries of this entry are used up", result.CodeOf(cause)))
+	}
+	return true, nil
+}
+
+// pause waits after a round of full workers and lets the request try all
+// workers again.
+func (c *call) pause(ctx context.Context) (retry bool, err error) {
+	timer := time.NewTimer(c.backoff + rand.N(c.backoff))
+	defer timer.Stop()
+	c.backoff *= 2
+	select {
+	case <-ctx.Done():
+		return false, c.deadline(ctx)
+	case <-timer.C:
+	}
+	c.tried = c.tried[:0]
+	if svc, err := c.f.Router.Service(c.req.Service); err == nil {
+		// The limiter of a service never changes while it has workers.
+		c.svc = &router.Service{Name: svc.Name, Targets: svc.Targets, Limiter: c.svc.Limiter}
+	}
+	return true, nil
+}
+
+// deadline returns the error for the end of ctx.
+func (c *call) deadline(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return ErrCallerGone
+	}
+	if c.ambiguous {
+		return result.Errorf(result.DeadlineRan, "the deadline passed after the request was sent to a worker")
+	}
+	return result.Errorf(result.DeadlineNotRun, "the deadline passed before a worker admitted the request")
+}
+
+// refusal returns err, changed to an ambiguous code if the request may have
+// run. A full worker becomes overloaded, since the caller cannot choose one.
+func (c *call) refusal(err error) error {
+	code := result.CodeOf(err)
+	switch {
+	case c.ambiguous && code == result.DeadlineRan:
+		return err
+	case c.ambiguous:
+		return &result.Error{Code: result.OutcomeUnknown, Message: "the request was sent to a worker and its outcome is not known: " + result.MessageOf(err), Err: err}
+	case code == result.WorkerFull:
+		return &result.Error{Code: result.Overloaded, Message: "all workers that were tried are full", Err: err}
+	}
+	return err
+}
+
+// callerError replaces the error of a cancelled context.
+func callerError(ctx context.Context, err error) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return ErrCallerGone
+	}
+	return err
+}
