--- /dev/null
+++ b/cmd/snipegw-replay/policies.go
@@ -0,0 +1,4 @@
+package main
+
+// The production policies register themselves.
+import _ "snipegw/internal/planner"
