Keep guarantees packable without any one worker; bound unproven starts

Cause: a claim pinned its gang where the other guarantees packed at that moment, but not after the next worker failed; claims were given to jobs again after each stop; eight small jobs started at once on a faulty worker.

Ruled out: moving pinned gangs after the failure, since they are not preemptible.

A claim holds its guarantee until the job ends and may run beside its slot. At most two gangs of a worker are unproven at a time.

--- a/internal/planner/batch.go
+++ b/internal/planner/batch.go
@@ -8,6 +8,7 @@
 	"snipegw/internal/model"
 	"snipegw/internal/planner/estimate"
 	"snipegw/internal/planner/explain"
+	"snipegw/internal/planner/faults"
 	"snipegw/internal/planner/framework"
 	"snipegw/internal/planner/pool"
 	"snipegw/internal/planner/queue"
@@ -17,7 +18,12 @@
 
 // claimCost is the cost of stopping a gang for a claim.
 func claimCost(now time.Time) func(*pool.Gang) float64 {
-	return func(g *pool.Gang) float64 { return reclaim.Cost(g, now) }
+	return func(g *pool.Gang) float64 {
+		if g.Protected {
+			return protectedCost + reclaim.Cost(g, now)
+		}
+		return reclaim.Cost(g, now)
+	}
 }
 
 // roomCost is the cost of making room for n tasks on a worker.
@@ -33,6 +39,10 @@
 	return cost
 }
 
+// protectedCost is the cost of stopping a gang that holds a guarantee but runs
+// outside its slot; it would have to start again at once.
+const protectedCost = 1e9
+
 // impossible is the cost of room that no stop can free.
 const impossible = 1e12
 
@@ -114,7 +124,7 @@
 	workers := p.finder.Find(p.pool, score.Request{
 		Shape:   j.Shape,
 		Room:    (*pool.Worker).Free,
-		Exclude: func(w *pool.Worker) bool { return p.unfit(j, w) },
+		Exclude: func(w *pool.Worker) bool { return p.unfit(now, j, w) },
 		Cost: func(w *pool.Worker, n int) float64 {
 			cost := suspicion(w, n)
 			if p.reserved(w) && now.Add(runs).After(p.reservation.start) {
@@ -139,11 +149,36 @@
 
 func (p *Planner) reserved(w *pool.Worker) bool { return p.reservation != nil && p.reservation.on[w] }
 
-// unfit reports whether a worker is closed to a job although it is usable.
-func (p *Planner) unfit(j *job, w *pool.Worker) bool {
+// closed reports whether a worker is closed to a job although it is usable.
+func (p *Planner) closed(j *job, w *pool.Worker) bool {
 	return w.Probing && len(w.Gangs) > 0 || j.picky && p.faults.Avoid(j.ID, w.ID)
 }
 
+// unfit is closed, and bounds the starts on a worker that have not proven
+// themselves: if the worker is faulty, each of them fails.
+func (p *Planner) unfit(now time.Time, j *job, w *pool.Worker) bool {
+	if p.closed(j, w) {
+		return true
+	}
+	limit := maxUnproven
+	if w.Suspect {
+		limit = 1
+	}
+	for _, g := range w.Gangs {
+		if !g.Promised && now.Sub(g.Placed) < faults.ProvenAfter {
+			limit--
+		}
+	}
+	if limit <= 0 {
+		p.throttled = earliest(p.throttled, now.Add(faults.ProvenAfter))
+	}
+	return limit <= 0
+}
+
+// maxUnproven bounds the preemptible gangs that start on a worker within
+// faults.ProvenAfter of each other.
+const maxUnproven = 2
+
 // judgePicky decides whether a job keeps off the workers on which it failed. It
 // does not if its shape fits nowhere else even in an idle pool.
 func (p *Planner) judgePicky(j *job) {
@@ -162,6 +197,9 @@
 	j, runs := r.j, p.remaining(r.j)
 	costOf := func(g *pool.Gang) float64 {
 		v := p.jobs[g.ID]
+		if g.Protected {
+			return impossible
+		}
 		harm := p.params.Harm(p.item(now, v), reclaim.Lost(g, now), runs)
 		if g.Backfilled {
 			harm /= backfillDiscount
@@ -171,7 +209,7 @@
 	workers := p.finder.Find(p.pool, score.Request{
 		Shape:   j.Shape,
 		Room:    movable,
-		Exclude: func(w *pool.Worker) bool { return p.unfit(j, w) || w.Probing },
+		Exclude: func(w *pool.Worker) bool { return p.unfit(now, j, w) || w.Probing },
 		Cost: func(w *pool.Worker, n int) float64 {
 			return suspicion(w, n) + harmScale*roomCost(w, j.Shape, n, costOf)/r.value
 		},
@@ -225,7 +263,7 @@
 	workers := p.finder.Find(p.pool, score.Request{
 		Shape:   j.Shape,
 		Room:    movable,
-		Exclude: func(w *pool.Worker) bool { return p.unfit(j, w) || w.Probing },
+		Exclude: func(w *pool.Worker) bool { return p.unfit(now, j, w) || w.Probing },
 		Cost:    func(w *pool.Worker, _ int) float64 { return ends(w).Seconds() },
 	})
 	if workers == nil {
--- /dev/null
+++ b/internal/planner/claim.go
@@ -0,0 +1,202 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"snipegw/internal/model"
+	"snipegw/internal/planner/explain"
+	"snipegw/internal/planner/packing"
+	"snipegw/internal/planner/pool"
+	"snipegw/internal/planner/reclaim"
+	"snipegw/internal/planner/score"
+)
+
+// assignSlots gives free guarantees to the jobs that may claim them: those that
+// run beyond the guarantee of their team first, then those that wait, each in
+// the order of submission.
+func (p *Planner) assignSlots() {
+	p.claimants = slices.DeleteFunc(p.claimants, func(j *job) bool { return p.jobs[j.ID] != j })
+	for _, waits := range []bool{false, true} {
+		for _, j := range p.claimants {
+			if j.slot == nil && !j.cancelled && (j.state == waiting) == waits {
+				j.slot = p.plan.Assign(j.Team, j.ID, j.Shape)
+				if j.slot != nil && j.gang != nil {
+					j.gang.Protected = true
+				}
+			}
+		}
+	}
+}
+
+// placeClaims starts the jobs that hold a guarantee.
+func (p *Planner) placeClaims(now time.Time) {
+	p.assignSlots()
+	for _, j := range p.claimants {
+		if j.state != waiting || j.slot == nil || now.Before(j.notBefore) {
+			continue
+		}
+		if len(p.out) >= maxPlacements {
+			p.more = true
+			return
+		}
+		p.claim(now, j)
+	}
+}
+
+// claim starts a job inside its slot, or if the slot has no place at present,
+// anywhere as a preemptible job.
+func (p *Planner) claim(now time.Time, j *job) {
+	p.judgePicky(j)
+	if j.slot.Workers != nil {
+		for _, avoid := range []bool{true, false} {
+			if p.claimSlot(now, j, j.slot, avoid) {
+				return
+			}
+		}
+	}
+	p.forceStart(now, j)
+}
+
+// forceStart starts a claim beside its slot. Unclaimed slots of others may lie
+// below it, so that it stays preemptible.
+func (p *Planner) forceStart(now time.Time, j *job) {
+	workers := p.finder.Find(p.pool, score.Request{
+		Shape:   j.Shape,
+		Exclude: func(w *pool.Worker) bool { return p.closed(j, w) || w.Probing },
+		Room:    movable,
+		Cost: func(w *pool.Worker, n int) float64 {
+			return roomCost(w, j.Shape, n, claimCost(now)) + suspicion(w, n)
+		},
+	})
+	if workers == nil {
+		return
+	}
+	if victims, cost, ok := reclaim.Victims(workers, j.Shape.PerTask(), claimCost(now)); ok && cost < protectedCost {
+		p.start(now, j, workers, victims, explain.Preempted)
+	}
+}
+
+// option is one way to start a claim.
+type option struct {
+	slot, job []*pool.Worker
+	victims   []*pool.Gang
+	cost      float64
+}
+
+const (
+	// maxSwaps bounds the places of other slots that a claim considers.
+	maxSwaps = 32
+	// suspectCost is the cost in accelerator-seconds of a start on a worker on
+	// which a job has failed.
+	suspectCost = 1000
+)
+
+func (p *Planner) claimSlot(now time.Time, j *job, s *packing.Slot, avoid bool) bool {
+	options := p.options(now, j, s, avoid)
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
+	before := p.plan.Exposed()
+	best, fewest := -1, 0
+	for i, o := range options {
+		restore := p.plan.Save()
+		if !p.plan.Move(s, o.slot) {
+			continue
+		}
+		p.plan.Pin(s)
+		exposed := p.plan.Exposed()
+		if exposed <= before {
+			p.start(now, j, o.job, o.victims, explain.Preempted)
+			return true
+		}
+		p.plan.Unpin(s)
+		restore()
+		if best < 0 || exposed < fewest {
+			best, fewest = i, exposed
+		}
+	}
+	if best < 0 || !p.plan.Move(s, options[best].slot) {
+		return false
+	}
+	p.plan.Pin(s)
+	p.start(now, j, options[best].job, options[best].victims, explain.Preempted)
+	return true
+}
+
+func (p *Planner) options(now time.Time, j *job, s *packing.Slot, avoid bool) []option {
+	var out []option
+	add := func(place []*pool.Worker) {
+		if place == nil {
+			return
+		}
+		for _, w := range place {
+			if !w.Sound() || avoid && j.picky && p.faults.Avoid(j.ID, w.ID) {
+				return
+			}
+		}
+		o := option{slot: place, job: p.within(place, j.Shape)}
+		var ok bool
+		o.victims, o.cost, ok = reclaim.Victims(o.job, j.Shape.PerTask(), claimCost(now))
+		if !ok {
+			return
+		}
+		for _, w := range o.job {
+			if w.Suspect {
+				o.cost += suspectCost
+			}
+		}
+		out = append(out, o)
+	}
+	add(s.Workers)
+	exclude := func(w *pool.Worker) bool {
+		return !w.Sound() || avoid && j.picky && p.faults.Avoid(j.ID, w.ID)
+	}
+	free := p.finder.Find(p.pool, score.Request{Shape: s.Shape, Exclude: exclude,
+		Room: func(w *pool.Worker) model.Resources { return least(w.Free(), w.Capacity.Sub(w.Pinned)) },
+		Cost: suspicion,
+	})
+	add(free)
+	swaps := 0
+	for _, o := range p.plan.Slots {
+		if o != s && !o.Pinned && o.Workers != nil && o.Shape == s.Shape && swaps < maxSwaps {
+			swaps++
+			add(o.Workers)
+		}
+	}
+	add(p.finder.Find(p.pool, score.Request{Shape: s.Shape, Exclude: exclude,
+		Room: func(w *pool.Worker) model.Resources { return w.Capacity.Sub(w.Pinned) },
+		Cost: func(w *pool.Worker, n int) float64 { return roomCost(w, s.Shape, n, claimCost(now)) + suspicion(w, n) },
+	}))
+	return out
+}
+
+func suspicion(w *pool.Worker, _ int) float64 {
+	if w.Suspect {
+		return suspectCost
+	}
+	return 0
+}
+
+func least(a, b model.Resources) model.Resources {
+	return model.Resources{
+		Accelerators: min(a.Accelerators, b.Accelerators),
+		Cores:        min(a.Cores, b.Cores),
+		MemoryGB:     min(a.MemoryGB, b.MemoryGB),
+	}
+}
+
+// within chooses the workers of a job inside a place for a larger slot: those
+// with the most free room first.
+func (p *Planner) within(place []*pool.Worker, s model.Shape) []*pool.Worker {
+	if len(place) == s.Tasks {
+		return place
+	}
+	sorted := slices.Clone(place)
+	slices.SortStableFunc(sorted, func(a, b *pool.Worker) int {
+		if d := b.Free().Accelerators - a.Free().Accelerators; d != 0 {
+			return d
+		}
+		return a.Index - b.Index
+	})
+	return sorted[:s.Tasks]
+}
--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -7,9 +7,7 @@
 	"snipegw/internal/model"
 	"snipegw/internal/planner/explain"
 	"snipegw/internal/planner/framework"
-	"snipegw/internal/planner/packing"
 	"snipegw/internal/planner/pool"
-	"snipegw/internal/planner/reclaim"
 	"snipegw/internal/planner/score"
 )
 
@@ -24,6 +22,10 @@
 	if p.plan.Repack() {
 		p.pool.Releases++
 	}
+	if !p.throttled.IsZero() && !now.Before(p.throttled) {
+		p.throttled = time.Time{}
+		p.pool.Releases++
+	}
 	p.keepPromises(now)
 	p.placeClaims(now)
 	p.placeBatch(now)
@@ -66,6 +68,7 @@
 }
 
 func (p *Planner) setWake(now time.Time) {
+	p.wake = earliest(p.wake, p.throttled)
 	for _, t := range p.trials {
 		p.wake = earliest(p.wake, t.at)
 	}
@@ -83,7 +86,7 @@
 func (p *Planner) hold(now time.Time, j *job, workers []*pool.Worker) {
 	j.gang = &pool.Gang{
 		ID: j.ID, Team: j.Team, Per: j.Shape.PerTask(), Workers: workers,
-		Fixed: j.slot != nil, Placed: now, Remaining: p.remaining(j),
+		Fixed: j.slot != nil && j.slot.Pinned, Protected: j.slot != nil && !j.slot.Pinned, Placed: now, Remaining: p.remaining(j),
 		Checkpoint: time.Duration(j.CheckpointMS) * time.Millisecond, Stops: j.stops,
 	}
 	p.pool.Hold(j.gang)
@@ -114,7 +117,7 @@
 	j.state = starting
 	j.attempt++
 	rule := explain.Placed
-	if j.slot != nil {
+	if j.gang.Fixed {
 		rule = explain.Claimed
 	}
 	j.reason = explain.Placement(rule, j.Shape, j.attempt, j.preempted)
@@ -123,7 +126,7 @@
 		ids[i] = w.ID
 	}
 	p.emit(framework.Decision{Kind: framework.Place, Job: j.ID, Attempt: j.attempt, Workers: ids,
-		Reason: j.reason, Preemptible: j.slot == nil})
+		Reason: j.reason, Preemptible: !j.gang.Fixed})
 }
 
 // keepPromises places the promised gangs whose room has become free.
@@ -156,7 +159,7 @@
 	j.gang.Stopping = true
 	j.reason = reason
 	p.emit(framework.Decision{Kind: framework.Stop, Job: j.ID, Attempt: j.attempt, Reason: reason,
-		Preemptible: j.slot == nil, Grace: Grace})
+		Preemptible: !j.gang.Fixed, Grace: Grace})
 }
 
 // fits reports whether a shape fits the pool of all known workers and that of
@@ -179,159 +182,3 @@
 
 // maxShapes bounds the memory of searches by shape.
 const maxShapes = 4096
-
-// placeClaims starts the jobs that have a guarantee left, urgent ones first.
-func (p *Planner) placeClaims(now time.Time) {
-	for _, class := range []model.Class{model.ClassUrgent, model.ClassGuaranteed} {
-		for _, j := range slices.Clone(p.queue) {
-			if j.Class != class || j.state != waiting || now.Before(j.notBefore) {
-				continue
-			}
-			if len(p.out) >= maxPlacements {
-				p.more = true
-				return
-			}
-			p.claim(now, j)
-		}
-	}
-}
-
-// claim starts a job on a slot of its team; it reports whether there was one.
-func (p *Planner) claim(now time.Time, j *job) bool {
-	var last *packing.Slot
-	for _, s := range p.plan.Fitting(j.Team, j.Shape) {
-		if last != nil && last.Shape == s.Shape && last.Workers != nil {
-			continue
-		}
-		last = s
-		for _, avoid := range []bool{true, false} {
-			if p.claimSlot(now, j, s, avoid) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// option is one way to start a claim.
-type option struct {
-	slot, job []*pool.Worker
-	victims   []*pool.Gang
-	cost      float64
-}
-
-const (
-	// maxSwaps bounds the places of other slots that a claim considers.
-	maxSwaps = 32
-	// suspectCost is the cost in accelerator-seconds of a start on a worker on
-	// which a job has failed.
-	suspectCost = 1000
-)
-
-func (p *Planner) claimSlot(now time.Time, j *job, s *packing.Slot, avoid bool) bool {
-	options := p.options(now, j, s, avoid)
-	slices.SortStableFunc(options, func(a, b option) int {
-		switch {
-		case a.cost < b.cost:
-			return -1
-		case a.cost > b.cost:
-			return 1
-		}
-		return 0
-	})
-	for _, o := range options {
-		if !p.plan.Move(s, o.slot) {
-			continue
-		}
-		p.plan.Claim(s, j.ID)
-		j.slot = s
-		p.start(now, j, o.job, o.victims, explain.Preempted)
-		return true
-	}
-	return false
-}
-
-func (p *Planner) options(now time.Time, j *job, s *packing.Slot, avoid bool) []option {
-	var out []option
-	add := func(place []*pool.Worker) bool {
-		if place == nil {
-			return false
-		}
-		for _, w := range place {
-			if !w.Sound() || avoid && p.faults.Avoid(j.ID, w.ID) {
-				return false
-			}
-		}
-		o := option{slot: place, job: p.within(place, j.Shape)}
-		var ok bool
-		o.victims, o.cost, ok = reclaim.Victims(o.job, j.Shape.PerTask(), claimCost(now))
-		if !ok {
-			return false
-		}
-		for _, w := range o.job {
-			if w.Suspect {
-				o.cost += suspectCost
-			}
-		}
-		out = append(out, o)
-		return o.cost == 0
-	}
-	if add(s.Workers) {
-		return out
-	}
-	exclude := func(w *pool.Worker) bool {
-		return !w.Sound() || avoid && p.faults.Avoid(j.ID, w.ID)
-	}
-	free := p.finder.Find(p.pool, score.Request{Shape: s.Shape, Exclude: exclude,
-		Room: func(w *pool.Worker) model.Resources { return least(w.Free(), w.Capacity.Sub(w.Pinned)) },
-		Cost: suspicion,
-	})
-	if add(free) {
-		return out
-	}
-	swaps := 0
-	for _, o := range p.plan.Slots {
-		if o != s && o.Job == "" && o.Workers != nil && o.Shape == s.Shape && swaps < maxSwaps {
-			swaps++
-			if add(o.Workers) {
-				return out
-			}
-		}
-	}
-	add(p.finder.Find(p.pool, score.Request{Shape: s.Shape, Exclude: exclude,
-		Room: func(w *pool.Worker) model.Resources { return w.Capacity.Sub(w.Pinned) },
-		Cost: func(w *pool.Worker, n int) float64 { return roomCost(w, s.Shape, n, claimCost(now)) + suspicion(w, n) },
-	}))
-	return out
-}
-
-func suspicion(w *pool.Worker, _ int) float64 {
-	if w.Suspect {
-		return suspectCost
-	}
-	return 0
-}
-
-func least(a, b model.Resources) model.Resources {
-	return model.Resources{
-		Accelerators: min(a.Accelerators, b.Accelerators),
-		Cores:        min(a.Cores, b.Cores),
-		MemoryGB:     min(a.MemoryGB, b.MemoryGB),
-	}
-}
-
-// within chooses the workers of a job inside a place for a larger slot: those
-// with the most free room first.
-func (p *Planner) within(place []*pool.Worker, s model.Shape) []*pool.Worker {
-	if len(place) == s.Tasks {
-		return place
-	}
-	sorted := slices.Clone(place)
-	slices.SortStableFunc(sorted, func(a, b *pool.Worker) int {
-		if d := b.Free().Accelerators - a.Free().Accelerators; d != 0 {
-			return d
-		}
-		return a.Index - b.Index
-	})
-	return sorted[:s.Tasks]
-}
--- a/internal/planner/events.go
+++ b/internal/planner/events.go
@@ -19,7 +19,7 @@
 		if j := p.jobs[id]; j != nil {
 			j.slot = nil
 			if j.gang != nil {
-				j.gang.Fixed = false
+				j.gang.Fixed, j.gang.Protected = false, false
 			}
 			j.reason = explain.New(explain.GuaranteeWithdrawn, "the team's guarantee was withdrawn; the job runs as preemptible")
 		}
@@ -80,15 +80,14 @@
 	p.enqueue(now, j)
 }
 
-// letGo frees the room and the slot of a job.
+// letGo frees the room of a job; its claim stays until the job ends.
 func (p *Planner) letGo(j *job) {
 	if j.gang != nil {
 		p.pool.Release(j.gang)
 		j.gang = nil
 	}
 	if j.slot != nil {
-		p.plan.Release(j.slot)
-		j.slot = nil
+		p.plan.Unpin(j.slot)
 	}
 	p.dirty = true
 }
@@ -117,6 +116,9 @@
 	m.Command = nil // not needed for planning
 	j := &job{Job: m, seq: p.seq, submitted: now, since: now}
 	p.jobs[m.ID] = j
+	if m.Class != model.ClassPreemptible {
+		p.claimants = append(p.claimants, j)
+	}
 	return j
 }
 
@@ -188,14 +190,15 @@
 // there; otherwise the job counts as preemptible.
 func (p *Planner) reclaimSlot(j *job) {
 	p.plan.Repack()
-	for _, s := range p.plan.Fitting(j.Team, j.Shape) {
-		place := p.plan.Around(s, j.gang.Workers)
-		if place != nil && p.plan.Move(s, place) {
-			p.plan.Claim(s, j.ID)
-			j.slot = s
-			j.gang.Fixed = true
-			return
-		}
+	j.slot = p.plan.Assign(j.Team, j.ID, j.Shape)
+	if j.slot == nil {
+		return
+	}
+	j.gang.Protected = true
+	place := p.plan.Around(j.slot, j.gang.Workers)
+	if place != nil && p.plan.Move(j.slot, place) {
+		p.plan.Pin(j.slot)
+		j.gang.Fixed, j.gang.Protected = true, false
 	}
 }
 
@@ -221,6 +224,11 @@
 }
 
 func (p *Planner) forget(j *job, atFault bool) {
+	if j.slot != nil {
+		p.plan.Unpin(j.slot)
+		j.slot.Job = ""
+		j.slot = nil
+	}
 	for _, id := range p.faults.Forget(j.ID, atFault) {
 		if w := p.pool.Get(id); w != nil {
 			w.Suspect = false
@@ -270,8 +278,7 @@
 		p.forget(j, false)
 		return
 	case framework.OutcomeOutOfMemory:
-		delete(p.jobs, id)
-		p.faults.Forget(id, false)
+		p.forget(j, false)
 		p.emit(framework.Decision{Kind: framework.Fail, Job: id, Attempt: end.Attempt, Reason: explain.New(explain.OutOfMemory,
 			"a task used more memory than the job declared", "worker", end.BlamedWorker)})
 		return
--- a/internal/planner/packing/plan.go
+++ b/internal/planner/packing/plan.go
@@ -29,6 +29,8 @@
 	Workers []*pool.Worker
 	// Job is the job that claims the slot.
 	Job string
+	// Pinned is set while the job runs inside the slot.
+	Pinned bool
 }
 
 // Plan holds all slots.
@@ -37,6 +39,8 @@
 	pool   *pool.Pool
 	finder score.Finder
 	dirty  bool
+	// spare remembers without which workers the idle pool holds all slots.
+	spare map[*pool.Worker]bool
 }
 
 // New returns an empty plan over p.
@@ -66,6 +70,7 @@
 		}
 	}
 	p.dirty = true
+	p.spare = nil
 	return lost
 }
 
@@ -86,7 +91,10 @@
 }
 
 // Invalidate asks for a check of all places at the next Repack.
-func (p *Plan) Invalidate() { p.dirty = true }
+func (p *Plan) Invalidate() {
+	p.dirty = true
+	p.spare = nil
+}
 
 // Repack gives every slot a place again after workers were lost or gained or
 // guarantees changed. It reports whether anything moved.
@@ -97,7 +105,7 @@
 	p.dirty = false
 	moved, missing := false, []*Slot{}
 	for _, s := range p.Slots {
-		if s.Workers != nil && s.Job == "" && !sound(s.Workers) {
+		if s.Workers != nil && !s.Pinned && !sound(s.Workers) {
 			p.lift(s)
 			moved = true
 		}
@@ -120,20 +128,21 @@
 	var free []*Slot
 	former := make(map[*Slot][]*pool.Worker)
 	for _, s := range p.Slots {
-		if s.Job == "" {
+		if !s.Pinned {
 			free = append(free, s)
 			former[s] = s.Workers
 		}
 	}
+	if p.solve(free) {
+		return true
+	}
 	before, best := placed(free), -1
 	for i := range orders {
 		for _, s := range free {
 			p.lift(s)
 		}
 		p.pack(free, orders[i])
-		if n := placed(free); n == len(free) {
-			return true
-		} else if n > before && (best < 0 || n > before) {
+		if n := placed(free); n > before {
 			best, before = i, n
 		}
 	}
@@ -204,11 +213,12 @@
 func (p *Plan) lift(s *Slot) {
 	for _, w := range s.Workers {
 		w.Planned = w.Planned.Sub(s.Shape.PerTask())
-		if s.Job != "" {
+		if s.Pinned {
 			w.Pinned = w.Pinned.Sub(s.Shape.PerTask())
 		}
 	}
 	s.Workers = nil
+	s.Pinned = false
 }
 
 // Move lays an unclaimed slot at workers and finds new places for the unclaimed
@@ -227,7 +237,7 @@
 	p.put(s, workers)
 	var evicted []*Slot
 	for _, o := range p.Slots {
-		if o != s && o.Job == "" && overbooked(o.Workers) {
+		if o != s && !o.Pinned && overbooked(o.Workers) {
 			undo = append(undo, move{o, o.Workers})
 			p.lift(o)
 			evicted = append(evicted, o)
@@ -236,6 +246,9 @@
 	if !overbooked(workers) && p.placeAll(evicted) {
 		return true
 	}
+	if !overbooked(workers) && p.solveBeside(s) {
+		return true
+	}
 	for _, m := range undo {
 		p.lift(m.s)
 	}
@@ -254,41 +267,78 @@
 	return false
 }
 
-// Claim pins a slot for a job.
-func (p *Plan) Claim(s *Slot, job string) {
-	s.Job = job
+// solveBeside packs all slots that are not pinned anew beside s.
+func (p *Plan) solveBeside(s *Slot) bool {
+	var free []*Slot
+	for _, o := range p.Slots {
+		if o != s && !o.Pinned {
+			free = append(free, o)
+		}
+	}
+	p.Pin(s)
+	ok := p.solve(free)
+	p.Unpin(s)
+	return ok
+}
+
+// Save returns a function that restores all places and claims.
+func (p *Plan) Save() (restore func()) {
+	type place struct {
+		workers []*pool.Worker
+		job     string
+	}
+	saved := make([]place, len(p.Slots))
+	for i, s := range p.Slots {
+		saved[i] = place{s.Workers, s.Job}
+	}
+	return func() {
+		for i, s := range p.Slots {
+			if !s.Pinned && !slices.Equal(s.Workers, saved[i].workers) {
+				p.lift(s)
+				p.put(s, saved[i].workers)
+			}
+			s.Job = saved[i].job
+		}
+	}
+}
+
+// Pin fixes a slot at its place while its job runs there.
+func (p *Plan) Pin(s *Slot) {
+	s.Pinned = true
 	for _, w := range s.Workers {
 		w.Pinned = w.Pinned.Add(s.Shape.PerTask())
 	}
 }
 
-// Release ends the claim on a slot.
-func (p *Plan) Release(s *Slot) {
+// Unpin lets a slot move again.
+func (p *Plan) Unpin(s *Slot) {
+	if !s.Pinned {
+		return
+	}
+	s.Pinned = false
 	for _, w := range s.Workers {
 		w.Pinned = w.Pinned.Sub(s.Shape.PerTask())
 	}
-	s.Job = ""
 	p.dirty = true
 }
 
-// Fitting returns the placed, unclaimed slots of a team into which a shape
-// fits, the smallest first.
-func (p *Plan) Fitting(team string, shape model.Shape) []*Slot {
-	var out []*Slot
+// Assign gives a job the smallest unclaimed slot of its team into which its
+// shape fits, nil if there is none. The claim holds until the job ends, also
+// while it waits or runs elsewhere.
+func (p *Plan) Assign(team, job string, shape model.Shape) *Slot {
+	var best *Slot
 	for _, s := range p.Slots {
-		if s.Team == team && s.Job == "" && s.Workers != nil && Within(shape, s.Shape) {
-			out = append(out, s)
+		if s.Team != team || s.Job != "" || !Within(shape, s.Shape) {
+			continue
+		}
+		if best == nil || s.Shape.Accelerators() < best.Shape.Accelerators() {
+			best = s
 		}
 	}
-	sort.SliceStable(out, func(i, j int) bool { return smaller(out[i].Shape, out[j].Shape) })
-	return out
-}
-
-func smaller(a, b model.Shape) bool {
-	if a.Accelerators() != b.Accelerators() {
-		return a.Accelerators() < b.Accelerators()
+	if best != nil {
+		best.Job = job
 	}
-	return a.Tasks*a.CoresPerTask < b.Tasks*b.CoresPerTask
+	return best
 }
 
 // Within reports whether a job of shape s can run inside a slot of shape g.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -92,6 +92,8 @@
 	jobs  map[string]*job
 	queue []*job // waiting, by seq
 	seq   uint64
+	// claimants are the guaranteed and urgent jobs, by seq.
+	claimants []*job
 
 	promises []*job
 	out      []framework.Decision
@@ -100,6 +102,8 @@
 	// dirty asks for a pass of Decide, more for another one after it.
 	dirty, more bool
 	wake        time.Time
+	// throttled is when a worker takes starts again that were held back.
+	throttled time.Time
 
 	// health counts changes of the set of usable workers.
 	health uint64
--- a/internal/planner/pool/pool.go
+++ b/internal/planner/pool/pool.go
@@ -48,6 +48,8 @@
 	Workers []*Worker // by rank
 	// Fixed gangs run on a claimed slot and are never preempted.
 	Fixed bool
+	// Protected gangs hold a guarantee but run outside its slot.
+	Protected bool
 	// Promised gangs hold room that others still have to leave.
 	Promised bool
 	// Stopping gangs leave soon.
