--- a/internal/proof/p8_patch.go
+++ b/internal/proof/p8_patch.go
@@ -93,7 +93,7 @@
 		return Verdict{}, err
 	}
 	lost, doubled := load.compare(final)
-	reverted, slowest, missing := watch.judge(load.accepted)
+	reverted, slowest, missing := watch.judge(e, load.accepted)
 	measured := fmt.Sprintf("in force after %s, %d lost, %d doubled, %d reverted, %d not in force; %d accepted, %d refused, %d unknown, final version %d, %d faults",
 		slowest.Round(10*time.Millisecond), lost, doubled, reverted, missing, len(load.accepted), len(load.refused), load.unknown, final.Version, n)
 	pass := lost == 0 && doubled == 0 && reverted == 0 && missing == 0 && slowest <= forceBound && len(load.accepted) > 0
@@ -236,12 +236,13 @@
 // process showed before, also over restarts; the longest time from an accepted
 // version to its presence in a process that answered all the time; and the
 // number of such processes that never showed it.
-func (w *versionWatch) judge(patches []accepted) (reverted int, slowest time.Duration, missing int) {
-	for _, samples := range w.samples {
+func (w *versionWatch) judge(e *Env, patches []accepted) (reverted int, slowest time.Duration, missing int) {
+	for name, samples := range w.samples {
 		highest := uint64(0)
 		for _, s := range samples {
 			if s.up && s.version < highest {
 				reverted++
+				e.note("%s shows version %d after %d at %s, process %d", name, s.version, highest, s.at.Format("15:04:05.000"), s.pid)
 			}
 			highest = max(highest, s.version)
 		}
