--- a/cmd/snipegw-replay/main.go
+++ b/cmd/snipegw-replay/main.go
@@ -1,89 +1,53 @@
-// Command snipegw-replay feeds a recorded trace to a scheduling policy and
-// checks the stated outcomes. It exits 0 if none was broken, 1 if one was
-// broken, and 2 for a bad trace.
+// Command snipegw-replay feeds recorded traces to a scheduling policy and checks
+// the stated outcomes. It exits 0 if none was broken, 1 if one was broken, and
+// 2 for a bad trace.
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
-	"strings"
 
 	"github.com/jessevdk/go-flags"
 
-	"snipegw/internal/model"
-	"snipegw/internal/planner/framework"
+	_ "snipegw/internal/planner" // registers the production policies
 	"snipegw/internal/replay"
 )
 
-const (
-	exitBroken   = 1
-	exitBadTrace = 2
-	// shownViolations bounds the violations of the text output.
-	shownViolations = 20
-)
+// version is set by the linker.
+var version = "development"
 
 type options struct {
-	Trace  string `long:"trace" required:"true" description:"trace file of JSON lines"`
-	Policy string `long:"policy" required:"true" description:"name of a scheduling policy"`
-	JSON   bool   `long:"json" description:"print one JSON object"`
+	Trace   string `long:"trace" value-name:"FILE" description:"trace file of JSON lines"`
+	Policy  string `long:"policy" value-name:"NAME" description:"scheduling policy"`
+	JSON    bool   `long:"json" description:"print one JSON object"`
+	Table   bool   `long:"table" description:"compare all policies on the traces given as arguments"`
+	Version bool   `long:"version" description:"print the version and exit"`
 }
 
-// weights are the goals of the two deployments.
-var weights = map[string]model.Weights{
-	"loads": {CompletionTime: 0.8, Fragmentation: 0.2},
-	"casa":  {CompletionTime: 0.3, Fragmentation: 0.7},
-}
+func main() { os.Exit(run()) }
 
-func main() {
+func run() int {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
+	traces, err := flags.Parse(&o)
+	if err != nil {
 		var fe *flags.Error
 		if errors.As(err, &fe) && fe.Type == flags.ErrHelp {
-			return
+			return replay.ExitOK
 		}
-		os.Exit(exitBadTrace)
-	}
-	os.Exit(run(o))
-}
-
-func run(o options) int {
-	factory, err := framework.Policies.Get(o.Policy)
-	if err != nil {
-		return fail(err)
+		return replay.ExitBadTrace
 	}
-	f, err := os.Open(o.Trace)
-	if err != nil {
-		return fail(err)
+	status := replay.ExitOK
+	switch {
+	case o.Version:
+		fmt.Println("snipegw-replay", version)
+	case o.Table:
+		status, err = replay.Table(os.Stdout, traces)
+	default:
+		status, err = replay.One(os.Stdout, o.Trace, o.Policy, o.JSON)
 	}
-	defer f.Close()
-	trace, err := replay.Read(f)
 	if err != nil {
-		return fail(fmt.Errorf("%s: %w", o.Trace, err))
-	}
-	report := replay.Run(trace, factory(), weights[o.Policy])
-	report.Policy = o.Policy
-	show(report, o.JSON)
-	if !report.OK() {
-		return exitBroken
-	}
-	return 0
-}
-
-func fail(err error) int {
-	fmt.Fprintln(os.Stderr, "snipegw-replay:", err)
-	return exitBadTrace
-}
-
-func show(r *replay.Result, asJSON bool) {
-	if asJSON {
-		_ = json.NewEncoder(os.Stdout).Encode(r)
-		return
+		fmt.Fprintln(os.Stderr, "snipegw-replay:", err)
 	}
-	violations := r.Violations
-	r.Violations = nil
-	data, _ := json.MarshalIndent(r, "", "  ")
-	fmt.Println(string(data))
-	fmt.Printf("violations: %d\n%s\n", len(violations), strings.Join(violations[:min(len(violations), shownViolations)], "\n"))
+	return status
 }
--- /dev/null
+++ b/internal/replay/cli.go
@@ -0,0 +1,103 @@
+package replay
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"snipegw/internal/model"
+	"snipegw/internal/planner/framework"
+)
+
+// Exit statuses of the command.
+const (
+	ExitOK       = 0
+	ExitBroken   = 1 // a stated outcome was broken
+	ExitBadTrace = 2
+)
+
+// shownViolations bounds the violations of the text output.
+const shownViolations = 20
+
+// deploymentWeights are the goals of the two deployments, by policy.
+var deploymentWeights = map[string]model.Weights{
+	"loads": {CompletionTime: 0.8, Fragmentation: 0.2},
+	"casa":  {CompletionTime: 0.3, Fragmentation: 0.7},
+}
+
+// ReadFile reads a trace from a file.
+func ReadFile(name string) (*Trace, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	trace, err := Read(f)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return trace, nil
+}
+
+// One replays one trace with one policy and prints the result to w.
+func One(w io.Writer, name, policy string, asJSON bool) (status int, err error) {
+	factory, err := framework.Policies.Get(policy)
+	if err != nil {
+		return ExitBadTrace, err
+	}
+	trace, err := ReadFile(name)
+	if err != nil {
+		return ExitBadTrace, err
+	}
+	r := Run(trace, factory(), deploymentWeights[policy])
+	r.Policy = policy
+	status = ExitOK
+	if !r.OK() {
+		status = ExitBroken
+	}
+	return status, r.write(w, asJSON)
+}
+
+func (r *Result) write(w io.Writer, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(w).Encode(r)
+	}
+	short := *r
+	short.Violations = nil
+	data, err := json.MarshalIndent(&short, "", "  ")
+	if err != nil {
+		return err
+	}
+	shown := r.Violations[:min(len(r.Violations), shownViolations)]
+	_, err = fmt.Fprintf(w, "%s\nviolations: %d\n%s\n", data, len(r.Violations), strings.Join(shown, "\n"))
+	return err
+}
+
+// Table compares the production policies with the baselines on each trace. The
+// status is ExitBroken if a production policy broke a stated outcome.
+func Table(w io.Writer, names []string) (status int, err error) {
+	var rows []Row
+	for _, name := range names {
+		trace, err := ReadFile(name)
+		if err != nil {
+			return ExitBadTrace, err
+		}
+		compared, err := Compare(name, trace, []string{"loads", "casa"}, deploymentWeights)
+		if err != nil {
+			return ExitBadTrace, err
+		}
+		rows = append(rows, compared...)
+	}
+	if err := WriteTable(w, rows); err != nil {
+		return ExitBadTrace, err
+	}
+	for _, row := range rows {
+		if _, production := deploymentWeights[row.Result.Policy]; production && !row.Result.OK() {
+			fmt.Fprintf(w, "%s %s: %s\n", row.Trace, row.Result.Policy, row.Result.Violations[0])
+			status = ExitBroken
+		}
+	}
+	return status, nil
+}
--- /dev/null
+++ b/internal/replay/table.go
@@ -0,0 +1,72 @@
+package replay
+
+import (
+	"fmt"
+	"io"
+	"path/filepath"
+	"text/tabwriter"
+
+	"snipegw/internal/model"
+	"snipegw/internal/planner/framework"
+)
+
+// Row is one line of the comparison of policies. Ratios are against the better
+// baseline on the same trace.
+type Row struct {
+	Trace         string
+	Result        *Result
+	Completion    float64
+	LargeMean     float64
+	LargeP95      float64
+	Fragmentation float64
+}
+
+// Compare replays a trace with both baselines and the given policies.
+func Compare(name string, trace *Trace, policies []string, weights map[string]model.Weights) ([]Row, error) {
+	all := append([]string{BaselineFIFO, BaselineBackfill}, policies...)
+	results := make([]*Result, len(all))
+	for i, policy := range all {
+		factory, err := framework.Policies.Get(policy)
+		if err != nil {
+			return nil, err
+		}
+		results[i] = Run(trace, factory(), weights[policy])
+		results[i].Policy = policy
+	}
+	better := func(value func(*Result) float64) float64 {
+		return min(value(results[0]), value(results[1]))
+	}
+	rows := make([]Row, len(all))
+	for i, r := range results {
+		rows[i] = Row{
+			Trace:         filepath.Base(name),
+			Result:        r,
+			Completion:    ratio(r.CompletionMeanMS, better(func(r *Result) float64 { return r.CompletionMeanMS })),
+			LargeMean:     ratio(r.LargeCompletionMeanMS, better(func(r *Result) float64 { return r.LargeCompletionMeanMS })),
+			LargeP95:      ratio(r.LargeCompletionP95MS, better(func(r *Result) float64 { return r.LargeCompletionP95MS })),
+			Fragmentation: ratio(r.Fragmentation, better(func(r *Result) float64 { return r.Fragmentation })),
+		}
+	}
+	return rows, nil
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// WriteTable prints rows; x marks a ratio to the better baseline.
+func WriteTable(w io.Writer, rows []Row) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "trace\tpolicy\tdone\tlost\tviolations\turgent late\tguarantee late\tmean x\tlarge mean x\tlarge p95 x\tfragmentation x\twasted %\tp99 us\tmax us\theap MB\t")
+	for _, row := range rows {
+		r := row.Result
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t%.1f\t\n",
+			row.Trace, r.Policy, r.Done, r.Lost, len(r.Violations), r.UrgentLate, r.GuaranteeLate,
+			row.Completion, row.LargeMean, row.LargeP95, row.Fragmentation,
+			100*r.WastedShare, r.DecisionP99US, r.DecisionMaxUS, r.PeakMemoryMB)
+	}
+	return t.Flush()
+}
