Learn run times by regression; order steeply by age; reserve several places

Cause: jobs declared at ten times their run time stayed at the end of the queue; claims stopped jobs without checkpoints after an hour of work, since the only cheap place exposed another guarantee; failed starts exceeded 3 while probing.

Change: regression of log(actual) on log(declared) per team; claims consider each rack of a small pool; the back-off starts at 5 minutes; up to 4 waiting large jobs get a reservation.

--- a/internal/planner/batch.go
+++ b/internal/planner/batch.go
@@ -54,7 +54,7 @@
 // placeBatch starts waiting jobs as preemptible ones, in room that is free or
 // that gangs of lower value give up.
 func (p *Planner) placeBatch(now time.Time) {
-	p.reservation = nil
+	p.reservations = p.reservations[:0]
 	attempts := 0
 	for _, r := range p.rank(now) {
 		if len(p.out) >= maxPlacements {
@@ -70,7 +70,7 @@
 				continue
 			}
 		}
-		if p.reservation == nil && size(r.j.Shape) >= largeSize {
+		if len(p.reservations) < maxReservations && size(r.j.Shape) >= queue.LargeSize {
 			p.reserve(now, r.j)
 		}
 	}
@@ -79,8 +79,8 @@
 const (
 	// maxPreemptors bounds the searches for victims in one pass.
 	maxPreemptors = 4
-	// largeSize is the size from which a waiting job gets a reservation.
-	largeSize = 8
+	// maxReservations bounds the waiting large jobs that get a reservation.
+	maxReservations = 4
 )
 
 // reservation keeps later jobs off the workers on which a large job is expected
@@ -92,6 +92,7 @@
 }
 
 func (p *Planner) rank(now time.Time) []ranked {
+	p.params.Backlog = p.backlog()
 	order := make([]ranked, 0, len(p.queue))
 	for _, j := range p.queue {
 		if now.Before(j.notBefore) {
@@ -104,13 +105,29 @@
 	return order
 }
 
+// backlog returns the time in which the usable accelerators could work off the
+// queue.
+func (p *Planner) backlog() time.Duration {
+	work := 0.0
+	for _, j := range p.queue {
+		work += size(j.Shape) * p.remaining(j).Seconds()
+	}
+	accelerators := 1
+	for _, w := range p.pool.Workers {
+		if w.Usable() {
+			accelerators += w.Capacity.Accelerators
+		}
+	}
+	return time.Duration(work / float64(accelerators) * float64(time.Second))
+}
+
 func (p *Planner) item(now time.Time, j *job) queue.Item {
 	it := queue.Item{Size: size(j.Shape), Remaining: p.remaining(j), Waited: j.waited}
 	if j.state == waiting {
 		it.Waited += now.Sub(j.since)
 	}
 	if g := j.gang; g != nil && !g.Started.IsZero() {
-		it.Remaining = estimate.Remaining(p.estimates.Total(j.Team, declared(j)), j.kept+now.Sub(g.Started))
+		it.Remaining = estimate.Remaining(p.total(j), j.kept+now.Sub(g.Started))
 	}
 	return it
 }
@@ -127,7 +144,7 @@
 		Exclude: func(w *pool.Worker) bool { return p.unfit(now, j, w) },
 		Cost: func(w *pool.Worker, n int) float64 {
 			cost := suspicion(w, n)
-			if p.reserved(w) && now.Add(runs).After(p.reservation.start) {
+			if r := p.reserved(w); r != nil && now.Add(runs).After(r.start) {
 				cost += reservedCost
 			}
 			return cost
@@ -139,7 +156,7 @@
 	}
 	p.start(now, j, workers, nil, "")
 	for _, w := range workers {
-		j.gang.Backfilled = j.gang.Backfilled || p.reserved(w)
+		j.gang.Backfilled = j.gang.Backfilled || p.reserved(w) != nil
 	}
 	return true
 }
@@ -147,7 +164,15 @@
 // reservedCost makes every other place better than a reserved one.
 const reservedCost = 200
 
-func (p *Planner) reserved(w *pool.Worker) bool { return p.reservation != nil && p.reservation.on[w] }
+// reserved returns the reservation on a worker, nil if there is none.
+func (p *Planner) reserved(w *pool.Worker) *reservation {
+	for _, r := range p.reservations {
+		if r.on[w] {
+			return r
+		}
+	}
+	return nil
+}
 
 // closed reports whether a worker is closed to a job although it is usable.
 func (p *Planner) closed(j *job, w *pool.Worker) bool {
@@ -201,7 +226,7 @@
 			return impossible
 		}
 		harm := p.params.Harm(p.item(now, v), reclaim.Lost(g, now), runs)
-		if g.Backfilled {
+		if g.Backfilled && size(j.Shape) >= queue.LargeSize {
 			harm /= backfillDiscount
 		}
 		return harm
@@ -228,7 +253,9 @@
 const (
 	// backfillDiscount lowers the harm of stopping a gang that was started on
 	// reserved room.
-	backfillDiscount = 4
+	backfillDiscount = 20
+	// keepReserved favours the workers of the reservation of the last pass.
+	keepReserved = 0.7
 	// harmScale makes the harm outweigh the leftover of a place.
 	harmScale = 1000
 )
@@ -254,7 +281,7 @@
 	ends := func(w *pool.Worker) time.Duration {
 		var latest time.Duration
 		for _, g := range w.Gangs {
-			if v := p.jobs[g.ID]; !g.Fixed && v != nil {
+			if v := p.jobs[g.ID]; !g.Fixed && !g.Backfilled && !g.Stopping && v != nil {
 				latest = max(latest, p.item(now, v).Remaining)
 			}
 		}
@@ -263,8 +290,13 @@
 	workers := p.finder.Find(p.pool, score.Request{
 		Shape:   j.Shape,
 		Room:    movable,
-		Exclude: func(w *pool.Worker) bool { return p.unfit(now, j, w) || w.Probing },
-		Cost:    func(w *pool.Worker, _ int) float64 { return ends(w).Seconds() },
+		Exclude: func(w *pool.Worker) bool { return p.closed(j, w) || w.Probing || p.reserved(w) != nil },
+		Cost: func(w *pool.Worker, _ int) float64 {
+			if j.reserved[w] { // keep to the former choice
+				return keepReserved * ends(w).Seconds()
+			}
+			return ends(w).Seconds()
+		},
 	})
 	if workers == nil {
 		return
@@ -276,7 +308,8 @@
 			r.start = at
 		}
 	}
-	p.reservation = r
+	j.reserved = r.on
+	p.reservations = append(p.reservations, r)
 }
 
 // noRoom notes that a job found no place.
--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -88,6 +88,9 @@
 const (
 	// maxSwaps bounds the places of other slots that a claim considers.
 	maxSwaps = 32
+	// maxRacks bounds the pools in which a claim considers each rack by itself;
+	// in larger pools the cheapest place is rarely one that exposes guarantees.
+	maxRacks = 16
 	// suspectCost is the cost in accelerator-seconds of a start on a worker on
 	// which a job has failed.
 	suspectCost = 1000
@@ -163,10 +166,22 @@
 			add(o.Workers)
 		}
 	}
-	add(p.finder.Find(p.pool, score.Request{Shape: s.Shape, Exclude: exclude,
-		Room: func(w *pool.Worker) model.Resources { return w.Capacity.Sub(w.Pinned) },
-		Cost: func(w *pool.Worker, n int) float64 { return roomCost(w, s.Shape, n, claimCost(now)) + suspicion(w, n) },
-	}))
+	cheapest := func(outside func(*pool.Worker) bool) []*pool.Worker {
+		return p.finder.Find(p.pool, score.Request{Shape: s.Shape,
+			Exclude: func(w *pool.Worker) bool { return outside(w) || exclude(w) },
+			Room:    func(w *pool.Worker) model.Resources { return w.Capacity.Sub(w.Pinned) },
+			Cost: func(w *pool.Worker, n int) float64 {
+				return roomCost(w, s.Shape, n, claimCost(now)) + suspicion(w, n)
+			},
+		})
+	}
+	add(cheapest(func(*pool.Worker) bool { return false }))
+	if len(p.pool.Racks) > maxRacks {
+		return out
+	}
+	for _, r := range p.pool.Racks {
+		add(cheapest(func(w *pool.Worker) bool { return w.Index < r.From || w.Index >= r.To }))
+	}
 	return out
 }
 
--- a/internal/planner/events.go
+++ b/internal/planner/events.go
@@ -10,6 +10,7 @@
 	"snipegw/internal/planner/faults"
 	"snipegw/internal/planner/framework"
 	"snipegw/internal/planner/pool"
+	"snipegw/internal/planner/queue"
 )
 
 // SetTeams implements framework.Scheduler. A running job whose guarantee is
@@ -274,7 +275,7 @@
 	blamed := p.pool.Get(end.BlamedWorker)
 	switch end.Outcome {
 	case framework.OutcomeDone:
-		p.estimates.Observe(j.Team, declared(j), max(end.WorkKept, now.Sub(g.Started)))
+		p.estimates.Observe(j.Team, size(j.Shape) >= queue.LargeSize, declared(j), end.WorkKept+now.Sub(g.Started))
 		p.forget(j, false)
 		return
 	case framework.OutcomeOutOfMemory:
--- a/internal/planner/faults/faults.go
+++ b/internal/planner/faults/faults.go
@@ -37,8 +37,8 @@
 	faultProven      = 2
 	unprovenFailures = 5
 	// FirstBackoff and MaxBackoff bound the time until a probe.
-	FirstBackoff = 30 * time.Second
-	MaxBackoff   = 10 * time.Minute
+	FirstBackoff = 5 * time.Minute
+	MaxBackoff   = 20 * time.Minute
 )
 
 // Failure is one failed start of a job.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -73,9 +73,14 @@
 	waited    time.Duration
 	notBefore time.Time
 	kept      time.Duration
-	gang      *pool.Gang
-	slot      *packing.Slot
-	reason    model.Reason
+	// expected is the run time estimated with version expectedAt of the tracker.
+	expected   time.Duration
+	expectedAt uint64
+	gang       *pool.Gang
+	// reserved holds the workers of the job's last reservation.
+	reserved map[*pool.Worker]bool
+	slot     *packing.Slot
+	reason   model.Reason
 	// preempted counts the gangs stopped for the promise of this job.
 	preempted int
 }
@@ -107,8 +112,8 @@
 
 	// health counts changes of the set of usable workers.
 	health uint64
-	// reservation is made anew in each pass.
-	reservation *reservation
+	// reservations are made anew in each pass.
+	reservations []*reservation
 	// blocked holds, per shape, the state of the pool in which it found no room.
 	blocked  map[model.Shape]uint64
 	feasible map[model.Shape]feasibility
@@ -176,7 +181,17 @@
 
 func declared(j *job) time.Duration { return time.Duration(j.DeclaredMS) * time.Millisecond }
 
+// total returns the expected run time of a job. It is kept until the tracker has
+// learned more, since the order of the queue asks for it again and again.
+func (p *Planner) total(j *job) time.Duration {
+	if v := p.estimates.Version(); j.expected == 0 || j.expectedAt != v {
+		j.expected = p.estimates.Total(j.Team, size(j.Shape) >= queue.LargeSize, declared(j))
+		j.expectedAt = v
+	}
+	return j.expected
+}
+
 // remaining returns the expected rest of a waiting job.
 func (p *Planner) remaining(j *job) time.Duration {
-	return estimate.Remaining(p.estimates.Total(j.Team, declared(j)), j.kept)
+	return estimate.Remaining(p.total(j), j.kept)
 }
--- a/internal/planner/queue/queue.go
+++ b/internal/planner/queue/queue.go
@@ -32,6 +32,10 @@
 	RunPower, SizePower float64
 	// Patience is the waiting time that doubles the value of a job.
 	Patience time.Duration
+	// Backlog is the time in which the pool could work off the queue. A job that
+	// has waited for an agingShare of it rises steeply: in an overloaded pool the
+	// order of value alone would leave the long and large jobs for the end.
+	Backlog time.Duration
 	// Margin is the factor by which a waiting job must exceed its victims.
 	Margin float64
 }
@@ -50,14 +54,33 @@
 	}
 }
 
+const (
+	// LargeSize is the size from which a job counts as large.
+	LargeSize = 8
+
+	agingPower   = 4.0
+	largeShare   = 0.15
+	smallShare   = 0.50
+	basePatience = 1200.0 // seconds
+)
+
 // Value returns the worth of running a job per second.
 func (p Params) Value(it Item) float64 {
 	aging := 1 + it.Waited.Seconds()/p.Patience.Seconds()
 	return aging * math.Pow(it.Size, p.SizePower) / math.Pow(max(it.Remaining.Seconds(), 1), p.RunPower)
 }
 
-// Density returns the worth per accelerator; higher is earlier.
-func (p Params) Density(it Item) float64 { return p.Value(it) / it.Size }
+// Density returns the place in the queue: the worth per accelerator, raised
+// steeply for a job that has waited for a share of the backlog. The steep part
+// orders the queue only; in preemption it made two old jobs stop each other.
+func (p Params) Density(it Item) float64 {
+	share := smallShare
+	if it.Size >= LargeSize {
+		share = largeShare
+	}
+	steep := it.Waited.Seconds() / (share*p.Backlog.Seconds() + basePatience)
+	return (1 + math.Pow(steep, agingPower)) * p.Value(it) / it.Size
+}
 
 // Harm returns what a stop costs in the units of Value: the value of the victim,
 // raised by the share of its delay that is lost work and restart.
