Publish the handlers of the membership test with an atomic store

Cause: the test registered handlers while the server already listened; the race detector reported it in 4 of 6 runs. Ruled out: the same order in snipegw-entry; assemble registers all handlers before the network component starts. Conclusion: a fault of the test only.

--- a/internal/members/service_test.go
+++ b/internal/members/service_test.go
@@ -88,13 +88,19 @@
 	Expect(err).NotTo(HaveOccurred())
 	pool, err := transport.NewPool("127.0.0.1:0", creds)
 	Expect(err).NotTo(HaveOccurred())
-	mux := &transport.Mux{}
-	srv, err := transport.Listen("127.0.0.1:0", creds, mux)
+	// The address is needed to make the service, so that the server listens
+	// before the handlers are registered.
+	var registered atomic.Pointer[transport.Mux]
+	srv, err := transport.Listen("127.0.0.1:0", creds, transport.HandlerFunc(func(ctx context.Context, kind wire.Kind, s *transport.Stream) error {
+		return registered.Load().ServeCall(ctx, kind, s)
+	}))
 	Expect(err).NotTo(HaveOccurred())
 	e := &runningEntry{config: &versionSource{}, sink: &recordingSink{}, addr: srv.Addr()}
 	e.Service = New(Options{Self: wire.EntryInfo{ID: id, Address: srv.Addr(), Region: "r", FailureDomain: "f"}, Store: st, Pool: pool, Config: e.config})
 	e.SetSink(e.sink)
+	mux := &transport.Mux{}
 	e.Register(mux)
+	registered.Store(mux)
 	Expect(e.Start(context.Background())).To(Succeed())
 	ginkgo.DeferCleanup(func() {
 		_ = e.Stop(context.Background())
