--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build run test proof bench replay capacity clean
+.PHONY: build run up test proof bench replay capacity clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -9,6 +9,9 @@
 run: build
 	scripts/run.sh
 
+up: build
+	$(BIN)/snipegw-proof --bin $(BIN) --stay
+
 test:
 	scripts/test.sh
 
--- a/cmd/snipegw-proof/main.go
+++ b/cmd/snipegw-proof/main.go
@@ -27,6 +27,7 @@
 	Keep    bool   `long:"keep" description:"keep settings and logs of the processes"`
 	Verbose bool   `long:"verbose" description:"print the steps of the proofs"`
 	Demo    bool   `long:"demo" description:"run the demonstration of make run instead of the proofs"`
+	Stay    bool   `long:"stay" description:"start the processes of the demonstration and keep them until interrupted"`
 }
 
 func main() {
@@ -54,9 +55,13 @@
 	}
 	env := proof.Env{Bin: o.Bin, Dir: dir, Seed: o.Seed, Control: o.Control, Trace: trace{o.Verbose}}
 	ok := true
-	if o.Demo {
+	switch {
+	case o.Stay:
+		ok = proof.Stay(ctx, env, os.Stdout)
+		ctx = context.Background() // an interrupt is the expected end
+	case o.Demo:
 		ok = proof.Demo(ctx, env, os.Stdout)
-	} else {
+	default:
 		for _, p := range proof.Proofs() {
 			if strings.Contains(p.Name, o.Only) && ctx.Err() == nil {
 				ok = proof.RunOne(ctx, p, env, os.Stdout) != o.Control && ok
--- /dev/null
+++ b/internal/proof/stay.go
@@ -0,0 +1,27 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"io"
+)
+
+// Stay starts the processes of the demonstration, prints how to reach them, and
+// keeps them until ctx ends.
+func Stay(ctx context.Context, e Env, out io.Writer) bool {
+	c, err := Launch(ctx, e.Bin, e.Dir, DefaultSpec())
+	if err != nil {
+		fmt.Fprintln(out, "start:", err)
+		return false
+	}
+	defer c.Kill()
+	fmt.Fprintf(out, "export SNIPEGW_ADDRESS=%s\n", c.Entries[0].HTTP)
+	fmt.Fprintf(out, "export SNIPEGW_TOKEN=%s\n", TeamToken("routes"))
+	fmt.Fprintf(out, "# operator token: %s; service: %s; interrupt with Ctrl-C to stop\n", OperatorToken, c.Spec.Service)
+	<-ctx.Done()
+	if _, err := c.Stop(StopLimit); err != nil {
+		fmt.Fprintln(out, "stop FAILED:", err)
+		return false
+	}
+	return true
+}
