--- a/internal/bench/region.go
+++ b/internal/bench/region.go
@@ -38,7 +38,8 @@
 	quic string
 }
 
-// startRegion starts a store and n entries and waits until they are ready.
+// startRegion starts a store and n entries, one after the other, so that the
+// first one is the planner.
 func startRegion(bin string, n int) (*region, error) {
 	f, err := newFleet(bin)
 	if err != nil {
@@ -79,15 +80,23 @@
 			return err
 		}
 		r.entries = append(r.entries, e)
-	}
-	for i, e := range r.entries {
-		if err := waitFor("entry", answers("http://"+e.http+"/healthz", benchToken)); err != nil {
-			return fmt.Errorf("%w: %s", err, r.log(fmt.Sprint("entry-", i+1)))
+		if err := r.ready(e, name); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// ready waits until an entry takes requests and the first one is the planner.
+func (r *region) ready(e *entryProcess, name string) error {
+	healthy := answers("http://"+e.http+"/healthz", benchToken)
+	planner := answers("http://"+r.entries[0].http+"/v1/jobs", benchToken)
+	if err := waitFor("entry", func() bool { return healthy() && planner() }); err != nil {
+		return fmt.Errorf("%w: %s", err, r.log(name))
+	}
+	return nil
+}
+
 func firstConfig() []byte {
 	sum := sha256.Sum256([]byte(benchToken))
 	data, _ := json.Marshal(map[string]any{
--- a/internal/members/service.go
+++ b/internal/members/service.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// publishDelay collects the changes of a moment into one view, since a view
-	// copies the table.
-	publishDelay = 5 * time.Millisecond
+	// publishDelay collects the changes of a moment into one view. A view copies
+	// the table, and each one makes the planner compare all workers, so that
+	// their number is bounded to 40 a second.
+	publishDelay = 25 * time.Millisecond
 	// tickInterval is the time between checks of silence.
 	tickInterval = 200 * time.Millisecond
 	// callTimeout bounds a call to another entry.
