Repeat the first read of a patch

Cause: in a trial with separate processes one lost answer of the store refused a patch with store_unavailable. Change: the read is tried three times before the patch is refused.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -212,6 +212,7 @@
 			})
 		},
 		Entry("all down", "", storetest.Down, int64(1<<40), result.StoreUnavailable),
+		Entry("reads down twice", storetest.OpGet, storetest.Down, int64(2), result.Accepted),
 		Entry("write down", storetest.OpCAS, storetest.Down, int64(1<<40), result.PatchOutcomeUnknown),
 		Entry("write down once", storetest.OpCAS, storetest.Down, int64(1), result.Accepted),
 		Entry("answer lost", storetest.OpCAS, storetest.AnswerLost, int64(1), result.Accepted),
--- a/internal/config/patch.go
+++ b/internal/config/patch.go
@@ -29,6 +29,9 @@
 	MaxPatchID = 128
 	// KeptPatches is the number of patch ids that the document remembers.
 	KeptPatches = 256
+	// readTries bounds the reads before a patch is refused because the store does
+	// not answer. A single lost answer is no outage.
+	readTries = 3
 	// patchTimeout bounds the resolution of a lost answer of the store.
 	patchTimeout = 5 * time.Second
 )
@@ -206,8 +209,12 @@
 // in force is repeated, since the store may answer with an older state.
 func (m *Manager) read(ctx context.Context) (store.Entry, *model.Config, error) {
 	pause := minPause
-	for {
+	for tries := 1; ; tries++ {
 		e, err := m.store.Get(ctx, Key)
+		if err != nil && tries < readTries && sleepContext(ctx, pause) {
+			pause = min(2*pause, maxPause)
+			continue
+		}
 		if err != nil {
 			return e, nil, result.Errorf(result.StoreUnavailable, "the patch was not submitted, because the store does not answer: %w", err)
 		}
