Give large and small jobs queues and shares of their own

Change: separate queues; a share of the pool for large jobs while small ones wait; small jobs beyond their share give way for little lost work; large jobs go by time waited less expected run time and do not stop each other; a gang is not stopped for another preemptible job in its first 2 minutes.

--- a/internal/planner/batch.go
+++ b/internal/planner/batch.go
@@ -47,33 +47,119 @@
 const impossible = 1e12
 
 type ranked struct {
-	j              *job
-	density, value float64
+	j            *job
+	order, value float64
 }
 
 // placeBatch starts waiting jobs as preemptible ones, in room that is free or
-// that gangs of lower value give up.
+// that gangs of lower value give up. Large jobs come first up to their share of
+// the pool, then small ones, then the other large ones. What a large job of the
+// first group cannot get at once is reserved.
 func (p *Planner) placeBatch(now time.Time) {
 	p.reservations = p.reservations[:0]
-	attempts := 0
+	var large, small []ranked
 	for _, r := range p.rank(now) {
+		if size(r.j.Shape) >= queue.LargeSize {
+			large = append(large, r)
+		} else {
+			small = append(small, r)
+		}
+	}
+	p.shares(len(small) > 0, len(large) > 0)
+	rest := p.placeLarge(now, large)
+	p.placeAny(now, small)
+	p.placeAny(now, rest)
+}
+
+// share is how many accelerators each kind of job holds, and may hold while the
+// other kind waits.
+type share struct {
+	large, small           float64
+	largeLimit, smallLimit float64
+}
+
+func (p *Planner) shares(smallWaits, largeWaits bool) {
+	total := 0.0
+	s := share{}
+	for _, w := range p.pool.Workers {
+		if w.Usable() {
+			total += float64(w.Capacity.Accelerators)
+		}
+		for _, g := range w.Gangs {
+			held := float64(g.Per.Accelerators) * float64(tasksOn(g, w))
+			if g.Accelerators() >= queue.LargeSize {
+				s.large += held
+			} else {
+				s.small += held
+			}
+		}
+	}
+	s.largeLimit, s.smallLimit = total, total
+	if smallWaits {
+		s.largeLimit = total * p.params.LargeShare
+	}
+	if largeWaits {
+		s.smallLimit = total * (1 - p.params.LargeShare)
+	}
+	p.share = s
+}
+
+func tasksOn(g *pool.Gang, w *pool.Worker) int {
+	n := 0
+	for _, o := range g.Workers {
+		if o == w {
+			n++
+		}
+	}
+	return n
+}
+
+// placeLarge starts or reserves for large jobs up to their share and returns the
+// others.
+func (p *Planner) placeLarge(now time.Time, large []ranked) (rest []ranked) {
+	attempts := 0
+	for i, r := range large {
 		if len(p.out) >= maxPlacements {
 			p.more = true
-			return
+			return nil
+		}
+		if p.share.large >= p.share.largeLimit {
+			return large[i:]
 		}
 		if p.tryBatch(now, r.j) {
+			p.share.large += size(r.j.Shape)
 			continue
 		}
-		if attempts < maxPreemptors && p.mayPreempt(r.j) {
+		if attempts < maxPreemptors && !r.j.parked {
 			attempts++
 			if p.preemptFor(now, r) {
+				p.share.large += size(r.j.Shape)
 				continue
 			}
 		}
-		if len(p.reservations) < maxReservations && size(r.j.Shape) >= queue.LargeSize {
+		if len(p.reservations) < maxReservations {
 			p.reserve(now, r.j)
 		}
 	}
+	return nil
+}
+
+// placeAny starts jobs where there is room or where value allows preemption.
+func (p *Planner) placeAny(now time.Time, order []ranked) {
+	attempts := 0
+	for _, r := range order {
+		if len(p.out) >= maxPlacements {
+			p.more = true
+			return
+		}
+		if p.tryBatch(now, r.j) {
+			continue
+		}
+		if attempts < maxPreemptors && !r.j.parked {
+			attempts++
+			p.preemptFor(now, r)
+		}
+	}
 }
 
 const (
@@ -99,9 +185,9 @@
 			continue
 		}
 		it := p.item(now, j)
-		order = append(order, ranked{j, p.params.Density(it), p.params.Value(it)})
+		order = append(order, ranked{j, p.params.Order(it), p.params.Value(it)})
 	}
-	slices.SortStableFunc(order, func(a, b ranked) int { return cmp.Compare(b.density, a.density) })
+	slices.SortStableFunc(order, func(a, b ranked) int { return cmp.Compare(b.order, a.order) })
 	return order
 }
 
@@ -139,9 +225,11 @@
 	runs := p.remaining(j)
 	p.judgePicky(j)
 	workers := p.finder.Find(p.pool, score.Request{
-		Shape:   j.Shape,
-		Room:    (*pool.Worker).Free,
-		Exclude: func(w *pool.Worker) bool { return p.unfit(now, j, w) },
+		Shape: j.Shape,
+		Room:  (*pool.Worker).Free,
+		Exclude: func(w *pool.Worker) bool {
+			return p.unfit(now, j, w) || !p.mayBackfill(now, j, runs, p.reserved(w))
+		},
 		Cost: func(w *pool.Worker, n int) float64 {
 			cost := suspicion(w, n)
 			if r := p.reserved(w); r != nil && now.Add(runs).After(r.start) {
@@ -156,11 +244,28 @@
 	}
 	p.start(now, j, workers, nil, "")
 	for _, w := range workers {
-		j.gang.Backfilled = j.gang.Backfilled || p.reserved(w) != nil
+		r := p.reserved(w)
+		j.gang.Backfilled = j.gang.Backfilled || r != nil && size(j.Shape) < queue.LargeSize
 	}
 	return true
 }
 
+// mayBackfill reports whether a job may start on reserved workers: if it is
+// expected to end before the reservation starts, or if it is small, loses little
+// when it is in the way, and has some time until then. Without the last
+// condition a job was started and stopped a hundred times in a row.
+func (p *Planner) mayBackfill(now time.Time, j *job, runs time.Duration, r *reservation) bool {
+	if r == nil || !now.Add(runs).After(r.start) {
+		return true
+	}
+	return size(j.Shape) < queue.LargeSize && j.CheckpointMS > 0 && j.stops < maxShareStops &&
+		r.start.Sub(now) > minBackfill
+}
+
+// minBackfill is the shortest time for which a backfill beyond its end is worth
+// a stop.
+const minBackfill = 2 * time.Minute
+
 // reservedCost makes every other place better than a reserved one.
 const reservedCost = 200
 
@@ -214,20 +319,28 @@
 	}) != nil
 }
 
-// mayPreempt reports whether a search for victims is worth its time.
-func (p *Planner) mayPreempt(j *job) bool { return !j.parked }
-
 // preemptFor stops gangs of lower value if that makes room for a job.
 func (p *Planner) preemptFor(now time.Time, r ranked) bool {
 	j, runs := r.j, p.remaining(r.j)
+	large := size(j.Shape) >= queue.LargeSize
 	costOf := func(g *pool.Gang) float64 {
 		v := p.jobs[g.ID]
-		if g.Protected {
+		if g.Protected || g.Promised || now.Sub(g.Placed) < minTenure {
 			return impossible
 		}
 		harm := p.params.Harm(p.item(now, v), reclaim.Lost(g, now), runs)
-		if g.Backfilled && size(j.Shape) >= queue.LargeSize {
+		isLarge := g.Accelerators() >= queue.LargeSize
+		switch {
+		case g.Backfilled && large:
 			harm /= backfillDiscount
+		case large && !isLarge && p.share.small > p.share.smallLimit && g.Stops < maxShareStops:
+			// What is beyond a share is not weighed by value, only by the work lost.
+			lost := reclaim.Cost(g, now) / (size(j.Shape) * runs.Seconds())
+			harm = min(harm, r.value*lost*lossWeight)
+		case large && isLarge:
+			return impossible
+		case !large && isLarge && p.share.large <= p.share.largeLimit:
+			return impossible
 		}
 		return harm
 	}
@@ -251,9 +364,18 @@
 }
 
 const (
+	// minTenure is the time for which a gang that was placed is not stopped for
+	// another preemptible job. Without it a small and a large job took the same
+	// room from each other at every event.
+	minTenure = 2 * time.Minute
 	// backfillDiscount lowers the harm of stopping a gang that was started on
 	// reserved room.
 	backfillDiscount = 20
+	// lossWeight bounds the work that small jobs beyond their share may lose to a
+	// large job to a part of its own work. It holds for jobs that were not
+	// stopped maxShareStops times yet.
+	lossWeight    = 15
+	maxShareStops = 3
 	// keepReserved favours the workers of the reservation of the last pass.
 	keepReserved = 0.7
 	// harmScale makes the harm outweigh the leftover of a place.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -114,6 +114,7 @@
 	health uint64
 	// reservations are made anew in each pass.
 	reservations []*reservation
+	share        share
 	// blocked holds, per shape, the state of the pool in which it found no room.
 	blocked  map[model.Shape]uint64
 	feasible map[model.Shape]feasibility
--- a/internal/planner/queue/queue.go
+++ b/internal/planner/queue/queue.go
@@ -7,9 +7,10 @@
 // an aging factor that grows with the time waited, so that neither large gangs nor
 // small jobs starve. The weights of the configuration set the two powers.
 //
-// The queue is ordered by value per accelerator. A waiting job may preempt gangs
-// if its value exceeds the sum of theirs by a margin; the margin and the aging of
-// both sides keep two jobs from stopping each other in turn.
+// Small and large jobs have queues of their own and a share of the pool each, so
+// that neither starves behind a burst of the other. A waiting job may preempt
+// gangs if its value exceeds the sum of theirs by a margin; the margin and the
+// aging of both sides keep two jobs from stopping each other in turn.
 package queue
 
 import (
@@ -36,6 +37,9 @@
 	// has waited for an agingShare of it rises steeply: in an overloaded pool the
 	// order of value alone would leave the long and large jobs for the end.
 	Backlog time.Duration
+	// LargeShare is the part of the accelerators that large jobs may hold while
+	// small ones wait. Small jobs get the rest while large ones wait.
+	LargeShare float64
 	// Margin is the factor by which a waiting job must exceed its victims.
 	Margin float64
 }
@@ -47,10 +51,11 @@
 		w, most = model.Weights{CompletionTime: 1}, 1
 	}
 	return Params{
-		RunPower:  w.CompletionTime / most,
-		SizePower: 1.5 * max(0, w.Fragmentation-w.CompletionTime) / most,
-		Patience:  20 * time.Minute,
-		Margin:    1.5,
+		RunPower:   w.CompletionTime / most,
+		SizePower:  1.5 * max(0, w.Fragmentation-w.CompletionTime) / most,
+		Patience:   20 * time.Minute,
+		Margin:     1.5,
+		LargeShare: 0.6 + 0.4*w.Fragmentation/(w.Fragmentation+w.CompletionTime),
 	}
 }
 
@@ -58,10 +63,11 @@
 	// LargeSize is the size from which a job counts as large.
 	LargeSize = 8
 
+	// A small job rises steeply once it has waited for agingShare of the backlog
+	// and basePatience seconds.
 	agingPower   = 4.0
-	largeShare   = 0.15
-	smallShare   = 0.50
-	basePatience = 1200.0 // seconds
+	agingShare   = 0.5
+	basePatience = 1200.0
 )
 
 // Value returns the worth of running a job per second.
@@ -70,15 +76,19 @@
 	return aging * math.Pow(it.Size, p.SizePower) / math.Pow(max(it.Remaining.Seconds(), 1), p.RunPower)
 }
 
-// Density returns the place in the queue: the worth per accelerator, raised
-// steeply for a job that has waited for a share of the backlog. The steep part
-// orders the queue only; in preemption it made two old jobs stop each other.
-func (p Params) Density(it Item) float64 {
-	share := smallShare
+// Order returns the place in the queue; higher is earlier. Large and small jobs
+// have queues of their own.
+//
+// Small jobs go by worth per accelerator, raised steeply for those that have
+// waited for a share of the backlog. The steep part orders the queue only; in
+// preemption it made two old jobs stop each other. Large jobs go by the time
+// waited less the expected run time: they share few places, so that the order of
+// worth alone left the longest of them for the end of the backlog.
+func (p Params) Order(it Item) float64 {
 	if it.Size >= LargeSize {
-		share = largeShare
+		return it.Waited.Seconds() - it.Remaining.Seconds()
 	}
-	steep := it.Waited.Seconds() / (share*p.Backlog.Seconds() + basePatience)
+	steep := it.Waited.Seconds() / (agingShare*p.Backlog.Seconds() + basePatience)
 	return (1 + math.Pow(steep, agingPower)) * p.Value(it) / it.Size
 }
 
--- a/internal/planner/reclaim/reclaim.go
+++ b/internal/planner/reclaim/reclaim.go
@@ -21,12 +21,15 @@
 // of the whole gang: checkpoint, stop, and start elsewhere.
 const stopCost = 3.0
 
+// grace is the time that a stopped gang goes on running.
+const grace = time.Second
+
 // Lost returns the run time that a stop at now loses.
 func Lost(g *pool.Gang, now time.Time) time.Duration {
 	if g.Started.IsZero() {
 		return 0
 	}
-	run := now.Sub(g.Started)
+	run := now.Sub(g.Started) + grace
 	if g.Checkpoint <= 0 {
 		return run
 	}
