Choose claims by the guarantees that they leave exposed

Change: the claim takes the place with the fewest exposed guarantees, then the cheapest, and considers every worker for a single task; workers that are out of use weigh more. Only gangs started after a doubt prove a worker.

With all guarantees of a tight pool claimed, no place is safe against the loss of any one worker, and pinned gangs are not moved.

--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -16,23 +16,34 @@
 // assignSlots gives free guarantees to the jobs that may claim them: those that
 // run beyond the guarantee of their team first, then those that wait, each in
 // the order of submission.
-func (p *Planner) assignSlots() {
+func (p *Planner) assignSlots(now time.Time) {
+	p.claimed = p.claimed[:0]
 	p.claimants = slices.DeleteFunc(p.claimants, func(j *job) bool { return p.jobs[j.ID] != j })
 	for _, waits := range []bool{false, true} {
 		for _, j := range p.claimants {
 			if j.slot == nil && !j.cancelled && (j.state == waiting) == waits {
 				j.slot = p.plan.Assign(j.Team, j.ID, j.Shape)
+				if j.slot != nil {
+					p.claimed = append(p.claimed, j.Team)
+				}
 				if j.slot != nil && j.gang != nil {
 					j.gang.Protected = true
 				}
 			}
 		}
 	}
+	// A job without a guarantee that starts in the same instant would look like
+	// the claimant, since it runs while the claim still waits for its room.
+	for _, j := range p.claimants {
+		if j.slot == nil && j.state == waiting && slices.Contains(p.claimed, j.Team) {
+			j.notBefore = now.Add(retryDelay)
+		}
+	}
 }
 
 // placeClaims starts the jobs that hold a guarantee.
 func (p *Planner) placeClaims(now time.Time) {
-	p.assignSlots()
+	p.assignSlots(now)
 	for _, j := range p.claimants {
 		if j.state != waiting || j.slot == nil || now.Before(j.notBefore) {
 			continue
@@ -88,6 +99,8 @@
 const (
 	// maxSwaps bounds the places of other slots that a claim considers.
 	maxSwaps = 32
+	// maxHosts bounds the pools in which a claim of one task considers each worker.
+	maxHosts = 64
 	// maxRacks bounds the pools in which a claim considers each rack by itself;
 	// in larger pools the cheapest place is rarely one that exposes guarantees.
 	maxRacks = 16
@@ -99,7 +112,6 @@
 func (p *Planner) claimSlot(now time.Time, j *job, s *packing.Slot, avoid bool) bool {
 	options := p.options(now, j, s, avoid)
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
-	before := p.plan.Exposed()
 	best, fewest := -1, 0
 	for i, o := range options {
 		restore := p.plan.Save()
@@ -108,15 +120,14 @@
 		}
 		p.plan.Pin(s)
 		exposed := p.plan.Exposed()
-		if exposed <= before {
-			p.start(now, j, o.job, o.victims, explain.Preempted)
-			return true
-		}
 		p.plan.Unpin(s)
 		restore()
 		if best < 0 || exposed < fewest {
 			best, fewest = i, exposed
 		}
+		if exposed == 0 {
+			break
+		}
 	}
 	if best < 0 || !p.plan.Move(s, options[best].slot) {
 		return false
@@ -179,6 +190,15 @@
 	if len(p.pool.Racks) > maxRacks {
 		return out
 	}
+	if s.Shape.Tasks == 1 && len(p.pool.Workers) <= maxHosts {
+		for _, w := range p.pool.Workers {
+			if !w.Pinned.Add(s.Shape.PerTask()).Fits(w.Capacity) {
+				continue
+			}
+			add([]*pool.Worker{w})
+		}
+		return out
+	}
 	for _, r := range p.pool.Racks {
 		add(cheapest(func(w *pool.Worker) bool { return w.Index < r.From || w.Index >= r.To }))
 	}
--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -50,14 +50,15 @@
 	})
 	p.probes = slices.DeleteFunc(p.probes, func(b probe) bool {
 		if b.worker.Quarantined && !now.Before(b.at) {
-			p.probe(b.worker, explain.New(explain.WorkerProbed, "the back-off has passed; the worker takes one preemptible job"))
+			p.probe(now, b.worker, explain.New(explain.WorkerProbed, "the back-off has passed; the worker takes one preemptible job"))
 		}
 		return !b.worker.Quarantined
 	})
 }
 
 // probe returns a quarantined worker to use for one job.
-func (p *Planner) probe(w *pool.Worker, reason model.Reason) {
+func (p *Planner) probe(now time.Time, w *pool.Worker, reason model.Reason) {
+	w.Doubted = now
 	w.Quarantined, w.Probing = false, true
 	if !w.Suspect { // its failures were those of a faulty job
 		w.Probing = false
--- a/internal/planner/events.go
+++ b/internal/planner/events.go
@@ -213,18 +213,18 @@
 	switch j.state {
 	case waiting:
 		p.dequeue(j)
-		p.forget(j, false)
+		p.forget(now, j, false)
 	case promised:
 		p.promises = slices.DeleteFunc(p.promises, func(o *job) bool { return o == j })
 		p.letGo(j)
-		p.forget(j, false)
+		p.forget(now, j, false)
 	case starting, running:
 		p.stop(now, j, explain.New(explain.Cancelled, "the job was cancelled"))
 	}
 	p.dirty = true
 }
 
-func (p *Planner) forget(j *job, atFault bool) {
+func (p *Planner) forget(now time.Time, j *job, atFault bool) {
 	if j.slot != nil {
 		p.plan.Unpin(j.slot)
 		j.slot.Job = ""
@@ -234,7 +234,7 @@
 		if w := p.pool.Get(id); w != nil {
 			w.Suspect = false
 			if w.Quarantined {
-				p.probe(w, explain.New(explain.WorkerCleared, "the failures on the worker are explained by job "+j.ID))
+				p.probe(now, w, explain.New(explain.WorkerCleared, "the failures on the worker are explained by job "+j.ID))
 			}
 		}
 	}
@@ -276,10 +276,10 @@
 	switch end.Outcome {
 	case framework.OutcomeDone:
 		p.estimates.Observe(j.Team, size(j.Shape) >= queue.LargeSize, declared(j), end.WorkKept+now.Sub(g.Started))
-		p.forget(j, false)
+		p.forget(now, j, false)
 		return
 	case framework.OutcomeOutOfMemory:
-		p.forget(j, false)
+		p.forget(now, j, false)
 		p.emit(framework.Decision{Kind: framework.Fail, Job: id, Attempt: end.Attempt, Reason: explain.New(explain.OutOfMemory,
 			"a task used more memory than the job declared", "worker", end.BlamedWorker)})
 		return
@@ -291,12 +291,12 @@
 		j.notBefore = now.Add(retryDelay)
 	}
 	if j.cancelled {
-		p.forget(j, false)
+		p.forget(now, j, false)
 		return
 	}
 	if workers, fault := p.faults.AtFault(id); fault {
 		p.emit(framework.Decision{Kind: framework.Fail, Job: id, Attempt: end.Attempt, Reason: explain.Blame(workers)})
-		p.forget(j, true)
+		p.forget(now, j, true)
 		return
 	}
 	if j.reason.Rule == explain.Placed || j.reason.Rule == explain.Claimed {
@@ -308,7 +308,7 @@
 // proven notes that a gang ran well on its workers.
 func (p *Planner) proven(g *pool.Gang, except string) {
 	for _, w := range g.Workers {
-		if w.ID == except || !w.Suspect && !w.Probing {
+		if w.ID == except || !w.Suspect && !w.Probing || g.Started.Before(w.Doubted) {
 			continue
 		}
 		p.faults.Succeeded(w.ID)
@@ -320,13 +320,19 @@
 	}
 }
 
+// proofAge is the age up to which the start of a running gang shows that its
+// worker is healthy; a worker may become faulty under gangs that go on running.
+const proofAge = 10 * time.Minute
+
 // blame counts a failed start against a worker and a job.
 func (p *Planner) blame(now time.Time, w *pool.Worker, j *job) {
 	proven := false
 	for _, g := range w.Gangs {
-		proven = proven || !g.Started.IsZero() && now.Sub(g.Started) >= faults.ProvenAfter
+		ran := now.Sub(g.Started)
+		proven = proven || !g.Started.IsZero() && ran >= faults.ProvenAfter && ran <= proofAge
 	}
 	w.Suspect = true
+	w.Doubted = now
 	quarantine := p.faults.Failed(w.ID, j.ID, proven)
 	if w.Quarantined || !quarantine && !w.Probing {
 		return
--- a/internal/planner/faults/faults.go
+++ b/internal/planner/faults/faults.go
@@ -38,7 +38,7 @@
 	unprovenFailures = 5
 	// FirstBackoff and MaxBackoff bound the time until a probe.
 	FirstBackoff = 5 * time.Minute
-	MaxBackoff   = 20 * time.Minute
+	MaxBackoff   = 10 * time.Minute
 )
 
 // Failure is one failed start of a job.
--- a/internal/planner/packing/search.go
+++ b/internal/planner/packing/search.go
@@ -156,11 +156,15 @@
 	return true
 }
 
+// absentWeight counts a worker that is out of use more than others: its loss is
+// a fact as soon as the other absent workers return.
+const absentWeight = 10
+
 // maxSpared bounds the pools for which the loss of each worker is considered.
 // In larger pools one worker is a small part of the room that is left over.
 const maxSpared = 64
 
-// Exposed counts the workers whose loss would leave guarantees that do not pack
+// Exposed counts, by weight, the workers whose loss would leave guarantees that do not pack
 // beside the pinned slots, although they would pack into the idle rest of the
 // pool. Workers that are out of use at present count as returned, since pinned
 // slots may outlast their absence.
@@ -170,8 +174,12 @@
 	}
 	n := 0
 	for _, w := range p.pool.Workers {
-		if p.idleFits(w) && !p.packsWithout(w, false) {
-			n++
+		if !p.idleFits(w) || p.packsWithout(w, false) {
+			continue
+		}
+		n++
+		if !w.Sound() {
+			n += absentWeight
 		}
 	}
 	return n
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -99,6 +99,8 @@
 	seq   uint64
 	// claimants are the guaranteed and urgent jobs, by seq.
 	claimants []*job
+	// claimed holds the teams whose guarantees were claimed in this pass.
+	claimed []string
 
 	promises []*job
 	out      []framework.Decision
--- a/internal/planner/pool/pool.go
+++ b/internal/planner/pool/pool.go
@@ -20,6 +20,9 @@
 	Up, Draining, Quarantined, Probing bool
 	// Suspect is set while a failed start is not explained.
 	Suspect bool
+	// Doubted is the time of the last failed start or the start of the probe; only
+	// gangs that started later prove the worker.
+	Doubted time.Time
 	// Used is held by gangs that run, stop or were promised room. It exceeds the
 	// capacity while a promise waits for stopping gangs to leave.
 	Used model.Resources
