Start a failed claim beside its slot before it returns to the same worker

Cause: a guaranteed job that can never run failed three times on one worker, which was then quarantined.

--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -60,19 +60,18 @@
 // anywhere as a preemptible job.
 func (p *Planner) claim(now time.Time, j *job) {
 	p.judgePicky(j)
-	if j.slot.Workers != nil {
-		for _, avoid := range []bool{true, false} {
-			if p.claimSlot(now, j, j.slot, avoid) {
-				return
-			}
-		}
+	if j.slot.Workers != nil && p.claimSlot(now, j, j.slot, true) {
+		return
+	}
+	if p.forceStart(now, j) || !j.picky || j.slot.Workers == nil {
+		return
 	}
-	p.forceStart(now, j)
+	p.claimSlot(now, j, j.slot, false)
 }
 
 // forceStart starts a claim beside its slot. Unclaimed slots of others may lie
 // below it, so that it stays preemptible.
-func (p *Planner) forceStart(now time.Time, j *job) {
+func (p *Planner) forceStart(now time.Time, j *job) bool {
 	workers := p.finder.Find(p.pool, score.Request{
 		Shape:   j.Shape,
 		Exclude: func(w *pool.Worker) bool { return p.closed(j, w) || w.Probing },
@@ -82,11 +81,14 @@
 		},
 	})
 	if workers == nil {
-		return
+		return false
 	}
-	if victims, cost, ok := reclaim.Victims(workers, j.Shape.PerTask(), claimCost(now)); ok && cost < protectedCost {
-		p.start(now, j, workers, victims, explain.Preempted)
+	victims, cost, ok := reclaim.Victims(workers, j.Shape.PerTask(), claimCost(now))
+	if !ok || cost >= protectedCost {
+		return false
 	}
+	p.start(now, j, workers, victims, explain.Preempted)
+	return true
 }
 
 // option is one way to start a claim.
--- a/internal/planner/faults/faults.go
+++ b/internal/planner/faults/faults.go
@@ -4,8 +4,8 @@
 // A failed start counts against the worker and against the job. A job that has
 // failed on several workers is a weaker witness: its failure weighs 1/n, with n
 // the workers on which it failed. A worker is quarantined when the weights of
-// different jobs reach quarantineWeight, or after maxFailures failed starts
-// since its last good one. A job is at fault when it failed on faultWorkers
+// different jobs reach quarantineWeight, or after maxFailures failed starts of
+// different jobs since its last good one. A job is at fault when it failed on faultWorkers
 // workers that no other job speaks against, most of them proven by a gang that
 // runs there; without proof it takes unprovenFailures, which may repeat on
 // a worker if the shape fits nowhere else. A job's failures are taken
@@ -81,7 +81,7 @@
 	if len(t.jobs[job]) < maxWitnesses {
 		t.jobs[job] = append(t.jobs[job], Failure{worker, proven})
 	}
-	return r.failures >= maxFailures || t.weight(r) >= quarantineWeight
+	return r.failures >= maxFailures && len(r.jobs) > 1 || t.weight(r) >= quarantineWeight
 }
 
 func (t *Tracker) weight(r *record) float64 {
