Move small jobs together for a waiting large one

Cause: after bulk cancellations the free accelerators suffice for a large job but lie scattered. A policy case with one job of 4 on each worker shows the move.

--- a/internal/planner/batch.go
+++ b/internal/planner/batch.go
@@ -132,7 +132,7 @@
 		}
 		if attempts < maxPreemptors && !r.j.parked && !now.Before(r.j.nextSearch) {
 			attempts++
-			if p.preemptFor(now, r) {
+			if p.moveFor(now, r.j) || p.preemptFor(now, r) {
 				p.share.large += size(r.j.Shape)
 				continue
 			}
--- /dev/null
+++ b/internal/planner/move.go
@@ -0,0 +1,61 @@
+package planner
+
+import (
+	"time"
+
+	"snipegw/internal/model"
+	"snipegw/internal/planner/explain"
+	"snipegw/internal/planner/pool"
+	"snipegw/internal/planner/queue"
+	"snipegw/internal/planner/reclaim"
+	"snipegw/internal/planner/repair"
+	"snipegw/internal/planner/score"
+)
+
+// moveFor moves small gangs elsewhere if that frees a place for a large job.
+func (p *Planner) moveFor(now time.Time, j *job) bool {
+	if float64(p.freeAccelerators()) < size(j.Shape) {
+		return false
+	}
+	costOf := func(g *pool.Gang) float64 {
+		if g.Protected || g.Promised || g.Accelerators() >= queue.LargeSize || now.Sub(g.Placed) < minTenure {
+			return impossible
+		}
+		return reclaim.Cost(g, now)
+	}
+	workers := p.finder.Find(p.pool, score.Request{
+		Shape:   j.Shape,
+		Room:    movable,
+		Exclude: func(w *pool.Worker) bool { return p.unfit(now, j, w) || w.Probing },
+		Cost:    func(w *pool.Worker, n int) float64 { return suspicion(w, n) + roomCost(w, j.Shape, n, costOf) },
+	})
+	if workers == nil {
+		return false
+	}
+	victims, _, ok := reclaim.Victims(workers, j.Shape.PerTask(), costOf)
+	if !ok || len(victims) == 0 {
+		return false
+	}
+	work := size(j.Shape) * p.remaining(j).Seconds()
+	shapeOf := func(g *pool.Gang) model.Shape { return p.jobs[g.ID].Shape }
+	for _, v := range victims {
+		if costOf(v) >= impossible {
+			return false
+		}
+	}
+	if !repair.Worth(victims, now, work) || !repair.Fits(p.pool, &p.finder, victims, workers, shapeOf) {
+		return false
+	}
+	p.start(now, j, workers, victims, explain.Moved)
+	return true
+}
+
+func (p *Planner) freeAccelerators() int {
+	n := 0
+	for _, w := range p.pool.Workers {
+		if w.Usable() {
+			n += max(w.Free().Accelerators, 0)
+		}
+	}
+	return n
+}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -134,3 +135,35 @@
 		Expect(h.log).NotTo(ContainElement(ContainSubstring("quarantine")))
 	})
 })
+
+var _ = Describe("repair", func() {
+	// Guards against a large job that waits although the free accelerators
+	// suffice and only lie scattered.
+	It("moves small jobs together for a large one", func() {
+		h := newHost(nil, smallPool()...)
+		for i := range 10 { // one on each worker, as after a bulk cancellation
+			for k := range 2 {
+				id := fmt.Sprintf("s%d-%d", i, k)
+				j := newJob(id, "a", model.ClassPreemptible, shape(1, 4, model.AdjacentHost))
+				j.DeclaredMS = 1_800_000
+				h.submit(j)
+				Expect(h.jobs[id].workers).To(HaveLen(1))
+			}
+		}
+		for i := range 10 {
+			h.cancel(fmt.Sprintf("s%d-0", i))
+		}
+		h.settle()
+		h.pass(4 * time.Minute)
+		big := newJob("big", "a", model.ClassPreemptible, shape(2, 8, model.AdjacentRack))
+		big.DeclaredMS = 7_200_000
+		h.submit(big)
+		h.settle()
+		Expect(h.jobs["big"].state).To(Equal(model.JobRunning))
+		Expect(h.log).To(ContainElement(ContainSubstring("moved_to_free_a_place")))
+		for i := range 10 {
+			Expect(h.jobs[fmt.Sprintf("s%d-1", i)].state).To(Equal(model.JobRunning))
+		}
+		Expect(h.faults).To(BeEmpty())
+	})
+})
