Run small claims beside their slot

Cause: a small claim pinned the whole host of its guarantee; with several of them pinned, the loss of one worker left no rack with two free hosts. Change: a claim smaller than its guarantee may run beside the slot, which keeps a movable place; among equal options the one that pins fewer workers wins; a job that fails twice on one worker has it quarantined.

--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -96,6 +96,8 @@
 	slot, job []*pool.Worker
 	victims   []*pool.Gang
 	cost      float64
+	// aside runs the job outside its slot.
+	aside bool
 }
 
 const (
@@ -117,30 +119,66 @@
 	best, fewest := -1, 0
 	for i, o := range options {
 		restore := p.plan.Save()
-		if !p.plan.Move(s, o.slot) {
+		if !p.lay(s, j, o) {
 			continue
 		}
-		p.plan.Pin(s)
 		exposed := p.plan.Exposed()
-		p.plan.Unpin(s)
+		p.plan.Clear(s)
 		restore()
-		if best < 0 || exposed < fewest {
+		if best < 0 || exposed < fewest || exposed == fewest && p.price(s, j, o) < p.price(s, j, options[best]) {
 			best, fewest = i, exposed
 		}
-		if exposed == 0 {
-			break
+		if exposed == 0 && len(p.pool.Workers) > maxHosts {
+			break // only the cost matters
 		}
 	}
-	if best < 0 || !p.plan.Move(s, options[best].slot) {
+	if best < 0 || !p.lay(s, j, options[best]) {
 		return false
 	}
-	p.plan.Pin(s)
 	p.start(now, j, options[best].job, options[best].victims, explain.Preempted)
 	return true
 }
 
+// price is the cost of an option with that of the workers on which it is the
+// first claim to pin accelerators. Claims that share workers leave more of the
+// pool to the guarantees that are not claimed.
+func (p *Planner) price(s *packing.Slot, j *job, o option) float64 {
+	workers := o.slot
+	if o.aside {
+		workers = o.job
+	}
+	cost := o.cost
+	var last *pool.Worker
+	for _, w := range workers {
+		if w != last && w.Pinned.Accelerators == 0 {
+			cost += pinCost
+		}
+		last = w
+	}
+	if !o.aside && j.Shape != s.Shape {
+		cost += pinCost // the rest of the slot is pinned as well
+	}
+	return cost
+}
+
+// pinCost is in accelerator-seconds of lost work.
+const pinCost = 500
+
+// lay enters an option into the plan.
+func (p *Planner) lay(s *packing.Slot, j *job, o option) bool {
+	if o.aside {
+		return p.plan.Aside(s, j.Shape, o.job)
+	}
+	if !p.plan.Move(s, o.slot) {
+		return false
+	}
+	p.plan.Pin(s)
+	return true
+}
+
 func (p *Planner) options(now time.Time, j *job, s *packing.Slot, avoid bool) []option {
 	var out []option
+	aside := false
 	add := func(place []*pool.Worker) {
 		if place == nil {
 			return
@@ -150,7 +188,7 @@
 				return
 			}
 		}
-		o := option{slot: place, job: p.within(place, j.Shape)}
+		o := option{slot: place, job: p.within(place, j.Shape), aside: aside}
 		var ok bool
 		o.victims, o.cost, ok = reclaim.Victims(o.job, j.Shape.PerTask(), claimCost(now))
 		if !ok {
@@ -192,6 +230,13 @@
 	if len(p.pool.Racks) > maxRacks {
 		return out
 	}
+	if j.Shape.Tasks == 1 && j.Shape != s.Shape && len(p.pool.Workers) <= maxHosts {
+		aside = true
+		for _, w := range p.pool.Workers {
+			add([]*pool.Worker{w})
+		}
+		aside = false
+	}
 	if s.Shape.Tasks == 1 && len(p.pool.Workers) <= maxHosts {
 		for _, w := range p.pool.Workers {
 			if !w.Pinned.Add(s.Shape.PerTask()).Fits(w.Capacity) {
--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -83,11 +83,14 @@
 	}
 }
 
+// laid reports whether the plan holds a place for the run of the job.
+func (j *job) laid() bool { return j.slot != nil && (j.slot.Pinned || j.slot.Beside != nil) }
+
 // hold enters a gang of the job into the books.
 func (p *Planner) hold(now time.Time, j *job, workers []*pool.Worker) {
 	j.gang = &pool.Gang{
 		ID: j.ID, Team: j.Team, Per: j.Shape.PerTask(), Workers: workers,
-		Fixed: j.slot != nil && j.slot.Pinned, Protected: j.slot != nil && !j.slot.Pinned, Placed: now, Remaining: p.remaining(j),
+		Fixed: j.laid(), Protected: j.slot != nil && !j.laid(), Placed: now, Remaining: p.remaining(j),
 		Checkpoint: time.Duration(j.CheckpointMS) * time.Millisecond, Stops: j.stops,
 	}
 	p.pool.Hold(j.gang)
--- a/internal/planner/events.go
+++ b/internal/planner/events.go
@@ -88,7 +88,7 @@
 		j.gang = nil
 	}
 	if j.slot != nil {
-		p.plan.Unpin(j.slot)
+		p.plan.Clear(j.slot)
 	}
 	p.dirty = true
 }
@@ -226,7 +226,7 @@
 
 func (p *Planner) forget(now time.Time, j *job, atFault bool) {
 	if j.slot != nil {
-		p.plan.Unpin(j.slot)
+		p.plan.Clear(j.slot)
 		j.slot.Job = ""
 		j.slot = nil
 	}
--- a/internal/planner/faults/faults.go
+++ b/internal/planner/faults/faults.go
@@ -4,11 +4,12 @@
 // A failed start counts against the worker and against the job. A job that has
 // failed on several workers is a weaker witness: its failure weighs 1/n, with n
 // the workers on which it failed. A worker is quarantined when the weights of
-// different jobs reach quarantineWeight, or after maxFailures failed starts of
-// different jobs since its last good one. A job is at fault when it failed on faultWorkers
+// different jobs reach quarantineWeight, or after maxFailures failed starts
+// since its last good one, also of one job: only a start elsewhere can tell which
+// of the two is at fault. A job is at fault when it failed on faultWorkers
 // workers that no other job speaks against, most of them proven by a gang that
-// runs there; without proof it takes unprovenFailures, which may repeat on
-// a worker if the shape fits nowhere else. A job's failures are taken
+// runs there; without proof it takes unprovenFailures on at least
+// two workers, which may repeat if the shape fits nowhere else. A job's failures are taken
 // back from the workers when it is found at fault, so a burst of bad jobs does
 // not empty the pool.
 //
@@ -81,7 +82,19 @@
 	if len(t.jobs[job]) < maxWitnesses {
 		t.jobs[job] = append(t.jobs[job], Failure{worker, proven})
 	}
-	return r.failures >= maxFailures && len(r.jobs) > 1 || t.weight(r) >= quarantineWeight
+	return r.failures >= maxFailures || t.again(worker, job) || t.weight(r) >= quarantineWeight
+}
+
+// again reports whether a job failed on a worker before. It only returns to a
+// worker if it fits nowhere else at present, so a third start would be in vain.
+func (t *Tracker) again(worker, job string) bool {
+	n := 0
+	for _, f := range t.jobs[job] {
+		if f.Worker == worker {
+			n++
+		}
+	}
+	return n > 1
 }
 
 func (t *Tracker) weight(r *record) float64 {
@@ -141,7 +154,7 @@
 	if len(against) >= faultWorkers && proven >= faultProven {
 		return against, true
 	}
-	return against, failures >= unprovenFailures
+	return against, failures >= unprovenFailures && len(against) > 1
 }
 
 // Forget drops a job that ended; if it was at fault itself, its failures no
--- a/internal/planner/packing/plan.go
+++ b/internal/planner/packing/plan.go
@@ -31,6 +31,8 @@
 	Job string
 	// Pinned is set while the job runs inside the slot.
 	Pinned bool
+	// Beside is set while the job runs outside the slot on a place of its own.
+	Beside *Slot
 }
 
 // Plan holds all slots.
@@ -49,8 +51,8 @@
 // SetTeams replaces the guarantees. Claims that no longer have a slot are
 // returned as job ids.
 func (p *Plan) SetTeams(teams []model.Team) (lost []string) {
-	old := p.Slots
-	p.Slots = nil
+	old := slices.DeleteFunc(slices.Clone(p.Slots), func(s *Slot) bool { return s.Team == "" })
+	p.Slots = slices.DeleteFunc(p.Slots, func(s *Slot) bool { return s.Team != "" })
 	for _, t := range teams {
 		for _, g := range t.Guarantees {
 			for range g.Count {
@@ -65,6 +67,7 @@
 	}
 	for _, s := range old {
 		p.lift(s)
+		p.Clear(s)
 		if s.Job != "" {
 			lost = append(lost, s.Job)
 		}
@@ -310,6 +313,34 @@
 	}
 }
 
+// Aside lets the job of a slot that is larger than the job run at workers outside
+// the slot. The slot keeps a place of its own, which may move, so that the
+// guarantee packs when the job ends; while the job runs it holds only its own
+// size. It reports whether all other slots still have a place.
+func (p *Plan) Aside(s *Slot, shape model.Shape, workers []*pool.Worker) bool {
+	aside := &Slot{Job: s.Job, Shape: shape}
+	p.Slots = append(p.Slots, aside)
+	if !p.Move(aside, workers) {
+		p.Slots = p.Slots[:len(p.Slots)-1]
+		return false
+	}
+	p.Pin(aside)
+	s.Beside = aside
+	return true
+}
+
+// Clear ends the run of a job inside or beside its slot.
+func (p *Plan) Clear(s *Slot) {
+	p.Unpin(s)
+	if s.Beside == nil {
+		return
+	}
+	p.lift(s.Beside)
+	p.Slots = slices.DeleteFunc(p.Slots, func(o *Slot) bool { return o == s.Beside })
+	s.Beside = nil
+	p.dirty = true
+}
+
 // Unpin lets a slot move again.
 func (p *Plan) Unpin(s *Slot) {
 	if !s.Pinned {
--- a/internal/planner/packing/search.go
+++ b/internal/planner/packing/search.go
@@ -208,6 +208,12 @@
 	}
 	var shapes []model.Shape
 	for _, s := range p.Slots {
+		if s.Team == "" && (idle || slices.Contains(s.Workers, lost)) {
+			continue
+		}
+		if !idle && s.Beside != nil && !slices.Contains(s.Beside.Workers, lost) {
+			continue // claimed, and counted where its job runs
+		}
 		if idle || !s.Pinned || slices.Contains(s.Workers, lost) {
 			shapes = append(shapes, s.Shape)
 			continue
