--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -16,23 +16,34 @@
 // assignSlots gives free guarantees to the jobs that may claim them: those that
 // run beyond the guarantee of their team first, then those that wait, each in
 // the order of submission.
-func (p *Planner) assignSlots() {
+func (p *Planner) assignSlots(now time.Time) {
+	p.claimed = p.claimed[:0]
 	p.claimants = slices.DeleteFunc(p.claimants, func(j *job) bool { return p.jobs[j.ID] != j })
 	for _, waits := range []bool{false, true} {
 		for _, j := range p.claimants {
 			if j.slot == nil && !j.cancelled && (j.state == waiting) == waits {
 				j.slot = p.plan.Assign(j.Team, j.ID, j.Shape)
+				if j.slot != nil {
+					p.claimed = append(p.claimed, j.Team)
+				}
 				if j.slot != nil && j.gang != nil {
 					j.gang.Protected = true
 				}
 			}
 		}
 	}
+	// A job without a guarantee that starts in the same instant would look like
+	// the claimant, since it runs while the claim still waits for its room.
+	for _, j := range p.claimants {
+		if j.slot == nil && j.state == waiting && slices.Contains(p.claimed, j.Team) {
+			j.notBefore = now.Add(retryDelay)
+		}
+	}
 }
 
 // placeClaims starts the jobs that hold a guarantee.
 func (p *Planner) placeClaims(now time.Time) {
-	p.assignSlots()
+	p.assignSlots(now)
 	for _, j := range p.claimants {
 		if j.state != waiting || j.slot == nil || now.Before(j.notBefore) {
 			continue
@@ -49,19 +60,18 @@
 // anywhere as a preemptible job.
 func (p *Planner) claim(now time.Time, j *job) {
 	p.judgePicky(j)
-	if j.slot.Workers != nil {
-		for _, avoid := range []bool{true, false} {
-			if p.claimSlot(now, j, j.slot, avoid) {
-				return
-			}
-		}
+	if j.slot.Workers != nil && p.claimSlot(now, j, j.slot, true) {
+		return
+	}
+	if p.forceStart(now, j) || !j.picky || j.slot.Workers == nil {
+		return
 	}
-	p.forceStart(now, j)
+	p.claimSlot(now, j, j.slot, false)
 }
 
 // forceStart starts a claim beside its slot. Unclaimed slots of others may lie
 // below it, so that it stays preemptible.
-func (p *Planner) forceStart(now time.Time, j *job) {
+func (p *Planner) forceStart(now time.Time, j *job) bool {
 	workers := p.finder.Find(p.pool, score.Request{
 		Shape:   j.Shape,
 		Exclude: func(w *pool.Worker) bool { return p.closed(j, w) || w.Probing },
@@ -71,11 +81,14 @@
 		},
 	})
 	if workers == nil {
-		return
+		return false
 	}
-	if victims, cost, ok := reclaim.Victims(workers, j.Shape.PerTask(), claimCost(now)); ok && cost < protectedCost {
-		p.start(now, j, workers, victims, explain.Preempted)
+	victims, cost, ok := reclaim.Victims(workers, j.Shape.PerTask(), claimCost(now))
+	if !ok || cost >= protectedCost {
+		return false
 	}
+	p.start(now, j, workers, victims, explain.Preempted)
+	return true
 }
 
 // option is one way to start a claim.
@@ -83,11 +96,15 @@
 	slot, job []*pool.Worker
 	victims   []*pool.Gang
 	cost      float64
+	// aside runs the job outside its slot.
+	aside bool
 }
 
 const (
 	// maxSwaps bounds the places of other slots that a claim considers.
 	maxSwaps = 32
+	// maxHosts bounds the pools in which a claim of one task considers each worker.
+	maxHosts = 64
 	// maxRacks bounds the pools in which a claim considers each rack by itself;
 	// in larger pools the cheapest place is rarely one that exposes guarantees.
 	maxRacks = 16
@@ -99,35 +116,69 @@
 func (p *Planner) claimSlot(now time.Time, j *job, s *packing.Slot, avoid bool) bool {
 	options := p.options(now, j, s, avoid)
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
-	before := p.plan.Exposed()
 	best, fewest := -1, 0
 	for i, o := range options {
 		restore := p.plan.Save()
-		if !p.plan.Move(s, o.slot) {
+		if !p.lay(s, j, o) {
 			continue
 		}
-		p.plan.Pin(s)
 		exposed := p.plan.Exposed()
-		if exposed <= before {
-			p.start(now, j, o.job, o.victims, explain.Preempted)
-			return true
-		}
-		p.plan.Unpin(s)
+		p.plan.Clear(s)
 		restore()
-		if best < 0 || exposed < fewest {
+		if best < 0 || exposed < fewest || exposed == fewest && p.price(s, j, o) < p.price(s, j, options[best]) {
 			best, fewest = i, exposed
 		}
+		if exposed == 0 && len(p.pool.Workers) > maxHosts {
+			break // only the cost matters
+		}
 	}
-	if best < 0 || !p.plan.Move(s, options[best].slot) {
+	if best < 0 || !p.lay(s, j, options[best]) {
 		return false
 	}
-	p.plan.Pin(s)
 	p.start(now, j, options[best].job, options[best].victims, explain.Preempted)
 	return true
 }
 
+// price is the cost of an option with that of the workers on which it is the
+// first claim to pin accelerators. Claims that share workers leave more of the
+// pool to the guarantees that are not claimed.
+func (p *Planner) price(s *packing.Slot, j *job, o option) float64 {
+	workers := o.slot
+	if o.aside {
+		workers = o.job
+	}
+	cost := o.cost
+	var last *pool.Worker
+	for _, w := range workers {
+		if w != last && w.Pinned.Accelerators == 0 {
+			cost += pinCost
+		}
+		last = w
+	}
+	if !o.aside && j.Shape != s.Shape {
+		cost += pinCost // the rest of the slot is pinned as well
+	}
+	return cost
+}
+
+// pinCost is in accelerator-seconds of lost work.
+const pinCost = 500
+
+// lay enters an option into the plan.
+func (p *Planner) lay(s *packing.Slot, j *job, o option) bool {
+	if o.aside {
+		return p.plan.Aside(s, j.Shape, o.job)
+	}
+	if !p.plan.Move(s, o.slot) {
+		return false
+	}
+	p.plan.Pin(s)
+	return true
+}
+
 func (p *Planner) options(now time.Time, j *job, s *packing.Slot, avoid bool) []option {
 	var out []option
+	aside := false
 	add := func(place []*pool.Worker) {
 		if place == nil {
 			return
@@ -137,7 +188,7 @@
 				return
 			}
 		}
-		o := option{slot: place, job: p.within(place, j.Shape)}
+		o := option{slot: place, job: p.within(place, j.Shape), aside: aside}
 		var ok bool
 		o.victims, o.cost, ok = reclaim.Victims(o.job, j.Shape.PerTask(), claimCost(now))
 		if !ok {
@@ -179,6 +230,22 @@
 	if len(p.pool.Racks) > maxRacks {
 		return out
 	}
+	if j.Shape.Tasks == 1 && j.Shape != s.Shape && len(p.pool.Workers) <= maxHosts {
+		aside = true
+		for _, w := range p.pool.Workers {
+			add([]*pool.Worker{w})
+		}
+		aside = false
+	}
+	if s.Shape.Tasks == 1 && len(p.pool.Workers) <= maxHosts {
+		for _, w := range p.pool.Workers {
+			if !w.Pinned.Add(s.Shape.PerTask()).Fits(w.Capacity) {
+				continue
+			}
+			add([]*pool.Worker{w})
+		}
+		return out
+	}
 	for _, r := range p.pool.Racks {
 		add(cheapest(func(w *pool.Worker) bool { return w.Index < r.From || w.Index >= r.To }))
 	}
--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -50,14 +50,15 @@
 	})
 	p.probes = slices.DeleteFunc(p.probes, func(b probe) bool {
 		if b.worker.Quarantined && !now.Before(b.at) {
-			p.probe(b.worker, explain.New(explain.WorkerProbed, "the back-off has passed; the worker takes one preemptible job"))
+			p.probe(now, b.worker, explain.New(explain.WorkerProbed, "the back-off has passed; the worker takes one preemptible job"))
 		}
 		return !b.worker.Quarantined
 	})
 }
 
 // probe returns a quarantined worker to use for one job.
-func (p *Planner) probe(w *pool.Worker, reason model.Reason) {
+func (p *Planner) probe(now time.Time, w *pool.Worker, reason model.Reason) {
+	w.Doubted = now
 	w.Quarantined, w.Probing = false, true
 	if !w.Suspect { // its failures were those of a faulty job
 		w.Probing = false
@@ -82,11 +83,14 @@
 	}
 }
 
+// laid reports whether the plan holds a place for the run of the job.
+func (j *job) laid() bool { return j.slot != nil && (j.slot.Pinned || j.slot.Beside != nil) }
+
 // hold enters a gang of the job into the books.
 func (p *Planner) hold(now time.Time, j *job, workers []*pool.Worker) {
 	j.gang = &pool.Gang{
 		ID: j.ID, Team: j.Team, Per: j.Shape.PerTask(), Workers: workers,
-		Fixed: j.slot != nil && j.slot.Pinned, Protected: j.slot != nil && !j.slot.Pinned, Placed: now, Remaining: p.remaining(j),
+		Fixed: j.laid(), Protected: j.slot != nil && !j.laid(), Placed: now, Remaining: p.remaining(j),
 		Checkpoint: time.Duration(j.CheckpointMS) * time.Millisecond, Stops: j.stops,
 	}
 	p.pool.Hold(j.gang)
@@ -102,7 +106,7 @@
 	j.waited += now.Sub(j.since)
 	p.hold(now, j, workers)
 	j.preempted = len(victims)
-	if pool.Ready(j.gang) {
+	if pool.Ready(j.gang) && p.spaced(now, j.gang) {
 		p.place(j)
 		return
 	}
@@ -129,10 +133,35 @@
 		Reason: j.reason, Preemptible: !j.gang.Fixed})
 }
 
+const (
+	// maxStarts bounds the gangs that start on a worker within startWindow: if the
+	// worker is faulty, all of them fail before it can be quarantined. The window
+	// is longer than a failed start takes, and short against model.UrgentStart.
+	maxStarts   = 3
+	startWindow = time.Second
+)
+
+// spaced reports whether a gang may start on its workers now.
+func (p *Planner) spaced(now time.Time, g *pool.Gang) bool {
+	for _, w := range g.Workers {
+		n := 0
+		for _, o := range w.Gangs {
+			if o != g && !o.Promised && now.Sub(o.Placed) < startWindow {
+				n++
+			}
+		}
+		if n >= maxStarts {
+			p.throttled = earliest(p.throttled, now.Add(startWindow))
+			return false
+		}
+	}
+	return true
+}
+
 // keepPromises places the promised gangs whose room has become free.
 func (p *Planner) keepPromises(now time.Time) {
 	p.promises = slices.DeleteFunc(p.promises, func(j *job) bool {
-		if !pool.Ready(j.gang) {
+		if !pool.Ready(j.gang) || !p.spaced(now, j.gang) {
 			return false
 		}
 		j.gang.Placed = now
--- a/internal/planner/packing/plan.go
+++ b/internal/planner/packing/plan.go
@@ -12,7 +12,6 @@
 package packing
 
 import (
-	"fmt"
 	"slices"
 	"sort"
 
@@ -31,6 +30,8 @@
 	Job string
 	// Pinned is set while the job runs inside the slot.
 	Pinned bool
+	// Beside is set while the job runs outside the slot on a place of its own.
+	Beside *Slot
 }
 
 // Plan holds all slots.
@@ -49,8 +50,8 @@
 // SetTeams replaces the guarantees. Claims that no longer have a slot are
 // returned as job ids.
 func (p *Plan) SetTeams(teams []model.Team) (lost []string) {
-	old := p.Slots
-	p.Slots = nil
+	old := slices.DeleteFunc(slices.Clone(p.Slots), func(s *Slot) bool { return s.Team == "" })
+	p.Slots = slices.DeleteFunc(p.Slots, func(s *Slot) bool { return s.Team != "" })
 	for _, t := range teams {
 		for _, g := range t.Guarantees {
 			for range g.Count {
@@ -65,6 +66,7 @@
 	}
 	for _, s := range old {
 		p.lift(s)
+		p.Clear(s)
 		if s.Job != "" {
 			lost = append(lost, s.Job)
 		}
@@ -310,6 +312,34 @@
 	}
 }
 
+// Aside lets the job of a slot that is larger than the job run at workers outside
+// the slot. The slot keeps a place of its own, which may move, so that the
+// guarantee packs when the job ends; while the job runs it holds only its own
+// size. It reports whether all other slots still have a place.
+func (p *Plan) Aside(s *Slot, shape model.Shape, workers []*pool.Worker) bool {
+	aside := &Slot{Job: s.Job, Shape: shape}
+	p.Slots = append(p.Slots, aside)
+	if !p.Move(aside, workers) {
+		p.Slots = p.Slots[:len(p.Slots)-1]
+		return false
+	}
+	p.Pin(aside)
+	s.Beside = aside
+	return true
+}
+
+// Clear ends the run of a job inside or beside its slot.
+func (p *Plan) Clear(s *Slot) {
+	p.Unpin(s)
+	if s.Beside == nil {
+		return
+	}
+	p.lift(s.Beside)
+	p.Slots = slices.DeleteFunc(p.Slots, func(o *Slot) bool { return o == s.Beside })
+	s.Beside = nil
+	p.dirty = true
+}
+
 // Unpin lets a slot move again.
 func (p *Plan) Unpin(s *Slot) {
 	if !s.Pinned {
@@ -373,67 +403,6 @@
 	return teams
 }
 
-// orders are the sequences in which shapes are packed, one after the other
-// until one packs all. No single sequence packs every set that can be packed.
-var orders = []func(a, b model.Shape) int{
-	func(a, b model.Shape) int {
-		return compare(b.AcceleratorsPerTask-a.AcceleratorsPerTask, width(a.Adjacent)-width(b.Adjacent),
-			b.Tasks-a.Tasks, b.CoresPerTask-a.CoresPerTask, b.MemoryGBPerTask-a.MemoryGBPerTask)
-	},
-	func(a, b model.Shape) int {
-		return compare(b.Accelerators()-a.Accelerators(), width(a.Adjacent)-width(b.Adjacent),
-			b.Tasks*b.CoresPerTask-a.Tasks*a.CoresPerTask, b.MemoryGBPerTask-a.MemoryGBPerTask)
-	},
-	func(a, b model.Shape) int {
-		return compare(width(a.Adjacent)-width(b.Adjacent), b.Accelerators()-a.Accelerators(),
-			b.AcceleratorsPerTask-a.AcceleratorsPerTask, b.Tasks*b.CoresPerTask-a.Tasks*a.CoresPerTask)
-	},
-}
-
-func compare(differences ...int) int {
-	for _, d := range differences {
-		if d != 0 {
-			return d
-		}
-	}
-	return 0
-}
-
-// Check returns one sentence for each team and shape that does not pack when
-// the guarantees of all teams are packed into an idle pool of workers.
-func Check(teams []model.Team, workers []model.Worker) []string {
-	p := pool.New()
-	for _, m := range workers {
-		w, _ := p.Add(m)
-		w.Up = true
-	}
-	plan := New(p)
-	plan.SetTeams(teams)
-	plan.Repack()
-	var out []string
-	for _, t := range teams {
-		for _, g := range t.Guarantees {
-			missing := 0
-			for _, s := range plan.Slots {
-				if s.Team == t.ID && s.Shape == g.Shape && s.Workers == nil {
-					missing++
-				}
-			}
-			if missing > 0 {
-				out = append(out, fmt.Sprintf("team %s: %d of %d guarantees of %s do not pack into the pool",
-					t.ID, missing, g.Count, Describe(g.Shape)))
-			}
-		}
-	}
-	return out
-}
-
-// Describe returns a shape in words.
-func Describe(s model.Shape) string {
-	return fmt.Sprintf("%d tasks x %d accelerators, %d cores, %d GB, adjacent %s",
-		s.Tasks, s.AcceleratorsPerTask, s.CoresPerTask, s.MemoryGBPerTask, s.Adjacent)
-}
-
 // Around returns a place for slot s that covers the workers on which a job
 // already runs, nil if there is none.
 func (p *Plan) Around(s *Slot, workers []*pool.Worker) []*pool.Worker {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -73,14 +73,16 @@
 	waited    time.Duration
 	notBefore time.Time
 	kept      time.Duration
+	// nextSearch is when the job may look for victims again.
+	nextSearch time.Time
 	// expected is the run time estimated with version expectedAt of the tracker.
 	expected   time.Duration
 	expectedAt uint64
 	gang       *pool.Gang
-	// reserved holds the workers of the job's last reservation.
-	reserved map[*pool.Worker]bool
-	slot     *packing.Slot
-	reason   model.Reason
+	// reservation is the last one of the job.
+	reservation *reservation
+	slot        *packing.Slot
+	reason      model.Reason
 	// preempted counts the gangs stopped for the promise of this job.
 	preempted int
 }
@@ -99,6 +101,8 @@
 	seq   uint64
 	// claimants are the guaranteed and urgent jobs, by seq.
 	claimants []*job
+	// claimed holds the teams whose guarantees were claimed in this pass.
+	claimed []string
 
 	promises []*job
 	out      []framework.Decision
@@ -114,6 +118,7 @@
 	health uint64
 	// reservations are made anew in each pass.
 	reservations []*reservation
+	share        share
 	// blocked holds, per shape, the state of the pool in which it found no room.
 	blocked  map[model.Shape]uint64
 	feasible map[model.Shape]feasibility
