Queue a job again whose aborted attempt ends by an event

Cause: after a change of planner the end of an aborted attempt could come before the answers to the stop orders; the job then stayed queued and was never handed to the scheduler. Change: such an event ends the abort. A released worker is not taken for quarantined while its reports lag. A list sorts and cuts before it explains.

--- a/internal/jobs/attempt.go
+++ b/internal/jobs/attempt.go
@@ -20,8 +20,8 @@
 	// broken gang stops.
 	lostAfter = 6 * time.Second
 	// startGrace is the time in which a started attempt must appear in the
-	// reports of its members: two heartbeats and two exchanges.
-	startGrace = 3 * time.Second
+	// reports of its members: three heartbeats and the exchanges.
+	startGrace = 4 * time.Second
 	// firstBackoff and maxBackoff bound the wait after an attempt that did not
 	// start. The first refusal is reported at once.
 	firstBackoff = 50 * time.Millisecond
--- a/internal/jobs/events.go
+++ b/internal/jobs/events.go
@@ -94,10 +94,13 @@
 
 // gangEvent applies an event of the present attempt.
 func (t *term) gangEvent(j *job, a *attempt, ev *wire.GangEvent) uint64 {
+	if a.phase == phaseAborting && ev.Outcome != string(framework.OutcomeDone) {
+		return t.abortingEvent(j, a, ev)
+	}
 	if ev.Outcome != eventRunning {
 		return t.endAttempt(j, framework.Outcome(ev.Outcome), *ev)
 	}
-	if a.phase == phaseRunning || a.phase == phaseAborting {
+	if a.phase == phaseRunning {
 		return j.page.version
 	}
 	a.enter(phaseRunning)
@@ -116,3 +119,13 @@
 	st.State = model.JobRunning
 	return t.changed(j)
 }
+
+// abortingEvent applies an event of a predecessor's attempt that is being
+// stopped. Its end may come before the answers to the stop orders.
+func (t *term) abortingEvent(j *job, a *attempt, ev *wire.GangEvent) uint64 {
+	if ev.Outcome != eventRunning {
+		j.rec.Status.WorkDoneMS = max(j.rec.Status.WorkDoneMS, ev.KeptMS)
+		t.aborted(a)
+	}
+	return j.page.version
+}
--- a/internal/jobs/serve.go
+++ b/internal/jobs/serve.go
@@ -286,26 +286,37 @@
 	reply := &wire.JobListReply{Epoch: t.epoch}
 	err := t.do(ctx, func() {
 		reply.Unpacked = t.sched.Unpacked()
-		for _, j := range t.jobs {
-			if !j.rec.Status.State.Final() && (req.Team == "" || req.Team == j.rec.Status.Job.Team) {
-				reply.Jobs = append(reply.Jobs, t.status(j))
-			}
+		for _, j := range t.list(req.Team, limit) {
+			reply.Jobs = append(reply.Jobs, t.status(j))
 		}
 	})
 	if err != nil {
 		return nil, errNotPlanner()
 	}
-	sort.Slice(reply.Jobs, func(a, b int) bool {
-		x, y := &reply.Jobs[a].Job, &reply.Jobs[b].Job
+	return reply, nil
+}
+
+// list returns the jobs of a team that have not ended, the oldest first. An empty
+// team stands for all.
+func (t *term) list(team string, limit int) []*job {
+	var list []*job
+	for _, j := range t.jobs {
+		if !j.rec.Status.State.Final() && (team == "" || team == j.rec.Status.Job.Team) {
+			list = append(list, j)
+		}
+	}
+	sortBySubmission(list)
+	return list[:min(limit, len(list))]
+}
+
+func sortBySubmission(list []*job) {
+	sort.Slice(list, func(a, b int) bool {
+		x, y := &list[a].rec.Status.Job, &list[b].rec.Status.Job
 		if x.SubmittedMS != y.SubmittedMS {
 			return x.SubmittedMS < y.SubmittedMS
 		}
 		return x.ID < y.ID
 	})
-	if len(reply.Jobs) > limit {
-		reply.Jobs = reply.Jobs[:limit]
-	}
-	return reply, nil
 }
 
 func (t *term) serveOrder(ctx context.Context, req *wire.PlannerOrder) (*wire.Ack, error) {
@@ -339,6 +350,7 @@
 	case actionRelease:
 		b.judged, b.probing = false, false
 		b.held = time.Time{}
+		b.released = now
 	}
 	drain := req.Action != actionRelease
 	if drain != b.drained {
--- a/internal/jobs/takeover.go
+++ b/internal/jobs/takeover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"sort"
 	"sync"
 	"time"
 
@@ -146,13 +145,7 @@
 			jobs = append(jobs, j)
 		}
 	}
-	sort.Slice(jobs, func(a, b int) bool {
-		x, y := &jobs[a].rec.Status.Job, &jobs[b].rec.Status.Job
-		if x.SubmittedMS != y.SubmittedMS {
-			return x.SubmittedMS < y.SubmittedMS
-		}
-		return x.ID < y.ID
-	})
+	sortBySubmission(jobs)
 	for _, j := range jobs {
 		t.restore(j, view)
 	}
--- a/internal/jobs/takeover_test.go
+++ b/internal/jobs/takeover_test.go
@@ -303,3 +303,58 @@
 	}
 	return all
 }
+
+var _ = Describe("workers under orders", func() {
+	// Guards against a worker that stays out of use for ever, and against one
+	// that returns without a probe.
+	It("are probed after a quarantine and released after a success", func() {
+		inRegion(1, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+			h := r.addHost("e1")
+			Expect(until(10*time.Second, isPlanner(h))).To(BeTrue())
+			Expect(h.WorkerOrder(ctx, "w00", actionQuarantine)).To(Succeed())
+			r.update("w00", func(w *members.Worker) { w.State.Quarantined = true })
+			submit(ctx, h, "j1")
+			time.Sleep(time.Minute)
+			Expect(r.startsOf("j1")).To(BeEmpty())
+			time.Sleep(probation)
+			Expect(r.startsOf("j1")).To(HaveLen(1))
+			r.endGang("j1", framework.OutcomeDone)
+			time.Sleep(time.Second)
+			r.mu.Lock()
+			Expect(r.agents["addr-w00"].orders).To(Equal([]string{actionQuarantine, actionRelease}))
+			r.mu.Unlock()
+			Expect(result.CodeOf(h.WorkerOrder(ctx, "w99", actionDrain))).To(Equal(result.UnknownWorker))
+			Expect(result.CodeOf(h.WorkerOrder(ctx, "w00", "paint"))).To(Equal(result.BadRequest))
+		})
+	})
+
+	// Guards against a job that waits for ever because the end of its aborted
+	// attempt came before the answers to the stop orders.
+	It("queue a job again whose aborted attempt ends by an event", func() {
+		inRegion(2, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+			h := r.addHost("e1")
+			Expect(until(10*time.Second, isPlanner(h))).To(BeTrue())
+			j := testJob("j1", 2, 8)
+			_, err := h.Submit(ctx, j)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(until(time.Second, func() bool { return stateOf(h, "j1") == model.JobRunning })).To(BeTrue())
+			r.kill(h)
+			// One member is dead, so the successor aborts the attempt; the other one
+			// answers no order for a while, but its event arrives.
+			r.update("w01", func(w *members.Worker) { w.Health = members.Dead; w.State.Gangs = nil })
+			r.mu.Lock()
+			r.refuse = func(_ string, kind wire.Kind) error {
+				if kind == wire.KindStopGang {
+					return context.DeadlineExceeded
+				}
+				return nil
+			}
+			r.mu.Unlock()
+			r.endGang("j1", framework.OutcomeLost)
+			h2 := r.addHost("e2")
+			time.Sleep(15 * time.Second)
+			r.update("w01", func(w *members.Worker) { w.Health = members.Alive })
+			Expect(until(5*time.Second, func() bool { return stateOf(h2, "j1") == model.JobRunning })).To(BeTrue())
+		})
+	})
+})
--- a/internal/jobs/workers.go
+++ b/internal/jobs/workers.go
@@ -20,6 +20,9 @@
 	// strayAfter is the time for which a worker must report a gang that should
 	// not run there before it is told to stop it; reports lag behind orders.
 	strayAfter = 2 * time.Second
+	// releaseLag is the time in which the reports of a released worker may still
+	// show the quarantine.
+	releaseLag = 3 * time.Second
 	// workerOrderTries bounds the orders that change the use of a worker.
 	workerOrderTries = 5
 )
@@ -42,6 +45,8 @@
 	// held is when the worker came into quarantine by other means; zero if not.
 	held    time.Time
 	probing bool
+	// released is when the worker was last ordered back into use.
+	released time.Time
 }
 
 // syncView tells the scheduler what has changed in the membership.
@@ -106,6 +111,7 @@
 	switch {
 	case !w.State.Quarantined && !b.held.IsZero() && now.Sub(b.held) > strayAfter:
 		b.held = time.Time{}
+	case now.Sub(b.released) < releaseLag:
 	case w.State.Quarantined && b.held.IsZero() && !b.judged && !b.probing:
 		b.held = now
 	}
@@ -169,6 +175,7 @@
 	for id, b := range t.workers {
 		if b.probing && t.ranOn(a, id) {
 			b.probing = false
+			b.released = time.Now()
 			go t.orderWorker(t.h.ctx, id, actionRelease)
 		}
 	}
