--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -140,6 +140,13 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(res.Code).To(Equal(result.OK))
 			Expect(stored(st).Version).To(BeNumerically("==", 1))
+			p.DryRun = false
+			_, err = m[0].Patch(ctx, p)
+			Expect(err).NotTo(HaveOccurred())
+			p.DryRun = true
+			res, err = m[0].Patch(ctx, p)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(res.Message).To(ContainSubstring("accepted before as version 2"))
 		})
 	})
 
--- a/internal/config/patch.go
+++ b/internal/config/patch.go
@@ -49,6 +49,8 @@
 		if version == 0 {
 			res.Version = m.Version()
 		}
+	case p.DryRun && m.recorded(p.ID):
+		res.Message = fmt.Sprintf("patch %s was accepted before as version %d", p.ID, version)
 	case p.DryRun:
 		res.Code = result.OK
 		res.Message = fmt.Sprintf("the patch would be accepted as version %d; nothing was changed", version+1)
@@ -289,6 +291,16 @@
 	return result.Errorf(result.WrongBaseVersion, "the patch is based on version %d, but the current version is %d", p.BaseVersion, current)
 }
 
+// recorded reports whether the document in force holds the patch.
+func (m *Manager) recorded(id string) bool {
+	c := m.Current()
+	if c == nil {
+		return false
+	}
+	_, ok := findPatch(c, id)
+	return ok
+}
+
 func findPatch(c *model.Config, id string) (model.PatchRecord, bool) {
 	for _, r := range c.Patches {
 		if r.ID == id {
