--- a/internal/planner/packing/search.go
+++ b/internal/planner/packing/search.go
@@ -156,11 +156,15 @@
 	return true
 }
 
+// absentWeight counts a worker that is out of use more than others: its loss is
+// a fact as soon as the other absent workers return.
+const absentWeight = 10
+
 // maxSpared bounds the pools for which the loss of each worker is considered.
 // In larger pools one worker is a small part of the room that is left over.
 const maxSpared = 64
 
-// Exposed counts the workers whose loss would leave guarantees that do not pack
+// Exposed counts, by weight, the workers whose loss would leave guarantees that do not pack
 // beside the pinned slots, although they would pack into the idle rest of the
 // pool. Workers that are out of use at present count as returned, since pinned
 // slots may outlast their absence.
@@ -170,8 +174,12 @@
 	}
 	n := 0
 	for _, w := range p.pool.Workers {
-		if p.idleFits(w) && !p.packsWithout(w, false) {
-			n++
+		if !p.idleFits(w) || p.packsWithout(w, false) {
+			continue
+		}
+		n++
+		if !w.Sound() {
+			n += absentWeight
 		}
 	}
 	return n
@@ -200,6 +208,12 @@
 	}
 	var shapes []model.Shape
 	for _, s := range p.Slots {
+		if s.Team == "" && (idle || slices.Contains(s.Workers, lost)) {
+			continue
+		}
+		if !idle && s.Beside != nil && !slices.Contains(s.Beside.Workers, lost) {
+			continue // claimed, and counted where its job runs
+		}
 		if idle || !s.Pinned || slices.Contains(s.Workers, lost) {
 			shapes = append(shapes, s.Shape)
 			continue
@@ -211,3 +225,29 @@
 	slices.SortStableFunc(shapes, orders[0])
 	return run.run(shapes)
 }
+
+// orders are the sequences in which shapes are packed, one after the other
+// until one packs all. No single sequence packs every set that can be packed.
+var orders = []func(a, b model.Shape) int{
+	func(a, b model.Shape) int {
+		return compare(b.AcceleratorsPerTask-a.AcceleratorsPerTask, width(a.Adjacent)-width(b.Adjacent),
+			b.Tasks-a.Tasks, b.CoresPerTask-a.CoresPerTask, b.MemoryGBPerTask-a.MemoryGBPerTask)
+	},
+	func(a, b model.Shape) int {
+		return compare(b.Accelerators()-a.Accelerators(), width(a.Adjacent)-width(b.Adjacent),
+			b.Tasks*b.CoresPerTask-a.Tasks*a.CoresPerTask, b.MemoryGBPerTask-a.MemoryGBPerTask)
+	},
+	func(a, b model.Shape) int {
+		return compare(width(a.Adjacent)-width(b.Adjacent), b.Accelerators()-a.Accelerators(),
+			b.AcceleratorsPerTask-a.AcceleratorsPerTask, b.Tasks*b.CoresPerTask-a.Tasks*a.CoresPerTask)
+	},
+}
+
+func compare(differences ...int) int {
+	for _, d := range differences {
+		if d != 0 {
+			return d
+		}
+	}
+	return 0
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -73,9 +73,16 @@
 	waited    time.Duration
 	notBefore time.Time
 	kept      time.Duration
-	gang      *pool.Gang
-	slot      *packing.Slot
-	reason    model.Reason
+	// nextSearch is when the job may look for victims again.
+	nextSearch time.Time
+	// expected is the run time estimated with version expectedAt of the tracker.
+	expected   time.Duration
+	expectedAt uint64
+	gang       *pool.Gang
+	// reservation is the last one of the job.
+	reservation *reservation
+	slot        *packing.Slot
+	reason      model.Reason
 	// preempted counts the gangs stopped for the promise of this job.
 	preempted int
 }
@@ -94,6 +101,8 @@
 	seq   uint64
 	// claimants are the guaranteed and urgent jobs, by seq.
 	claimants []*job
+	// claimed holds the teams whose guarantees were claimed in this pass.
+	claimed []string
 
 	promises []*job
 	out      []framework.Decision
@@ -107,8 +116,9 @@
 
 	// health counts changes of the set of usable workers.
 	health uint64
-	// reservation is made anew in each pass.
-	reservation *reservation
+	// reservations are made anew in each pass.
+	reservations []*reservation
+	share        share
 	// blocked holds, per shape, the state of the pool in which it found no room.
 	blocked  map[model.Shape]uint64
 	feasible map[model.Shape]feasibility
@@ -176,7 +186,17 @@
 
 func declared(j *job) time.Duration { return time.Duration(j.DeclaredMS) * time.Millisecond }
 
+// total returns the expected run time of a job. It is kept until the tracker has
+// learned more, since the order of the queue asks for it again and again.
+func (p *Planner) total(j *job) time.Duration {
+	if v := p.estimates.Version(); j.expected == 0 || j.expectedAt != v {
+		j.expected = p.estimates.Total(j.Team, size(j.Shape) >= queue.LargeSize, declared(j))
+		j.expectedAt = v
+	}
+	return j.expected
+}
+
 // remaining returns the expected rest of a waiting job.
 func (p *Planner) remaining(j *job) time.Duration {
-	return estimate.Remaining(p.estimates.Total(j.Team, declared(j)), j.kept)
+	return estimate.Remaining(p.total(j), j.kept)
 }
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -84,6 +84,8 @@
 	conn   atomic.Pointer[quic.Conn]
 	mu     sync.Mutex // serialises dialing
 	closed bool       // guarded by mu
+
+	session session // of the first connection
 }
 
 // NewPool returns a Pool whose connections share one UDP socket bound to local
@@ -325,6 +327,11 @@
 // Call sends msg and decodes the one reply into reply. It returns a
 // *result.Error that the peer sent, or a *CallError. Bound it with ctx.
 func (p *Pool) Call(ctx context.Context, addr string, kind wire.Kind, msg, reply any) error {
+	if inSession(kind) {
+		if ok, err := p.callSession(ctx, addr, kind, msg, reply); ok {
+			return err
+		}
+	}
 	s, done, err := p.Open(ctx, addr, kind, msg)
 	if err != nil {
 		return err
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -166,8 +166,6 @@
 }
 
 func (s *Server) serveStream(ctx context.Context, qs *quic.Stream) {
-	s.active.Add(1)
-	defer s.active.Add(-1)
 	st := newStream(qs)
 	defer st.release()
 	kind, err := st.br.ReadByte()
@@ -175,6 +173,12 @@
 		st.Abort()
 		return
 	}
+	if wire.Kind(kind) == kindSession {
+		s.serveSession(ctx, st)
+		return
+	}
+	s.active.Add(1)
+	defer s.active.Add(-1)
 	if err := s.handler.ServeCall(ctx, wire.Kind(kind), st); err != nil {
 		s.fail(st, wire.Kind(kind), err)
 		return
@@ -190,7 +194,11 @@
 		return
 	}
 	if !errors.Is(err, io.EOF) && !errors.Is(err, context.Canceled) {
-		log.WithFields(log.Fields{"event": "call_failed", "kind": int(kind), "code": int(result.CodeOf(err)), "error": err.Error()}).Debug("call failed")
+		s.logFailed(kind, err)
 	}
 	st.breakOff()
 }
+
+func (s *Server) logFailed(kind wire.Kind, err error) {
+	log.WithFields(log.Fields{"event": "call_failed", "kind": int(kind), "code": int(result.CodeOf(err)), "error": err.Error()}).Debug("call failed")
+}
