--- a/internal/bench/membership.go
+++ b/internal/bench/membership.go
@@ -186,8 +186,8 @@
 				Capacity: model.Resources{Accelerators: 8, Cores: 32, MemoryGB: 128},
 			},
 			Incarnation: wire.NewIncarnation(time.Now()), Seq: 1, Address: "127.0.0.1:1",
+			// No gangs: the planner would try to stop gangs that it does not know.
 			Services: []wire.ServiceState{{Service: benchService, Slots: 8, Healthy: true}},
-			Gangs:    []wire.GangState{{Job: "job-" + id, Attempt: 1, State: "running", Ranks: []int{0, 1, 2, 3}}},
 		}})
 	}
 	return agents, nil
--- a/internal/bench/process.go
+++ b/internal/bench/process.go
@@ -112,14 +112,21 @@
 	}, nil
 }
 
-// freeAddress returns a loopback address whose port is free at the moment.
+// freeAddress returns a loopback address whose port is free at the moment for
+// TCP and UDP.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		addr := l.Addr().String()
+		u, err := net.ListenPacket("udp", addr)
+		_ = l.Close()
+		if err == nil {
+			return addr, u.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
 }
 
 func freeAddresses(n int) ([]string, error) {
