Revert: wake at checkpoints of small gangs

Cause: small jobs beyond their share were stopped only if an event happened to fall just after their checkpoint. Change: a pass is made at the next checkpoint of a small gang while large jobs are below their share.

--- a/internal/planner/batch.go
+++ b/internal/planner/batch.go
@@ -67,39 +67,10 @@
 	}
 	p.shares(len(small) > 0, len(large) > 0)
 	rest := p.placeLarge(now, large)
-	if len(large) > len(rest) && p.share.large < p.share.largeLimit && p.share.small > p.share.smallLimit {
-		p.awaitCheckpoint(now)
-	}
 	p.placeAny(now, small)
 	p.placeAny(now, rest)
 }
 
-// awaitCheckpoint asks for a pass when the next small gang can be stopped without
-// a loss, and lets large jobs look for victims then.
-func (p *Planner) awaitCheckpoint(now time.Time) {
-	var next time.Time
-	for _, w := range p.pool.Workers {
-		for _, g := range w.Gangs {
-			if g.Fixed || g.Stopping || g.Accelerators() >= queue.LargeSize {
-				continue
-			}
-			if at := reclaim.NextCheckpoint(g, now); !at.IsZero() {
-				next = earliest(next, at)
-			}
-		}
-	}
-	if next.IsZero() {
-		return
-	}
-	if soon := now.Add(checkpointPause); next.Before(soon) {
-		next = soon
-	}
-	p.checkpoint = next
-}
-
-// checkpointPause bounds the passes made for checkpoints.
-const checkpointPause = time.Second
-
 // share is how many accelerators each kind of job holds, and may hold while the
 // other kind waits.
 type share struct {
@@ -147,8 +118,6 @@
 // others.
 func (p *Planner) placeLarge(now time.Time, large []ranked) (rest []ranked) {
 	attempts := 0
-	atCheckpoint := !p.checkpoint.IsZero() && !now.Before(p.checkpoint)
-	p.checkpoint = time.Time{}
 	for i, r := range large {
 		if len(p.out) >= maxPlacements {
 			p.more = true
@@ -161,7 +130,7 @@
 			p.share.large += size(r.j.Shape)
 			continue
 		}
-		if attempts < maxPreemptors && !r.j.parked && (atCheckpoint || !now.Before(r.j.nextSearch)) {
+		if attempts < maxPreemptors && !r.j.parked && !now.Before(r.j.nextSearch) {
 			attempts++
 			if p.moveFor(now, r.j) || p.preemptFor(now, r) {
 				p.share.large += size(r.j.Shape)
--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -70,7 +70,6 @@
 
 func (p *Planner) setWake(now time.Time) {
 	p.wake = earliest(p.wake, p.throttled)
-	p.wake = earliest(p.wake, p.checkpoint)
 	for _, t := range p.trials {
 		p.wake = earliest(p.wake, t.at)
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -113,8 +113,6 @@
 	wake        time.Time
 	// throttled is when a worker takes starts again that were held back.
 	throttled time.Time
-	// checkpoint is when a gang that is in the way can be stopped without a loss.
-	checkpoint time.Time
 
 	// health counts changes of the set of usable workers.
 	health uint64
--- a/internal/planner/reclaim/reclaim.go
+++ b/internal/planner/reclaim/reclaim.go
@@ -36,15 +36,6 @@
 	return run % g.Checkpoint
 }
 
-// NextCheckpoint returns the next time at which a stop loses nothing, the zero
-// time if there is none.
-func NextCheckpoint(g *pool.Gang, now time.Time) time.Time {
-	if g.Started.IsZero() || g.Checkpoint <= 0 {
-		return time.Time{}
-	}
-	return now.Add(g.Checkpoint - Lost(g, now))
-}
-
 // Cost returns the cost of a stop in accelerator-seconds. A gang without
 // accelerators counts a tenth of an accelerator per task.
 func Cost(g *pool.Gang, now time.Time) float64 {
