--- a/internal/planner/estimate/estimate.go
+++ b/internal/planner/estimate/estimate.go
@@ -82,6 +82,9 @@
 // Version changes with every observation.
 func (t *Tracker) Version() uint64 { return t.updates }
 
+// Teams returns how many teams are remembered.
+func (t *Tracker) Teams() int { return len(t.teams) }
+
 func index(large bool) int {
 	if large {
 		return 1
--- a/internal/planner/host_test.go
+++ b/internal/planner/host_test.go
@@ -22,6 +22,8 @@
 	log     []string
 	faults  []string
 	bad     map[string]bool // workers on which every start fails
+	// impaired is set once a worker was down or faulty.
+	impaired bool
 }
 
 type hosted struct {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -167,3 +167,43 @@
 		Expect(h.faults).To(BeEmpty())
 	})
 })
+
+var _ = Describe("explain", func() {
+	// Each entry guards against a reason that does not say what happens to the job.
+	DescribeTable("gives the rule of the present state", func(prepare func(h *host), rule string) {
+		h := newHost(twoTeams(), smallPool()...)
+		prepare(h)
+		reason, known := h.p.Explain("x")
+		Expect(known).To(BeTrue())
+		Expect(reason.Rule).To(Equal(rule))
+		Expect(reason.Sentence).NotTo(BeEmpty())
+	},
+		Entry("running", func(h *host) {
+			h.submit(newJob("x", "a", model.ClassPreemptible, shape(1, 1, model.AdjacentHost)))
+		}, "placed"),
+		Entry("running on a guarantee", func(h *host) {
+			h.submit(newJob("x", "a", model.ClassUrgent, shape(2, 8, model.AdjacentRack)))
+		}, "claimed_guarantee"),
+		Entry("beyond the guarantee", func(h *host) {
+			for _, id := range []string{"g1", "g2", "x"} {
+				h.submit(newJob(id, "a", model.ClassGuaranteed, shape(2, 8, model.AdjacentRack)))
+			}
+		}, "placed"),
+		Entry("waiting for the jobs in the way", func(h *host) {
+			h.submit(newJob("p", "b", model.ClassPreemptible, shape(10, 8, model.AdjacentAny)))
+			h.submit(newJob("x", "a", model.ClassUrgent, shape(2, 8, model.AdjacentRack)))
+		}, "waiting_for_preempted_jobs"),
+		Entry("preempted", func(h *host) {
+			h.submit(newJob("x", "b", model.ClassPreemptible, shape(10, 8, model.AdjacentAny)))
+			h.submit(newJob("u", "a", model.ClassUrgent, shape(2, 8, model.AdjacentRack)))
+		}, "preempted_by_guarantee"),
+		Entry("waiting for room", func(h *host) {
+			h.submit(newJob("p", "b", model.ClassPreemptible, shape(10, 8, model.AdjacentAny)))
+			h.submit(newJob("x", "b", model.ClassPreemptible, shape(2, 8, model.AdjacentRack)))
+		}, "waiting_for_capacity"),
+		Entry("parked", func(h *host) {
+			h.down("w0-0-0")
+			h.submit(newJob("x", "b", model.ClassPreemptible, shape(10, 8, model.AdjacentAny)))
+		}, "pool_too_small_at_present"),
+	)
+})
--- a/internal/planner/property_test.go
+++ b/internal/planner/property_test.go
@@ -98,6 +98,8 @@
 	for _, event := range s {
 		event(h)
 		h.checkGuarantees()
+		h.settle()
+		h.checkClaims()
 	}
 	return h
 }
@@ -110,6 +112,35 @@
 	}
 }
 
+// checkClaims finds claims that still wait after every stop has ended. Pools that
+// lost a worker are left out: gangs that were pinned before may be in the way.
+func (h *host) checkClaims() {
+	if h.impaired = h.impaired || len(h.workers) < 10 || len(h.bad) > 0; h.impaired {
+		return
+	}
+	for _, team := range twoTeams() {
+		g := team.Guarantees[0]
+		claims, waiting := 0, ""
+		for _, id := range h.order {
+			j := h.jobs[id]
+			s := j.job.Shape
+			if j.job.Team != team.ID || j.job.Class == model.ClassPreemptible || j.state.Final() || s.Tasks > g.Tasks {
+				continue
+			}
+			if s.Tasks > 1 && s.Adjacent == model.AdjacentHost {
+				continue
+			}
+			claims++
+			if j.state != model.JobRunning {
+				waiting = id
+			}
+		}
+		if waiting != "" && claims <= g.Count {
+			h.fault("claim %s waits although %d of %d guarantees are claimed", waiting, claims, g.Count)
+		}
+	}
+}
+
 var _ = Describe("over random events", func() {
 	It("holds the invariants and loses no job", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
