Judge the place of a claim also by the next ends of claims

Cause: a claim was placed beside others that ended soon and then pinned a worker alone, which left no rack with two free hosts when another worker failed. Ruled out: judging by the claim alone, which does not see that two claims of the same team should share a host. Change: the exposed guarantees are summed over the present and the next 4 expected ends of claims; the present counts three times.

--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -116,13 +116,14 @@
 func (p *Planner) claimSlot(now time.Time, j *job, s *packing.Slot, avoid bool) bool {
 	options := p.options(now, j, s, avoid)
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
+	ends := p.claimEnds(now)
 	best, fewest := -1, 0
 	for i, o := range options {
 		restore := p.plan.Save()
 		if !p.lay(s, j, o) {
 			continue
 		}
-		exposed := p.plan.Exposed()
+		exposed := p.exposure(ends)
 		p.plan.Clear(s)
 		restore()
 		if best < 0 || exposed < fewest || exposed == fewest && p.price(s, j, o) < p.price(s, j, options[best]) {
@@ -139,6 +140,47 @@
 	return true
 }
 
+// claimEnds returns the jobs that run on a guarantee in the order of their
+// expected ends.
+func (p *Planner) claimEnds(now time.Time) []string {
+	type end struct {
+		id   string
+		left time.Duration
+	}
+	var ends []end
+	for _, j := range p.claimants {
+		if j.gang != nil && j.gang.Fixed {
+			ends = append(ends, end{j.ID, p.item(now, j).Remaining})
+		}
+	}
+	slices.SortStableFunc(ends, func(a, b end) int { return cmp.Compare(a.left, b.left) })
+	ids := make([]string, len(ends))
+	for i, e := range ends {
+		ids[i] = e.id
+	}
+	return ids
+}
+
+// exposure sums the exposed guarantees at present, by nowWeight, and after the
+// next ends of claims. A place beside claims that end soon looks good only as
+// long as they run.
+func (p *Planner) exposure(ends []string) int {
+	sum := 0
+	for k := 0; k <= min(len(ends), futureEnds); k++ {
+		exposed := p.plan.Exposed(func(job string) bool { return slices.Contains(ends[:k], job) })
+		if k == 0 {
+			exposed *= nowWeight
+		}
+		sum += exposed
+	}
+	return sum
+}
+
+const (
+	futureEnds = 4
+	nowWeight  = 3
+)
+
 // price is the cost of an option with that of the workers on which it is the
 // first claim to pin accelerators. Claims that share workers leave more of the
 // pool to the guarantees that are not claimed.
--- a/internal/planner/packing/search.go
+++ b/internal/planner/packing/search.go
@@ -164,17 +164,18 @@
 // In larger pools one worker is a small part of the room that is left over.
 const maxSpared = 64
 
-// Exposed counts, by weight, the workers whose loss would leave guarantees that do not pack
-// beside the pinned slots, although they would pack into the idle rest of the
-// pool. Workers that are out of use at present count as returned, since pinned
-// slots may outlast their absence.
-func (p *Plan) Exposed() int {
+// Exposed counts, by weight, the workers whose loss would leave guarantees that
+// do not pack beside the pinned slots, although they would pack into the idle
+// rest of the pool. Workers that are out of use at present count as returned,
+// since pinned slots may outlast their absence. Slots of jobs for which ended
+// reports true count as not claimed.
+func (p *Plan) Exposed(ended func(job string) bool) int {
 	if len(p.pool.Workers) > maxSpared {
 		return 0
 	}
 	n := 0
 	for _, w := range p.pool.Workers {
-		if !p.idleFits(w) || p.packsWithout(w, false) {
+		if !p.idleFits(w) || p.packsWithout(w, ended) {
 			continue
 		}
 		n++
@@ -191,35 +192,31 @@
 	}
 	fits, known := p.spare[lost]
 	if !known {
-		fits = p.packsWithout(lost, true)
+		fits = p.packsWithout(lost, func(string) bool { return true })
 		p.spare[lost] = fits
 	}
 	return fits
 }
 
 // packsWithout reports whether the slots pack without a worker, beside those
-// that are pinned elsewhere or, if idle, with none pinned.
-func (p *Plan) packsWithout(lost *pool.Worker, idle bool) bool {
+// that are pinned elsewhere by jobs that have not ended.
+func (p *Plan) packsWithout(lost *pool.Worker, ended func(job string) bool) bool {
 	run := &search{pool: p.pool, rooms: make([]model.Resources, len(p.pool.Workers)), budget: searchBudget}
 	for i, w := range p.pool.Workers {
 		if w != lost {
 			run.rooms[i] = w.Capacity
 		}
 	}
+	runs := func(s *Slot) bool { return s.Pinned && !ended(s.Job) && !slices.Contains(s.Workers, lost) }
 	var shapes []model.Shape
 	for _, s := range p.Slots {
-		if s.Team == "" && (idle || slices.Contains(s.Workers, lost)) {
-			continue
-		}
-		if !idle && s.Beside != nil && !slices.Contains(s.Beside.Workers, lost) {
-			continue // claimed, and counted where its job runs
-		}
-		if idle || !s.Pinned || slices.Contains(s.Workers, lost) {
+		switch {
+		case runs(s):
+			for _, w := range s.Workers {
+				run.rooms[w.Index] = run.rooms[w.Index].Sub(s.Shape.PerTask())
+			}
+		case s.Team != "" && (s.Beside == nil || !runs(s.Beside)):
 			shapes = append(shapes, s.Shape)
-			continue
-		}
-		for _, w := range s.Workers {
-			run.rooms[w.Index] = run.rooms[w.Index].Sub(s.Shape.PerTask())
 		}
 	}
 	slices.SortStableFunc(shapes, orders[0])
