--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,3 +11,16 @@
 go vet ./...
 go tool staticcheck ./...
 go test -race -timeout 280s ./...
+
+# Every fuzz target runs a fixed number of inputs beyond its seed corpus.
+fuzz_log=$(mktemp)
+trap 'rm -f "$fuzz_log"' EXIT
+grep -rl --include='*_test.go' '^func Fuzz' internal | while read -r file; do
+  for target in $(sed -n 's/^func \(Fuzz[A-Za-z0-9]*\)(.*/\1/p' "$file"); do
+    echo "fuzz $(dirname "$file") $target"
+    go test -run '^$' -fuzz "^${target}\$" -fuzztime 2000x -parallel 4 "./$(dirname "$file")" >"$fuzz_log" 2>&1 || {
+      cat "$fuzz_log"
+      exit 1
+    }
+  done
+done
