--- /dev/null
+++ b/internal/kernel/kernel_test.go
@@ -0,0 +1,149 @@
+package kernel
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/apex/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestKernel(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "kernel")
+}
+
+type nested struct {
+	Address string `json:"address"`
+}
+
+type sample struct {
+	ID     string   `json:"id"`
+	Count  int      `json:"count"`
+	Nested nested   `json:"nested"`
+	List   []nested `json:"list"`
+}
+
+func (s *sample) Provision() {
+	if s.Count == 0 {
+		s.Count = 3
+	}
+}
+
+func (s *sample) Validate(faults *Faults) {
+	if s.ID == "" {
+		faults.Add("id", "required")
+	}
+}
+
+var _ = Describe("settings", func() {
+	It("fills in defaults", func() {
+		var s sample
+		Expect(ParseSettings([]byte(`{"id":"a"}`), &s)).To(Succeed())
+		Expect(s.Count).To(Equal(3))
+	})
+
+	It("reports all faults at once with path and reason", func() {
+		var s sample
+		err := ParseSettings([]byte(`{"x":1,"nested":{"y":1},"list":[{"address":"a"},{"z":1}],"count":"many"}`), &s)
+		var faults Faults
+		Expect(errors.As(err, &faults)).To(BeTrue())
+		paths := make([]string, len(faults))
+		for i, f := range faults {
+			paths[i] = f.Path
+		}
+		Expect(paths).To(ConsistOf("x", "nested.y", "list[1].z", "count", "id"))
+	})
+
+	DescribeTable("refuses a file that is no settings object", func(data string) {
+		Expect(ParseSettings([]byte(data), &sample{})).NotTo(Succeed())
+	},
+		Entry("empty", ""), Entry("not JSON", "{"), Entry("an array", "[]"), Entry("two values", "{} {}"), Entry("null", "null"),
+	)
+})
+
+var _ = Describe("registry", func() {
+	It("names the known plug-ins for an unknown one", func() {
+		r := NewRegistry[int]("store")
+		r.Register("b", 2)
+		r.Register("a", 1)
+		_, err := r.Get("c")
+		Expect(err).To(MatchError(`unknown store "c", known: a, b`))
+		Expect(r.Get("b")).To(Equal(2))
+		Expect(func() { r.Register("a", 3) }).To(PanicWith(ContainSubstring("twice")))
+	})
+})
+
+var _ = Describe("logging", func() {
+	It("writes one line of key=value pairs for each event", func() {
+		var out bytes.Buffer
+		Expect(SetupLogging(&out, "p", "info")).To(Succeed())
+		log.WithFields(log.Fields{"event": "e", "b": "two words", "a": 1}).Info("line\nbreak")
+		Expect(strings.Count(out.String(), "\n")).To(Equal(1))
+		Expect(out.String()).To(HaveSuffix(`level=info program=p event=e a=1 b="two words" message="line\nbreak"` + "\n"))
+		Expect(SetupLogging(&out, "p", "loud")).NotTo(Succeed())
+	})
+})
+
+var _ = Describe("dump", func() {
+	It("replaces a part that is too large by its size", func() {
+		d := NewDumper()
+		d.Add("large", func() any { return strings.Repeat("x", MaxDumpBytes) })
+		d.Add("small", func() any { return 1 })
+		data, err := d.Dump()
+		Expect(err).NotTo(HaveOccurred())
+		var parts map[string]json.RawMessage
+		Expect(json.Unmarshal(data, &parts)).To(Succeed())
+		Expect(string(parts["small"])).To(Equal("1"))
+		Expect(string(parts["large"])).To(ContainSubstring("omitted_bytes"))
+	})
+})
+
+// recorder notes its starts and stops.
+type recorder struct {
+	name  string
+	fail  bool
+	steps *[]string
+}
+
+func (r recorder) Name() string { return r.name }
+func (r recorder) Start(context.Context) error {
+	if r.fail {
+		return errors.New("no")
+	}
+	*r.steps = append(*r.steps, "start "+r.name)
+	return nil
+}
+func (r recorder) Stop(context.Context) error {
+	*r.steps = append(*r.steps, "stop "+r.name)
+	return nil
+}
+
+var _ = Describe("Run", func() {
+	It("stops in reverse order", func() {
+		var steps []string
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		Expect(Run(ctx, recorder{name: "a", steps: &steps}, recorder{name: "b", steps: &steps})).To(Succeed())
+		Expect(steps).To(Equal([]string{"start a", "start b", "stop b", "stop a"}))
+	})
+
+	It("stops what has started when a start fails", func() {
+		var steps []string
+		err := Run(context.Background(), recorder{name: "a", steps: &steps}, recorder{name: "b", fail: true, steps: &steps})
+		Expect(err).To(MatchError(ContainSubstring("start b")))
+		Expect(steps).To(Equal([]string{"start a", "stop a"}))
+	})
+})
+
+func FuzzParseSettings(f *testing.F) {
+	f.Add([]byte(`{"id":"a","nested":{"address":"x"},"list":[{}]}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_ = ParseSettings(data, &sample{}) // must not panic
+	})
+}
--- a/internal/transport/tls.go
+++ b/internal/transport/tls.go
@@ -79,11 +79,12 @@
 type Credentials struct {
 	settings Security
 	current  atomic.Pointer[material]
+	now      func() time.Time
 }
 
 // NewCredentials loads or derives the key material.
 func NewCredentials(s Security) (*Credentials, error) {
-	c := &Credentials{settings: s}
+	c := &Credentials{settings: s, now: time.Now}
 	m, err := c.load()
 	if err != nil {
 		return nil, err
@@ -108,19 +109,19 @@
 	if !pool.AppendCertsFromPEM(pem) {
 		return nil, fmt.Errorf("load authority: no certificate in %s", c.settings.CAFile)
 	}
-	return &material{cert: cert, pool: pool, loaded: time.Now()}, nil
+	return &material{cert: cert, pool: pool, loaded: c.now()}, nil
 }
 
 // get returns the material, read again from its files at most once in
 // reloadInterval. A failed reload keeps the old material.
 func (c *Credentials) get() *material {
 	m := c.current.Load()
-	if c.settings.Mode == ModeDevelopment || time.Since(m.loaded) < reloadInterval {
+	if c.settings.Mode == ModeDevelopment || c.now().Sub(m.loaded) < reloadInterval {
 		return m
 	}
 	fresh, err := c.load()
 	if err != nil {
-		fresh = &material{cert: m.cert, pool: m.pool, loaded: time.Now()}
+		fresh = &material{cert: m.cert, pool: m.pool, loaded: c.now()}
 	}
 	c.current.CompareAndSwap(m, fresh)
 	return c.current.Load()
