--- a/cmd/snipegw-proof/main.go
+++ b/cmd/snipegw-proof/main.go
@@ -26,6 +26,7 @@
 	Control bool   `long:"control" description:"break each property on purpose; every proof has to fail"`
 	Keep    bool   `long:"keep" description:"keep settings and logs of the processes"`
 	Verbose bool   `long:"verbose" description:"print the steps of the proofs"`
+	Example string `long:"examples" description:"directory with the settings files for --demo; none generates settings on free ports"`
 	Demo    bool   `long:"demo" description:"run the demonstration of make run instead of the proofs"`
 	Stay    bool   `long:"stay" description:"start the processes of the demonstration and keep them until interrupted"`
 }
@@ -60,7 +61,7 @@
 		ok = proof.Stay(ctx, env, os.Stdout)
 		ctx = context.Background() // an interrupt is the expected end
 	case o.Demo:
-		ok = proof.Demo(ctx, env, os.Stdout)
+		ok = proof.Demo(ctx, env, o.Example, os.Stdout)
 	default:
 		for _, p := range proof.Proofs() {
 			if strings.Contains(p.Name, o.Only) && ctx.Err() == nil {
--- a/internal/proof/demo.go
+++ b/internal/proof/demo.go
@@ -17,18 +17,24 @@
 )
 
 // Demo starts one store, three workers with agents and backend servers, and two
-// entries, runs a gang job, requests and a configuration patch, and prints what
-// became of each. It reports whether all outcomes were as stated.
-func Demo(ctx context.Context, e Env, out io.Writer) bool {
+// entries, or the processes of a directory of examples. It runs a gang job,
+// requests and a configuration patch, and prints what became of each. It reports
+// whether all outcomes were as stated.
+func Demo(ctx context.Context, e Env, examples string, out io.Writer) bool {
 	ctx, cancel := context.WithTimeout(ctx, demoLimit)
 	defer cancel()
-	c, err := Launch(ctx, e.Bin, e.Dir, DefaultSpec())
+	launch := func() (*Cluster, error) { return Launch(ctx, e.Bin, e.Dir, DefaultSpec()) }
+	if examples != "" {
+		launch = func() (*Cluster, error) { return LaunchExamples(ctx, e.Bin, e.Dir, examples) }
+	}
+	c, err := launch()
 	if err != nil {
 		fmt.Fprintln(out, "start:", err)
 		return false
 	}
 	defer c.Kill()
-	fmt.Fprintf(out, "started 1 store, 3 workers, 2 entries, 3 agents, 3 backend servers\n")
+	fmt.Fprintf(out, "started 1 store, %d workers, %d entries, %d agents, %d backend servers\n",
+		len(c.Workers), len(c.Entries), len(c.Agents), len(c.Backends))
 	steps := []struct {
 		name string
 		run  func(context.Context, *Cluster) (string, error)
@@ -52,10 +58,14 @@
 }
 
 func demoGang(ctx context.Context, c *Cluster) (string, error) {
-	client := NewClient(TeamToken("routes"))
+	team, adjacent := c.Spec.Teams[1].ID, model.AdjacentRack
+	if c.Spec.PerRack < 2 {
+		adjacent = model.AdjacentAny
+	}
+	client := NewClient(TeamToken(team))
 	job := model.Job{
-		ID: "route-plan-1", Team: "routes", Class: model.ClassPreemptible, DeclaredMS: 1500, CheckpointMS: 500,
-		Shape:   model.Shape{Tasks: 2, AcceleratorsPerTask: 8, CoresPerTask: 8, MemoryGBPerTask: 32, Adjacent: model.AdjacentRack},
+		ID: "gang-1", Team: team, Class: model.ClassPreemptible, DeclaredMS: 1500, CheckpointMS: 500,
+		Shape:   model.Shape{Tasks: 2, AcceleratorsPerTask: 8, CoresPerTask: 8, MemoryGBPerTask: 32, Adjacent: adjacent},
 		Command: []string{"sleep", "1500"},
 	}
 	began := time.Now()
@@ -73,7 +83,7 @@
 }
 
 func demoRequestSet(ctx context.Context, c *Cluster) (string, error) {
-	client := NewClient(TeamToken("cargo"))
+	client := NewClient(TeamToken(c.Spec.Teams[0].ID))
 	for i := range demoRequests {
 		path := fmt.Sprintf("/manifests/%d", i)
 		body := []byte(path)
@@ -90,7 +100,7 @@
 // demoTicket runs a request with a ticket and asks for it through the other
 // entry.
 func demoTicket(ctx context.Context, c *Cluster) (string, error) {
-	client := NewClient(TeamToken("cargo"))
+	client := NewClient(TeamToken(c.Spec.Teams[0].ID))
 	url := c.Entries[0].URL() + "/v1/services/" + c.Spec.Service + "/request/bookings/1"
 	first := client.Call(ctx, http.MethodPost, url, nil, []byte("booking"))
 	if !first.Complete() || first.Ticket == "" {
--- a/internal/proof/observer.go
+++ b/internal/proof/observer.go
@@ -157,6 +157,7 @@
 type edge struct {
 	atMS  int64
 	delta int
+	rank  int
 }
 
 func analyse(job string, number uint64, runs []*taskRun, tasks int, nowMS int64) Attempt {
@@ -183,7 +184,7 @@
 			}
 		}
 		ranks[r.rank] = append(ranks[r.rank], r)
-		edges = append(edges, edge{r.startMS, 1}, edge{end, -1})
+		edges = append(edges, edge{r.startMS, 1, r.rank}, edge{end, -1, r.rank})
 	}
 	a.PartialMS = longestPartial(edges, tasks, a.LastMS)
 	return a
@@ -197,7 +198,7 @@
 }
 
 // longestPartial returns the longest time up to endMS in which the number of
-// running tasks was above 0 and below tasks.
+// running ranks was above 0 and below tasks.
 func longestPartial(edges []edge, tasks int, endMS int64) int64 {
 	sort.Slice(edges, func(i, j int) bool {
 		if edges[i].atMS != edges[j].atMS {
@@ -206,11 +207,13 @@
 		return edges[i].delta > edges[j].delta
 	})
 	var longest, since int64
-	running := 0
-	partial := func() bool { return running > 0 && running < tasks }
+	running := make(map[int]int) // tasks by rank
+	partial := func() bool { return len(running) > 0 && len(running) < tasks }
 	for _, e := range edges {
 		was := partial()
-		running += e.delta
+		if running[e.rank] += e.delta; running[e.rank] == 0 {
+			delete(running, e.rank)
+		}
 		switch now := partial(); {
 		case was && !now:
 			longest = max(longest, min(e.atMS, endMS)-since)
--- /dev/null
+++ b/internal/proof/relay_test.go
@@ -0,0 +1,89 @@
+package proof
+
+import (
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("relays", func() {
+	It("drop the datagrams of a blocked sender and pass those of others", func() {
+		echo, err := net.ListenPacket("udp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer echo.Close()
+		go func() {
+			buf := make([]byte, 100)
+			for {
+				n, from, err := echo.ReadFrom(buf)
+				if err != nil {
+					return
+				}
+				_, _ = echo.WriteTo(buf[:n], from)
+			}
+		}()
+		var blocked atomic.Int64
+		r, err := newUDPRelay("127.0.0.1:0", echo.LocalAddr().String(), func(port int) bool { return int64(port) == blocked.Load() })
+		Expect(err).NotTo(HaveOccurred())
+		defer r.close()
+		ask := func(c net.Conn) error {
+			_, _ = c.Write([]byte("x"))
+			_ = c.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+			_, err := c.Read(make([]byte, 10))
+			return err
+		}
+		one, err := net.Dial("udp", r.conn.LocalAddr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer one.Close()
+		two, err := net.Dial("udp", r.conn.LocalAddr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer two.Close()
+		Expect(ask(one)).To(Succeed())
+		blocked.Store(int64(one.LocalAddr().(*net.UDPAddr).Port))
+		Expect(ask(one)).To(MatchError(os.ErrDeadlineExceeded))
+		Expect(ask(two)).To(Succeed())
+	})
+
+	It("know the UDP ports of a process", func() {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		Expect(udpPorts(os.Getpid())).To(HaveKey(c.LocalAddr().(*net.UDPAddr).Port))
+	})
+
+	It("break connections and refuse new ones while cut", func() {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer ln.Close()
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = c.Write([]byte("hello"))
+			}
+		}()
+		r, err := newTCPRelay("127.0.0.1:0", ln.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer r.close()
+		read := func(c net.Conn) error {
+			_ = c.SetReadDeadline(time.Now().Add(time.Second))
+			_, err := c.Read(make([]byte, 5))
+			return err
+		}
+		c, err := net.Dial("tcp", r.ln.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		Expect(read(c)).To(Succeed())
+		r.setCut(true)
+		Expect(read(c)).To(HaveOccurred())
+		again, err := net.Dial("tcp", r.ln.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer again.Close()
+		Expect(read(again)).To(HaveOccurred())
+	})
+})
