--- a/internal/proof/examples_test.go
+++ b/internal/proof/examples_test.go
@@ -10,14 +10,18 @@
 	"snipegw/internal/agent"
 	"snipegw/internal/entry"
 	"snipegw/internal/kernel"
+	_ "snipegw/internal/planner"             // registers the policies
+	_ "snipegw/internal/platform/httpworker" // registers the worker interface
 	"snipegw/internal/standin/backend"
 	"snipegw/internal/standin/kv"
 	"snipegw/internal/standin/worker"
+	_ "snipegw/internal/store/consulkv" // registers the store plug-in
 )
 
 // Guards against examples that no longer match the settings of the programs.
 var _ = DescribeTable("examples", func(deployment string) {
-	files, err := filepath.Glob(filepath.Join("../../examples", deployment, "*.json"))
+	GinkgoT().Chdir("../..") // paths in the examples start at the root
+	files, err := filepath.Glob(filepath.Join("examples", deployment, "*.json"))
 	Expect(err).NotTo(HaveOccurred())
 	Expect(len(files)).To(BeNumerically(">", 10))
 	for _, file := range files {
