--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -32,15 +32,17 @@
 	stream *Stream
 }
 
-// callSession calls through the session of e. It reports ok false if another
+// callSession calls through the session on the first connection to e. It reports ok false if another
 // call uses the session.
-func (p *Pool) callSession(ctx context.Context, addr string, e *pooled, kind wire.Kind, msg, reply any) (ok bool, err error) {
-	s := &e.session
+func (p *Pool) callSession(ctx context.Context, addr string, e *peer, kind wire.Kind, msg, reply any) (ok bool, err error) {
+	l := e.link(0)
+	defer l.end()
+	s := &l.session
 	if !s.mu.TryLock() {
 		return false, nil
 	}
 	defer s.mu.Unlock()
-	if err := p.openSession(ctx, addr, e); err != nil {
+	if err := l.openSession(ctx, p, addr); err != nil {
 		return true, &CallError{Address: addr, Err: err}
 	}
 	err = s.call(ctx, kind, msg, reply)
@@ -53,12 +55,13 @@
 	return true, &CallError{Address: addr, Sent: true, Err: err}
 }
 
-func (p *Pool) openSession(ctx context.Context, addr string, e *pooled) error {
-	c, err := p.connection(ctx, addr, e)
+// openSession opens the stream of the session; the caller holds its mu.
+func (l *link) openSession(ctx context.Context, p *Pool, addr string) error {
+	c, err := l.connection(ctx, p, addr)
 	if err != nil {
 		return err
 	}
-	s := &e.session
+	s := &l.session
 	if s.stream != nil && s.conn == c {
 		return nil
 	}
