End a call to a planner that has been replaced

Cause: with separate processes a submission to a killed planner's region took 3.6 s, since the call waited for its timeout of 3.5 s although the successor was ready after 2 s. Change: a forwarded call ends as soon as another planner is known and is repeated there under the same id.

--- a/internal/jobs/fakes_test.go
+++ b/internal/jobs/fakes_test.go
@@ -169,6 +169,8 @@
 	// refuse chooses the answer to an order of the given kind; nil allows all.
 	refuse func(worker string, kind wire.Kind) error
 	hops   time.Duration
+	// silent holds addresses whose host has failed: calls get no answer.
+	silent map[string]bool
 }
 
 type agent struct {
@@ -181,6 +183,7 @@
 
 func newRegion(workers int, latency time.Duration) *region {
 	r := &region{store: storetest.New(latency), wake: make(chan struct{}), hosts: map[string]*Host{}, agents: map[string]*agent{}, hops: time.Millisecond}
+	r.silent = map[string]bool{}
 	r.view = &members.View{Generation: 1, Workers: map[string]*members.Worker{}, Entries: map[string]*members.Entry{}}
 	for i := range workers {
 		id := fmt.Sprintf("w%02d", i)
@@ -235,8 +238,12 @@
 		return &transport.CallError{Address: addr, Err: ctx.Err()}
 	}
 	r.mu.Lock()
-	h, a := r.hosts[addr], r.agents[addr]
+	h, a, silent := r.hosts[addr], r.agents[addr], r.silent[addr]
 	r.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return &transport.CallError{Address: addr, Sent: true, Err: ctx.Err()}
+	}
 	var err error
 	switch {
 	case h != nil:
--- a/internal/jobs/forward.go
+++ b/internal/jobs/forward.go
@@ -22,7 +22,10 @@
 	orderWait    = 5 * time.Second
 	// tryTimeout bounds one call to the planner, so that a dead planner does not
 	// use up the time in which its successor could answer.
-	tryTimeout    = 3500 * time.Millisecond
+	tryTimeout = 3500 * time.Millisecond
+	// plannerPoll is the time between two checks for a change of planner during
+	// a call.
+	plannerPoll   = 50 * time.Millisecond
 	firstTryPause = 25 * time.Millisecond
 	maxTryPause   = 400 * time.Millisecond
 )
@@ -78,6 +81,7 @@
 	if !ok {
 		return nil, result.Errorf(result.NoPlanner, "the region has no planner at the moment")
 	}
+	go h.cancelOnNewPlanner(ctx, cancel, addr)
 	reply := new(Reply)
 	if err := h.o.Pool.Call(ctx, addr, kind, req, reply); err != nil {
 		return nil, err
@@ -85,6 +89,25 @@
 	return reply, nil
 }
 
+// cancelOnNewPlanner ends a call to a planner that has been replaced. A call to
+// a host that has failed would otherwise wait for its timeout, which is longer
+// than a change of planner.
+func (h *Host) cancelOnNewPlanner(ctx context.Context, cancel context.CancelFunc, addr string) {
+	t := time.NewTicker(plannerPoll)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if now, ok := h.plannerAddress(); h.term.Load() != nil || ok && now != addr {
+			cancel()
+			return
+		}
+	}
+}
+
 // Submit implements Service.
 func (h *Host) Submit(ctx context.Context, job model.Job) (model.JobStatus, error) {
 	if job.ID == "" {
--- a/internal/jobs/takeover_test.go
+++ b/internal/jobs/takeover_test.go
@@ -57,6 +57,25 @@
 		})
 	})
 
+	// Guards against a submission that waits for the answer of a failed host
+	// although its successor is ready: an urgent job would start too late.
+	It("delays a submission no longer than the lease", func() {
+		inRegion(2, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+			h := running(ctx, r)
+			h2 := r.addHost("e2")
+			time.Sleep(10 * time.Second)
+			r.kill(h)
+			r.mu.Lock()
+			r.silent[h.o.Entry.Address] = true
+			r.mu.Unlock()
+			began := time.Now()
+			_, err := h2.Submit(ctx, testJob("j2", 1, 8))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(time.Since(began)).To(BeNumerically("<", 2700*time.Millisecond))
+			Expect(until(time.Second, func() bool { return len(r.startsOf("j2")) == 1 })).To(BeTrue())
+		})
+	})
+
 	It("is immediate after a graceful stop", func() {
 		inRegion(1, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
 			h := running(ctx, r)
