--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,12 +26,10 @@
 const (
 	// storeCallsPerSecond and storeBurst bound the calls of one entry to the
 	// platform's store, which serves several hundred writes a second in all. The
-	// platform's store, which serves several hundred writes a second in all. The
-	// burst covers a takeover of the planner lease, which reads and writes every
-	// job page once; a burst of 50 delayed it by 1.8 s, and urgent jobs started
-	// later than in 4.7 s. The rate lets a planner write every page twice a
-	// second, so that a burst of submissions does not queue for seconds.
-	storeCallsPerSecond = 300
+	// burst covers a change of planner, which reads and writes every job page
+	// once; a burst of 50 delayed it by 1.8 s, and urgent jobs started later than
+	// in 4.7 s. The rate leaves room for two regions and the operators' patches.
+	storeCallsPerSecond = 150
 	storeBurst          = 4 * jobs.Pages
 )
 
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -85,7 +85,7 @@
 	mu     sync.Mutex // serialises dialing
 	closed bool       // guarded by mu
 
-	session session
+	session session // of the first connection
 }
 
 // NewPool returns a Pool whose connections share one UDP socket bound to local
@@ -328,9 +328,7 @@
 // *result.Error that the peer sent, or a *CallError. Bound it with ctx.
 func (p *Pool) Call(ctx context.Context, addr string, kind wire.Kind, msg, reply any) error {
 	if inSession(kind) {
-		e := p.begin(addr)
-		defer e.end()
-		if ok, err := p.callSession(ctx, addr, e, kind, msg, reply); ok {
+		if ok, err := p.callSession(ctx, addr, kind, msg, reply); ok {
 			return err
 		}
 	}
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -32,9 +32,11 @@
 	stream *Stream
 }
 
-// callSession calls through the session on the first connection to e. It reports ok false if another
-// call uses the session.
-func (p *Pool) callSession(ctx context.Context, addr string, e *peer, kind wire.Kind, msg, reply any) (ok bool, err error) {
+// callSession calls through the session of the first connection to addr. It
+// reports ok false if another call uses the session.
+func (p *Pool) callSession(ctx context.Context, addr string, kind wire.Kind, msg, reply any) (ok bool, err error) {
+	e := p.begin(addr)
+	defer e.end()
 	l := e.link(0)
 	defer l.end()
 	s := &l.session
@@ -55,7 +57,6 @@
 	return true, &CallError{Address: addr, Sent: true, Err: err}
 }
 
-// openSession opens the stream of the session; the caller holds its mu.
 func (l *link) openSession(ctx context.Context, p *Pool, addr string) error {
 	c, err := l.connection(ctx, p, addr)
 	if err != nil {
