Make searches for victims cheaper

Cause: with gangs on many workers the harm of the same gang was computed for each of them, and workers with free room were searched as well. Change: the cost of a gang is remembered within a search, room that is free costs nothing without a search, and the sort of workers needs no stability.

--- a/internal/planner/batch.go
+++ b/internal/planner/batch.go
@@ -27,18 +27,34 @@
 }
 
 // roomCost is the cost of making room for n tasks on a worker.
-func roomCost(w *pool.Worker, s model.Shape, n int, costOf func(*pool.Gang) float64) float64 {
-	workers := make([]*pool.Worker, n)
-	for i := range workers {
-		workers[i] = w
+func (p *Planner) roomCost(w *pool.Worker, s model.Shape, n int, costOf func(*pool.Gang) float64) float64 {
+	if pool.Count(w.Free(), s.PerTask(), n) == n {
+		return 0
 	}
-	_, cost, ok := reclaim.Victims(workers, s.PerTask(), costOf)
+	p.same = p.same[:0]
+	for range n {
+		p.same = append(p.same, w)
+	}
+	_, cost, ok := reclaim.Victims(p.same, s.PerTask(), costOf)
 	if !ok {
 		return impossible
 	}
 	return cost
 }
 
+// remember makes a cost function that asks once per gang; a gang with many tasks
+// is met on many workers in one search.
+func (p *Planner) remember(costOf func(*pool.Gang) float64) func(*pool.Gang) float64 {
+	p.searches++
+	stamp := p.searches
+	return func(g *pool.Gang) float64 {
+		if g.CostStamp != stamp {
+			g.CostStamp, g.Cost = stamp, costOf(g)
+		}
+		return g.Cost
+	}
+}
+
 // protectedCost is the cost of stopping a gang that holds a guarantee but runs
 // outside its slot; it would have to start again at once.
 const protectedCost = 1e9
@@ -322,7 +338,7 @@
 func (p *Planner) preemptFor(now time.Time, r ranked) bool {
 	j, runs := r.j, p.remaining(r.j)
 	large := size(j.Shape) >= queue.LargeSize
-	costOf := func(g *pool.Gang) float64 {
+	costOf := p.remember(func(g *pool.Gang) float64 {
 		v := p.jobs[g.ID]
 		if g.Protected || g.Promised || now.Sub(g.Placed) < minTenure {
 			return impossible
@@ -342,13 +358,13 @@
 			return impossible
 		}
 		return harm
-	}
+	})
 	workers := p.finder.Find(p.pool, score.Request{
 		Shape:   j.Shape,
 		Room:    movable,
 		Exclude: func(w *pool.Worker) bool { return p.unfit(now, j, w) || w.Probing },
 		Cost: func(w *pool.Worker, n int) float64 {
-			return suspicion(w, n) + harmScale*roomCost(w, j.Shape, n, costOf)/r.value
+			return suspicion(w, n) + harmScale*p.roomCost(w, j.Shape, n, costOf)/r.value
 		},
 	})
 	if workers == nil {
--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -77,7 +77,7 @@
 		Exclude: func(w *pool.Worker) bool { return p.closed(j, w) || w.Probing },
 		Room:    movable,
 		Cost: func(w *pool.Worker, n int) float64 {
-			return roomCost(w, j.Shape, n, claimCost(now)) + suspicion(w, n)
+			return p.roomCost(w, j.Shape, n, claimCost(now)) + suspicion(w, n)
 		},
 	})
 	if workers == nil {
@@ -264,7 +264,7 @@
 			Exclude: func(w *pool.Worker) bool { return outside(w) || exclude(w) },
 			Room:    func(w *pool.Worker) model.Resources { return w.Capacity.Sub(w.Pinned) },
 			Cost: func(w *pool.Worker, n int) float64 {
-				return roomCost(w, s.Shape, n, claimCost(now)) + suspicion(w, n)
+				return p.roomCost(w, s.Shape, n, claimCost(now)) + suspicion(w, n)
 			},
 		})
 	}
--- a/internal/planner/move.go
+++ b/internal/planner/move.go
@@ -17,17 +17,17 @@
 	if float64(p.freeAccelerators()) < size(j.Shape) {
 		return false
 	}
-	costOf := func(g *pool.Gang) float64 {
+	costOf := p.remember(func(g *pool.Gang) float64 {
 		if g.Protected || g.Promised || g.Accelerators() >= queue.LargeSize || now.Sub(g.Placed) < minTenure {
 			return impossible
 		}
 		return reclaim.Cost(g, now)
-	}
+	})
 	workers := p.finder.Find(p.pool, score.Request{
 		Shape:   j.Shape,
 		Room:    movable,
 		Exclude: func(w *pool.Worker) bool { return p.unfit(now, j, w) || w.Probing },
-		Cost:    func(w *pool.Worker, n int) float64 { return suspicion(w, n) + roomCost(w, j.Shape, n, costOf) },
+		Cost:    func(w *pool.Worker, n int) float64 { return suspicion(w, n) + p.roomCost(w, j.Shape, n, costOf) },
 	})
 	if workers == nil {
 		return false
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -114,6 +114,10 @@
 	// throttled is when a worker takes starts again that were held back.
 	throttled time.Time
 
+	// same and searches serve repeated searches.
+	same     []*pool.Worker
+	searches uint64
+
 	// health counts changes of the set of usable workers.
 	health uint64
 	// reservations are made anew in each pass.
--- a/internal/planner/pool/pool.go
+++ b/internal/planner/pool/pool.go
@@ -67,6 +67,9 @@
 	Stops int
 	// Backfilled gangs run on room that a waiting large job has reserved.
 	Backfilled bool
+	// Cost is the cost of a stop in the search CostStamp.
+	Cost      float64
+	CostStamp uint64
 }
 
 // Accelerators returns the accelerators of the whole gang.
--- a/internal/planner/score/score.go
+++ b/internal/planner/score/score.go
@@ -11,6 +11,7 @@
 package score
 
 import (
+	"cmp"
 	"slices"
 
 	"snipegw/internal/model"
@@ -118,14 +119,11 @@
 		}
 		f.order = append(f.order, choice{w, n, cost})
 	}
-	slices.SortStableFunc(f.order, func(a, b choice) int {
-		switch {
-		case a.cost < b.cost:
-			return -1
-		case a.cost > b.cost:
-			return 1
+	slices.SortFunc(f.order, func(a, b choice) int {
+		if c := cmp.Compare(a.cost, b.cost); c != 0 {
+			return c
 		}
-		return 0
+		return a.w.Index - b.w.Index
 	})
 	need, sum := r.Shape.Tasks, 0.0
 	for i := range f.order {
