--- a/internal/planner/batch.go
+++ b/internal/planner/batch.go
@@ -376,7 +376,11 @@
 		j.nextSearch = now.Add(searchPause)
 		return false
 	}
-	p.start(now, j, workers, victims, explain.PreemptedForShort)
+	rule := explain.PreemptedForShort
+	if large {
+		rule = explain.PreemptedForLarge
+	}
+	p.start(now, j, workers, victims, rule)
 	return true
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -167,8 +167,12 @@
 	return p.plan.Unpacked()
 }
 
-// SetWeights implements framework.Scheduler.
+// SetWeights implements framework.Scheduler. Weights of zero keep those of the
+// policy.
 func (p *Planner) SetWeights(w model.Weights) {
+	if w == (model.Weights{}) {
+		return
+	}
 	p.params = queue.ParamsOf(w)
 	p.dirty = true
 }
