--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -114,6 +114,10 @@
 	// throttled is when a worker takes starts again that were held back.
 	throttled time.Time
 
+	// same and searches serve repeated searches.
+	same     []*pool.Worker
+	searches uint64
+
 	// health counts changes of the set of usable workers.
 	health uint64
 	// reservations are made anew in each pass.
@@ -163,8 +167,12 @@
 	return p.plan.Unpacked()
 }
 
-// SetWeights implements framework.Scheduler.
+// SetWeights implements framework.Scheduler. Weights of zero keep those of the
+// policy.
 func (p *Planner) SetWeights(w model.Weights) {
+	if w == (model.Weights{}) {
+		return
+	}
 	p.params = queue.ParamsOf(w)
 	p.dirty = true
 }
