--- a/cmd/snipegw-replay/main.go
+++ b/cmd/snipegw-replay/main.go
@@ -22,6 +22,8 @@
 	Policy  string `long:"policy" value-name:"NAME" description:"scheduling policy"`
 	JSON    bool   `long:"json" description:"print one JSON object"`
 	Table   bool   `long:"table" description:"compare all policies on the traces given as arguments"`
+	Seeds   int    `long:"generate" value-name:"N" description:"replay N generated traces on the pool and teams of --trace"`
+	Single  bool   `long:"single-failures" description:"generated traces have at most one failed worker at a time"`
 	Version bool   `long:"version" description:"print the version and exit"`
 }
 
@@ -43,6 +45,8 @@
 		fmt.Println("snipegw-replay", version)
 	case o.Table:
 		status, err = replay.Table(os.Stdout, traces)
+	case o.Seeds > 0:
+		status, err = replay.Generated(os.Stdout, o.Trace, o.Policy, o.Seeds, o.Single)
 	default:
 		status, err = replay.One(os.Stdout, o.Trace, o.Policy, o.JSON)
 	}
--- a/internal/replay/cli.go
+++ b/internal/replay/cli.go
@@ -101,3 +101,30 @@
 	}
 	return status, nil
 }
+
+// Generated replays seeds [1, count] of generated traces on the pool of a trace
+// and prints one line for each that breaks a stated outcome.
+func Generated(w io.Writer, name, policy string, count int, single bool) (status int, err error) {
+	factory, err := framework.Policies.Get(policy)
+	if err != nil {
+		return ExitBadTrace, err
+	}
+	base, err := ReadFile(name)
+	if err != nil {
+		return ExitBadTrace, err
+	}
+	broken := 0
+	for seed := 1; seed <= count; seed++ {
+		r := Run(Generate(base, uint64(seed), single), factory(), deploymentWeights[policy])
+		if !r.OK() {
+			broken++
+			fmt.Fprintf(w, "%s seed=%d violations=%d unpacked=%d guarantee_late=%d urgent_late=%d lost=%d first: %s\n",
+				policy, seed, len(r.Violations), r.GuaranteeUnpacked, r.GuaranteeLate, r.UrgentLate, r.Lost, r.Violations[0])
+		}
+	}
+	fmt.Fprintf(w, "%s: %d of %d generated traces break a stated outcome\n", policy, broken, count)
+	if broken > 0 {
+		return ExitBroken, nil
+	}
+	return ExitOK, nil
+}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -129,3 +129,29 @@
 		_, _ = Read(strings.NewReader(text)) // must not panic
 	})
 }
+
+var _ = Describe("generator", func() {
+	It("gives the same trace for the same seed, in order of time, with a return for each failure", func() {
+		f, err := os.Open("testdata/loads-1.jsonl")
+		Expect(err).NotTo(HaveOccurred())
+		defer f.Close()
+		base, err := Read(f)
+		Expect(err).NotTo(HaveOccurred())
+		trace := Generate(base, 7, true)
+		Expect(Generate(base, 7, true)).To(Equal(trace))
+		down := map[string]bool{}
+		for i, e := range trace.Events {
+			if i > 0 {
+				Expect(e.T).To(BeNumerically(">=", trace.Events[i-1].T))
+			}
+			switch e.Op {
+			case OpWorkerDown, OpWorkerFaulty:
+				Expect(down).To(BeEmpty())
+				down[e.Worker] = true
+			case OpWorkerUp, OpWorkerHealthy:
+				delete(down, e.Worker)
+			}
+		}
+		Expect(down).To(BeEmpty())
+	})
+})
