Bound a list of jobs by the size of a message

Cause: a list of 10,000 jobs exceeds the 4 MB of a message and would reach no other entry. Change: the list ends where the message would become too large.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -200,7 +200,7 @@
 		_ = a.printJSON(map[string]any{"code": code, "name": code.String(), "message": result.MessageOf(err), "ran": code.Info().Ran})
 	} else {
 		fmt.Fprintf(a.env.Stderr, "%d %s: %s\n", int(code), code, result.MessageOf(err))
-		if action := code.Info().Action; action != "" {
+		if action := code.Info().Action; !strings.HasPrefix(action, "None") {
 			fmt.Fprintln(a.env.Stderr, "What to do:", action)
 		}
 	}
--- a/internal/jobs/serve.go
+++ b/internal/jobs/serve.go
@@ -19,6 +19,11 @@
 	MaxCancel = 10_000
 	// MaxList bounds the jobs of one list.
 	MaxList = 10_000
+	// maxListBytes bounds a list below wire.MaxMessageBytes, by the JSON size of
+	// the records, which exceeds that of their CBOR. listReasonBytes allows for a
+	// reason that is not recorded.
+	maxListBytes    = wire.MaxMessageBytes * 3 / 4
+	listReasonBytes = 256
 )
 
 func (t *term) serveSubmit(ctx context.Context, req *wire.JobSubmit) (*wire.JobReply, error) {
@@ -286,7 +291,12 @@
 	reply := &wire.JobListReply{Epoch: t.epoch}
 	err := t.do(ctx, func() {
 		reply.Unpacked = t.sched.Unpacked()
+		size := 0
 		for _, j := range t.list(req.Team, limit) {
+			size += len(j.page.encoded(j)) + listReasonBytes
+			if size > maxListBytes {
+				break
+			}
 			reply.Jobs = append(reply.Jobs, t.status(j))
 		}
 	})
--- a/internal/jobs/takeover_test.go
+++ b/internal/jobs/takeover_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -271,6 +272,30 @@
 		})
 	})
 
+	// Guards against a list that no other entry can receive, because it exceeds
+	// the bound of a message.
+	It("lists as many jobs as fit in one message", func() {
+		inRegion(1, 0, time.Second, func(ctx context.Context, r *region) {
+			h := running(ctx, r)
+			t := h.term.Load()
+			Expect(t.do(ctx, func() {
+				for i := range 5000 {
+					spec := testJob(fmt.Sprint("l", i), 1, 8)
+					spec.Command = []string{strings.Repeat("x", 2000)}
+					p := t.pages[PageOf(spec.ID)]
+					j := &job{page: p}
+					j.rec.Status = model.JobStatus{Job: spec, State: model.JobQueued}
+					p.jobs[spec.ID], t.jobs[spec.ID] = j, j
+				}
+			})).To(Succeed())
+			reply, err := h.List(ctx, "", MaxList)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(len(reply.Jobs)).To(BeNumerically(">", 1000))
+			_, err = wire.Marshal(reply)
+			Expect(err).NotTo(HaveOccurred())
+		})
+	})
+
 	It("drops ended jobs, the oldest first, when a page is full", func() {
 		p := newPage("north", 0)
 		t := &term{jobs: map[string]*job{}, pages: [Pages]*page{}}
