--- a/internal/planner/host_test.go
+++ b/internal/planner/host_test.go
@@ -22,6 +22,7 @@
 	log     []string
 	faults  []string
 	bad     map[string]bool // workers on which every start fails
+	drained map[string]bool
 	// impaired is set once a worker was down or faulty.
 	impaired bool
 }
@@ -40,7 +41,7 @@
 
 func newHost(teams []model.Team, workers ...model.Worker) *host {
 	h := &host{now: epoch, p: planner.New(model.Weights{CompletionTime: 1}), workers: map[string]model.Worker{},
-		used: map[string]model.Resources{}, jobs: map[string]*hosted{}, bad: map[string]bool{}}
+		used: map[string]model.Resources{}, jobs: map[string]*hosted{}, bad: map[string]bool{}, drained: map[string]bool{}}
 	h.p.SetTeams(h.now, teams)
 	for _, w := range workers {
 		h.workers[w.ID] = w
@@ -107,7 +108,7 @@
 	first, ok := h.workers[d.Workers[0]]
 	for _, id := range d.Workers {
 		w, up := h.workers[id]
-		ok = ok && up
+		ok = ok && up && !h.drained[id]
 		switch s.Adjacent {
 		case model.AdjacentHost:
 			ok = ok && id == first.ID
@@ -122,7 +123,7 @@
 		}
 	}
 	if !ok {
-		h.fault("%s breaks adjacency %s at %v", j.job.ID, s.Adjacent, d.Workers)
+		h.fault("%s breaks adjacency %s, or runs on a worker out of use, at %v", j.job.ID, s.Adjacent, d.Workers)
 	}
 	h.p.GangStarted(h.now, j.job.ID, d.Attempt)
 }
--- a/internal/planner/property_test.go
+++ b/internal/planner/property_test.go
@@ -31,7 +31,7 @@
 	jobs := 0
 	for range n {
 		k := rapid.IntRange(0, 1<<20).Draw(t, "choice")
-		switch rapid.IntRange(0, 11).Draw(t, "event") {
+		switch rapid.IntRange(0, 13).Draw(t, "event") {
 		case 0, 1, 2, 3, 4:
 			j := newJob(fmt.Sprintf("j%d", jobs), []string{"a", "b", "c"}[k%3], classes[k/3%4], shapes[k/12%len(shapes)])
 			jobs++
@@ -46,6 +46,11 @@
 			s = append(s, func(h *host) { h.up(pool[k%10]) })
 		case 10:
 			s = append(s, func(h *host) { h.bad[pool[k%10].ID] = k%3 == 0 })
+		case 12:
+			s = append(s, func(h *host) { h.drainWorker(pool[k%10].ID, k%3 > 0) })
+		case 13:
+			outcomes := []framework.Outcome{framework.OutcomeNotStarted, framework.OutcomeTaskFailed, framework.OutcomeOutOfMemory}
+			s = append(s, func(h *host) { h.endAny(k, outcomes[k%3]) })
 		case 11:
 			s = append(s, func(h *host) { h.pass(time.Duration(k%120) * time.Second) })
 		}
@@ -69,13 +74,27 @@
 	return "extra"
 }
 
-func (h *host) finish(k int) {
+func (h *host) finish(k int) { h.endAny(k, framework.OutcomeDone) }
+
+func (h *host) endAny(k int, outcome framework.Outcome) {
 	running := slices.DeleteFunc(slices.Clone(h.order), func(id string) bool { return h.jobs[id].state != model.JobRunning })
 	if len(running) > 0 {
-		h.end(running[k%len(running)], framework.OutcomeDone, "")
+		j := h.jobs[running[k%len(running)]]
+		blamed := ""
+		if outcome != framework.OutcomeDone {
+			blamed = j.workers[0]
+		}
+		h.end(j.job.ID, outcome, blamed)
 	}
 }
 
+func (h *host) drainWorker(id string, on bool) {
+	h.drained[id] = on
+	h.impaired = true
+	h.p.DrainWorker(h.now, id, on)
+	h.step()
+}
+
 func (h *host) up(w model.Worker) {
 	h.workers[w.ID] = w
 	h.p.AddWorker(h.now, w)
@@ -86,6 +105,7 @@
 func (h *host) drain() {
 	clear(h.bad)
 	for _, w := range smallPool() {
+		h.drainWorker(w.ID, false)
 		h.up(w)
 	}
 	for range 400 {
@@ -109,6 +129,11 @@
 // checkGuarantees asks the planner's own plan: with all workers in use, every
 // guarantee has a place as long as no claim is pinned in the way.
 func (h *host) checkGuarantees() {
+	for _, on := range h.drained {
+		if on {
+			return
+		}
+	}
 	if len(h.workers) == 10 && len(h.bad) == 0 && len(h.p.Unpacked()) > 0 {
 		h.fault("guarantees of %v do not pack", h.p.Unpacked())
 	}
