Measure the return of a worker from its quarantine if that came after the repair

Cause: the checker counted the time from an earlier repair, so that a worker quarantined hours later was reported as returned too late at once. A worker that was never repaired was not checked at all. Change: the time runs from the later of repair and quarantine, and also for workers that were never faulty; the limit of one hour stays. Measured: the new test fails on the old code (one violation too many) and passes; go test ./internal/replay passes.

--- a/internal/replay/checker.go
+++ b/internal/replay/checker.go
@@ -44,9 +44,19 @@
 	failedStarts int
 	reported     bool
 	quarantined  bool
+	quarantineAt time.Time
 	healthySince time.Time
 }
 
+// idleSince returns the time from which a worker in quarantine could have been
+// used again: its repair, or its quarantine if that came later.
+func (w *checkedWorker) idleSince() time.Time {
+	if w.quarantineAt.After(w.healthySince) {
+		return w.quarantineAt
+	}
+	return w.healthySince
+}
+
 // checker checks the stated outcomes at every instant.
 type checker struct {
 	pool       *pool
@@ -118,7 +128,7 @@
 }
 
 func (c *checker) workerFaulty(w int, now time.Time) {
-	c.workers[w] = checkedWorker{faulty: true, faultySince: now, quarantined: c.workers[w].quarantined}
+	c.workers[w] = checkedWorker{faulty: true, faultySince: now, quarantined: c.workers[w].quarantined, quarantineAt: c.workers[w].quarantineAt}
 	c.poolChanged()
 }
 
@@ -130,8 +140,11 @@
 
 func (c *checker) quarantine(w int, on bool, now time.Time) {
 	cw := &c.workers[w]
-	if !on && cw.quarantined && !cw.faulty && now.Sub(cw.healthySince) > returnLimit && !cw.healthySince.IsZero() {
-		c.violation(now, "", fmt.Sprintf("worker %s came back %v after it was healthy", c.pool.workers[w].ID, now.Sub(cw.healthySince)))
+	if idle := now.Sub(cw.idleSince()); !on && cw.quarantined && !cw.faulty && idle > returnLimit {
+		c.violation(now, "", fmt.Sprintf("worker %s came back %v after it was healthy", c.pool.workers[w].ID, idle))
+	}
+	if on && !cw.quarantined {
+		cw.quarantineAt = now
 	}
 	cw.quarantined = on
 }
@@ -397,7 +410,7 @@
 		c.violation(now, id, "the job has not ended")
 	}
 	for w, cw := range c.workers {
-		if cw.quarantined && !cw.faulty && c.pool.up[w] && !cw.healthySince.IsZero() && now.Sub(cw.healthySince) > returnLimit {
+		if cw.quarantined && !cw.faulty && c.pool.up[w] && now.Sub(cw.idleSince()) > returnLimit {
 			c.violation(now, "", "worker "+c.pool.workers[w].ID+" is still in quarantine")
 		}
 	}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -76,6 +76,21 @@
 			[]framework.Decision{place("j", "w0", "w1")}),
 	)
 
+	It("measures the return of a worker from its repair or its quarantine, whichever is later", func() {
+		trace, err := Read(strings.NewReader(smallPool))
+		Expect(err).NotTo(HaveOccurred())
+		c := newChecker(trace)
+		c.workerFaulty(0, at(0))
+		c.workerHealthy(0, at(1))
+		late := at(1).Add(3 * time.Hour)
+		c.quarantine(0, true, late)
+		c.quarantine(0, false, late.Add(returnLimit))
+		Expect(c.violations).To(BeEmpty())
+		c.quarantine(0, true, late.Add(2*returnLimit))
+		c.quarantine(0, false, late.Add(4*returnLimit))
+		Expect(c.violations).To(HaveLen(1))
+	})
+
 	It("accepts a gang that runs to its end", func() {
 		d := place("j", "w0", "w1")
 		d.Preemptible = true
