--- /dev/null
+++ b/internal/bench/document.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"snipegw/internal/model"
+	"snipegw/internal/wire"
+)
+
+const (
+	documentTeams      = 24
+	documentGuarantees = 3
+	documentTokens     = 2
+	documentPatches    = 256
+	changesPerDay      = 1400
+	secondsPerDay      = 24 * 3600
+)
+
+// documentSection prints the length of the configuration document for several
+// numbers of teams, and what its distribution costs an entry per home agent.
+func documentSection(_ *options, r *report) error {
+	r.title("Configuration document with %d patch records; each agent fetches each of %d versions a day", documentPatches, changesPerDay)
+	r.row("teams", "document bytes", "bytes on the wire", "bytes/s per home agent", "baseline: uncompressed bytes/s")
+	for _, teams := range []int{4, 8, 16, documentTeams} {
+		data, err := document(teams)
+		if err != nil {
+			return err
+		}
+		packed, err := wire.Marshal(&wire.ConfigReply{Version: 100_000, Document: data})
+		if err != nil {
+			return err
+		}
+		perSecond := func(n int) string { return fmt.Sprintf("%.0f", float64(n)*changesPerDay/secondsPerDay) }
+		r.row(teams, len(data), len(packed), perSecond(len(packed)), perSecond(len(data)))
+	}
+	return nil
+}
+
+// document returns a document with random ids and hashes, which do not compress.
+func document(teams int) ([]byte, error) {
+	random := rand.New(rand.NewPCG(1, 2))
+	c := model.Config{Version: 100_000}
+	for i := range teams {
+		t := model.Team{ID: fmt.Sprint("team-", i), Weight: 10}
+		for range documentGuarantees {
+			t.Guarantees = append(t.Guarantees, model.Guarantee{Count: 2, Shape: model.Shape{Tasks: 4, AcceleratorsPerTask: 8, CoresPerTask: 16, MemoryGBPerTask: 64, Adjacent: model.AdjacentRack}})
+		}
+		for range documentTokens {
+			t.TokenHashes = append(t.TokenHashes, fmt.Sprintf("%016x%016x%016x%016x", random.Uint64(), random.Uint64(), random.Uint64(), random.Uint64()))
+		}
+		c.Teams = append(c.Teams, t)
+	}
+	for range documentPatches {
+		c.Patches = append(c.Patches, model.PatchRecord{ID: fmt.Sprintf("patch-%016x", random.Uint64()), Version: 99_000, Time: time.Unix(1_900_000_000+random.Int64N(secondsPerDay), 0).UTC(), Author: "operator"})
+	}
+	return json.Marshal(c)
+}
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"reflect"
 	"testing"
 	"time"
@@ -65,6 +66,32 @@
 	})
 }
 
+// Guards against documents that change on the wire, and against a short message
+// that takes a lot of memory when it is decompressed.
+func TestDocumentIsCompressedAndBounded(t *testing.T) {
+	for _, n := range []int{0, 1, 100_000} {
+		text := bytes.Repeat([]byte("a"), n)
+		data, err := Marshal(&ConfigReply{Version: 2, Document: text})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var reply ConfigReply
+		if err := Unmarshal(data, &reply); err != nil || !bytes.Equal(reply.Document, text) || reply.Version != 2 {
+			t.Fatalf("%d bytes became %d: %v", n, len(reply.Document), err)
+		}
+		if n > 1000 && len(data) > n/100 {
+			t.Fatalf("%d bytes take %d on the wire", n, len(data))
+		}
+	}
+	data, err := Marshal(&ConfigReply{Document: make([]byte, MaxMessageBytes+1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Unmarshal(data, &ConfigReply{}); err == nil {
+		t.Fatal("accepted a document above the limit")
+	}
+}
+
 // Guards against a later process whose incarnation does not outrank the earlier
 // one.
 func TestIncarnationsCompareInOrderOfTime(t *testing.T) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -417,8 +417,8 @@
 
 // ConfigReply carries the document as JSON, empty if there is no newer one.
 type ConfigReply struct {
-	Version  uint64 `cbor:"1,keyasint"`
-	Document []byte `cbor:"2,keyasint,omitempty"`
+	Version  uint64   `cbor:"1,keyasint"`
+	Document Document `cbor:"2,keyasint,omitempty"`
 }
 
 // PeerUpdate passes worker states and events between entries of a region.
