Spread the state changes of the measured agents over time

All light agents began at the same place of their cycle, so that no state changed within the measured seconds and the exchange between entries carried none. They now begin at random places.

--- a/internal/bench/membership.go
+++ b/internal/bench/membership.go
@@ -180,7 +180,8 @@
 			return agents, err
 		}
 		id := fmt.Sprintf("w%04d", i)
-		agents = append(agents, &lightAgent{pool: pool, state: wire.WorkerState{
+		// Agents start at random places of the cycle, so that changes are spread.
+		agents = append(agents, &lightAgent{pool: pool, beats: rand.N(changeEvery), state: wire.WorkerState{
 			Worker: model.Worker{
 				ID: id, Rack: fmt.Sprint("rack-", i/3), FailureDomain: benchDomain, Region: benchRegion,
 				Capacity: model.Resources{Accelerators: 8, Cores: 32, MemoryGB: 128},
--- a/internal/bench/region.go
+++ b/internal/bench/region.go
@@ -30,6 +30,7 @@
 	*fleet
 	store   *countingProxy
 	entries []*entryProcess
+	agent   *process // nil in a region without one
 }
 
 type entryProcess struct {
--- a/internal/bench/requests.go
+++ b/internal/bench/requests.go
@@ -124,7 +124,8 @@
 	if err := waitFor("worker", answers("http://"+addrs[0]+"/v1/worker", "")); err != nil {
 		return err
 	}
-	_, err := r.start("agent", "snipegw-agent", nil, map[string]any{
+	var err error
+	r.agent, err = r.start("agent", "snipegw-agent", nil, map[string]any{
 		"region": benchRegion, "failure_domain": benchDomain, "address": addrs[1], "local_http_address": addrs[2],
 		"entries": []string{r.entries[0].quic}, "security": development, "log_level": "warn",
 		"worker_api": map[string]any{"type": "httpworker", "address": "http://" + addrs[0], "timeout_ms": 1000},
