Abort recorded stops that nobody reports, undo placements of ended jobs

Cause: the extended property of two planners (stale reads, slow calls, late lease writes, cancellations) found a job whose stop was recorded and whose gang had never started: the successor waited 4 s for reports. A policy that places a job again after its cancellation would have run it. Change: a recorded stop without a report is aborted at once; a placement of an ended job is given back to the policy. The policy of the tests queues a job again after every end that is not done or cancelled, as the contract says.

--- a/internal/jobs/fakes_test.go
+++ b/internal/jobs/fakes_test.go
@@ -55,6 +55,7 @@
 	running  map[string]*fifoGang
 	out2     []framework.Decision
 	attempts map[string]uint64
+	dropped  map[string]bool // cancelled while they ran
 }
 
 type fifoGang struct {
@@ -63,7 +64,7 @@
 }
 
 func newFifo() framework.Scheduler {
-	return &fifo{workers: map[string]model.Worker{}, out: map[string]bool{}, used: map[string]int{}, running: map[string]*fifoGang{}, attempts: map[string]uint64{}}
+	return &fifo{workers: map[string]model.Worker{}, out: map[string]bool{}, used: map[string]int{}, running: map[string]*fifoGang{}, attempts: map[string]uint64{}, dropped: map[string]bool{}}
 }
 
 func (f *fifo) SetTeams(time.Time, []model.Team) {}
@@ -98,6 +99,7 @@
 		}
 	}
 	if f.running[id] != nil {
+		f.dropped[id] = true
 		f.out2 = append(f.out2, framework.Decision{Kind: framework.Stop, Job: id, Attempt: f.attempts[id], Grace: time.Second})
 	}
 }
@@ -106,7 +108,7 @@
 	g := f.running[id]
 	delete(f.running, id)
 	f.hold(g.job, g.workers, -1)
-	if end.Outcome == framework.OutcomeNotStarted || end.Outcome == framework.OutcomeLost {
+	if end.Outcome != framework.OutcomeDone && !f.dropped[id] {
 		f.queue = append(f.queue, g.job)
 	}
 }
--- a/internal/jobs/faults_test.go
+++ b/internal/jobs/faults_test.go
@@ -137,7 +137,7 @@
 // start by a planner whose lease has passed on.
 func TestTwoPlanners(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		steps := rapid.SliceOfN(rapid.IntRange(0, 7), 5, 25).Draw(rt, "steps")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 11), 5, 30).Draw(rt, "steps")
 		waits := rapid.SliceOfN(rapid.IntRange(1, 2500), len(steps), len(steps)).Draw(rt, "waits_ms")
 		var failure error
 		synctest.Test(t, func(*testing.T) { failure = twoPlanners(steps, waits) })
@@ -184,6 +184,14 @@
 			hosts[i%2] = r.addHost(fmt.Sprintf("e%d", i+2))
 		case 7:
 			r.store.SetRule(nil)
+		case 8:
+			r.store.SetRule(onKeys("snipegw/", storetest.OpGet, storetest.Stale))
+		case 9:
+			r.store.SetRule(onKeys("snipegw/planner/", storetest.OpCAS, storetest.LateEffect))
+		case 10:
+			r.store.SetRule(onKeys("snipegw/", "", storetest.Slow))
+		case 11:
+			_, _ = hosts[i%2].Cancel(ctx, []string{fmt.Sprint("j", i/2)}, "")
 		}
 		time.Sleep(time.Duration(waits[i]) * time.Millisecond)
 	}
@@ -192,6 +200,16 @@
 	return checkHistory(ctx, r, hosts[0], accepted, refused)
 }
 
+// onKeys applies fault to all calls of op on keys with the prefix.
+func onKeys(prefix, op string, fault storetest.Fault) func(string, string) storetest.Fault {
+	return func(o, key string) storetest.Fault {
+		if strings.HasPrefix(key, prefix) && (op == "" || o == op) {
+			return fault
+		}
+		return storetest.None
+	}
+}
+
 func checkHistory(ctx context.Context, r *region, h *Host, accepted, refused map[string]bool) error {
 	for id := range accepted {
 		if !onPage(r, id) {
@@ -221,7 +239,15 @@
 		}
 	}
 	for id := range accepted {
-		if len(running) < 6 && running[id] == 0 {
+		st, err := h.Status(ctx, id)
+		switch {
+		case err != nil:
+			return fmt.Errorf("job %s: %w", id, err)
+		case st.Cancel && !st.State.Final():
+			return fmt.Errorf("job %s was cancelled and is %s", id, st.State)
+		case st.State.Final() && running[id] > 0:
+			return fmt.Errorf("job %s is %s and runs", id, st.State)
+		case !st.State.Final() && len(running) < 6 && running[id] == 0:
 			return fmt.Errorf("job %s does not run although the pool has room", id)
 		}
 	}
--- a/internal/jobs/takeover.go
+++ b/internal/jobs/takeover.go
@@ -173,7 +173,7 @@
 			running = false
 		}
 	}
-	if st.State == model.JobStarting && !reported(view, j) {
+	if (st.State == model.JobStarting || st.State == model.JobStopping) && !reported(view, j) {
 		running = false
 	}
 	if !running {
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -282,7 +282,8 @@
 		return
 	}
 	j := t.jobs[d.Job]
-	if j == nil {
+	if j == nil || j.rec.Status.State.Final() {
+		t.reject(d)
 		return
 	}
 	j.rec.Status.Reason = d.Reason
@@ -301,6 +302,17 @@
 	t.changed(j)
 }
 
+// reject undoes a placement of a job that has ended, for example because it was
+// cancelled while its gang was lost.
+func (t *term) reject(d *framework.Decision) {
+	if d.Kind != framework.Place {
+		return
+	}
+	now := time.Now()
+	t.sched.GangEnded(now, d.Job, framework.End{Attempt: d.Attempt, Outcome: framework.OutcomeNotStarted})
+	t.sched.Cancel(now, d.Job)
+}
+
 // refuse ends a job that can never run. A job that was accepted before waits for
 // the pool to grow instead: its caller has been told that it will run.
 func (t *term) refuse(j *job) {
