--- a/internal/planner/claim.go
+++ b/internal/planner/claim.go
@@ -177,8 +177,8 @@
 }
 
 const (
-	futureEnds = 4
-	nowWeight  = 3
+	futureEnds = 8
+	nowWeight  = 10
 )
 
 // price is the cost of an option with that of the workers on which it is the
@@ -204,7 +204,7 @@
 }
 
 // pinCost is in accelerator-seconds of lost work.
-const pinCost = 500
+const pinCost = 5000
 
 // lay enters an option into the plan.
 func (p *Planner) lay(s *packing.Slot, j *job, o option) bool {
