Keep the claim of a new home entry until heartbeats stay away

Cause: when an agent changed its home entry, the old home had a heartbeat of less than 1.5 s ago and refused the state that the new home passed on. An unchanged state is sent once, so the old home counted the worker as dead after 5 s and for good; on the planner's entry the worker then got no jobs. Seen by hand with make up: w2 idle while six jobs waited. Ruled out: the planner; it was told that the worker had failed. Change: the claim is remembered and taken over when heartbeats stay away; a heartbeat that does arrive announces the worker again. Conclusion: the property test of one table could not find this; the new test exchanges updates between two tables.

--- /dev/null
+++ b/internal/members/home_test.go
@@ -0,0 +1,103 @@
+package members
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"snipegw/internal/wire"
+)
+
+// entryPair is two tables that exchange updates as links do.
+type entryPair struct {
+	tables [2]*Table
+	infos  [2]wire.EntryInfo
+	since  [2]uint64
+	full   [2]bool
+	now    time.Time
+}
+
+func newEntryPair() *entryPair {
+	p := &entryPair{now: start, full: [2]bool{true, true}}
+	for i := range p.tables {
+		p.infos[i] = entryInfo(fmt.Sprintf("entry-%d", i), 1)
+		p.tables[i] = NewTable(p.infos[i], p.now)
+	}
+	return p
+}
+
+// step lets an exchange interval pass and sends an update in each direction.
+func (p *entryPair) step() {
+	p.now = p.now.Add(ExchangeInterval)
+	for from := range p.tables {
+		states, silent, next := p.tables[from].Own(p.now, p.since[from], p.full[from])
+		need, err := p.tables[1-from].Peer(p.now, &wire.PeerUpdate{From: p.infos[from], Full: p.full[from], States: states, Silent: silent})
+		Expect(err).NotTo(HaveOccurred())
+		p.since[from], p.full[from] = next, need
+	}
+	for _, t := range p.tables {
+		t.Tick(p.now)
+	}
+}
+
+// beat sends a heartbeat to an entry, with the state if the entry asks for it.
+func (p *entryPair) beat(entry int) {
+	need, err := p.tables[entry].Heartbeat(p.now, beat("w", 1, 1, false))
+	Expect(err).NotTo(HaveOccurred())
+	if need {
+		_, err = p.tables[entry].Heartbeat(p.now, beat("w", 1, 1, true))
+		Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+var _ = ginkgo.Describe("a worker whose agent changes its home entry", func() {
+	// An entry that still had a recent heartbeat refused the claim of the new home
+	// and never heard it again, since an unchanged state is sent once. The worker
+	// then counted as dead on that entry for good.
+	ginkgo.DescribeTable("stays alive on both entries", func(before int) {
+		p := newEntryPair()
+		stepsPerBeat := int(HeartbeatInterval / ExchangeInterval)
+		for i := range before * stepsPerBeat {
+			if i%stepsPerBeat == 0 {
+				p.beat(0)
+			}
+			p.step()
+		}
+		for i := range 20 * stepsPerBeat {
+			if i%stepsPerBeat == 0 {
+				p.beat(1)
+			}
+			p.step()
+			for _, t := range p.tables {
+				Expect(t.View().Workers["w"].Health).To(Equal(Alive))
+			}
+		}
+	},
+		ginkgo.Entry("at once", 1), ginkgo.Entry("after 3 s", 3), ginkgo.Entry("after 10 s", 10),
+	)
+
+	ginkgo.It("stays alive on both entries for any sequence of changes", func() {
+		const beats = 200
+		seed := uint64(time.Now().UnixNano())
+		ginkgo.GinkgoWriter.Println("seed", seed)
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		p := newEntryPair()
+		home := 0
+		stepsPerBeat := int(HeartbeatInterval / ExchangeInterval)
+		for i := range beats * stepsPerBeat {
+			if i%stepsPerBeat == 0 {
+				if rnd.IntN(4) == 0 {
+					home = 1 - home
+				}
+				p.beat(home)
+			}
+			p.step()
+			for _, t := range p.tables {
+				Expect(t.View().Workers["w"].Health).NotTo(Equal(Dead), "seed %d step %d", seed, i)
+			}
+		}
+	})
+})
--- a/internal/members/peers.go
+++ b/internal/members/peers.go
@@ -120,6 +120,7 @@
 	if newerState(&r.state, s) {
 		r.state = *s
 		r.home = from
+		r.claim = ""
 		t.changed(r)
 		t.seen(r, now, now)
 		return
@@ -127,6 +128,9 @@
 	same := s.Incarnation == r.state.Incarnation && s.Seq == r.state.Seq
 	// Heartbeats that still arrive here outweigh the claim of another entry.
 	ours := r.home == t.self && now.Sub(r.lastSeen) < overdue
+	if same && ours {
+		r.claim = from
+	}
 	if same && !ours && r.home != from {
 		r.home = from
 		t.changed(r)
@@ -138,6 +142,9 @@
 // age out unless another entry lists them.
 func (t *Table) disown(from string, listed map[string]bool) {
 	for id, r := range t.workers {
+		if r.claim == from && !listed[id] {
+			r.claim = ""
+		}
 		if r.home == from && !listed[id] {
 			r.home = ""
 			t.changed(r)
@@ -152,6 +159,10 @@
 		silent[s.Worker] = time.Duration(max(0, s.AgeMS)) * time.Millisecond
 	}
 	for id, r := range t.workers {
+		if r.claim == u.From.ID && now.Sub(r.lastSeen) >= overdue {
+			r.home, r.claim = r.claim, ""
+			t.changed(r)
+		}
 		if r.home == u.From.ID {
 			t.seen(r, now.Add(-silent[id]), now)
 		}
--- a/internal/members/table.go
+++ b/internal/members/table.go
@@ -26,6 +26,10 @@
 	home     string
 	lastSeen time.Time
 	health   Health
+	// claim is another entry that has listed the worker as its own while
+	// heartbeats still counted as arriving here; it becomes the home when they
+	// stay away. A peer sends a state once, so that the claim must be kept.
+	claim string
 	// change is the value of Table.changes at the last change that other
 	// entries must learn.
 	change uint64
@@ -178,6 +182,10 @@
 		r.home = t.self
 		t.changed(r)
 	}
+	if r.claim != "" {
+		r.claim = ""
+		t.changed(r) // tells the other entry that the worker has returned
+	}
 	at := now
 	if hb.Leaving {
 		at = now.Add(-SuspectAfter)
