Explain a waiting job that was not tried by itself

Cause: a job behind an equal one that finds no place is not tried, and kept the reason 'has not been considered yet' for as long as it waited. Measured: go test ./internal/planner ./internal/jobs passes.

--- a/internal/planner/events.go
+++ b/internal/planner/events.go
@@ -134,7 +134,7 @@
 		p.emit(framework.Decision{Kind: framework.Refuse, Job: m.ID, Reason: explain.Refusal(m.Shape, p.largest())})
 		return
 	}
-	j.reason = explain.New(explain.WaitingForCapacity, "the job was submitted and has not been considered yet")
+	j.reason = explain.Waiting(j.Shape) // until a decision says otherwise; jobs behind an equal one are not tried
 	p.enqueue(now, j)
 }
 
