Observe gangs longer than the bound of P2 and start faults earlier

Gangs ran for 6 s, so a part alone for more than 5 s could not have been seen. They now run for 120 s and are observed past the bound; faults also begin before the submission.

--- a/internal/proof/p2_gang.go
+++ b/internal/proof/p2_gang.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -11,15 +12,20 @@
 
 const (
 	gangTasks = 3
-	// gangRunMS is the run time of a gang, longer than detection and restart.
-	gangRunMS = 6000
+	// gangRunMS is the run time of a gang. It is longer than a case, so that a
+	// part that runs too long is not hidden by the end of its work.
+	gangRunMS = 120_000
+	// observeFault and observePlanned are the times from the beginning of a fault
+	// to the end of its case; each is longer than the bound that it checks.
+	observeFault   = partBound + 1500*time.Millisecond
+	observePlanned = plannedBound + time.Second
 	// partBound and plannedBound are the bounds of P2 for a part that runs
 	// without the rest.
 	partBound    = 5 * time.Second
 	plannedBound = 20 * time.Second
-	// gangEnd bounds the end of a gang after its fault has ended; it is no
+	// gangEnd bounds the wait for a gang after its fault has ended; it is no
 	// promise.
-	gangEnd = 25 * time.Second
+	gangEnd = 15 * time.Second
 )
 
 // gangProof checks P2: an observer reads the task logs of the workers while
@@ -27,17 +33,25 @@
 // the start and the run of a gang.
 func gangProof() Proof {
 	return Proof{
-		Name: "gang-atomicity", Promise: "P2", Limit: 290 * time.Second,
+		Name: "gang-atomicity", Promise: "P2", Limit: 330 * time.Second,
 		Bound: "0 starts before all reservations, part alone at most 5s, 20s in a planned restart",
 		Run:   runGangProof,
 	}
 }
 
+// phase says when a fault begins.
+type phase int
+
+const (
+	beforeSubmission phase = iota
+	atStart                // within the time in which a gang is reserved and started
+	inRun
+)
+
 // gangCase is one fault in the life of a gang.
 type gangCase struct {
-	name string
-	// running injects the fault while the gang runs, not while it starts.
-	running bool
+	name    string
+	when    phase
 	planned bool
 	hold    time.Duration
 	// fault chooses the fault; first is the agent of rank 0, member another one.
@@ -63,30 +77,38 @@
 	restart := one(func(_ *Cluster, _, _, m *Node) fault { return restarted(m) })
 	restartFirst := one(func(_ *Cluster, _, f, _ *Node) fault { return restarted(f) })
 	both := func(c *Cluster, p, _, m *Node) []fault { return []fault{killed(c, p), killed(c, m)} }
-	failing := one(func(c *Cluster, _, _, m *Node) fault {
-		return switched(c.workerOf(m), "fail tasks", map[string]any{"fail_tasks": true}, map[string]any{"fail_tasks": false})
-	})
+	worker := func(name string, on, off map[string]any) func(*Cluster, *Node, *Node, *Node) []fault {
+		return one(func(c *Cluster, _, _, m *Node) fault { return switched(c.workerOf(m), name, on, off) })
+	}
+	failing := worker("fail tasks", map[string]any{"fail_tasks": true}, map[string]any{"fail_tasks": false})
+	slow := worker("slow", map[string]any{"slow_ms": 900}, map[string]any{"slow_ms": 0})
+	dead := worker("down", map[string]any{"down": true}, map[string]any{"down": false})
+	loseOrders := worker("lose answers", map[string]any{"lose_next": 3}, map[string]any{"lose_next": 0})
 	short, long := 400*time.Millisecond, 3500*time.Millisecond
 	return []gangCase{
-		{"kill member at start", false, false, short, killMember},
-		{"kill supervisor at start", false, false, short, killFirst},
-		{"freeze member at start", false, false, long, freezeMember},
-		{"kill planner at start", false, false, short, killPlanner},
-		{"freeze planner at start", false, false, long, freezePlanner},
-		{"isolate member at start", false, false, long, isolateMember},
-		{"cut members at start", false, false, long, cutMembers},
-		{"store down at start", false, false, long, down},
-		{"store loses answers at start", false, false, long, loses},
-		{"worker fails tasks", false, false, long, failing},
-		{"kill planner and member at start", false, false, short, both},
-		{"kill member in run", true, false, short, killMember},
-		{"kill supervisor in run", true, false, short, killFirst},
-		{"freeze member in run", true, false, long, freezeMember},
-		{"freeze supervisor in run", true, false, long, freezeFirst},
-		{"isolate member in run", true, false, long, isolateMember},
-		{"cut members in run", true, false, long, cutMembers},
-		{"restart member in run", true, true, short, restart},
-		{"restart supervisor in run", true, true, short, restartFirst},
+		{"worker fails tasks", beforeSubmission, false, long, failing},
+		{"worker slow", beforeSubmission, false, long, slow},
+		{"worker interface down", beforeSubmission, false, long, dead},
+		{"worker loses answers", beforeSubmission, false, long, loseOrders},
+		{"member frozen", beforeSubmission, false, long, freezeMember},
+		{"store loses answers", beforeSubmission, false, long, loses},
+		{"kill member at start", atStart, false, short, killMember},
+		{"kill supervisor at start", atStart, false, short, killFirst},
+		{"freeze member at start", atStart, false, long, freezeMember},
+		{"kill planner at start", atStart, false, short, killPlanner},
+		{"freeze planner at start", atStart, false, long, freezePlanner},
+		{"isolate member at start", atStart, false, long, isolateMember},
+		{"cut members at start", atStart, false, long, cutMembers},
+		{"store down at start", atStart, false, long, down},
+		{"kill planner and member at start", atStart, false, short, both},
+		{"kill member in run", inRun, false, long, killMember},
+		{"kill supervisor in run", inRun, false, long, killFirst},
+		{"freeze member in run", inRun, false, long, freezeMember},
+		{"freeze supervisor in run", inRun, false, long, freezeFirst},
+		{"isolate member in run", inRun, false, long, isolateMember},
+		{"cut members in run", inRun, false, long, cutMembers},
+		{"restart member in run", inRun, true, short, restart},
+		{"restart supervisor in run", inRun, true, short, restartFirst},
 	}
 }
 
@@ -155,7 +177,7 @@
 }
 
 func (w gangWorst) String() string {
-	return fmt.Sprintf("%d early starts, part alone %s (%s), planned %s; %d attempts, %d gangs done, %d ranks twice",
+	return fmt.Sprintf("%d early starts, part alone %s (%s), planned %s; %d attempts, %d gangs whole after the fault, %d ranks twice",
 		w.early, w.part, w.partCase, w.planned, w.attempts, w.completed, w.duplicates)
 }
 
@@ -181,7 +203,10 @@
 	sleep(ctx, 4*time.Second)
 	joined := time.Now().UnixMilli()
 	c.Isolate(cut, false)
-	end, err := e.awaitEnd(ctx, c, client, job.ID)
+	if _, err := awaitRunning(ctx, c, client, job.ID); err != nil {
+		return err
+	}
+	worst.completed++
 	obs.poll()
 	for _, a := range obs.Attempts(job.ID, gangTasks) {
 		worst.attempts++
@@ -189,28 +214,7 @@
 			worst.early += a.Started
 		}
 	}
-	if err == nil && end.State == model.JobDone {
-		worst.completed++
-	}
-	return err
-}
-
-// awaitEnd waits until a job has ended, and cancels it after gangEnd.
-func (e *Env) awaitEnd(ctx context.Context, c *Cluster, client *Client, id string) (model.JobStatus, error) {
-	endCtx, cancel := context.WithTimeout(ctx, gangEnd)
-	defer cancel()
-	final := func(st model.JobStatus) bool { return st.State.Final() }
-	st, err := client.AwaitJob(endCtx, c.Entries, id, final)
-	if err == nil {
-		return st, nil
-	}
-	e.note("job %s has not ended: %v; it is cancelled", id, err)
-	if err := client.Cancel(ctx, c.Entries, id); err != nil {
-		return st, err
-	}
-	cancelCtx, cancelEnd := context.WithTimeout(ctx, gangEnd)
-	defer cancelEnd()
-	return client.AwaitJob(cancelCtx, c.Entries, id, final)
+	return e.cancel(ctx, c, client, job.ID)
 }
 
 func (e *Env) gangCase(ctx context.Context, c *Cluster, client *Client, obs *Observer, gc gangCase, id string, worst *gangWorst) error {
@@ -221,41 +225,98 @@
 	if planner == nil {
 		return fmt.Errorf("no planner is known")
 	}
-	job := gangJob(id)
-	if _, err := client.Submit(ctx, c.Entries, job); err != nil {
+	if err := releaseWorkers(ctx, c, client); err != nil {
 		return err
 	}
 	first, member := c.Agents[0], c.Agents[1+e.Rand.IntN(len(c.Agents)-1)]
-	if gc.running {
-		waitCtx, cancel := context.WithTimeout(ctx, gangEnd)
-		defer cancel()
-		st, err := client.AwaitJob(waitCtx, c.Entries, id, func(st model.JobStatus) bool { return st.State == model.JobRunning })
+	var active sync.WaitGroup
+	inject := func() {
+		e.note("case %s: first %s, member %s, planner %s", gc.name, first.ID, member.ID, planner.ID)
+		for _, f := range gc.fault(c, planner, first, member) {
+			active.Go(func() { e.hold(ctx, f, gc.hold) })
+		}
+	}
+	if gc.when == beforeSubmission {
+		inject()
+		sleep(ctx, 30*time.Millisecond) // the fault order takes effect first
+	}
+	if err := e.submitUntil(ctx, c, client, gangJob(id)); err != nil {
+		return err
+	}
+	switch gc.when {
+	case atStart:
+		sleep(ctx, e.between([2]time.Duration{0, 40 * time.Millisecond}))
+		inject()
+	case inRun:
+		st, err := awaitRunning(ctx, c, client, id)
 		if err != nil {
 			return err
 		}
 		first, member = c.ranked(st, first, member)
 		sleep(ctx, e.between([2]time.Duration{300 * time.Millisecond, time.Second}))
-	} else {
-		sleep(ctx, e.between([2]time.Duration{0, 60 * time.Millisecond}))
-	}
-	e.note("case %s: first %s, member %s, planner %s", gc.name, first.ID, member.ID, planner.ID)
-	var active sync.WaitGroup
-	for _, f := range gc.fault(c, planner, first, member) {
-		active.Go(func() { e.hold(ctx, f, gc.hold) })
+		inject()
 	}
+	began := time.Now()
 	active.Wait()
-	end, err := e.awaitEnd(ctx, c, client, id)
-	if err != nil {
-		return err
-	}
-	if end.State == model.JobDone {
+	if _, err := awaitRunning(ctx, c, client, id); err != nil {
+		e.note("case %s: the gang does not run again: %v", gc.name, err)
+	} else {
 		worst.completed++
 	}
+	observe := observeFault
+	if gc.planned {
+		observe = observePlanned
+	}
+	sleep(ctx, time.Until(began.Add(observe)))
 	obs.poll()
 	worst.add(gc, obs.Attempts(id, gangTasks))
+	return e.cancel(ctx, c, client, id)
+}
+
+// releaseWorkers returns workers that an earlier case had quarantined, since a
+// gang needs all of them.
+func releaseWorkers(ctx context.Context, c *Cluster, client *Client) error {
+	for _, w := range c.Workers {
+		err := firstOf(c.Entries, func(n *Node) error {
+			return client.JSON(ctx, http.MethodPost, n.URL()+"/v1/workers/"+w.ID+"/release", nil, nil)
+		})
+		if err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
+// submitUntil submits a job, again while the store loses answers.
+func (e *Env) submitUntil(ctx context.Context, c *Cluster, client *Client, job model.Job) error {
+	ctx, cancel := context.WithTimeout(ctx, gangEnd)
+	defer cancel()
+	for {
+		_, err := client.Submit(ctx, c.Entries, job)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		sleep(ctx, 100*time.Millisecond)
+	}
+}
+
+func awaitRunning(ctx context.Context, c *Cluster, client *Client, id string) (model.JobStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, gangEnd)
+	defer cancel()
+	return client.AwaitJob(ctx, c.Entries, id, func(st model.JobStatus) bool { return st.State == model.JobRunning })
+}
+
+// cancel cancels a job and waits for its end.
+func (e *Env) cancel(ctx context.Context, c *Cluster, client *Client, id string) error {
+	ctx, stop := context.WithTimeout(ctx, gangEnd)
+	defer stop()
+	if err := client.Cancel(ctx, c.Entries, id); err != nil {
+		return err
+	}
+	_, err := client.AwaitJob(ctx, c.Entries, id, func(st model.JobStatus) bool { return st.State.Final() })
+	return err
+}
+
 // add takes the attempts of one case into account.
 func (w *gangWorst) add(gc gangCase, attempts []Attempt) {
 	for _, a := range attempts {
