--- a/internal/proof/proof.go
+++ b/internal/proof/proof.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"path/filepath"
+	"strings"
 	"time"
 )
 
@@ -48,6 +49,22 @@
 	}
 }
 
+// RunAll runs the proofs whose names contain only. It reports whether there is
+// one and every one passed, or with Control failed.
+func RunAll(ctx context.Context, e Env, only string, out io.Writer) bool {
+	ok, ran := true, 0
+	for _, p := range Proofs() {
+		if strings.Contains(p.Name, only) && ctx.Err() == nil {
+			ok = RunOne(ctx, p, e, out) != e.Control && ok
+			ran++
+		}
+	}
+	if ran == 0 {
+		fmt.Fprintf(out, "no proof is named like %q\n", only)
+	}
+	return ok && ran > 0 && ctx.Err() == nil
+}
+
 // RunOne runs a proof and writes its line to out. It reports whether it passed.
 func RunOne(ctx context.Context, p Proof, e Env, out io.Writer) bool {
 	e.Rand = rand.New(rand.NewPCG(e.Seed, 7))
--- /dev/null
+++ b/internal/standin/component.go
@@ -0,0 +1,43 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+)
+
+// Server is a running stand-in.
+type Server interface {
+	// Addr returns host:port.
+	Addr() string
+	// Stop ends the stand-in gracefully.
+	Stop(ctx context.Context) error
+}
+
+// Component gives a stand-in the life cycle of kernel.Component.
+type Component struct {
+	name   string
+	start  func() (Server, error)
+	server Server
+}
+
+// NewComponent returns a component that runs the stand-in that start starts.
+func NewComponent(name string, start func() (Server, error)) *Component {
+	return &Component{name: name, start: start}
+}
+
+// Name implements kernel.Component.
+func (c *Component) Name() string { return c.name }
+
+// Start implements kernel.Component and prints the address.
+func (c *Component) Start(context.Context) error {
+	s, err := c.start()
+	if err != nil {
+		return err
+	}
+	c.server = s
+	fmt.Printf("%s listens on %s\n", c.name, s.Addr())
+	return nil
+}
+
+// Stop implements kernel.Component.
+func (c *Component) Stop(ctx context.Context) error { return c.server.Stop(ctx) }
