Let an operator's release end a quarantine of the planner

The order reached the agent and the job host, but the planner kept its own quarantine until its probe after 5 minutes, so jobs stayed queued. The Scheduler interface has ReleaseWorker for it.

--- a/internal/jobs/fakes_test.go
+++ b/internal/jobs/fakes_test.go
@@ -72,7 +72,9 @@
 func (f *fifo) AddWorker(_ time.Time, w model.Worker) {
 	f.workers[w.ID] = w
 }
-func (f *fifo) RemoveWorker(_ time.Time, id string)         { delete(f.workers, id) }
+func (f *fifo) RemoveWorker(_ time.Time, id string) { delete(f.workers, id) }
+func (f *fifo) ReleaseWorker(time.Time, string)     {}
+
 func (f *fifo) DrainWorker(_ time.Time, id string, on bool) { f.out[id] = on }
 func (f *fifo) Submit(_ time.Time, job model.Job)           { f.queue = append(f.queue, job) }
 func (f *fifo) GangStarted(time.Time, string, uint64)       {}
--- a/internal/jobs/serve.go
+++ b/internal/jobs/serve.go
@@ -361,6 +361,7 @@
 		b.judged, b.probing = false, false
 		b.held = time.Time{}
 		b.released = now
+		t.sched.ReleaseWorker(now, req.Worker)
 	}
 	drain := req.Action != actionRelease
 	if drain != b.drained {
--- a/internal/planner/events.go
+++ b/internal/planner/events.go
@@ -59,6 +59,17 @@
 	p.healthChanged()
 }
 
+// ReleaseWorker implements framework.Scheduler.
+func (p *Planner) ReleaseWorker(_ time.Time, id string) {
+	w := p.pool.Get(id)
+	if w == nil || !w.Quarantined && !w.Probing && !w.Suspect {
+		return
+	}
+	w.Quarantined, w.Probing, w.Suspect = false, false, false
+	p.faults.Reset(id)
+	p.healthChanged()
+}
+
 func (p *Planner) healthChanged() {
 	p.health++
 	p.pool.Releases++
--- a/internal/planner/faults/faults.go
+++ b/internal/planner/faults/faults.go
@@ -179,6 +179,10 @@
 	return cleared
 }
 
+// Reset drops the failures counted against a worker. It says nothing about the
+// jobs that failed there.
+func (t *Tracker) Reset(worker string) { delete(t.workers, worker) }
+
 // Succeeded notes that a gang runs well on a worker.
 func (t *Tracker) Succeeded(worker string) {
 	r := t.workers[worker]
--- a/internal/planner/framework/framework.go
+++ b/internal/planner/framework/framework.go
@@ -29,6 +29,9 @@
 	RemoveWorker(now time.Time, id string)
 	// DrainWorker forbids (on) or allows (off) new placements on a worker.
 	DrainWorker(now time.Time, id string, on bool)
+	// ReleaseWorker ends a quarantine that the scheduler has decided, on the
+	// order of an operator.
+	ReleaseWorker(now time.Time, id string)
 	// Submit adds a job. The job is answered by a decision Place, Refuse or
 	// Park, or it waits.
 	Submit(now time.Time, job model.Job)
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -124,6 +124,25 @@
 		Expect(h.faults).To(BeEmpty())
 	})
 
+	// Guards against an order that leaves the worker out of use until its probe.
+	It("is dropped when an operator releases the worker", func() {
+		h := newHost(nil, worker(0, 0, 0, 8), worker(0, 0, 1, 8))
+		h.bad["w0-0-0"] = true
+		for _, id := range []string{"j0", "j1", "j2", "j3"} {
+			h.submit(newJob(id, "a", model.ClassPreemptible, shape(1, 4, model.AdjacentHost)))
+			h.settle()
+		}
+		Expect(h.log).To(ContainElement("quarantine  w0-0-0 [] several_jobs_failed"))
+		delete(h.bad, "w0-0-0")
+		h.submit(newJob("j4", "a", model.ClassPreemptible, shape(1, 4, model.AdjacentHost)))
+		h.pass(10 * time.Second)
+		Expect(h.jobs["j4"].state).To(Equal(model.JobQueued))
+		h.p.ReleaseWorker(h.now, "w0-0-0")
+		h.step()
+		Expect(h.jobs["j4"].state).To(Equal(model.JobRunning))
+		Expect(h.faults).To(BeEmpty())
+	})
+
 	It("falls on a job that fails on several workers", func() {
 		h := newHost(nil, smallPool()...)
 		h.bad["never"] = true
--- a/internal/replay/baseline.go
+++ b/internal/replay/baseline.go
@@ -90,6 +90,9 @@
 // DrainWorker implements framework.Scheduler.
 func (b *baseline) DrainWorker(_ time.Time, id string, on bool) { b.pool.up[b.pool.index[id]] = !on }
 
+// ReleaseWorker implements framework.Scheduler. A baseline quarantines no worker.
+func (b *baseline) ReleaseWorker(time.Time, string) {}
+
 // Submit implements framework.Scheduler.
 func (b *baseline) Submit(_ time.Time, job model.Job) {
 	j := &baselineJob{job: job, avoid: make(map[int]bool)}
