Move claims that keep guarantees from packing

Cause: after a worker failed or was quarantined, claims that run in unlucky places left unclaimed guarantees without a place until one of them ended, and a claim that arrived meanwhile was late.

--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -26,6 +26,8 @@
 		p.throttled = time.Time{}
 		p.pool.Releases++
 	}
+	p.assignSlots(now)
+	p.keepPackable(now)
 	p.keepPromises(now)
 	p.placeClaims(now)
 	p.placeBatch(now)
--- a/internal/planner/explain/explain.go
+++ b/internal/planner/explain/explain.go
@@ -22,6 +22,7 @@
 	PreemptedForLarge  = "preempted_for_large_job"
 	PreemptedForShort  = "preempted_for_shorter_job"
 	Moved              = "moved_to_free_a_place"
+	MovedForGuarantees = "moved_to_keep_guarantees"
 	Impossible         = "impossible_shape"
 	Parked             = "pool_too_small_at_present"
 	JobAtFault         = "failed_on_several_workers"
--- a/internal/planner/packing/plan.go
+++ b/internal/planner/packing/plan.go
@@ -135,7 +135,10 @@
 			former[s] = s.Workers
 		}
 	}
-	if p.solve(free) {
+	if p.solve(free) || p.solveFirst(free, (*Slot).open) {
+		return true
+	}
+	if p.solveFirst(free, func(s *Slot) bool { return s.open() && s.Job != "" }) {
 		return true
 	}
 	before, best := placed(free), -1
@@ -161,6 +164,28 @@
 	return false
 }
 
+// solveFirst packs the slots that are needed first and the others into what is
+// left. It reports false, and changes nothing, if none is needed or the needed
+// ones do not pack.
+func (p *Plan) solveFirst(slots []*Slot, needed func(*Slot) bool) bool {
+	var first, rest []*Slot
+	for _, s := range slots {
+		if needed(s) {
+			first = append(first, s)
+		} else {
+			rest = append(rest, s)
+		}
+	}
+	if len(first) == 0 || !p.solve(first) {
+		return false
+	}
+	for _, s := range rest {
+		p.lift(s)
+	}
+	p.placeAll(rest)
+	return true
+}
+
 func placed(slots []*Slot) int {
 	n := 0
 	for _, s := range slots {
@@ -391,11 +416,11 @@
 	return 3
 }
 
-// Unpacked returns the teams with a slot that has no place, in order.
+// Unpacked returns the teams with an open slot that has no place, in order.
 func (p *Plan) Unpacked() []string {
 	var teams []string
 	for _, s := range p.Slots {
-		if s.Workers == nil && !slices.Contains(teams, s.Team) {
+		if s.Workers == nil && s.open() && !slices.Contains(teams, s.Team) {
 			teams = append(teams, s.Team)
 		}
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -4,6 +4,13 @@
 // (placement), queue (order), estimate (run times), faults (blame and
 // quarantine), reclaim (choice of victims), repair (moves) and explain (reasons).
 //
+// Guarantees that are not claimed keep a place at all times. When workers fail or
+// are quarantined and claims that run lie in the way, although the healthy pool
+// could hold all guarantees, the smallest set of claims is moved (relocate.go),
+// of equal sets the one that loses the least work. A move stops a claim with
+// Grace for its checkpoint and starts it again at once. Cheap moves are made at
+// once, others when a claim waits for the room.
+//
 // It is pure: no I/O, no goroutine, no clock, and no iteration over maps that
 // could change a decision.
 package planner
--- /dev/null
+++ b/internal/planner/relocate_test.go
@@ -0,0 +1,113 @@
+package planner_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"snipegw/internal/model"
+)
+
+// claimOneHost submits five claims of one whole worker each.
+func claimOneHost(h *host, checkpointMS int64) {
+	for i := range 5 {
+		j := newJob(fmt.Sprintf("c%d", i), "b", model.ClassGuaranteed, shape(1, 8, model.AdjacentHost))
+		j.CheckpointMS = checkpointMS
+		h.submit(j)
+	}
+	h.pass(time.Minute)
+}
+
+// besideOneClaim returns an idle worker of a rack in which one claim runs.
+func besideOneClaim(h *host) string {
+	claims := map[string]int{}
+	for _, w := range smallPool() {
+		if h.used[w.ID].Accelerators > 0 {
+			claims[w.Rack]++
+		}
+	}
+	for _, w := range smallPool() {
+		if claims[w.Rack] == 1 && h.used[w.ID].Accelerators == 0 {
+			return w.ID
+		}
+	}
+	return ""
+}
+
+func moves(h *host) int {
+	return strings.Count(strings.Join(h.log, "\n"), "moved_to_keep_guarantees")
+}
+
+var _ = Describe("a claim that blocks guarantees", func() {
+	// Each entry guards against guarantees that stay without a place until a claim
+	// ends, although the pool that is left could hold all of them.
+	DescribeTable("is moved", func(script func(h *host), expected int) {
+		h := newHost(twoTeams(), smallPool()...)
+		claimOneHost(h, 60_000)
+		script(h)
+		h.settle()
+		h.pass(time.Second)
+		Expect(moves(h)).To(Equal(expected))
+		if expected > 0 {
+			Expect(h.p.Unpacked()).To(BeEmpty())
+		}
+		for _, id := range h.order {
+			Expect(h.jobs[id].state).To(Equal(model.JobRunning), id)
+			Expect(h.jobs[id].batch).To(BeFalse(), id)
+		}
+		Expect(h.faults).To(BeEmpty())
+	},
+		Entry("after the loss of a worker", func(h *host) {
+			h.down(besideOneClaim(h))
+		}, 1),
+		Entry("before an urgent claim that arrives meanwhile is late", func(h *host) {
+			h.down(besideOneClaim(h))
+			h.submit(newJob("u0", "a", model.ClassUrgent, shape(2, 8, model.AdjacentRack)))
+			h.submit(newJob("u1", "a", model.ClassUrgent, shape(2, 8, model.AdjacentRack)))
+		}, 1),
+		Entry("when a faulty worker is quarantined under an urgent claim", func(h *host) {
+			h.bad[besideOneClaim(h)] = true
+			h.impaired = true
+			h.submit(newJob("u0", "a", model.ClassUrgent, shape(2, 8, model.AdjacentRack)))
+			h.submit(newJob("u1", "a", model.ClassUrgent, shape(2, 8, model.AdjacentRack)))
+		}, 1),
+		Entry("but not if that does not help", func(h *host) {
+			// Both are lost at once; after the first alone a move would help.
+			lost := []string{besideOneClaim(h)}
+			for _, w := range smallPool() {
+				if len(lost) < 2 && w.ID != lost[0] && h.used[w.ID].Accelerators == 0 {
+					lost = append(lost, w.ID)
+				}
+			}
+			for _, id := range lost {
+				h.p.RemoveWorker(h.now, id)
+				delete(h.workers, id)
+			}
+			h.impaired = true
+			h.step()
+		}, 0),
+	)
+
+	// Guards against the loss of hours of work for a guarantee that nobody claims,
+	// and against a claim that waits because of it.
+	It("without checkpoints is moved only when a claim needs the room", func() {
+		h := newHost(twoTeams(), smallPool()...)
+		claimOneHost(h, 0)
+		h.pass(3 * time.Hour)
+		h.down(besideOneClaim(h))
+		Expect(moves(h)).To(BeZero())
+		Expect(h.p.Unpacked()).To(Equal([]string{"a"}))
+		for _, id := range []string{"u0", "u1"} {
+			h.submit(newJob(id, "a", model.ClassUrgent, shape(2, 8, model.AdjacentRack)))
+		}
+		Expect(moves(h)).To(Equal(1))
+		h.settle()
+		Expect(h.jobs["u0"].batch || h.jobs["u1"].batch).To(BeFalse())
+		Expect(h.jobs["u0"].state).To(Equal(model.JobRunning))
+		Expect(h.jobs["u1"].state).To(Equal(model.JobRunning))
+		Expect(h.faults).To(BeEmpty())
+	})
+})
