Split the messages by subsystem and drop an unused call

Cause: wire.go had grown to 515 lines with the messages of every subsystem, and no process made the call KindReport.

--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -24,7 +24,6 @@
 	m.Handle(wire.KindStartGang, transport.Unary(a.startGang))
 	m.Handle(wire.KindStopGang, transport.Unary(a.stopGang))
 	m.Handle(wire.KindWorkerOrder, transport.Unary(a.workerOrder))
-	m.Handle(wire.KindReport, transport.Unary(a.reportState))
 	m.Handle(wire.KindConfigFetch, transport.Unary(a.config.fetch))
 	m.Handle(wire.KindArm, transport.Unary(a.arm))
 	m.Handle(wire.KindStart, transport.Unary(a.start))
@@ -82,14 +81,6 @@
 	return a.ack(nil)
 }
 
-// reportQuery is the empty request of wire.KindReport.
-type reportQuery struct{}
-
-func (a *Agent) reportState(context.Context, *reportQuery) (*wire.WorkerState, error) {
-	state := a.State()
-	return &state, nil
-}
-
 // checkAddressee refuses an order that would start something in another
 // incarnation. Renewals and aborts are fenced by attempt and term instead, so
 // that the successor process of a planned restart accepts them.
--- a/internal/members/relay.go
+++ b/internal/members/relay.go
@@ -15,12 +15,12 @@
 // they are acknowledged, so the relay may drop them at any time.
 type relay struct {
 	mu      sync.Mutex
-	pending map[string]wire.WorkerGangEvts
+	pending map[string]wire.WorkerGangEvents
 	acks    map[string]wire.EventAck
 }
 
 func newRelay() *relay {
-	return &relay{pending: make(map[string]wire.WorkerGangEvts), acks: make(map[string]wire.EventAck)}
+	return &relay{pending: make(map[string]wire.WorkerGangEvents), acks: make(map[string]wire.EventAck)}
 }
 
 // Acked returns the sequence number up to which events are recorded.
@@ -53,18 +53,18 @@
 		delete(r.pending, worker)
 		return false
 	}
-	r.pending[worker] = wire.WorkerGangEvts{Worker: worker, Incarnation: incarnation, Events: open}
+	r.pending[worker] = wire.WorkerGangEvents{Worker: worker, Incarnation: incarnation, Events: open}
 	return true
 }
 
 // Take returns and removes all waiting events.
-func (r *relay) Take() []wire.WorkerGangEvts {
+func (r *relay) Take() []wire.WorkerGangEvents {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.pending) == 0 {
 		return nil
 	}
-	list := make([]wire.WorkerGangEvts, 0, len(r.pending))
+	list := make([]wire.WorkerGangEvents, 0, len(r.pending))
 	for _, e := range r.pending {
 		list = append(list, e)
 	}
