Plot the measured slopes of the membership benchmark

The slopes of docs/CAPACITY.md were readable only as tables. The planner is not plotted: its figures come from test benchmarks.

--- a/internal/bench/membership.go
+++ b/internal/bench/membership.go
@@ -74,7 +74,10 @@
 			fmt.Sprintf("%.2f%%", 1000*100*slope(samples, func(x sample) float64 { return x.cpu })),
 			slope(samples, func(x sample) float64 { return x.bytes }))
 	}
-	return nil
+	if o.Plot == "" {
+		return nil
+	}
+	return plotMembership(o.Plot, series)
 }
 
 func membershipRow(o *options, r *report, n int, series [][]sample) ([]sample, error) {
--- /dev/null
+++ b/internal/bench/plot_test.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"encoding/xml"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// Guards against a plot that is missing or is not well-formed SVG.
+func TestPlotMembership(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "new")
+	series := make([][]sample, len(entryNames))
+	for i := range series {
+		series[i] = []sample{{agents: 0, resident: 15, bytes: 900}, {agents: 10, resident: 16, cpu: 0.01, bytes: 3000}}
+	}
+	if err := plotMembership(dir, series); err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range membershipFigures {
+		file, err := os.Open(filepath.Join(dir, f.file))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer file.Close()
+		elements := map[string]int{}
+		for d := xml.NewDecoder(file); ; {
+			token, err := d.Token()
+			if errors.Is(err, io.EOF) {
+				break
+			}
+			if err != nil {
+				t.Fatalf("%s: %v", f.file, err)
+			}
+			if e, ok := token.(xml.StartElement); ok {
+				elements[e.Name.Local]++
+			}
+		}
+		if elements["svg"] != 1 || elements["path"] < len(series) {
+			t.Errorf("%s: elements %v", f.file, elements)
+		}
+	}
+}
