Measure the supervisor of a gang and the planner at target scale

docs/CAPACITY.md listed the supervisor of a gang of 128 and the planner with 8,200 tasks as not measured. The section gang of internal/bench starts one agent and its worker, hands over gangs of 2, 32, 64 and 128 members, and reads processor time and memory of the agent and the QUIC traffic of the other members, which answer in the process of the benchmark.

--- a/internal/bench/main.go
+++ b/internal/bench/main.go
@@ -18,7 +18,7 @@
 
 type options struct {
 	Bin     string        `long:"bin" default:"bin" description:"directory of the built programs"`
-	Only    []string      `long:"only" description:"section to run: requests, routing, agent, document or membership; may be repeated"`
+	Only    []string      `long:"only" description:"section to run: requests, routing, agent, gang, document or membership; may be repeated"`
 	Peers   []int         `long:"peers" description:"numbers of agents in the section membership" default:"10" default:"150" default:"350" default:"700" default:"1400"`
 	Plot    string        `long:"plot" value-name:"DIR" description:"directory for SVG plots of the section membership"`
 	Measure time.Duration `long:"measure" default:"5s" description:"time of each measurement"`
@@ -34,6 +34,7 @@
 	{"requests", requestSection},
 	{"routing", routingSection},
 	{"agent", agentSection},
+	{"gang", gangSection},
 	{"document", documentSection},
 	{"membership", membershipSection},
 }
--- a/internal/bench/region.go
+++ b/internal/bench/region.go
@@ -21,6 +21,7 @@
 	benchToken  = "bench"
 	benchRegion = "bench"
 	benchDomain = "domain-1"
+	benchWorker = "w1"
 )
 
 var development = transport.Security{Mode: transport.ModeDevelopment}
--- a/internal/bench/requests.go
+++ b/internal/bench/requests.go
@@ -117,20 +117,8 @@
 }
 
 func (r *region) startWorker(addrs []string, slots int) error {
-	worker := model.Worker{ID: "w1", Rack: "r1", FailureDomain: benchDomain, Region: benchRegion, Capacity: model.Resources{Accelerators: 8, Cores: 32, MemoryGB: 128}}
-	if _, err := r.start("worker", "snipegw-standin", []string{"worker"}, map[string]any{"address": addrs[0], "worker": worker}); err != nil {
-		return err
-	}
-	if err := waitFor("worker", answers("http://"+addrs[0]+"/v1/worker", "")); err != nil {
-		return err
-	}
 	var err error
-	r.agent, err = r.start("agent", "snipegw-agent", nil, map[string]any{
-		"region": benchRegion, "failure_domain": benchDomain, "address": addrs[1], "local_http_address": addrs[2],
-		"entries": []string{r.entries[0].quic}, "security": development, "log_level": "warn",
-		"worker_api": map[string]any{"type": "httpworker", "address": "http://" + addrs[0], "timeout_ms": 1000},
-	})
-	if err != nil {
+	if r.agent, err = r.startAgent(r.entries[0].quic, addrs); err != nil {
 		return err
 	}
 	_, err = r.start("backend", "snipegw-standin", []string{"backend"}, map[string]any{
@@ -139,6 +127,23 @@
 	return err
 }
 
+// startAgent starts a worker and its agent. The addresses are those of the
+// worker interface, the agent and its local HTTP server.
+func (f *fleet) startAgent(entry string, addrs []string) (*process, error) {
+	worker := model.Worker{ID: benchWorker, Rack: "r1", FailureDomain: benchDomain, Region: benchRegion, Capacity: model.Resources{Accelerators: 8, Cores: 32, MemoryGB: 128}}
+	if _, err := f.start("worker", "snipegw-standin", []string{"worker"}, map[string]any{"address": addrs[0], "worker": worker}); err != nil {
+		return nil, err
+	}
+	if err := waitFor("worker", answers("http://"+addrs[0]+"/v1/worker", "")); err != nil {
+		return nil, err
+	}
+	return f.start("agent", "snipegw-agent", nil, map[string]any{
+		"region": benchRegion, "failure_domain": benchDomain, "address": addrs[1], "local_http_address": addrs[2],
+		"entries": []string{entry}, "security": development, "log_level": "warn",
+		"worker_api": map[string]any{"type": "httpworker", "address": "http://" + addrs[0], "timeout_ms": 1000},
+	})
+}
+
 // run sends requests for the measuring time after a warm-up.
 func run(o *options, l load) outcome {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections, MaxConnsPerHost: connections}}
