Find jobs at fault that fail side by side

Cause: two jobs that can never run and failed on the same workers excused each other, and the repeats of one job on a worker filled the list of its failures, so that later ones elsewhere were not remembered.

Change: a job that failed on three workers no longer speaks against a worker, and at most three failures per job and worker are remembered.

Ruled out: moving claims so that waiting jobs fit in their own size rather than that of the guarantee, with claims without a place first.

--- a/internal/planner/faults/faults.go
+++ b/internal/planner/faults/faults.go
@@ -79,7 +79,7 @@
 	if len(r.jobs) < maxWitnesses && !slices.Contains(r.jobs, job) {
 		r.jobs = append(r.jobs, job)
 	}
-	if len(t.jobs[job]) < maxWitnesses {
+	if len(t.jobs[job]) < maxWitnesses && t.times(job, worker) < maxFailures {
 		t.jobs[job] = append(t.jobs[job], Failure{worker, proven})
 	}
 	return r.failures >= maxFailures || t.again(job) || t.weight(r) >= quarantineWeight
@@ -100,6 +100,18 @@
 	return sum
 }
 
+// times returns how often a job failed on a worker. More than maxFailures are not
+// remembered, so that repeats leave room for other workers.
+func (t *Tracker) times(job, worker string) int {
+	n := 0
+	for _, f := range t.jobs[job] {
+		if f.Worker == worker {
+			n++
+		}
+	}
+	return n
+}
+
 // distinct returns the workers on which a job failed.
 func (t *Tracker) distinct(job string) []string {
 	var out []string
@@ -127,6 +139,15 @@
 	return r != nil && len(r.jobs) > 0
 }
 
+// accused reports whether a job other than the given one speaks against a worker.
+// Jobs that failed on faultWorkers workers do not: two jobs that can never run
+// would excuse each other and empty the pool.
+func (t *Tracker) accused(r *record, job string) bool {
+	return slices.ContainsFunc(r.jobs, func(o string) bool {
+		return o != job && len(t.distinct(o)) < faultWorkers
+	})
+}
+
 // AtFault reports whether the failures of a job are its own, with the workers
 // that show it.
 func (t *Tracker) AtFault(job string) ([]string, bool) {
@@ -134,7 +155,7 @@
 	failures, proven := 0, 0
 	for _, f := range t.jobs[job] {
 		r := t.workers[f.Worker]
-		if r != nil && len(r.jobs) > 1 {
+		if r != nil && t.accused(r, job) {
 			continue
 		}
 		failures++
