Move claims ahead of a failure that would leave guarantees without a place

Cause: many instants that were left at which guarantees did not pack were the failure of a worker beside a claim whose place had been the best only while another claim ran.

Change: in pools of up to 64 workers one cheap move (1,000 accelerator-seconds, victims included) is made if it leaves no guarantee exposed.

--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -30,6 +30,7 @@
 	p.keepPackable(now)
 	p.keepPromises(now)
 	p.placeClaims(now)
+	p.endExposure(now)
 	p.placeBatch(now)
 	p.setWake(now)
 	p.dirty = p.more
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -9,7 +9,8 @@
 // could hold all guarantees, the smallest set of claims is moved (relocate.go),
 // of equal sets the one that loses the least work. A move stops a claim with
 // Grace for its checkpoint and starts it again at once. Cheap moves are made at
-// once, others when a claim waits for the room.
+// once, others when a claim waits for the room. In small pools a cheap move also
+// ends the exposure of guarantees to the next failure (exposure.go).
 //
 // It is pure: no I/O, no goroutine, no clock, and no iteration over maps that
 // could change a decision.
@@ -120,6 +121,8 @@
 	wake        time.Time
 	// throttled is when a worker takes starts again that were held back.
 	throttled time.Time
+	// nextExposed is when endExposure may search again.
+	nextExposed time.Time
 
 	// same and searches serve repeated searches.
 	same     []*pool.Worker
--- a/internal/planner/relocate_test.go
+++ b/internal/planner/relocate_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"snipegw/internal/model"
+	"snipegw/internal/planner/framework"
 )
 
 // claimOneHost submits five claims of one whole worker each.
@@ -110,4 +111,25 @@
 		Expect(h.jobs["u1"].state).To(Equal(model.JobRunning))
 		Expect(h.faults).To(BeEmpty())
 	})
+
+	// Guards against a claim that stays in a place that was the best only while
+	// another claim ran: the next loss of a worker left guarantees without a place.
+	It("to be after the loss of a worker is moved ahead if that is cheap", func() {
+		h := newHost(twoTeams(), smallPool()...)
+		claimOneHost(h, 60_000)
+		Expect(besideOneClaim(h)).NotTo(BeEmpty())
+		h.pass(2 * time.Minute)
+		h.end("c0", framework.OutcomeDone, "")
+		h.pass(time.Minute)
+		Expect(strings.Count(strings.Join(h.log, "\n"), "moved_ahead_of_failure")).To(Equal(1))
+		for _, w := range smallPool() {
+			if h.used[w.ID].Accelerators == 0 {
+				h.down(w.ID)
+				Expect(h.p.Unpacked()).To(BeEmpty(), "without worker "+w.ID)
+				h.up(w)
+			}
+		}
+		Expect(moves(h)).To(BeZero())
+		Expect(h.faults).To(BeEmpty())
+	})
 })
