Let a probe begin beside gangs that ran before the failures

Cause: a worker on probe was closed while any gang ran there, also one from before its failures, which cannot prove it.

Change: only a gang that was placed after the last failure or the begin of the probe closes the worker.

Ruled out: sending jobs of one task to workers on probe first; it changed nothing because those workers were closed.

--- a/internal/planner/batch.go
+++ b/internal/planner/batch.go
@@ -260,7 +260,14 @@
 
 // closed reports whether a worker is closed to a job although it is usable.
 func (p *Planner) closed(j *job, w *pool.Worker) bool {
-	return w.Probing && len(w.Gangs) > 0 || j.picky && p.faults.Avoid(j.ID, w.ID)
+	return w.Probing && onTrial(w) || j.picky && p.faults.Avoid(j.ID, w.ID)
+}
+
+// onTrial reports whether a gang on a worker can still prove it. Gangs from before
+// its failures cannot; as long as they held the worker closed, nothing could end
+// its probe.
+func onTrial(w *pool.Worker) bool {
+	return slices.ContainsFunc(w.Gangs, func(g *pool.Gang) bool { return !g.Placed.Before(w.Doubted) })
 }
 
 // unfit is closed, and bounds the starts on a worker that have not proven
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -124,6 +125,27 @@
 		Expect(h.faults).To(BeEmpty())
 	})
 
+	// Guards against a worker that stays on probe, and holds no guarantee, as long
+	// as a gang from before its failures runs there.
+	It("is taken back by a probe beside a gang that ran before", func() {
+		h := newHost(nil, worker(0, 0, 0, 8), worker(0, 0, 1, 8))
+		h.submit(newJob("before", "a", model.ClassPreemptible, shape(1, 1, model.AdjacentHost)))
+		at := h.jobs["before"].workers[0]
+		h.pass(time.Hour)
+		h.bad[at] = true
+		for i := range 6 {
+			h.submit(newJob(fmt.Sprintf("j%d", i), "a", model.ClassPreemptible, shape(1, 2, model.AdjacentHost)))
+			h.settle()
+			h.pass(5 * time.Second)
+		}
+		Expect(h.log).To(ContainElement(ContainSubstring("quarantine  " + at)))
+		delete(h.bad, at)
+		h.pass(6 * time.Minute)
+		Expect(h.jobs["before"].state).To(Equal(model.JobRunning))
+		Expect(h.jobs["j5"].workers).To(Equal([]string{at}), strings.Join(h.log, "\n"))
+		Expect(h.faults).To(BeEmpty())
+	})
+
 	It("falls on a job that fails on several workers", func() {
 		h := newHost(nil, smallPool()...)
 		h.bad["never"] = true
