--- a/internal/store/limit.go
+++ b/internal/store/limit.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"snipegw/internal/result"
 )
 
 // Limit returns s with at most perSecond calls a second after a burst. Calls
@@ -51,7 +53,7 @@
 	case <-t.C:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
+		return result.Errorf(result.StoreUnavailable, "the call waited for the rate limit of this process: %w", ctx.Err())
 	}
 }
 
