Name gangs that wait for room nominated

Cause: 'promised' is no usual term; schedulers call a job whose room is being freed nominated. Measured: go test ./internal/planner/... passes; no behaviour changed.

--- a/internal/planner/batch.go
+++ b/internal/planner/batch.go
@@ -281,7 +281,7 @@
 		limit = 1
 	}
 	for _, g := range w.Gangs {
-		if !g.Promised && now.Sub(g.Placed) < faults.ProvenAfter {
+		if !g.Nominated && now.Sub(g.Placed) < faults.ProvenAfter {
 			limit--
 		}
 	}
@@ -311,7 +311,7 @@
 	large := size(j.Shape) >= queue.LargeSize
 	costOf := p.remember(func(g *pool.Gang) float64 {
 		v := p.jobs[g.ID]
-		if g.Protected || g.Promised || now.Sub(g.Placed) < minTenure {
+		if g.Protected || g.Nominated || now.Sub(g.Placed) < minTenure {
 			return impossible
 		}
 		harm := p.params.Harm(p.item(now, v), reclaim.Lost(g, now), runs)
--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -28,7 +28,7 @@
 	}
 	p.assignSlots(now)
 	p.keepPackable(now)
-	p.keepPromises(now)
+	p.placeNominated(now)
 	p.placeClaims(now)
 	p.endExposure(now)
 	p.placeBatch(now)
@@ -99,7 +99,7 @@
 	p.pool.Hold(j.gang)
 }
 
-// start places the job, or promises it the room if gangs have to leave first.
+// start places the job, or nominates it for the room if gangs have to leave first.
 func (p *Planner) start(now time.Time, j *job, workers []*pool.Worker, victims []*pool.Gang, rule string) {
 	for _, v := range victims {
 		vj := p.jobs[v.ID]
@@ -113,14 +113,14 @@
 		p.place(j)
 		return
 	}
-	j.gang.Promised = true
-	j.state = promised
+	j.gang.Nominated = true
+	j.state = nominated
 	j.reason = explain.New(explain.WaitingForRoom, "jobs that run on the chosen workers are being stopped")
-	p.promises = append(p.promises, j)
+	p.nominations = append(p.nominations, j)
 }
 
 func (p *Planner) place(j *job) {
-	j.gang.Promised = false
+	j.gang.Nominated = false
 	j.state = starting
 	j.attempt++
 	rule := explain.Placed
@@ -149,7 +149,7 @@
 	for _, w := range g.Workers {
 		n := 0
 		for _, o := range w.Gangs {
-			if o != g && !o.Promised && now.Sub(o.Placed) < startWindow {
+			if o != g && !o.Nominated && now.Sub(o.Placed) < startWindow {
 				n++
 			}
 		}
@@ -161,9 +161,9 @@
 	return true
 }
 
-// keepPromises places the promised gangs whose room has become free.
-func (p *Planner) keepPromises(now time.Time) {
-	p.promises = slices.DeleteFunc(p.promises, func(j *job) bool {
+// placeNominated places the nominated gangs whose room has become free.
+func (p *Planner) placeNominated(now time.Time) {
+	p.nominations = slices.DeleteFunc(p.nominations, func(j *job) bool {
 		if !pool.Ready(j.gang) || !p.spaced(now, j.gang) {
 			return false
 		}
@@ -173,10 +173,10 @@
 	})
 }
 
-// preempt makes a gang leave. A promised one only loses its promise.
+// preempt makes a gang leave. A nominated one only loses its nomination.
 func (p *Planner) preempt(now time.Time, j *job, reason model.Reason) {
-	if j.state == promised {
-		p.dropPromise(now, j)
+	if j.state == nominated {
+		p.dropNomination(now, j)
 		return
 	}
 	j.stops++
--- a/internal/planner/events.go
+++ b/internal/planner/events.go
@@ -42,7 +42,7 @@
 		return
 	}
 	w.Up = false
-	p.dropPromises(now, w)
+	p.dropNominations(now, w)
 	p.healthChanged()
 }
 
@@ -54,7 +54,7 @@
 	}
 	w.Draining = on
 	if on {
-		p.dropPromises(now, w)
+		p.dropNominations(now, w)
 	}
 	p.healthChanged()
 }
@@ -77,17 +77,17 @@
 	p.dirty = true
 }
 
-// dropPromises takes back the promises on a worker that went out of use.
-func (p *Planner) dropPromises(now time.Time, w *pool.Worker) {
+// dropNominations takes back the nominations on a worker that went out of use.
+func (p *Planner) dropNominations(now time.Time, w *pool.Worker) {
 	for _, g := range slices.Clone(w.Gangs) {
-		if g.Promised {
-			p.dropPromise(now, p.jobs[g.ID])
+		if g.Nominated {
+			p.dropNomination(now, p.jobs[g.ID])
 		}
 	}
 }
 
-func (p *Planner) dropPromise(now time.Time, j *job) {
-	p.promises = slices.DeleteFunc(p.promises, func(o *job) bool { return o == j })
+func (p *Planner) dropNomination(now time.Time, j *job) {
+	p.nominations = slices.DeleteFunc(p.nominations, func(o *job) bool { return o == j })
 	p.letGo(j)
 	p.enqueue(now, j)
 }
@@ -225,8 +225,8 @@
 	case waiting:
 		p.dequeue(j)
 		p.forget(now, j, false)
-	case promised:
-		p.promises = slices.DeleteFunc(p.promises, func(o *job) bool { return o == j })
+	case nominated:
+		p.nominations = slices.DeleteFunc(p.nominations, func(o *job) bool { return o == j })
 		p.letGo(j)
 		p.forget(now, j, false)
 	case starting, running:
@@ -349,7 +349,7 @@
 		return
 	}
 	w.Quarantined, w.Probing = true, false
-	p.dropPromises(now, w)
+	p.dropNominations(now, w)
 	p.probes = append(p.probes, probe{w, p.faults.Quarantined(w.ID, now)})
 	p.healthChanged()
 	p.emit(framework.Decision{Kind: framework.Quarantine, Worker: w.ID, Reason: explain.New(explain.WorkerQuarantined,
--- a/internal/planner/move.go
+++ b/internal/planner/move.go
@@ -18,7 +18,7 @@
 		return false
 	}
 	costOf := p.remember(func(g *pool.Gang) float64 {
-		if g.Protected || g.Promised || g.Accelerators() >= queue.LargeSize || now.Sub(g.Placed) < minTenure {
+		if g.Protected || g.Nominated || g.Accelerators() >= queue.LargeSize || now.Sub(g.Placed) < minTenure {
 			return impossible
 		}
 		return reclaim.Cost(g, now)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -58,7 +58,7 @@
 
 const (
 	waiting state = iota
-	promised
+	nominated
 	starting
 	running
 	stopping
@@ -91,7 +91,7 @@
 	reservation *reservation
 	slot        *packing.Slot
 	reason      model.Reason
-	// preempted counts the gangs stopped for the promise of this job.
+	// preempted counts the gangs stopped for this job while it is nominated.
 	preempted int
 }
 
@@ -112,10 +112,10 @@
 	// claimed holds the teams whose guarantees were claimed in this pass.
 	claimed []string
 
-	promises []*job
-	out      []framework.Decision
-	probes   []probe
-	trials   []trial
+	nominations []*job
+	out         []framework.Decision
+	probes      []probe
+	trials      []trial
 	// dirty asks for a pass of Decide, more for another one after it.
 	dirty, more bool
 	wake        time.Time
--- a/internal/planner/pool/pool.go
+++ b/internal/planner/pool/pool.go
@@ -23,8 +23,8 @@
 	// Doubted is the time of the last failed start or the start of the probe; only
 	// gangs that started later prove the worker.
 	Doubted time.Time
-	// Used is held by gangs that run, stop or were promised room. It exceeds the
-	// capacity while a promise waits for stopping gangs to leave.
+	// Used is held by gangs that run, stop or are nominated. It exceeds the
+	// capacity while a nominated gang waits for stopping ones to leave.
 	Used model.Resources
 	// Planned is held by the slots of guarantees, claimed or not.
 	Planned model.Resources
@@ -53,8 +53,8 @@
 	Fixed bool
 	// Protected gangs hold a guarantee but run outside its slot.
 	Protected bool
-	// Promised gangs hold room that others still have to leave.
-	Promised bool
+	// Nominated gangs hold room that others still have to leave.
+	Nominated bool
 	// Stopping gangs leave soon.
 	Stopping bool
 	// Placed and Started are zero until then.
@@ -173,7 +173,7 @@
 	}
 }
 
-// Ready reports whether a promised gang has its room.
+// Ready reports whether a nominated gang has its room.
 func Ready(g *Gang) bool {
 	for _, w := range g.Workers {
 		if !w.Used.Fits(w.Capacity) {
--- a/internal/planner/relocate.go
+++ b/internal/planner/relocate.go
@@ -70,7 +70,7 @@
 		case p.jobs[j.ID] != j || !j.laid() || j.gang == nil:
 		case j.state == stopping:
 			leaving = append(leaving, j.ID)
-		case j.state == promised:
+		case j.state == nominated:
 			claims = append(claims, movableClaim{j, 0})
 		default:
 			claims = append(claims, movableClaim{j, reclaim.Cost(j.gang, now)})
