Leave the patch history out of documents for agents

Two thirds of the reply to an agent that fetches the configuration were the ids of the last 256 patches, which internal/agent does not use. An agent now asks with ConfigFetch.OmitHistory; entries among themselves get all.

An entry that learns a version from an agent while the store is down has no history for it. It takes over the complete document of the same version when the store or a patch gives it, without a second notice to listeners. A version never goes back, and patches are applied to the document read from the store, so a repeated id is still found. Until then GET /v1/config of such an entry shows no history.

--- a/internal/agent/heartbeat/heartbeat.go
+++ b/internal/agent/heartbeat/heartbeat.go
@@ -228,7 +228,7 @@
 	defer cancel()
 	var reply wire.ConfigReply
 	have := s.Source.ConfigVersion()
-	if err := s.Caller.Call(ctx, home, wire.KindConfigFetch, &wire.ConfigFetch{Have: have}, &reply); err != nil {
+	if err := s.Caller.Call(ctx, home, wire.KindConfigFetch, &wire.ConfigFetch{Have: have, OmitHistory: true}, &reply); err != nil {
 		log.WithFields(log.Fields{"event": "config_fetch_failed", "entry": home, "code": int(result.CodeOf(err))}).Warn(err.Error())
 		return
 	}
--- a/internal/agent/heartbeat/heartbeat_test.go
+++ b/internal/agent/heartbeat/heartbeat_test.go
@@ -28,6 +28,7 @@
 	forgotten []string
 	reply     wire.HeartbeatReply
 	config    wire.ConfigReply
+	fetched   []wire.ConfigFetch
 }
 
 func (f *fakeEntries) Call(_ context.Context, addr string, kind wire.Kind, msg, reply any) error {
@@ -41,6 +42,7 @@
 		*reply.(*wire.HeartbeatReply) = f.reply
 		f.reply.NeedState = false
 	case wire.KindConfigFetch:
+		f.fetched = append(f.fetched, *msg.(*wire.ConfigFetch))
 		*reply.(*wire.ConfigReply) = f.config
 	}
 	return nil
@@ -157,6 +159,7 @@
 		net.config = wire.ConfigReply{Version: 6, Document: []byte("{}")}
 		s.Beat(ctx, false)
 		Expect(source.version).To(Equal(uint64(7)))
+		Expect(net.fetched).To(Equal([]wire.ConfigFetch{{OmitHistory: true}}))
 	})
 
 	It("passes acknowledgements on and repeats events until then", func() {
--- a/internal/bench/document.go
+++ b/internal/bench/document.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"snipegw/internal/config"
 	"snipegw/internal/model"
 	"snipegw/internal/wire"
 )
@@ -23,24 +24,33 @@
 // numbers of teams, and what its distribution costs an entry per home agent.
 func documentSection(_ *options, r *report) error {
 	r.title("Configuration document with %d patch records; each agent fetches each of %d versions a day", documentPatches, changesPerDay)
-	r.row("teams", "document bytes", "bytes on the wire", "bytes/s per home agent", "baseline: uncompressed bytes/s")
+	r.row("teams", "document bytes", "reply to an entry", "reply to an agent", "bytes/s per home agent", "baseline: with patch records, bytes/s")
 	for _, teams := range []int{4, 8, 16, documentTeams} {
-		data, err := document(teams)
+		data := document(teams)
+		encoded, err := json.Marshal(data)
 		if err != nil {
 			return err
 		}
-		packed, err := wire.Marshal(&wire.ConfigReply{Version: 100_000, Document: data})
+		full, err := wire.Marshal(&wire.ConfigReply{Version: data.Version, Document: encoded})
+		if err != nil {
+			return err
+		}
+		brief, err := config.WithoutHistory(encoded)
+		if err != nil {
+			return err
+		}
+		agent, err := wire.Marshal(&wire.ConfigReply{Version: data.Version, Document: brief})
 		if err != nil {
 			return err
 		}
 		perSecond := func(n int) string { return fmt.Sprintf("%.0f", float64(n)*changesPerDay/secondsPerDay) }
-		r.row(teams, len(data), len(packed), perSecond(len(packed)), perSecond(len(data)))
+		r.row(teams, len(encoded), len(full), len(agent), perSecond(len(agent)), perSecond(len(full)))
 	}
 	return nil
 }
 
 // document returns a document with random ids and hashes, which do not compress.
-func document(teams int) ([]byte, error) {
+func document(teams int) model.Config {
 	random := rand.New(rand.NewPCG(1, 2))
 	c := model.Config{Version: 100_000}
 	for i := range teams {
@@ -56,5 +66,5 @@
 	for range documentPatches {
 		c.Patches = append(c.Patches, model.PatchRecord{ID: fmt.Sprintf("patch-%016x", random.Uint64()), Version: 99_000, Time: time.Unix(1_900_000_000+random.Int64N(secondsPerDay), 0).UTC(), Author: "operator"})
 	}
-	return json.Marshal(c)
+	return c
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -313,6 +313,67 @@
 		})
 	})
 
+	// Guards against an agent that gets the history, and against a document that
+	// loses other fields with it.
+	It("is served to agents without the patch history", func() {
+		inBubble(1, func(ctx context.Context, _ *storetest.Store, m []*Manager) {
+			_, err := m[0].Patch(ctx, weightPatch("p1", 1, 7))
+			Expect(err).NotTo(HaveOccurred())
+			full, err := m[0].serveFetch(ctx, &wire.ConfigFetch{Have: 1})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(full.Document)).To(ContainSubstring("p1"))
+			reply, err := m[0].serveFetch(ctx, &wire.ConfigFetch{Have: 1, OmitHistory: true})
+			Expect(err).NotTo(HaveOccurred())
+			c, err := parseStored(reply.Document)
+			Expect(err).NotTo(HaveOccurred())
+			want := *m[0].Current()
+			want.Patches = nil
+			Expect(*c).To(Equal(want))
+			reply, err = m[0].serveFetch(ctx, &wire.ConfigFetch{Have: 2, OmitHistory: true})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.Document).To(BeEmpty())
+			brief, err := WithoutHistory([]byte(`{"version":3,"patches":[{"id":"p"}],"added_later":{"x":1}}`))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(brief).To(MatchJSON(`{"version":3,"added_later":{"x":1}}`))
+		})
+	})
+
+	// Guards against an entry that learns a version from an agent while the store
+	// is down and then stays without the history, goes back, accepts a repeated
+	// patch twice, or reports the version twice.
+	It("gets its history from the store after it came from an agent", func() {
+		inBubble(2, func(ctx context.Context, st *storetest.Store, m []*Manager) {
+			_, err := m[0].Patch(ctx, weightPatch("p1", 1, 7))
+			Expect(err).NotTo(HaveOccurred())
+			reply, err := m[0].serveFetch(ctx, &wire.ConfigFetch{OmitHistory: true})
+			Expect(err).NotTo(HaveOccurred())
+			st.SetRule(always("", storetest.Down))
+			late := New(Options{Store: st})
+			var seen []uint64
+			late.OnChange(func(c *model.Config) { seen = append(seen, c.Version) })
+			Expect(late.Start(ctx)).To(Succeed())
+			defer func() { _ = late.Stop(ctx) }()
+			late.Offer(2, func(context.Context) ([]byte, error) { return reply.Document, nil })
+			time.Sleep(time.Second)
+			synctest.Wait()
+			Expect(late.Version()).To(BeNumerically("==", 2))
+			Expect(late.Current().Patches).To(BeEmpty())
+
+			st.SetRule(nil)
+			time.Sleep(2 * maxPause)
+			synctest.Wait()
+			Expect(late.Current().Patches).To(HaveLen(1))
+			Expect(late.Document()).To(MatchJSON(m[0].Document()))
+			Expect(late.adopt(reply.Document, "peer")).To(Succeed())
+			Expect(late.Current().Patches).To(HaveLen(1))
+			Expect(seen).To(Equal([]uint64{2}))
+			res, err := late.Patch(ctx, weightPatch("p1", 1, 7))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(res.Version).To(BeNumerically("==", 2))
+			Expect(stored(st).Version).To(BeNumerically("==", 2))
+		})
+	})
+
 	It("is reported with the processes that miss it", func() {
 		view := &members.View{
 			Entries: map[string]*members.Entry{"e1": {ConfigVersion: 3, Health: members.Alive}, "e2": {ConfigVersion: 2, Health: members.Alive}},
--- a/internal/config/manager.go
+++ b/internal/config/manager.go
@@ -61,6 +61,8 @@
 type snapshot struct {
 	config *model.Config
 	data   []byte
+	// brief is data without the patch history.
+	brief []byte
 }
 
 var _ Source = (*Manager)(nil)
@@ -105,12 +107,27 @@
 		return &wire.ConfigReply{}, nil
 	}
 	reply := &wire.ConfigReply{Version: s.config.Version}
-	if s.config.Version > req.Have {
+	switch {
+	case s.config.Version <= req.Have:
+	case req.OmitHistory:
+		reply.Document = s.brief
+	default:
 		reply.Document = s.data
 	}
 	return reply, nil
 }
 
+// WithoutHistory drops the patch history of a document. It keeps fields that
+// this release does not know.
+func WithoutHistory(data []byte) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return nil, fmt.Errorf("document: %w", err)
+	}
+	delete(fields, "patches")
+	return json.Marshal(fields)
+}
+
 // Current implements Source.
 func (m *Manager) Current() *model.Config {
 	if s := m.snapshot.Load(); s != nil {
@@ -166,18 +183,30 @@
 	})
 }
 
-// adopt puts data into force if its version is higher than the present one.
+// adopt puts data into force if its version is higher than the present one. A
+// document that came from an agent has no patch history; the same version with
+// more of the history replaces it and changes nothing else.
 func (m *Manager) adopt(data []byte, origin string) error {
 	c, err := parseStored(data)
 	if err != nil {
 		return err
 	}
+	brief, err := WithoutHistory(data)
+	if err != nil {
+		return err
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if c.Version <= m.Version() {
+	current := m.Current()
+	switch {
+	case current == nil || c.Version > current.Version:
+	case c.Version == current.Version && len(c.Patches) > len(current.Patches):
+		m.snapshot.Store(&snapshot{config: c, data: append([]byte(nil), data...), brief: brief})
+		return nil
+	default:
 		return nil
 	}
-	m.snapshot.Store(&snapshot{config: c, data: append([]byte(nil), data...)})
+	m.snapshot.Store(&snapshot{config: c, data: append([]byte(nil), data...), brief: brief})
 	log.WithFields(log.Fields{"event": "config_in_force", "version": c.Version, "origin": origin, "teams": len(c.Teams)}).Info("configuration in force")
 	for _, f := range m.listeners {
 		f(c)
--- a/internal/wire/members.go
+++ b/internal/wire/members.go
@@ -80,6 +80,9 @@
 // ConfigFetch asks for the configuration if it is newer than Have.
 type ConfigFetch struct {
 	Have uint64 `cbor:"1,keyasint"`
+	// OmitHistory asks for the document without its patch history, which agents
+	// do not use.
+	OmitHistory bool `cbor:"2,keyasint,omitempty"`
 }
 
 // ConfigReply carries the document as JSON, empty if there is no newer one.
