--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -82,22 +82,46 @@
 		fmt.Fprintln(a.env.Stdout, "snipegwctl", a.env.Version)
 		panic(errVersion)
 	}
+	p, err := a.parser(func(c flags.Commander) error {
+		if err := a.connect(); err != nil {
+			return err
+		}
+		return c.Execute(nil)
+	})
+	if err != nil {
+		return err
+	}
+	_, err = p.ParseArgs(args)
+	return err
+}
+
+// parser returns the parser of the command line, which passes the command that
+// it finds to run.
+func (a *app) parser(run func(flags.Commander) error) (*flags.Parser, error) {
 	p := flags.NewNamedParser("snipegwctl", flags.HelpFlag|flags.PassDoubleDash)
 	p.LongDescription = longHelp
 	if _, err := p.AddGroup("Options", "", &a.global); err != nil {
-		return err
+		return nil, err
 	}
 	if err := addCommands(p.Command, a.commands()); err != nil {
-		return err
+		return nil, err
 	}
 	p.CommandHandler = func(c flags.Commander, rest []string) error {
 		if len(rest) > 0 {
 			return &usageError{fmt.Sprintf("unexpected argument %q", rest[0])}
 		}
-		if err := a.connect(); err != nil {
-			return err
-		}
-		return c.Execute(nil)
+		return run(c)
+	}
+	return p, nil
+}
+
+// Parse checks the options and arguments of a command line without running it.
+func Parse(args []string) error {
+	a := new(app)
+	a.Version = func() {}
+	p, err := a.parser(func(flags.Commander) error { return nil })
+	if err != nil {
+		return err
 	}
 	_, err = p.ParseArgs(args)
 	return err
