Compare configuration documents with and without patch history

An entry that learned the configuration from an agent shows no patch history until the store answers. The comparison now takes the history of the document in force if one of the two has none; a change of an existing history is still sent and refused.

--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -78,24 +78,57 @@
 	return bytes.TrimSpace(data), nil
 }
 
-// documentPatch returns the merge patch from the document in force to edited,
-// and the version on which it is based: the one that the edited document names.
-func (a *app) documentPatch(edited []byte) (current, patch []byte, base uint64, err error) {
+// edit is an edited document against the one in force.
+type edit struct {
+	current, edited []byte
+	patch           []byte // merge patch from current to edited
+	base            uint64 // version that the edited document names
+}
+
+// compare reads the document in force and compares an edited one with it.
+func (a *app) compare(edited []byte) (*edit, error) {
 	var doc json.RawMessage
 	if err := a.client.get(a.ctx, "/v1/config", &doc); err != nil {
-		return nil, nil, 0, err
+		return nil, err
 	}
 	var head struct {
 		Version uint64 `json:"version"`
 	}
 	if err := json.Unmarshal(edited, &head); err != nil {
-		return nil, nil, 0, usagef("the edited document is not an object: %v", err)
+		return nil, usagef("the edited document is not an object: %v", err)
+	}
+	edited, err := alignHistory(doc, edited)
+	if err != nil {
+		return nil, usagef("the edited document cannot be compared: %v", err)
 	}
-	patch, err = jsonpatch.CreateMergePatch(doc, edited)
+	patch, err := jsonpatch.CreateMergePatch(doc, edited)
 	if err != nil {
-		return nil, nil, 0, usagef("the edited document cannot be compared: %v", err)
+		return nil, usagef("the edited document cannot be compared: %v", err)
 	}
-	return doc, patch, head.Version, nil
+	return &edit{current: doc, edited: edited, patch: patch, base: head.Version}, nil
+}
+
+// alignHistory gives edited the patch history of current if one of them has
+// none. An entry that learned the configuration from an agent shows none, and
+// the difference would be refused as a change of a field that only the system
+// writes.
+func alignHistory(current, edited []byte) ([]byte, error) {
+	const history = "patches"
+	var a, b map[string]json.RawMessage
+	if err := errors.Join(json.Unmarshal(current, &a), json.Unmarshal(edited, &b)); err != nil {
+		return nil, err
+	}
+	value, inCurrent := a[history]
+	_, inEdited := b[history]
+	switch {
+	case inCurrent == inEdited || b == nil:
+		return edited, nil
+	case inCurrent:
+		b[history] = value
+	default:
+		delete(b, history)
+	}
+	return json.Marshal(b)
 }
 
 type configDiff struct {
@@ -111,15 +144,15 @@
 	if err != nil {
 		return err
 	}
-	current, patch, _, err := c.documentPatch(edited)
+	e, err := c.compare(edited)
 	if err != nil {
 		return err
 	}
 	if c.JSON {
-		return c.printRaw(patch)
+		return c.printRaw(e.patch)
 	}
 	var a, b any
-	if err := errors.Join(json.Unmarshal(current, &a), json.Unmarshal(edited, &b)); err != nil {
+	if err := errors.Join(json.Unmarshal(e.current, &a), json.Unmarshal(e.edited, &b)); err != nil {
 		return err
 	}
 	lines := diffValues("", a, b, nil)
@@ -236,9 +269,11 @@
 	base := uint64(0)
 	switch {
 	case c.Document:
-		if _, req.Patch, base, err = c.documentPatch(data); err != nil {
+		e, err := c.compare(data)
+		if err != nil {
 			return req, err
 		}
+		req.Patch, base = e.patch, e.base
 	case data[0] == '[':
 		req.Type = config.JSONPatch
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -207,6 +207,21 @@
 		Expect(e.lastBody()).NotTo(ContainSubstring(`"patches"`))
 	})
 
+	// Guards against a refused patch when one of the documents came from an entry
+	// that does not have the patch history.
+	It("compares documents with and without the patch history", func() {
+		brief := strings.Replace(document[:strings.Index(document, `,"patches"`)]+"}", `"weight":2`, `"weight":3`, 1)
+		full := strings.Replace(document, `"weight":2`, `"weight":3`, 1)
+		for answer, edited := range map[string]string{document: brief, strings.Replace(brief, `"weight":3`, `"weight":2`, 1): full} {
+			e.answers["GET /v1/config"] = answer
+			out.Reset()
+			Expect(run("config", "diff", file(edited))).To(Equal(ExitOK))
+			Expect(out.String()).To(Equal("- /teams/0/weight 2\n+ /teams/0/weight 3\n"))
+			Expect(run("config", "patch", "--document", file(edited))).To(Equal(ExitOK))
+			Expect(e.lastBody()).NotTo(ContainSubstring(`"patches"`))
+		}
+	})
+
 	// Guards against a token that leaks to a process other than the entry.
 	It("sends the token to the entry only", func() {
 		Expect(run("status")).To(Equal(ExitOK))
