--- a/internal/bench/membership.go
+++ b/internal/bench/membership.go
@@ -74,7 +74,10 @@
 			fmt.Sprintf("%.2f%%", 1000*100*slope(samples, func(x sample) float64 { return x.cpu })),
 			slope(samples, func(x sample) float64 { return x.bytes }))
 	}
-	return nil
+	if o.Plot == "" {
+		return nil
+	}
+	return plotMembership(o.Plot, series)
 }
 
 func membershipRow(o *options, r *report, n int, series [][]sample) ([]sample, error) {
@@ -180,7 +183,8 @@
 			return agents, err
 		}
 		id := fmt.Sprintf("w%04d", i)
-		agents = append(agents, &lightAgent{pool: pool, state: wire.WorkerState{
+		// Agents start at random places of the cycle, so that changes are spread.
+		agents = append(agents, &lightAgent{pool: pool, beats: rand.N(changeEvery), state: wire.WorkerState{
 			Worker: model.Worker{
 				ID: id, Rack: fmt.Sprint("rack-", i/3), FailureDomain: benchDomain, Region: benchRegion,
 				Capacity: model.Resources{Accelerators: 8, Cores: 32, MemoryGB: 128},
--- a/internal/bench/region.go
+++ b/internal/bench/region.go
@@ -21,6 +21,7 @@
 	benchToken  = "bench"
 	benchRegion = "bench"
 	benchDomain = "domain-1"
+	benchWorker = "w1"
 )
 
 var development = transport.Security{Mode: transport.ModeDevelopment}
@@ -30,6 +31,7 @@
 	*fleet
 	store   *countingProxy
 	entries []*entryProcess
+	agent   *process // nil in a region without one
 }
 
 type entryProcess struct {
--- a/internal/planner/events.go
+++ b/internal/planner/events.go
@@ -59,6 +59,17 @@
 	p.healthChanged()
 }
 
+// ReleaseWorker implements framework.Scheduler.
+func (p *Planner) ReleaseWorker(_ time.Time, id string) {
+	w := p.pool.Get(id)
+	if w == nil || !w.Quarantined && !w.Probing && !w.Suspect {
+		return
+	}
+	w.Quarantined, w.Probing, w.Suspect = false, false, false
+	p.faults.Reset(id)
+	p.healthChanged()
+}
+
 func (p *Planner) healthChanged() {
 	p.health++
 	p.pool.Releases++
@@ -134,7 +145,7 @@
 		p.emit(framework.Decision{Kind: framework.Refuse, Job: m.ID, Reason: explain.Refusal(m.Shape, p.largest())})
 		return
 	}
-	j.reason = explain.New(explain.WaitingForCapacity, "the job was submitted and has not been considered yet")
+	j.reason = explain.Waiting(j.Shape) // until a decision says otherwise; jobs behind an equal one are not tried
 	p.enqueue(now, j)
 }
 
--- a/internal/store/limit_test.go
+++ b/internal/store/limit_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"snipegw/internal/result"
 	"snipegw/internal/store"
 	"snipegw/internal/store/storetest"
 )
@@ -35,5 +36,6 @@
 		defer cancel()
 		_, err = s.Get(ctx, "k")
 		g.Expect(err).To(MatchError(context.DeadlineExceeded))
+		g.Expect(result.CodeOf(err)).To(Equal(result.StoreUnavailable))
 	})
 }
