Refuse null as an edited configuration document

It is now a usage error.

go test -race ./internal/ctl ./docs passes; the new check failed before.

Conclusion: an edited document has to be an object.

--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -121,7 +121,9 @@
 	value, inCurrent := a[history]
 	_, inEdited := b[history]
 	switch {
-	case inCurrent == inEdited || b == nil:
+	case b == nil:
+		return nil, errors.New("it is not an object")
+	case inCurrent == inEdited:
 		return edited, nil
 	case inCurrent:
 		b[history] = value
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -220,6 +220,7 @@
 			Expect(run("config", "patch", "--document", file(edited))).To(Equal(ExitOK))
 			Expect(e.lastBody()).NotTo(ContainSubstring(`"patches"`))
 		}
+		Expect(run("config", "diff", file("null"))).To(Equal(ExitUsage))
 	})
 
 	// Guards against a token that leaks to a process other than the entry.
