--- a/cmd/snipegw-replay/policies.go
+++ /dev/null
@@ -1,4 +0,0 @@
-package main
-
-// The production policies register themselves.
-import _ "snipegw/internal/planner"
