Carry requests over pooled TLS connections on TCP

Change: wire.KindRequest uses pooled TCP connections, one call at a time, with the same frames, certificates and port number; all other calls stay on QUIC, which is also the fallback. A connection is used again only after both end frames or after a refusal with an ended body. Entries close the connections to dead workers, since the kernel of a frozen process keeps TCP alive. The relays of the proofs carry TCP with the same cuts.

A break before the admission of a non-idempotent request with a buffered body now counts as not run, since the agent runs it only after the end frame that the entry holds back. Streamed bodies and tickets taken in advance are excluded: the agent passes the head of a streamed body on at once, and a ticket may have been used before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -115,7 +115,8 @@
 	dumper.Add("store_calls", func() any { return p.store.Calls() })
 	dumper.Add("config_version", func() any { return conf.Version() })
 	publishMetrics(p, member, routes, budget, api)
-	background := &loops{name: "router", runs: []func(context.Context){routes.Run, budget.Run}}
+	gone := &goneWorkers{members: member, pool: p.network.pool}
+	background := &loops{name: "router", runs: []func(context.Context){routes.Run, budget.Run, gone.run}}
 	return []kernel.Component{conf, p.network, member, host, background, api}
 }
 
--- a/internal/entry/forward/attempt.go
+++ b/internal/entry/forward/attempt.go
@@ -31,6 +31,8 @@
 	full     bool
 	admitted bool
 	free     int // free slots after admission
+	// refused is set if the agent refused the request in place of an admission.
+	refused bool
 }
 
 // attempt sends the request to the agent at addr and passes on its answer.
@@ -49,7 +51,11 @@
 	if out.err == nil {
 		return out
 	}
-	stream.Abort()
+	if out.refused {
+		stream.Refused()
+	} else {
+		stream.Abort()
+	}
 	if errors.Is(out.err, os.ErrDeadlineExceeded) {
 		<-ctx.Done() // the stream has the same deadline and may notice it first
 	}
@@ -92,10 +98,12 @@
 	}
 	var adm wire.Admission
 	if err := s.Receive(&adm); err != nil {
-		return receiveFailed(errors.Join(err, sendErr))
+		return c.notAdmitted(ctx, errors.Join(err, sendErr), eager)
 	}
 	if adm.Fault != nil {
-		return refused(adm.Fault.Err())
+		out := refused(adm.Fault.Err())
+		out.refused = true
+		return out
 	}
 	out := outcome{admitted: true, free: adm.FreeSlots}
 	if adm.Ticket != "" && !c.req.Idempotent {
@@ -216,6 +224,22 @@
 	return outcome{err: result.Errorf(result.OutcomeUnknown, "the connection to the worker broke: %w", err), blame: true}
 }
 
+// notAdmitted classifies a failure before the admission arrived. An agent runs a
+// request with a small body only after the end frame of the body, which was not
+// sent if the body waits for the admission; the attempt can then be repeated. A
+// streamed body gives no such proof, since the agent passes its head on at once,
+// nor does a ticket taken in advance, which may have been used before.
+func (c *call) notAdmitted(ctx context.Context, err error, eager bool) outcome {
+	var re *result.Error
+	if eager || c.body.rest != nil || c.req.Ticket != "" || ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &re) {
+		return receiveFailed(err)
+	}
+	return outcome{
+		err:    result.Errorf(result.BackendUnavailable, "the connection to the worker broke before it admitted the request: %w", err),
+		notRun: true, otherWorker: true, blame: true,
+	}
+}
+
 // refused classifies a code that the agent sent.
 func refused(err error) outcome {
 	code := result.CodeOf(err)
--- a/internal/proof/cluster.go
+++ b/internal/proof/cluster.go
@@ -31,6 +31,7 @@
 	Log     string
 	storeTo *tcpRelay // relay between an entry and the store
 	udp     *udpRelay
+	tcp     *linkRelay
 }
 
 // URL returns the base URL of the node's HTTP server.
@@ -120,7 +121,10 @@
 	if advertise, err = freeAddress(); err != nil {
 		return "", "", err
 	}
-	n.udp, err = newUDPRelay(advertise, listen, c.links.blocked(n))
+	if n.udp, err = newUDPRelay(advertise, listen, c.links.blocked(n)); err != nil {
+		return "", "", err
+	}
+	n.tcp, err = newLinkRelay(advertise, listen, c.links.blockedTCP(n))
 	return listen, advertise, err
 }
 
@@ -330,6 +334,9 @@
 		if n.udp != nil {
 			n.udp.close()
 		}
+		if n.tcp != nil {
+			n.tcp.close()
+		}
 		if n.storeTo != nil {
 			n.storeTo.close()
 		}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -75,6 +75,7 @@
 	usage
 	turn  atomic.Uint64
 	links [maxLinks]atomic.Pointer[link]
+	tcp   tcpPeer
 }
 
 // link is one connection, dialed on demand.
@@ -108,6 +109,10 @@
 // Close ends all connections.
 func (p *Pool) Close() error {
 	p.stop()
+	p.peers.Range(func(_, v any) bool {
+		v.(*peer).tcp.closeAll()
+		return true
+	})
 	return errors.Join(p.tr.Close(), p.udp.Close())
 }
 
@@ -131,6 +136,7 @@
 	if !ok {
 		return
 	}
+	v.(*peer).tcp.closeAll()
 	for i := range maxLinks {
 		if l := v.(*peer).links[i].Swap(nil); l != nil {
 			l.close()
@@ -149,6 +155,7 @@
 			p.peers.Range(func(k, v any) bool {
 				if v.(*peer).closeIdle(now) && v.(*peer).retire() {
 					p.peers.CompareAndDelete(k, v)
+					v.(*peer).tcp.closeAll() // a call may have ended since closeIdle
 				}
 				return true
 			})
@@ -158,7 +165,7 @@
 
 // closeIdle closes idle connections and reports whether none is left.
 func (e *peer) closeIdle(now time.Time) bool {
-	empty := true
+	empty := e.tcp.closeIdle(now)
 	for i := range maxLinks {
 		l := e.links[i].Load()
 		if l == nil {
@@ -285,6 +292,16 @@
 // reads from the stream any more.
 func (p *Pool) Open(ctx context.Context, addr string, kind wire.Kind, msg any) (s *Stream, done func(), err error) {
 	e := p.begin(addr)
+	if kind == wire.KindRequest {
+		s, err := e.tcp.begin(ctx, p.creds, addr, msg)
+		if err != nil {
+			e.end()
+			return nil, nil, &CallError{Address: addr, Err: err}
+		}
+		if s != nil {
+			return s, func() { e.endTCP(s) }, nil
+		}
+	}
 	l, c, err := e.choose(ctx, p, addr)
 	if err != nil {
 		e.end()
@@ -344,13 +361,13 @@
 		return &CallError{Address: addr, Sent: true, Err: err}
 	}
 	if err := s.Receive(reply); err != nil {
-		s.qs.CancelRead(resetAborted)
+		s.c.stopReading()
 		var re *result.Error
 		if errors.As(err, &re) {
 			return re
 		}
 		return &CallError{Address: addr, Sent: true, Err: err}
 	}
-	s.qs.CancelRead(resetAborted)
+	s.c.stopReading()
 	return nil
 }
--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -50,9 +50,11 @@
 // Stream is one call. It is not safe for concurrent use, except that one
 // goroutine may read while another writes.
 type Stream struct {
-	qs *quic.Stream
+	c  carrier
 	br *bufio.Reader
 	bw *bufio.Writer
+	// tcp is the call on a TCP connection, nil on QUIC.
+	tcp *tcpCall
 	// body is the latest body reader; its buffer may be in use until its end.
 	body *bodyReader
 	// closed is set when CloseWrite has ended, so that nothing writes any more.
@@ -66,7 +68,7 @@
 )
 
 func newStream(qs *quic.Stream) *Stream {
-	s := &Stream{qs: qs, br: readers.Get().(*bufio.Reader), bw: writers.Get().(*bufio.Writer)}
+	s := &Stream{c: quicCarrier{qs}, br: readers.Get().(*bufio.Reader), bw: writers.Get().(*bufio.Writer)}
 	s.br.Reset(qs)
 	s.bw.Reset(qs)
 	return s
@@ -80,6 +82,9 @@
 	if s.released.Swap(true) {
 		return false
 	}
+	if s.tcp != nil {
+		return true // the buffers belong to the connection
+	}
 	if s.body == nil || s.body.done.Load() {
 		s.br.Reset(nil)
 		readers.Put(s.br)
@@ -94,10 +99,10 @@
 }
 
 // SetDeadline bounds all reads and writes.
-func (s *Stream) SetDeadline(t time.Time) error { return s.qs.SetDeadline(t) }
+func (s *Stream) SetDeadline(t time.Time) error { return s.c.SetDeadline(t) }
 
 // Context ends when the peer resets the stream or the connection ends.
-func (s *Stream) Context() context.Context { return s.qs.Context() }
+func (s *Stream) Context() context.Context { return s.c.Context() }
 
 // messages holds buffers for the encoding of messages.
 var messages = sync.Pool{New: func() any { return new(bytes.Buffer) }}
@@ -137,6 +142,9 @@
 func (s *Stream) Flush() error { return s.bw.Flush() }
 
 func (s *Stream) writeFrame(kind byte, payload []byte) error {
+	if s.tcp != nil {
+		s.tcp.sent(kind)
+	}
 	if s.bw.Available() < frameHeaderBytes {
 		if err := s.bw.Flush(); err != nil {
 			return err
@@ -313,6 +321,9 @@
 	if total != r.total {
 		return fmt.Errorf("%w: %d bytes in place of %d", ErrBroken, r.total, total)
 	}
+	if r.s.tcp != nil {
+		r.s.tcp.bodyRead()
+	}
 	r.done.Store(true)
 	return nil
 }
@@ -330,7 +341,7 @@
 	if err := s.bw.Flush(); err != nil && !stoppedByPeer(err) {
 		return err
 	}
-	_ = s.qs.Close() // fails only if the direction has ended
+	_ = s.c.Close() // fails only if the direction has ended
 	s.closed.Store(true)
 	return nil
 }
@@ -344,7 +355,7 @@
 // Close ends the call in both directions after a flush. Unread data of the
 // peer is refused.
 func (s *Stream) Close() error {
-	s.qs.CancelRead(resetAborted)
+	s.c.stopReading()
 	return s.CloseWrite()
 }
 
@@ -352,13 +363,15 @@
 // broken for the peer. Unlike a reset it does not discard what was sent before,
 // such as an admission with its ticket.
 func (s *Stream) breakOff() {
+	if s.tcp != nil {
+		s.tcp.broken = true
+	}
 	_ = s.Close()
 }
 
 // Abort resets the stream in both directions; the peer sees a broken body.
 func (s *Stream) Abort() {
-	s.qs.CancelRead(resetAborted)
-	s.qs.CancelWrite(resetAborted)
+	s.c.abort()
 }
 
 // CallError tells whether a failed call may have reached the peer.
--- /dev/null
+++ b/internal/transport/tcp_test.go
@@ -0,0 +1,333 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"snipegw/internal/result"
+	"snipegw/internal/wire"
+)
+
+// Methods that tell the server of these tests what to do with a request.
+const (
+	methodEcho        = "ECHO"
+	methodRefuse      = "REFUSE"       // refuses without reading the body
+	methodBreakBefore = "BREAK-BEFORE" // breaks off before the admission
+	methodBreakAfter  = "BREAK-AFTER"  // breaks off after the admission
+	methodBreakBody   = "BREAK-BODY"   // breaks off within the body
+	methodHeadFault   = "HEAD-FAULT"   // fault in place of the response head
+	methodHang        = "HANG"         // sends a part of the body and waits
+)
+
+// requestServer counts what a server saw.
+type requestServer struct {
+	active, most, gone atomic.Int64
+	conns              sync.Map // *tcpConn -> calls in progress
+	shared             atomic.Bool
+}
+
+func (r *requestServer) ServeCall(_ context.Context, _ wire.Kind, s *Stream) error {
+	if s.tcp != nil {
+		if _, busy := r.conns.LoadOrStore(s.tcp.conn, true); busy {
+			r.shared.Store(true)
+		}
+		defer r.conns.Delete(s.tcp.conn)
+	}
+	n := r.active.Add(1)
+	defer r.active.Add(-1)
+	for m := r.most.Load(); n > m && !r.most.CompareAndSwap(m, n); m = r.most.Load() {
+	}
+	var head wire.RequestHead
+	if err := s.Receive(&head); err != nil {
+		return err
+	}
+	switch head.Method {
+	case methodRefuse:
+		return s.Send(&wire.Admission{Fault: wire.FaultOf(result.Errorf(result.WorkerFull, "refused"))})
+	case methodBreakBefore:
+		return errors.New("broken on purpose")
+	}
+	if err := s.Send(&wire.Admission{Ticket: head.ID}); err != nil {
+		return err
+	}
+	if head.Method == methodBreakAfter {
+		return errors.New("broken on purpose")
+	}
+	body, err := io.ReadAll(s.Body())
+	if err != nil {
+		return err
+	}
+	if head.Method == methodHeadFault {
+		return s.Send(&wire.ResponseHead{Fault: wire.FaultOf(result.Errorf(result.OutcomeUnknown, "fault"))})
+	}
+	if err := s.SendBuffered(&wire.ResponseHead{Status: 200}); err != nil {
+		return err
+	}
+	w := s.BodyWriter(true)
+	_, _ = w.Write(append([]byte(head.ID+":"), body...))
+	switch head.Method {
+	case methodBreakBody:
+		return errors.New("broken on purpose")
+	case methodHang:
+		<-s.Context().Done()
+		r.gone.Add(1)
+		return s.Context().Err()
+	}
+	return w.Close()
+}
+
+var _ = Describe("requests over TCP", func() {
+	var (
+		creds   *Credentials
+		handler *requestServer
+		server  *Server
+		pool    *Pool
+		ctx     context.Context
+	)
+
+	BeforeEach(func() {
+		var err error
+		creds, err = NewCredentials(Security{Mode: ModeDevelopment})
+		Expect(err).NotTo(HaveOccurred())
+		handler = &requestServer{}
+		server, err = Listen("127.0.0.1:0", creds, handler)
+		Expect(err).NotTo(HaveOccurred())
+		pool, err = NewPool("127.0.0.1:0", creds)
+		Expect(err).NotTo(HaveOccurred())
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.Background(), 20*time.Second)
+		DeferCleanup(func() {
+			cancel()
+			_ = pool.Close()
+			_ = server.Close()
+		})
+	})
+
+	begin := func(ctx context.Context, method, id string) (*Stream, func()) {
+		GinkgoHelper()
+		s, done, err := pool.Open(ctx, server.Addr(), wire.KindRequest, &wire.RequestHead{ID: id, Method: method})
+		Expect(err).NotTo(HaveOccurred())
+		return s, done
+	}
+	send := func(s *Stream, body string) error {
+		w := s.BodyWriter(false)
+		if _, err := io.WriteString(w, body); err != nil {
+			return err
+		}
+		return errors.Join(w.Close(), s.CloseWrite())
+	}
+	answer := func(s *Stream) (string, error) {
+		var adm wire.Admission
+		if err := s.Receive(&adm); err != nil {
+			return "", err
+		}
+		if adm.Fault != nil {
+			return "", adm.Fault.Err()
+		}
+		var head wire.ResponseHead
+		if err := s.Receive(&head); err != nil {
+			return "", err
+		}
+		if head.Fault != nil {
+			return "", head.Fault.Err()
+		}
+		body, err := io.ReadAll(s.Body())
+		return string(body), err
+	}
+	echoed := func(id string) *tcpConn {
+		GinkgoHelper()
+		s, done := begin(ctx, methodEcho, id)
+		defer done()
+		Expect(s.tcp).NotTo(BeNil())
+		Expect(send(s, "body")).To(Succeed())
+		Expect(answer(s)).To(Equal(id + ":body"))
+		return s.tcp.conn
+	}
+
+	It("uses a connection again after a complete response, and one for each concurrent call", func() {
+		Expect(echoed("1")).To(BeIdenticalTo(echoed("2")))
+		var wg sync.WaitGroup
+		var wrong atomic.Int64
+		for i := range 30 {
+			wg.Go(func() {
+				for j := range 50 {
+					id := strconv.Itoa(i) + "/" + strconv.Itoa(j)
+					s, done, err := pool.Open(ctx, server.Addr(), wire.KindRequest, &wire.RequestHead{ID: id, Method: methodEcho})
+					if err != nil {
+						wrong.Add(1)
+						continue
+					}
+					serr := send(s, "b")
+					if got, err := answer(s); err != nil || serr != nil || got != id+":b" {
+						wrong.Add(1)
+					}
+					done()
+				}
+			})
+		}
+		wg.Wait()
+		Expect(wrong.Load()).To(BeZero())
+		Expect(handler.shared.Load()).To(BeFalse())
+		v, _ := pool.peers.Load(server.Addr())
+		Expect(v.(*peer).tcp.count.Load()).To(BeNumerically("<=", maxTCP))
+		Expect(v.(*peer).tcp.closeIdle(time.Now().Add(2 * PoolIdle))).To(BeTrue())
+	})
+
+	// A connection that is not at the start of a call would give the rest of one
+	// caller's answer to the next one.
+	for _, method := range []string{methodBreakBefore, methodBreakAfter, methodBreakBody, methodHeadFault} {
+		It("does not use a connection again after "+method, func() {
+			s, done := begin(ctx, method, "1")
+			_ = send(s, "body") // the break may come first
+			_, err := answer(s)
+			Expect(err).To(HaveOccurred())
+			used := s.tcp.conn
+			done()
+			Expect(used.ctx.Err()).To(HaveOccurred())
+			Expect(echoed("2")).NotTo(BeIdenticalTo(used))
+		})
+	}
+
+	It("uses a connection again after a refusal, whether the body was sent or not", func() {
+		first := echoed("1")
+		for _, body := range []string{"", "body", string(bytes.Repeat([]byte("x"), maxDrainBytes-1))} {
+			s, done := begin(ctx, methodRefuse, "2")
+			if body != "" {
+				Expect(send(s, body)).To(Succeed())
+			} else {
+				Expect(s.Flush()).To(Succeed())
+			}
+			_, err := answer(s)
+			Expect(result.CodeOf(err)).To(Equal(result.WorkerFull))
+			s.Refused()
+			done()
+			Expect(echoed("3")).To(BeIdenticalTo(first))
+		}
+	})
+
+	It("closes a connection after a refusal with more unread body than the limit", func() {
+		s, done := begin(ctx, methodRefuse, "1")
+		_ = send(s, string(bytes.Repeat([]byte("x"), 4*maxDrainBytes)))
+		_, err := answer(s)
+		Expect(result.CodeOf(err)).To(Equal(result.WorkerFull))
+		s.Refused()
+		used := s.tcp.conn
+		done()
+		Eventually(func() bool { return used.ctx.Err() != nil || used.endedByPeer() }).Should(BeTrue())
+		time.Sleep(checkAfter) // the check of an idle connection begins then
+		Expect(echoed("2")).NotTo(BeIdenticalTo(used))
+	})
+
+	It("does not use a connection again whose call was cancelled during the response, and ends the context of its handler", func() {
+		cctx, cancel := context.WithCancel(ctx)
+		s, done := begin(cctx, methodHang, "1")
+		stop := context.AfterFunc(cctx, s.Abort)
+		Expect(send(s, "body")).To(Succeed())
+		Eventually(handler.active.Load).Should(Equal(int64(1)))
+		cancel()
+		_, err := answer(s)
+		Expect(err).To(HaveOccurred())
+		used := s.tcp.conn
+		stop()
+		done()
+		Expect(echoed("2")).NotTo(BeIdenticalTo(used))
+		Eventually(handler.gone.Load).Should(Equal(int64(1)))
+	})
+
+	It("never lets an abort after the last byte reach the next call", func() {
+		for i := range 300 {
+			id := strconv.Itoa(i)
+			s, done := begin(ctx, methodEcho, id)
+			Expect(send(s, "body")).To(Succeed())
+			Expect(answer(s)).To(Equal(id + ":body"))
+			aborted := make(chan struct{})
+			go func() {
+				s.Abort()
+				close(aborted)
+			}()
+			done()
+			echoed("next")
+			<-aborted
+			s.Abort()
+		}
+	})
+
+	It("delivers the ticket before a broken response", func() {
+		for i := range 200 {
+			id := strconv.Itoa(i)
+			s, done := begin(ctx, methodBreakAfter, id)
+			Expect(send(s, "a body that the handler does not read")).To(Succeed())
+			var adm wire.Admission
+			Expect(s.Receive(&adm)).To(Succeed())
+			Expect(adm.Ticket).To(Equal(id))
+			Expect(s.Receive(&wire.ResponseHead{})).NotTo(Succeed())
+			done()
+		}
+	})
+
+	It("uses QUIC above the limit of connections and while TCP cannot be dialed", func() {
+		var dones []func()
+		quic := 0
+		for i := range maxTCP + 2 {
+			s, done := begin(ctx, methodEcho, strconv.Itoa(i))
+			if s.tcp == nil {
+				quic++
+			}
+			Expect(send(s, "body")).To(Succeed())
+			Expect(answer(s)).To(Equal(strconv.Itoa(i) + ":body"))
+			dones = append(dones, done)
+		}
+		Expect(quic).To(Equal(2))
+		for _, done := range dones {
+			done()
+		}
+		_ = server.tcp.ln.Close()
+		pool.Forget(server.Addr())
+		s, done := begin(ctx, methodEcho, "last")
+		defer done()
+		Expect(s.tcp).To(BeNil())
+		Expect(send(s, "body")).To(Succeed())
+		Expect(answer(s)).To(Equal("last:body"))
+	})
+
+	It("does not use an idle connection that the peer has closed", func() {
+		used := echoed("1")
+		addr := server.Addr()
+		Expect(server.Close()).To(Succeed())
+		var err error
+		Eventually(func() error {
+			server, err = Listen(addr, creds, handler)
+			return err
+		}).Should(Succeed())
+		time.Sleep(checkAfter) // the check of an idle connection begins then
+		Expect(echoed("2")).NotTo(BeIdenticalTo(used))
+	})
+
+	It("accepts only requests over TCP, and only with a certificate", func() {
+		c, err := (&tcpPeer{}).dial(ctx, creds, server.Addr())
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.tls.Write([]byte{byte(wire.KindRelease)})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.tls.Read(make([]byte, 1))
+		Expect(err).To(HaveOccurred())
+		Expect(errors.Is(err, context.DeadlineExceeded)).To(BeFalse())
+		raw, err := net.Dial("tcp", server.Addr())
+		Expect(err).NotTo(HaveOccurred())
+		defer raw.Close()
+		_, _ = raw.Write([]byte{byte(wire.KindRequest)})
+		_ = raw.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, err = io.Copy(io.Discard, raw)
+		Expect(errors.Is(err, context.DeadlineExceeded)).To(BeFalse())
+		Expect(handler.most.Load()).To(BeZero())
+	})
+})
--- /dev/null
+++ b/internal/transport/tcpserver.go
@@ -0,0 +1,172 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"snipegw/internal/wire"
+)
+
+const (
+	// maxDrainBytes bounds the rest of a refused request's body that is read so
+	// that its connection can be used again.
+	maxDrainBytes = 128 << 10
+	// portTries bounds the search for a port that is free for UDP and TCP.
+	portTries = 50
+)
+
+// listenBoth opens addr for UDP and TCP with the same port.
+func listenBoth(addr string) (*net.UDPConn, *net.TCPListener, error) {
+	ua, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return nil, nil, err
+	}
+	for try := 1; ; try++ {
+		udp, err := net.ListenUDP("udp", ua)
+		if err != nil {
+			return nil, nil, err
+		}
+		local := udp.LocalAddr().(*net.UDPAddr)
+		config := net.ListenConfig{KeepAliveConfig: keepAliveConfig()}
+		ln, err := config.Listen(context.Background(), "tcp", (&net.TCPAddr{IP: ua.IP, Port: local.Port, Zone: ua.Zone}).String())
+		if err == nil {
+			return udp, ln.(*net.TCPListener), nil
+		}
+		_ = udp.Close()
+		if ua.Port != 0 || try == portTries {
+			return nil, nil, err
+		}
+	}
+}
+
+// tcpServer accepts requests over TCP for a Server.
+type tcpServer struct {
+	ln   *net.TCPListener
+	tls  *tls.Config
+	mu   sync.Mutex
+	open map[*tcpConn]struct{} // nil after close
+}
+
+func newTCPServer(ln *net.TCPListener, creds *Credentials) *tcpServer {
+	return &tcpServer{ln: ln, tls: creds.serverConfig(), open: make(map[*tcpConn]struct{})}
+}
+
+func (t *tcpServer) close() error {
+	err := t.ln.Close()
+	t.mu.Lock()
+	open := t.open
+	t.open = nil
+	t.mu.Unlock()
+	for c := range open {
+		c.close()
+	}
+	return err
+}
+
+func (t *tcpServer) add(c *tcpConn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.open == nil {
+		return false
+	}
+	t.open[c] = struct{}{}
+	return true
+}
+
+func (t *tcpServer) remove(c *tcpConn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.open != nil {
+		delete(t.open, c)
+	}
+}
+
+func (s *Server) acceptTCP(ctx context.Context) {
+	for {
+		raw, err := s.tcp.ln.AcceptTCP()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(10 * time.Millisecond) // no free descriptor
+			continue
+		}
+		go s.serveTCP(ctx, raw)
+	}
+}
+
+func (s *Server) serveTCP(ctx context.Context, raw *net.TCPConn) {
+	c := newTCPConn(raw, tls.Server(raw, s.tcp.tls), s.tcp.remove)
+	defer c.close()
+	if !s.tcp.add(c) {
+		return
+	}
+	_ = raw.SetDeadline(time.Now().Add(dialTimeout))
+	if err := c.tls.HandshakeContext(ctx); err != nil {
+		return
+	}
+	for {
+		// The client closes after PoolIdle.
+		_ = raw.SetDeadline(time.Now().Add(2 * PoolIdle))
+		kind, err := c.br.ReadByte()
+		if err != nil || wire.Kind(kind) != wire.KindRequest {
+			return
+		}
+		_ = raw.SetDeadline(time.Time{})
+		peeked := s.serveRequest(ctx, c)
+		if peeked == nil {
+			return
+		}
+		<-peeked
+		if c.ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// serveRequest serves one call. It returns the channel that is closed when the
+// next call has begun or the peer has gone, or nil after it has broken off the
+// connection. The call counts as active until then, since Close would cut it.
+func (s *Server) serveRequest(ctx context.Context, c *tcpConn) <-chan struct{} {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	st := newTCPStream(c, true)
+	if err := s.handler.ServeCall(ctx, wire.KindRequest, st); err != nil {
+		s.fail(st, wire.KindRequest, err)
+	} else {
+		_ = st.Close()
+	}
+	if !st.finish() {
+		c.breakOff()
+		return nil
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(2 * PoolIdle))
+	return st.tcp.peeked
+}
+
+// finish ends a call of the server and reports whether the next one may follow
+// on the connection: the answer is a refusal or complete, and the body of the
+// request was read to its end.
+func (s *Stream) finish() bool {
+	t := s.tcp
+	if t.broken || t.faulty || !t.end() || t.conn.bw.Flush() != nil {
+		return false
+	}
+	refused := t.messages == 1 && !t.pieces
+	if !refused && !t.ended {
+		return false
+	}
+	if s.body == nil {
+		_ = t.conn.raw.SetReadDeadline(time.Now().Add(breakLimit))
+		n, err := io.Copy(io.Discard, io.LimitReader(s.Body(), maxDrainBytes+1))
+		if err != nil || n > maxDrainBytes {
+			return false
+		}
+	}
+	return s.body.done.Load() // else another goroutine may still read the body
+}
