--- a/internal/planner/batch.go
+++ b/internal/planner/batch.go
@@ -260,7 +260,14 @@
 
 // closed reports whether a worker is closed to a job although it is usable.
 func (p *Planner) closed(j *job, w *pool.Worker) bool {
-	return w.Probing && len(w.Gangs) > 0 || j.picky && p.faults.Avoid(j.ID, w.ID)
+	return w.Probing && onTrial(w) || j.picky && p.faults.Avoid(j.ID, w.ID)
+}
+
+// onTrial reports whether a gang on a worker can still prove it. Gangs from before
+// its failures cannot; as long as they held the worker closed, nothing could end
+// its probe.
+func onTrial(w *pool.Worker) bool {
+	return slices.ContainsFunc(w.Gangs, func(g *pool.Gang) bool { return !g.Placed.Before(w.Doubted) })
 }
 
 // unfit is closed, and bounds the starts on a worker that have not proven
@@ -274,7 +281,7 @@
 		limit = 1
 	}
 	for _, g := range w.Gangs {
-		if !g.Promised && now.Sub(g.Placed) < faults.ProvenAfter {
+		if !g.Nominated && now.Sub(g.Placed) < faults.ProvenAfter {
 			limit--
 		}
 	}
@@ -304,7 +311,7 @@
 	large := size(j.Shape) >= queue.LargeSize
 	costOf := p.remember(func(g *pool.Gang) float64 {
 		v := p.jobs[g.ID]
-		if g.Protected || g.Promised || now.Sub(g.Placed) < minTenure {
+		if g.Protected || g.Nominated || now.Sub(g.Placed) < minTenure {
 			return impossible
 		}
 		harm := p.params.Harm(p.item(now, v), reclaim.Lost(g, now), runs)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -9,7 +9,8 @@
 // could hold all guarantees, the smallest set of claims is moved (relocate.go),
 // of equal sets the one that loses the least work. A move stops a claim with
 // Grace for its checkpoint and starts it again at once. Cheap moves are made at
-// once, others when a claim waits for the room.
+// once, others when a claim waits for the room. In small pools a cheap move also
+// ends the exposure of guarantees to the next failure (exposure.go).
 //
 // It is pure: no I/O, no goroutine, no clock, and no iteration over maps that
 // could change a decision.
@@ -57,7 +58,7 @@
 
 const (
 	waiting state = iota
-	promised
+	nominated
 	starting
 	running
 	stopping
@@ -90,7 +91,7 @@
 	reservation *reservation
 	slot        *packing.Slot
 	reason      model.Reason
-	// preempted counts the gangs stopped for the promise of this job.
+	// preempted counts the gangs stopped for this job while it is nominated.
 	preempted int
 }
 
@@ -111,15 +112,17 @@
 	// claimed holds the teams whose guarantees were claimed in this pass.
 	claimed []string
 
-	promises []*job
-	out      []framework.Decision
-	probes   []probe
-	trials   []trial
+	nominations []*job
+	out         []framework.Decision
+	probes      []probe
+	trials      []trial
 	// dirty asks for a pass of Decide, more for another one after it.
 	dirty, more bool
 	wake        time.Time
 	// throttled is when a worker takes starts again that were held back.
 	throttled time.Time
+	// nextExposed is when endExposure may search again.
+	nextExposed time.Time
 
 	// same and searches serve repeated searches.
 	same     []*pool.Worker
