--- /dev/null
+++ b/internal/bench/jobs.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"snipegw/internal/model"
+	"snipegw/internal/proof"
+	"snipegw/internal/standin/kv"
+)
+
+const (
+	// gangStarts is the number of gangs whose start is timed.
+	gangStarts = 100
+	// storeDelayMS is the response time of the store during the measurement.
+	storeDelayMS = 3
+	// statusPoll is the time between two looks at the state of a gang; it adds up
+	// to one of it to each measurement.
+	statusPoll = time.Millisecond
+	// jobsLimit bounds the whole section.
+	jobsLimit = 3 * time.Minute
+	benchTeam = "routes"
+)
+
+// jobsSection measures the time from the submission of a gang of 2 x 8 on an
+// idle pool to the state running, and the calls of the store with and without
+// jobs. The baseline is a store that answers at once.
+func jobsSection(o *options, r *report) error {
+	ctx, cancel := context.WithTimeout(context.Background(), jobsLimit)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "snipegw-bench-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	c, err := proof.Launch(ctx, o.Bin, filepath.Join(dir, "cluster"), proof.DefaultSpec())
+	if err != nil {
+		return err
+	}
+	defer c.Kill()
+	r.title("Jobs: submit to start of a gang of 2 x 8 on an idle pool, 3 agents, 2 entries (target p99 below 100 ms with a store that answers in %d ms)", storeDelayMS)
+	r.row("store", "gangs", "p50 ms", "p99 ms", "max ms", "store calls/s idle", "store calls/s with gangs")
+	for _, slow := range []int{0, storeDelayMS} {
+		if err := jobsRow(ctx, o, r, c, slow); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func jobsRow(ctx context.Context, o *options, r *report, c *proof.Cluster, slow int) error {
+	if err := proof.SetFaults(c.Store, map[string]any{"slow_ms": slow}); err != nil {
+		return err
+	}
+	before, err := storeCalls(c.Store.URL())
+	if err != nil {
+		return err
+	}
+	time.Sleep(o.Measure)
+	idle, err := storeCalls(c.Store.URL())
+	if err != nil {
+		return err
+	}
+	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	begin := time.Now()
+	for i := range gangStarts {
+		took, err := timeGangStart(ctx, c, fmt.Sprintf("gang-%d-%d", slow, i))
+		if err != nil {
+			return err
+		}
+		_ = h.RecordValue(took.Microseconds())
+		time.Sleep(rand.N(20 * time.Millisecond)) // submissions fall anywhere between ticks
+	}
+	seconds := time.Since(begin).Seconds()
+	loaded, err := storeCalls(c.Store.URL())
+	if err != nil {
+		return err
+	}
+	ms := func(q float64) float64 { return float64(h.ValueAtPercentile(q)) / 1000 }
+	r.row(fmt.Sprintf("%d ms", slow), gangStarts, ms(50), ms(99), float64(h.Max())/1000,
+		float64(idle-before)/o.Measure.Seconds(), float64(loaded-idle)/seconds)
+	return nil
+}
+
+// timeGangStart returns the time from the submission of a gang to the state running
+// and cancels it.
+func timeGangStart(ctx context.Context, c *proof.Cluster, id string) (time.Duration, error) {
+	client := proof.NewClient(proof.TeamToken(benchTeam))
+	job := model.Job{
+		ID: id, Team: benchTeam, Class: model.ClassPreemptible, DeclaredMS: 60_000, CheckpointMS: 1000,
+		Shape:   model.Shape{Tasks: 2, AcceleratorsPerTask: 8, CoresPerTask: 8, MemoryGBPerTask: 32, Adjacent: model.AdjacentRack},
+		Command: []string{"sleep", "60000"},
+	}
+	begin := time.Now()
+	if _, err := client.Submit(ctx, c.Entries, job); err != nil {
+		return 0, err
+	}
+	for {
+		st, err := client.Job(ctx, c.Entries, id)
+		if err != nil {
+			return 0, err
+		}
+		if st.State == model.JobRunning {
+			break
+		}
+		if st.State.Final() {
+			return 0, fmt.Errorf("gang %s ended as %s: %s", id, st.State, st.Reason.Sentence)
+		}
+		time.Sleep(statusPoll)
+	}
+	took := time.Since(begin)
+	if err := client.Cancel(ctx, c.Entries, id); err != nil {
+		return 0, err
+	}
+	_, err := client.AwaitJob(ctx, c.Entries, id, func(st model.JobStatus) bool { return st.State.Final() })
+	return took, err
+}
+
+// storeCalls returns the calls that a stand-in of the store has served.
+func storeCalls(url string) (uint64, error) {
+	resp, err := http.Get(url + "/standin/counts")
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	var c kv.Counts
+	if err := json.NewDecoder(resp.Body).Decode(&c); err != nil {
+		return 0, fmt.Errorf("counts of the store: %w", err)
+	}
+	total := uint64(0)
+	for _, n := range c.Calls {
+		total += n
+	}
+	return total, nil
+}
--- a/internal/bench/membership.go
+++ b/internal/bench/membership.go
@@ -56,7 +56,7 @@
 // the same set without agents.
 func membershipSection(o *options, r *report) error {
 	r.title("Membership: entry A is home to all agents (heartbeat each second, a change each %d s), P and B learn them from A, P is the planner", changeEvery)
-	r.row("agents", "entry", "resident MB", "added MB", "core share", "added", "bytes/s", "packets/s", "store bytes/s (all)", "missed heartbeats")
+	r.row("agents", "entry", "resident MB", "added MB", "core share", "added", "bytes/s", "packets/s", "store bytes/s (all)", "store calls/s (all)", "missed heartbeats")
 	series := make([][]sample, len(entryNames))
 	for _, n := range append([]int{0}, o.Peers...) {
 		row, err := membershipRow(o, r, n, series)
@@ -112,17 +112,26 @@
 	}
 	time.Sleep(settleTime)
 	missed.Store(0)
+	callsBefore, err := storeCalls(reg.storeURL)
+	if err != nil {
+		return nil, err
+	}
 	samples, storeBytes, err := measure(reg, o.Measure, n)
 	if err != nil {
 		return nil, err
 	}
+	callsAfter, err := storeCalls(reg.storeURL)
+	if err != nil {
+		return nil, err
+	}
+	calls := float64(callsAfter-callsBefore) / o.Measure.Seconds()
 	for i, s := range samples {
 		base := s
 		if len(series[i]) > 0 {
 			base = series[i][0]
 		}
 		r.row(n, entryNames[i], s.resident, s.resident-base.resident, fmt.Sprintf("%.2f%%", 100*s.cpu),
-			fmt.Sprintf("%.2f%%", 100*(s.cpu-base.cpu)), fmt.Sprintf("%.0f", s.bytes), fmt.Sprintf("%.0f", s.packets), fmt.Sprintf("%.0f", storeBytes), missed.Load())
+			fmt.Sprintf("%.2f%%", 100*(s.cpu-base.cpu)), fmt.Sprintf("%.0f", s.bytes), fmt.Sprintf("%.0f", s.packets), fmt.Sprintf("%.0f", storeBytes), calls, missed.Load())
 	}
 	cancel()
 	wg.Wait()
--- a/internal/bench/region.go
+++ b/internal/bench/region.go
@@ -29,9 +29,11 @@
 // region is a store and entries.
 type region struct {
 	*fleet
-	store   *countingProxy
-	entries []*entryProcess
-	agent   *process // nil in a region without one
+	store *countingProxy
+	// storeURL is the address of the store itself.
+	storeURL string
+	entries  []*entryProcess
+	agent    *process // nil in a region without one
 }
 
 type entryProcess struct {
@@ -63,6 +65,7 @@
 	if _, err := r.start("store", "snipegw-standin", []string{"store"}, map[string]any{"address": addrs[0]}); err != nil {
 		return err
 	}
+	r.storeURL = "http://" + addrs[0]
 	if r.store, err = newCountingProxy(addrs[0]); err != nil {
 		return err
 	}
