Hold workers out of use that fail and return again and again

Cause: a worker that failed every 6 s got a job after every return and lost it: 51 starts in 5 minutes (new test). Ruled out: quarantine by failed starts; a lost worker blames nobody, and that is right for a single loss. Change: plug-in flap; the second loss within 10 minutes holds the worker for 10 s from its return, each further one for twice as long, at most 5 minutes. Conclusion: a flapping worker does not make jobs flap.

--- a/internal/planner/decide.go
+++ b/internal/planner/decide.go
@@ -57,6 +57,21 @@
 		}
 		return !b.worker.Quarantined
 	})
+	p.heldOut = slices.DeleteFunc(p.heldOut, func(h hold) bool { return p.endHold(now, h) })
+}
+
+// endHold returns a worker to use when its hold has passed. It reports whether
+// the hold is over; a worker that was lost again gets a new one at its return.
+func (p *Planner) endHold(now time.Time, h hold) bool {
+	if !h.worker.Up {
+		return true
+	}
+	if now.Before(h.until) {
+		return false
+	}
+	h.worker.Held = false
+	p.healthChanged()
+	return true
 }
 
 // probe returns a quarantined worker to use for one job.
@@ -79,6 +94,9 @@
 	for _, b := range p.probes {
 		p.wake = earliest(p.wake, b.at)
 	}
+	for _, h := range p.heldOut {
+		p.wake = earliest(p.wake, h.until)
+	}
 	for _, j := range p.queue {
 		if now.Before(j.notBefore) {
 			p.wake = earliest(p.wake, j.notBefore)
--- a/internal/planner/events.go
+++ b/internal/planner/events.go
@@ -29,18 +29,35 @@
 }
 
 // AddWorker implements framework.Scheduler.
-func (p *Planner) AddWorker(_ time.Time, m model.Worker) {
+func (p *Planner) AddWorker(now time.Time, m model.Worker) {
 	w, _ := p.pool.Add(m)
+	if !w.Up {
+		p.holdOut(now, w)
+	}
 	w.Up = true
 	p.healthChanged()
 }
 
+// holdOut keeps a worker out of use that has returned after repeated losses.
+func (p *Planner) holdOut(now time.Time, w *pool.Worker) {
+	p.heldOut = slices.DeleteFunc(p.heldOut, func(h hold) bool { return h.worker == w })
+	d := p.flaps.Hold(now, w.ID)
+	w.Held = d > 0
+	if w.Held {
+		p.heldOut = append(p.heldOut, hold{w, now.Add(d)})
+		p.wake = earliest(p.wake, now.Add(d))
+	}
+}
+
 // RemoveWorker implements framework.Scheduler.
 func (p *Planner) RemoveWorker(now time.Time, id string) {
 	w := p.pool.Get(id)
 	if w == nil {
 		return
 	}
+	if w.Up {
+		p.flaps.Lost(now, id)
+	}
 	w.Up = false
 	p.dropNominations(now, w)
 	p.healthChanged()
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -22,6 +22,7 @@
 	"snipegw/internal/model"
 	"snipegw/internal/planner/estimate"
 	"snipegw/internal/planner/faults"
+	"snipegw/internal/planner/flap"
 	"snipegw/internal/planner/framework"
 	"snipegw/internal/planner/packing"
 	"snipegw/internal/planner/pool"
@@ -102,6 +103,7 @@
 	plan      *packing.Plan
 	estimates *estimate.Tracker
 	faults    *faults.Tracker
+	flaps     flap.Tracker
 	finder    score.Finder
 
 	jobs  map[string]*job
@@ -115,6 +117,7 @@
 	nominations []*job
 	out         []framework.Decision
 	probes      []probe
+	heldOut     []hold
 	trials      []trial
 	// dirty asks for a pass of Decide, more for another one after it.
 	dirty, more bool
@@ -148,6 +151,12 @@
 	at     time.Time
 }
 
+// hold is a worker that is held out of use until a time.
+type hold struct {
+	worker *pool.Worker
+	until  time.Time
+}
+
 type trial struct {
 	gang *pool.Gang
 	at   time.Time
--- a/internal/planner/pool/pool.go
+++ b/internal/planner/pool/pool.go
@@ -18,6 +18,8 @@
 	// Up, Draining, Quarantined and Probing are the states of health. A probing
 	// worker takes one preemptible gang at a time.
 	Up, Draining, Quarantined, Probing bool
+	// Held is set for a time after a return that follows repeated losses.
+	Held bool
 	// Suspect is set while a failed start is not explained.
 	Suspect bool
 	// Doubted is the time of the last failed start or the start of the probe; only
@@ -35,7 +37,7 @@
 }
 
 // Usable reports whether new gangs may be placed here.
-func (w *Worker) Usable() bool { return w.Up && !w.Draining && !w.Quarantined }
+func (w *Worker) Usable() bool { return w.Up && !w.Draining && !w.Quarantined && !w.Held }
 
 // Sound reports whether slots of guarantees may be planned here.
 func (w *Worker) Sound() bool { return w.Usable() && !w.Probing }
