Test an outage of the store of ten minutes

Cause: the outage of 30 s in the tests said nothing on a long one. Change: 40 jobs wait while the store is down for ten minutes of virtual time; afterwards all run once and end, and no second sees more calls than the limit. Conclusion: no change of the code was needed.

--- a/internal/jobs/faults_test.go
+++ b/internal/jobs/faults_test.go
@@ -125,6 +125,47 @@
 	})
 })
 
+// Guards against calls that pile up in a long outage and come all at once when
+// the store returns, and against jobs that need help to go on.
+var _ = Describe("an outage of the store of ten minutes", func() {
+	It("is followed by a rate below the limit of the store, and all jobs end", func() {
+		const (
+			jobs       = 40
+			storeLimit = 300 // calls in any second; the store serves several hundred writes
+		)
+		inRegion(8, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+			h := running(ctx, r)
+			h2 := r.addHost("e2")
+			for i := range jobs {
+				submit(ctx, h, fmt.Sprint("job", i))
+			}
+			r.store.SetRule(func(string, string) storetest.Fault { return storetest.Down })
+			before := total(r.store.Calls())
+			time.Sleep(10 * time.Minute)
+			Expect(float64(total(r.store.Calls())-before) / 600).To(BeNumerically("<", 15))
+			r.endGang("j1", framework.OutcomeDone)
+			r.store.SetRule(nil)
+			most := uint64(0)
+			last := total(r.store.Calls())
+			for range 30 {
+				time.Sleep(time.Second)
+				now := total(r.store.Calls())
+				most = max(most, now-last)
+				last = now
+			}
+			GinkgoWriter.Printf("most store calls in a second after the outage: %d\n", most)
+			Expect(most).To(BeNumerically("<=", storeLimit))
+			for i := range jobs {
+				id := fmt.Sprint("job", i)
+				Expect(until(time.Minute, func() bool { return stateOf(h2, id) == model.JobRunning })).To(BeTrue(), id)
+				r.endGang(id, framework.OutcomeDone)
+				Expect(until(time.Minute, func() bool { return stateOf(h2, id) == model.JobDone })).To(BeTrue(), id)
+				Expect(r.startsOf(id)).To(HaveLen(1))
+			}
+		})
+	})
+})
+
 func total(calls map[string]uint64) (n uint64) {
 	for _, c := range calls {
 		n += c
