Add snipegwctl shape list

Cause: shapes could only be read as a column of team list. Change: shape list; the commands on teams and shapes have a file of their own. Measured: go test ./internal/ctl ./docs passes.

--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -372,31 +372,3 @@
 	}
 	return c.table("version patch author time", rows)
 }
-
-type teamList struct {
-	*app `no-flag:"true"`
-}
-
-// Execute implements flags.Commander.
-func (c *teamList) Execute([]string) error {
-	var doc model.Config
-	if err := c.client.get(c.ctx, "/v1/config", &doc); err != nil {
-		return err
-	}
-	if c.JSON {
-		return c.printJSON(doc.Teams)
-	}
-	var rows [][]string
-	for _, t := range doc.Teams {
-		var shapes []string
-		for _, g := range t.Guarantees {
-			shapes = append(shapes, fmt.Sprintf("%d of %s", g.Count, shapeText(g.Shape)))
-		}
-		rows = append(rows, []string{t.ID, strconv.Itoa(t.Weight), strings.Join(shapes, "; "), strconv.Itoa(len(t.TokenHashes))})
-	}
-	return c.table("team weight guarantees tokens", rows)
-}
-
-func shapeText(s model.Shape) string {
-	return fmt.Sprintf("%dx%d/%s", s.Tasks, s.AcceleratorsPerTask, s.Adjacent)
-}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -160,6 +160,9 @@
 		{name: "team", short: "Show teams", sub: []command{
 			{name: "list", short: "List teams, weights and guarantees", long: "Example: snipegwctl team list", data: &teamList{app: a}},
 		}},
+		{name: "shape", short: "Show guaranteed shapes", sub: []command{
+			{name: "list", short: "List the guaranteed shapes of all teams", long: "A shape is changed by a configuration patch.\n\nExample: snipegwctl shape list", data: &shapeList{app: a}},
+		}},
 		{name: "job", short: "Submit and follow jobs", sub: a.jobCommands()},
 		{name: "request", short: "Send a request to a service", long: requestHelp, data: &request{app: a}},
 		{name: "ticket", short: "Ask what became of a request", long: "Prints the recorded response of a request that was not marked idempotent.\n\nExample: snipegwctl ticket w07/0000018f/12", data: &ticket{app: a}},
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -147,6 +147,8 @@
 		Entry("config status", ExitOK, "in force on 2 of 3", "config", "status"),
 		Entry("config wait", ExitNotYet, "agent w9", "config", "wait", "--for", "1ms"),
 		Entry("team list", ExitOK, "1 of 2x8/rack", "team", "list"),
+		Entry("shape list", ExitOK, "rack", "shape", "list"),
+		Entry("shape list as JSON", ExitOK, "\"adjacent\"", "shape", "list", "--json"),
 		Entry("job submit", ExitOK, "Recorded.", "job", "submit", "--id", "j1", "--tasks", "2", "--", "run", "--flag"),
 		Entry("job list", ExitOK, "2x8/rack", "job", "list"),
 		Entry("job status", ExitOK, "state    queued", "job", "status", "queued"),
