Address stop orders to the present incarnation of an agent

Cause: stop orders carried the incarnation that the attempt was recorded with; an agent that had restarted and taken over the gang refused them as stale, so the gang could neither be preempted nor cancelled. Ruled out: the agent; it takes orders for its present incarnation only, by design, and the attempt number fences the order. Change: the planner looks up address and incarnation when it sends a stop order, as it did for aborts. Measured: the new test fails without the change and passes with it.

--- a/internal/jobs/orders.go
+++ b/internal/jobs/orders.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"snipegw/internal/members"
 	"snipegw/internal/model"
 	"snipegw/internal/result"
 	"snipegw/internal/transport"
@@ -186,11 +187,26 @@
 	if grace <= 0 {
 		grace = defaultGrace
 	}
-	for _, m := range gang {
+	for _, m := range present(t.h.o.Membership.View(), gang) {
 		go t.stopOn(m, a.job.id(), a.number, grace, a.reason)
 	}
 }
 
+// present returns the members with the present address and incarnation of their
+// agents, without those that are not in the view. An agent takes orders for its
+// present incarnation only, and one that has restarted has taken over the gang;
+// the attempt number fences orders on it.
+func present(view *members.View, gang []wire.Member) []wire.Member {
+	list := make([]wire.Member, 0, len(gang))
+	for _, m := range gang {
+		if w := view.Workers[m.Worker]; w != nil {
+			m.Address, m.Incarnation = w.State.Address, w.State.Incarnation
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // stopOn sends one stop order. It reports whether the agent has answered.
 func (t *term) stopOn(m wire.Member, job string, attempt uint64, grace time.Duration, reason string) bool {
 	ctx, cancel := context.WithTimeout(t.h.ctx, orderTimeout)
@@ -211,16 +227,7 @@
 	a := t.newAttempt(j, j.rec.Status.Attempt)
 	a.enter(phaseAborting)
 	j.att = a
-	view := t.h.o.Membership.View()
-	gang := make([]wire.Member, 0, len(j.rec.Members))
-	for _, m := range j.rec.Members {
-		// An agent that has restarted since takes orders for its present
-		// incarnation only.
-		if w := view.Workers[m.Worker]; w != nil {
-			m.Address, m.Incarnation = w.State.Address, w.State.Incarnation
-			gang = append(gang, m)
-		}
-	}
+	gang := present(t.h.o.Membership.View(), j.rec.Members)
 	id := j.id()
 	go func() {
 		var wg sync.WaitGroup
--- a/internal/jobs/takeover_test.go
+++ b/internal/jobs/takeover_test.go
@@ -35,6 +35,20 @@
 	return h
 }
 
+var _ = Describe("a gang whose agent has restarted", func() {
+	// Guards against a gang that can neither be cancelled nor preempted after a
+	// planned restart: its stop orders named the earlier incarnation.
+	It("is stopped by orders for the present incarnation", func() {
+		inRegion(1, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
+			h := running(ctx, r)
+			r.update("w00", func(w *members.Worker) { w.State.Incarnation = "i2" })
+			_, err := h.Cancel(ctx, []string{"j1"}, "")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(until(5*time.Second, func() bool { return stateOf(h, "j1") == model.JobCancelled })).To(BeTrue())
+		})
+	})
+})
+
 var _ = Describe("a change of planner", func() {
 	// Guards against a running gang that is stopped or started twice because its
 	// planner was replaced.
