Ask for all workers of a peer when two entries disagree about them

Cause: two entries could name each other as the home of a worker: after a restart of an entry its peer's full update met a claim in the other direction. An update lists only silent workers, so each took the updates of the other for signs of life, and a worker that had died stayed alive in both tables. Ruled out: the planner, which was never told of the failure. Change: each update carries a hash of the workers that report to the sender; the receiver asks for a full update, at most once a second, when it attributes another set to it. This replaces the remembered claims, which made the cycle possible. The proof of P1 now has rounds in which a worker dies. Conclusion: agreement is checked and no longer assumed.

--- a/internal/members/exchange.go
+++ b/internal/members/exchange.go
@@ -182,6 +182,7 @@
 		Full:          l.full,
 		States:        states,
 		Silent:        silent,
+		OwnHash:       l.svc.table.OwnHash(),
 		ConfigVersion: self.ConfigVersion,
 		Planner:       self.Planner,
 		PlannerEpoch:  max(self.PlannerEpoch, l.epochToPass(self)),
--- a/internal/members/home_test.go
+++ b/internal/members/home_test.go
@@ -34,7 +34,7 @@
 	p.now = p.now.Add(ExchangeInterval)
 	for from := range p.tables {
 		states, silent, next := p.tables[from].Own(p.now, p.since[from], p.full[from])
-		need, err := p.tables[1-from].Peer(p.now, &wire.PeerUpdate{From: p.infos[from], Full: p.full[from], States: states, Silent: silent})
+		need, err := p.tables[1-from].Peer(p.now, &wire.PeerUpdate{From: p.infos[from], Full: p.full[from], States: states, Silent: silent, OwnHash: p.tables[from].OwnHash()})
 		Expect(err).NotTo(HaveOccurred())
 		p.since[from], p.full[from] = next, need
 	}
@@ -79,6 +79,33 @@
 		ginkgo.Entry("at once", 1), ginkgo.Entry("after 3 s", 3), ginkgo.Entry("after 10 s", 10),
 	)
 
+	// Guards against two entries that name each other as the home of a worker: each
+	// then took the updates of the other for signs of life, and a worker that died
+	// stayed alive in both tables. Claims on its guarantees waited for its tasks.
+	ginkgo.It("dies on both entries after any sequence of changes", func() {
+		const scripts = 300
+		stepsPerBeat := int(HeartbeatInterval / ExchangeInterval)
+		for seed := range uint64(scripts) {
+			rnd := rand.New(rand.NewPCG(seed, 2))
+			p := newEntryPair()
+			for range 4 + rnd.IntN(12) {
+				p.beat(rnd.IntN(2))
+				p.full[rnd.IntN(2)] = rnd.IntN(3) == 0 // as after a restart of an entry
+				for range 1 + rnd.IntN(stepsPerBeat) {
+					p.step()
+				}
+			}
+			p.beat(rnd.IntN(2))
+			p.full[rnd.IntN(2)] = true
+			for end := p.now.Add(DeadAfter + 2*time.Second); p.now.Before(end); {
+				p.step()
+			}
+			for i, t := range p.tables {
+				Expect(t.View().Workers["w"].Health).To(Equal(Dead), "seed %d entry %d", seed, i)
+			}
+		}
+	})
+
 	ginkgo.It("stays alive on both entries for any sequence of changes", func() {
 		const beats = 200
 		seed := uint64(time.Now().UnixNano())
--- a/internal/members/peers.go
+++ b/internal/members/peers.go
@@ -12,6 +12,8 @@
 	entry Entry
 	// gotFull is set once a full update of this incarnation was applied.
 	gotFull bool
+	// askedFull is when a full update was last asked for by disagrees.
+	askedFull time.Time
 }
 
 // SelfState is what an entry tells others of itself.
@@ -83,7 +85,23 @@
 		t.disown(u.From.ID, listed)
 	}
 	t.liveness(now, u)
-	return false, nil
+	return t.disagrees(now, p, u), nil
+}
+
+// askFullInterval is the shortest time between two requests for a full update
+// because of a disagreement.
+const askFullInterval = time.Second
+
+// disagrees reports whether this entry attributes other workers to the sender
+// than the sender does itself, and has not asked for a full update lately.
+// Without the check a worker could live for ever in two tables that name each
+// other's entry as its home, since an update lists only silent workers.
+func (t *Table) disagrees(now time.Time, p *peer, u *wire.PeerUpdate) bool {
+	if u.OwnHash == t.homeHash(u.From.ID) || now.Sub(p.askedFull) < askFullInterval {
+		return false
+	}
+	p.askedFull = now
+	return true
 }
 
 func (t *Table) peerOf(now time.Time, from wire.EntryInfo) (*peer, error) {
@@ -120,7 +138,6 @@
 	if newerState(&r.state, s) {
 		r.state = *s
 		r.home = from
-		r.claim = ""
 		t.changed(r)
 		t.seen(r, now, now)
 		return
@@ -128,9 +145,6 @@
 	same := s.Incarnation == r.state.Incarnation && s.Seq == r.state.Seq
 	// Heartbeats that still arrive here outweigh the claim of another entry.
 	ours := r.home == t.self && now.Sub(r.lastSeen) < overdue
-	if same && ours {
-		r.claim = from
-	}
 	if same && !ours && r.home != from {
 		r.home = from
 		t.changed(r)
@@ -142,9 +156,6 @@
 // age out unless another entry lists them.
 func (t *Table) disown(from string, listed map[string]bool) {
 	for id, r := range t.workers {
-		if r.claim == from && !listed[id] {
-			r.claim = ""
-		}
 		if r.home == from && !listed[id] {
 			r.home = ""
 			t.changed(r)
@@ -159,10 +170,6 @@
 		silent[s.Worker] = time.Duration(max(0, s.AgeMS)) * time.Millisecond
 	}
 	for id, r := range t.workers {
-		if r.claim == u.From.ID && now.Sub(r.lastSeen) >= overdue {
-			r.home, r.claim = r.claim, ""
-			t.changed(r)
-		}
 		if r.home == u.From.ID {
 			t.seen(r, now.Add(-silent[id]), now)
 		}
--- a/internal/members/random_test.go
+++ b/internal/members/random_test.go
@@ -71,7 +71,7 @@
 	states, silent, _ := t.Own(r.now, 0, full)
 	for to := range r.tables {
 		if to != from {
-			r.flying = append(r.flying, flight{to: to, u: wire.PeerUpdate{From: entryInfo(t.self, 1), Full: full, States: states, Silent: silent}})
+			r.flying = append(r.flying, flight{to: to, u: wire.PeerUpdate{From: entryInfo(t.self, 1), Full: full, States: states, Silent: silent, OwnHash: t.OwnHash()}})
 		}
 	}
 }
--- a/internal/members/table.go
+++ b/internal/members/table.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"snipegw/internal/result"
 	"snipegw/internal/wire"
 )
@@ -26,10 +28,6 @@
 	home     string
 	lastSeen time.Time
 	health   Health
-	// claim is another entry that has listed the worker as its own while
-	// heartbeats still counted as arriving here; it becomes the home when they
-	// stay away. A peer sends a state once, so that the claim must be kept.
-	claim string
 	// change is the value of Table.changes at the last change that other
 	// entries must learn.
 	change uint64
@@ -182,10 +180,6 @@
 		r.home = t.self
 		t.changed(r)
 	}
-	if r.claim != "" {
-		r.claim = ""
-		t.changed(r) // tells the other entry that the worker has returned
-	}
 	at := now
 	if hb.Leaving {
 		at = now.Add(-SuspectAfter)
@@ -260,6 +254,24 @@
 	return states, silent, t.changes
 }
 
+// OwnHash identifies the set of workers whose home is this entry, in any order.
+func (t *Table) OwnHash() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.homeHash(t.self)
+}
+
+// homeHash identifies the set of workers whose home is the given entry.
+func (t *Table) homeHash(entry string) uint64 {
+	var h uint64
+	for id, r := range t.workers {
+		if r.home == entry {
+			h ^= xxhash.Sum64String(id)
+		}
+	}
+	return h
+}
+
 // Counts returns the number of known workers by home entry.
 func (t *Table) Counts() map[string]int {
 	counts := make(map[string]int)
--- a/internal/members/table_test.go
+++ b/internal/members/table_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -106,7 +107,7 @@
 	})
 
 	ginkgo.It("asks a peer for everything before it trusts an incremental update", func() {
-		u := &wire.PeerUpdate{From: entryInfo("peer", 1), States: []wire.WorkerState{*stateOf("w", 1, 1)}}
+		u := &wire.PeerUpdate{From: entryInfo("peer", 1), States: []wire.WorkerState{*stateOf("w", 1, 1)}, OwnHash: xxhash.Sum64String("w")}
 		need, err := table.Peer(now, u)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(need).To(BeTrue())
--- a/internal/proof/p1_guarantee.go
+++ b/internal/proof/p1_guarantee.go
@@ -10,8 +10,7 @@
 )
 
 const (
-	// claimRounds is the number of claims without a fault and as many with the
-	// planner killed, alternating.
+	// claimRounds is the number of rounds with each fault, alternating.
 	claimRounds = 4
 	// claimObserve is the time for which starts are awaited; longer than the
 	// bound, so that a late start is measured and not only missed.
@@ -20,10 +19,23 @@
 	holdRunMS = 600_000
 )
 
+// claimFault is what fails in a round of claims.
+type claimFault string
+
+const (
+	noFault       claimFault = "without a fault"
+	plannerKilled claimFault = "with the planner killed"
+	// workerDied is a host that dies up to 300 ms before the claims, so that
+	// nobody knows of it yet. The guarantees fill the other workers.
+	workerDied claimFault = "just after a worker died"
+)
+
+var claimFaults = []claimFault{noFault, plannerKilled, workerDied}
+
 // guaranteeProof checks P1: preemptible jobs hold the whole pool, and every team
-// claims its whole guarantee at once with urgent jobs, in every other round
-// while the planner is killed. The start of the last task of each claim is read
-// from the workers.
+// claims its whole guarantee at once with urgent jobs, without a fault, while
+// the planner is killed, and just after a worker died. The start of the last
+// task of each claim is read from the workers.
 func guaranteeProof() Proof {
 	return Proof{
 		Name: "guarantees-claimed", Promise: "P1", Limit: 200 * time.Second,
@@ -32,7 +44,11 @@
 	}
 }
 
-// claimTeams are teams whose guarantees fill two racks of three workers.
+// claimAgents is one worker more than the guarantees of claimTeams need.
+const claimAgents = 7
+
+// claimTeams are teams whose guarantees fill six of seven workers, whichever of
+// them is missing.
 func claimTeams() []model.Team {
 	shape := func(tasks int, adjacent model.Adjacency) model.Shape {
 		return model.Shape{Tasks: tasks, AcceleratorsPerTask: 8, CoresPerTask: 16, MemoryGBPerTask: 64, Adjacent: adjacent}
@@ -55,7 +71,7 @@
 
 func runGuaranteeProof(ctx context.Context, e *Env) (Verdict, error) {
 	spec := DefaultSpec()
-	spec.Entries, spec.Agents, spec.Service, spec.Teams = 3, 6, "", claimTeams()
+	spec.Entries, spec.Agents, spec.Service, spec.Teams = 3, claimAgents, "", claimTeams()
 	c, err := Launch(ctx, e.Bin, e.Dir, spec)
 	if err != nil {
 		return Verdict{}, err
@@ -67,32 +83,31 @@
 	if err := holdPool(ctx, c, client); err != nil {
 		return Verdict{}, err
 	}
-	var calm, killed time.Duration
+	longest := make(map[claimFault]time.Duration)
 	late, claims := 0, 0
-	for round := range 2 * claimRounds {
-		kill := round%2 == 1
-		list, err := e.claimRound(ctx, c, client, obs, round, kill)
+	for round := range len(claimFaults) * claimRounds {
+		fault := claimFaults[round%len(claimFaults)]
+		list, err := e.claimRound(ctx, c, client, obs, round, fault)
 		if err != nil {
-			return Verdict{}, fmt.Errorf("round %d: %w", round, err)
+			return Verdict{}, fmt.Errorf("round %d %s: %w", round, fault, err)
 		}
 		for _, cl := range list {
 			claims++
 			if !cl.started || cl.took > model.UrgentStart {
 				late++
-				e.note("round %d: claim %s of %s took %s, started %v", round, cl.job.ID, cl.job.Team, cl.took, cl.started)
-			}
-			if kill {
-				killed = max(killed, cl.took)
-			} else {
-				calm = max(calm, cl.took)
+				e.note("round %d %s: claim %s of %s took %s, started %v", round, fault, cl.job.ID, cl.job.Team, cl.took, cl.started)
 			}
+			longest[fault] = max(longest[fault], cl.took)
 		}
 		if e.Control && late > 0 {
 			break
 		}
 	}
-	measured := fmt.Sprintf("longest %s, with the planner killed %s, %d of %d claims late", calm.Round(time.Millisecond), killed.Round(time.Millisecond), late, claims)
-	return Verdict{Pass: late == 0 && claims > 0, Measured: measured}, nil
+	measured := "longest"
+	for _, fault := range claimFaults {
+		measured += fmt.Sprintf(" %s %s,", longest[fault].Round(time.Millisecond), fault)
+	}
+	return Verdict{Pass: late == 0 && claims > 0, Measured: fmt.Sprintf("%s %d of %d claims late", measured, late, claims)}, nil
 }
 
 // holdPool fills the pool with preemptible jobs of a team without a guarantee.
@@ -125,7 +140,7 @@
 
 // claimRound claims all guarantees at once, measures, cancels the claims and
 // waits until preemptible jobs hold the pool again.
-func (e *Env) claimRound(ctx context.Context, c *Cluster, client *Client, obs *Observer, round int, kill bool) ([]*claim, error) {
+func (e *Env) claimRound(ctx context.Context, c *Cluster, client *Client, obs *Observer, round int, fault claimFault) ([]*claim, error) {
 	class := model.ClassUrgent
 	if e.Control {
 		class = model.ClassPreemptible
@@ -141,6 +156,20 @@
 			}
 		}
 	}
+	var dead *Node
+	var worker *Node
+	soon := [2]time.Duration{0, 300 * time.Millisecond}
+	if fault == workerDied {
+		// Another worker each time: one that is lost again is held out of use.
+		dead = c.Agents[round/len(claimFaults)%len(c.Agents)]
+		worker = c.workerOf(dead)
+		// The stand-in keeps its log, which the observer reads later.
+		if err := SetFaults(worker, map[string]any{"down": true}); err != nil {
+			return nil, err
+		}
+		e.kill(round, dead)
+		sleep(ctx, e.between(soon))
+	}
 	planner := c.Planner(ctx, client)
 	if planner == nil {
 		return nil, fmt.Errorf("no planner is known")
@@ -148,21 +177,26 @@
 	if err := submitClaims(ctx, c, client, list); err != nil {
 		return nil, err
 	}
-	if kill {
+	if fault == plannerKilled {
 		// The planner dies while it preempts and reserves for the claims.
-		sleep(ctx, e.between([2]time.Duration{0, 300 * time.Millisecond}))
-		planner.Kill()
-		e.note("round %d: planner %s killed", round, planner.ID)
+		sleep(ctx, e.between(soon))
+		dead = planner
+		e.kill(round, dead)
 	}
 	awaitClaims(ctx, obs, list)
-	if kill {
-		if err := planner.Start(); err != nil {
+	if worker != nil {
+		if err := SetFaults(worker, map[string]any{"down": false}); err != nil {
 			return nil, err
 		}
-		if err := c.AwaitReady(ctx, readyLimit); err != nil {
+	}
+	if dead != nil {
+		if err := dead.Start(); err != nil {
 			return nil, err
 		}
 	}
+	if err := c.AwaitReady(ctx, readyLimit); err != nil {
+		return nil, err
+	}
 	for _, cl := range list {
 		if err := client.Cancel(ctx, c.Entries, cl.job.ID); err != nil {
 			return nil, err
@@ -171,6 +205,11 @@
 	return list, awaitHeld(ctx, c, client)
 }
 
+func (e *Env) kill(round int, n *Node) {
+	n.Kill()
+	e.note("round %d: %s killed", round, n.ID)
+}
+
 // submitClaims submits all claims at the same time.
 func submitClaims(ctx context.Context, c *Cluster, client *Client, list []*claim) error {
 	errs := make([]error, len(list))
--- a/internal/wire/members.go
+++ b/internal/wire/members.go
@@ -107,6 +107,9 @@
 	// PlannerEpoch is the epoch of the planner, from other entries the highest
 	// epoch that they have seen.
 	PlannerEpoch uint64 `cbor:"8,keyasint,omitempty"`
+	// OwnHash identifies the set of all workers that report to From, so that the
+	// receiver notices when it knows another set.
+	OwnHash uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // SilentWorker is a worker whose heartbeats are overdue.
