--- /dev/null
+++ b/internal/platform/httpworker/fuzz_test.go
@@ -0,0 +1,43 @@
+package httpworker
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"testing"
+
+	"snipegw/internal/platform"
+)
+
+// canned answers every call with the same status and body.
+type canned struct {
+	status int
+	body   []byte
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c canned) RoundTrip(r *http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: c.status, Header: http.Header{}, Request: r, Body: io.NopCloser(bytes.NewReader(c.body))}, nil
+}
+
+// FuzzAnswers guards against a panic on a damaged answer of the worker
+// interface.
+func FuzzAnswers(f *testing.F) {
+	f.Add(200, []byte(`{"id":"w1","capacity":{"accelerators":8}}`))
+	f.Add(200, []byte(`[{"id":"j/1/0","state":"running","lease_ms":3000}]`))
+	f.Add(404, []byte(`{}`))
+	f.Add(200, []byte(`null`))
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		c, err := New(platform.Settings{Address: "http://127.0.0.1:1", TimeoutMS: 100})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.http.Transport = canned{status, body}
+		ctx := context.Background()
+		_, _ = c.Worker(ctx)
+		_, _ = c.Tasks(ctx)
+		_, _ = c.Usage(ctx)
+		_, _ = c.Run(ctx, platform.Task{ID: "j/1/0"}, 0)
+	})
+}
