--- a/internal/proof/cluster.go
+++ b/internal/proof/cluster.go
@@ -361,9 +361,6 @@
 // Cut cuts or joins the link between two nodes.
 func (c *Cluster) Cut(a, b *Node, on bool) { c.links.set(a, b, on) }
 
-// CutStore cuts or joins the link between an entry and the store.
-func (c *Cluster) CutStore(entry *Node, on bool) { entry.storeTo.setCut(on) }
-
 // Isolate cuts or joins all links of a node.
 func (c *Cluster) Isolate(n *Node, on bool) {
 	for _, other := range c.links.nodes {
@@ -375,13 +372,3 @@
 		n.storeTo.setCut(on)
 	}
 }
-
-// JoinAll ends all cuts.
-func (c *Cluster) JoinAll() {
-	c.links.joinAll()
-	for _, e := range c.Entries {
-		if e.storeTo != nil {
-			e.storeTo.setCut(false)
-		}
-	}
-}
--- a/internal/proof/links.go
+++ b/internal/proof/links.go
@@ -28,13 +28,6 @@
 	}
 }
 
-// joinAll ends all cuts.
-func (l *links) joinAll() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	clear(l.cut)
-}
-
 // blocked returns the function that a relay in front of to asks.
 func (l *links) blocked(to *Node) func(port int) bool {
 	return func(port int) bool {
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -118,7 +118,6 @@
 	random  *rand.Rand
 	records []Record
 	running int
-	peak    int
 	logFile *os.File
 }
 
@@ -240,13 +239,6 @@
 	return list
 }
 
-// Peak returns the highest number of requests that ran at the same time.
-func (s *Server) Peak() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.peak
-}
-
 var errNoAgent = errors.New("no agent configured")
 
 func (s *Server) announceLoop(ctx context.Context) {
--- a/internal/standin/backend/requests.go
+++ b/internal/standin/backend/requests.go
@@ -160,7 +160,6 @@
 	rec := Record{Seq: seq, RequestID: r.Header.Get(RequestIDHeader), Method: r.Method, Path: r.URL.Path, AtMS: time.Now().UnixMilli()}
 	s.records = append(s.records, rec)
 	s.running++
-	s.peak = max(s.peak, s.running)
 	s.append(rec)
 	return seq
 }
