Collect the workers of an update in one pass

Cause: an update between entries walked the table twice under two locks, once for the states and once for the hash of the set, five times a second for each peer; between the two the set could change, which asked for a full update for nothing. The hold of a flapping worker also set a wake time that the next pass of Decide computes in any case. Change: Table.own returns states, silent workers, hash and next together; the redundant wake is gone. No assertion of a test changed. Conclusion: the same behaviour with half the work.

--- a/internal/members/exchange.go
+++ b/internal/members/exchange.go
@@ -176,13 +176,13 @@
 func (l *link) update() (u *wire.PeerUpdate, next uint64, due bool) {
 	now := l.svc.Clock()
 	self := l.svc.View().Entries[l.svc.Self.ID]
-	states, silent, next := l.svc.table.Own(now, l.since, l.full)
+	own := l.svc.table.own(now, l.since, l.full)
 	u = &wire.PeerUpdate{
 		From:          l.svc.Self,
 		Full:          l.full,
-		States:        states,
-		Silent:        silent,
-		OwnHash:       l.svc.table.OwnHash(),
+		States:        own.states,
+		Silent:        own.silent,
+		OwnHash:       own.hash,
 		ConfigVersion: self.ConfigVersion,
 		Planner:       self.Planner,
 		PlannerEpoch:  max(self.PlannerEpoch, l.epochToPass(self)),
@@ -191,9 +191,9 @@
 		u.Events = l.svc.relay.Take()
 	}
 	state := SelfState{ConfigVersion: u.ConfigVersion, Planner: u.Planner, PlannerEpoch: u.PlannerEpoch}
-	due = l.full || len(states) > 0 || len(u.Events) > 0 || state != l.lastSelf || now.Sub(l.lastSent) >= livenessInterval
+	due = l.full || len(own.states) > 0 || len(u.Events) > 0 || state != l.lastSelf || now.Sub(l.lastSent) >= livenessInterval
 	l.lastSelf = state
-	return u, next, due
+	return u, own.next, due
 }
 
 // epochToPass returns the highest epoch seen, unless this entry is the planner
--- a/internal/members/home_test.go
+++ b/internal/members/home_test.go
@@ -33,10 +33,10 @@
 func (p *entryPair) step() {
 	p.now = p.now.Add(ExchangeInterval)
 	for from := range p.tables {
-		states, silent, next := p.tables[from].Own(p.now, p.since[from], p.full[from])
-		need, err := p.tables[1-from].Peer(p.now, &wire.PeerUpdate{From: p.infos[from], Full: p.full[from], States: states, Silent: silent, OwnHash: p.tables[from].OwnHash()})
+		own := p.tables[from].own(p.now, p.since[from], p.full[from])
+		need, err := p.tables[1-from].Peer(p.now, &wire.PeerUpdate{From: p.infos[from], Full: p.full[from], States: own.states, Silent: own.silent, OwnHash: own.hash})
 		Expect(err).NotTo(HaveOccurred())
-		p.since[from], p.full[from] = next, need
+		p.since[from], p.full[from] = own.next, need
 	}
 	for _, t := range p.tables {
 		t.Tick(p.now)
--- a/internal/members/random_test.go
+++ b/internal/members/random_test.go
@@ -68,10 +68,10 @@
 
 func (r *region) send(from int, full bool) {
 	t := r.tables[from]
-	states, silent, _ := t.Own(r.now, 0, full)
+	own := t.own(r.now, 0, full)
 	for to := range r.tables {
 		if to != from {
-			r.flying = append(r.flying, flight{to: to, u: wire.PeerUpdate{From: entryInfo(t.self, 1), Full: full, States: states, Silent: silent, OwnHash: t.OwnHash()}})
+			r.flying = append(r.flying, flight{to: to, u: wire.PeerUpdate{From: entryInfo(t.self, 1), Full: full, States: own.states, Silent: own.silent, OwnHash: own.hash}})
 		}
 	}
 }
--- a/internal/members/table.go
+++ b/internal/members/table.go
@@ -234,34 +234,37 @@
 	}
 }
 
-// Own returns the states of the workers whose home is this entry and that
-// changed after since (all if full), the overdue ones, and the value of since
-// for the next call.
-func (t *Table) Own(now time.Time, since uint64, full bool) (states []wire.WorkerState, silent []wire.SilentWorker, next uint64) {
+// ownWorkers is what an entry tells a peer of the workers whose home it is.
+type ownWorkers struct {
+	states []wire.WorkerState
+	silent []wire.SilentWorker // the overdue ones
+	hash   uint64              // identifies the set of all of them, see homeHash
+	next   uint64              // the value of since for the next call
+}
+
+// own returns the workers whose home is this entry, with the states of those
+// that changed after since (of all if full).
+func (t *Table) own(now time.Time, since uint64, full bool) ownWorkers {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	o := ownWorkers{next: t.changes}
 	for id, r := range t.workers {
 		if r.home != t.self {
 			continue
 		}
+		o.hash ^= xxhash.Sum64String(id)
 		if full || r.change > since {
-			states = append(states, r.state)
+			o.states = append(o.states, r.state)
 		}
 		if age := now.Sub(r.lastSeen); age > overdue {
-			silent = append(silent, wire.SilentWorker{Worker: id, AgeMS: age.Milliseconds()})
+			o.silent = append(o.silent, wire.SilentWorker{Worker: id, AgeMS: age.Milliseconds()})
 		}
 	}
-	return states, silent, t.changes
-}
-
-// OwnHash identifies the set of workers whose home is this entry, in any order.
-func (t *Table) OwnHash() uint64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.homeHash(t.self)
+	return o
 }
 
-// homeHash identifies the set of workers whose home is the given entry.
+// homeHash identifies the set of workers whose home is the given entry, in any
+// order.
 func (t *Table) homeHash(entry string) uint64 {
 	var h uint64
 	for id, r := range t.workers {
--- a/internal/planner/events.go
+++ b/internal/planner/events.go
@@ -45,7 +45,6 @@
 	w.Held = d > 0
 	if w.Held {
 		p.heldOut = append(p.heldOut, hold{w, now.Add(d)})
-		p.wake = earliest(p.wake, now.Add(d))
 	}
 }
 
