--- a/cmd/snipegw-agent/main.go
+++ b/cmd/snipegw-agent/main.go
@@ -12,8 +12,8 @@
 
 	"snipegw/internal/agent"
 	"snipegw/internal/kernel"
-	"snipegw/internal/platform"
-	_ "snipegw/internal/platform/httpworker" // registers the worker interface
+	"snipegw/internal/workerapi"
+	_ "snipegw/internal/workerapi/httpworker" // registers the worker interface
 )
 
 const (
@@ -60,7 +60,7 @@
 	if err := kernel.SetupLogging(os.Stderr, program, s.LogLevel); err != nil {
 		return err
 	}
-	api, err := platform.Open(s.WorkerAPI)
+	api, err := workerapi.Open(s.WorkerAPI)
 	if err != nil {
 		return err
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -22,7 +22,7 @@
 	"snipegw/internal/agent/tickets"
 	"snipegw/internal/kernel"
 	"snipegw/internal/model"
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/transport"
 	"snipegw/internal/wire"
@@ -39,7 +39,7 @@
 // Agent implements kernel.Component.
 type Agent struct {
 	settings    Settings
-	api         platform.WorkerAPI
+	api         workerapi.WorkerAPI
 	creds       *transport.Credentials
 	incarnation string
 	worker      model.Worker
@@ -62,7 +62,7 @@
 }
 
 // New returns an agent that uses the worker interface api.
-func New(s Settings, api platform.WorkerAPI) (*Agent, error) {
+func New(s Settings, api workerapi.WorkerAPI) (*Agent, error) {
 	creds, err := transport.NewCredentials(s.Security)
 	if err != nil {
 		return nil, err
@@ -102,10 +102,10 @@
 }
 
 // discover reads the description and the tasks of the worker.
-func (a *Agent) discover(ctx context.Context) ([]platform.Task, error) {
+func (a *Agent) discover(ctx context.Context) ([]workerapi.Task, error) {
 	for {
 		worker, err := a.api.Worker(ctx)
-		var tasks []platform.Task
+		var tasks []workerapi.Task
 		if err == nil {
 			tasks, err = a.api.Tasks(ctx)
 		}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -18,7 +18,7 @@
 
 	"snipegw/internal/kernel"
 	"snipegw/internal/model"
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/transport"
 	"snipegw/internal/wire"
@@ -32,58 +32,58 @@
 }
 
 func init() {
-	platform.Plugins.Register("fake", func(platform.Settings) (platform.WorkerAPI, error) { return newFakeWorker("w0"), nil })
+	workerapi.Plugins.Register("fake", func(workerapi.Settings) (workerapi.WorkerAPI, error) { return newFakeWorker("w0"), nil })
 }
 
 // fakeWorker runs tasks without leases.
 type fakeWorker struct {
 	id    string
 	mu    sync.Mutex
-	tasks map[string]platform.Task
+	tasks map[string]workerapi.Task
 }
 
 func newFakeWorker(id string) *fakeWorker {
-	return &fakeWorker{id: id, tasks: map[string]platform.Task{}}
+	return &fakeWorker{id: id, tasks: map[string]workerapi.Task{}}
 }
 
 func (w *fakeWorker) Worker(context.Context) (model.Worker, error) {
 	return model.Worker{ID: w.id, Rack: "r1", Capacity: model.Resources{Accelerators: 8}}, nil
 }
 
-func (w *fakeWorker) Tasks(context.Context) ([]platform.Task, error) {
+func (w *fakeWorker) Tasks(context.Context) ([]workerapi.Task, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var out []platform.Task
+	var out []workerapi.Task
 	for _, t := range w.tasks {
 		out = append(out, t)
 	}
 	return out, nil
 }
 
-func (w *fakeWorker) Run(_ context.Context, t platform.Task, lease time.Duration) (platform.Task, error) {
-	t.State, t.LeaseMS, t.StartedMS = platform.TaskRunning, lease.Milliseconds(), time.Now().UnixMilli()
-	return w.change(t.ID, func(old *platform.Task) { *old = t })
+func (w *fakeWorker) Run(_ context.Context, t workerapi.Task, lease time.Duration) (workerapi.Task, error) {
+	t.State, t.LeaseMS, t.StartedMS = workerapi.TaskRunning, lease.Milliseconds(), time.Now().UnixMilli()
+	return w.change(t.ID, func(old *workerapi.Task) { *old = t })
 }
 
-func (w *fakeWorker) Renew(_ context.Context, id string, lease time.Duration) (platform.Task, error) {
-	return w.change(id, func(t *platform.Task) { t.LeaseMS = lease.Milliseconds() })
+func (w *fakeWorker) Renew(_ context.Context, id string, lease time.Duration) (workerapi.Task, error) {
+	return w.change(id, func(t *workerapi.Task) { t.LeaseMS = lease.Milliseconds() })
 }
 
-func (w *fakeWorker) Checkpoint(_ context.Context, id string) (platform.Task, error) {
-	return w.change(id, func(*platform.Task) {})
+func (w *fakeWorker) Checkpoint(_ context.Context, id string) (workerapi.Task, error) {
+	return w.change(id, func(*workerapi.Task) {})
 }
 
-func (w *fakeWorker) Stop(_ context.Context, id string) (platform.Task, error) {
-	return w.change(id, func(t *platform.Task) { t.State = platform.TaskStopped })
+func (w *fakeWorker) Stop(_ context.Context, id string) (workerapi.Task, error) {
+	return w.change(id, func(t *workerapi.Task) { t.State = workerapi.TaskStopped })
 }
 
 func (w *fakeWorker) Throttle(context.Context, string, float64) error { return nil }
-func (w *fakeWorker) Usage(context.Context) ([]platform.Usage, error) { return nil, nil }
-func (w *fakeWorker) state(id string) platform.Task {
-	t, _ := w.change(id, func(*platform.Task) {})
+func (w *fakeWorker) Usage(context.Context) ([]workerapi.Usage, error) { return nil, nil }
+func (w *fakeWorker) state(id string) workerapi.Task {
+	t, _ := w.change(id, func(*workerapi.Task) {})
 	return t
 }
-func (w *fakeWorker) change(id string, f func(*platform.Task)) (platform.Task, error) {
+func (w *fakeWorker) change(id string, f func(*workerapi.Task)) (workerapi.Task, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t := w.tasks[id]
@@ -225,8 +225,8 @@
 		}
 		Eventually(func() []string { return entry.outcomes("w0") }).Should(Equal([]string{"running", "running"}))
 		for i, w := range workers {
-			Expect(w.state(fmt.Sprintf("j/1/%d", i)).State).To(Equal(platform.TaskRunning))
-			_, _ = w.change(fmt.Sprintf("j/1/%d", i), func(t *platform.Task) { t.State = platform.TaskDone })
+			Expect(w.state(fmt.Sprintf("j/1/%d", i)).State).To(Equal(workerapi.TaskRunning))
+			_, _ = w.change(fmt.Sprintf("j/1/%d", i), func(t *workerapi.Task) { t.State = workerapi.TaskDone })
 		}
 		Eventually(func() []string { return entry.outcomes("w0") }, "5s").Should(Equal([]string{"running", "running", "done"}))
 		for _, a := range agents {
--- a/internal/agent/gang/gang.go
+++ b/internal/agent/gang/gang.go
@@ -13,7 +13,7 @@
 
 	"snipegw/internal/agent/arbiter"
 	"snipegw/internal/planner/framework"
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/wire"
 )
@@ -82,7 +82,7 @@
 // Config holds what a Manager needs.
 type Config struct {
 	Worker  string
-	API     platform.WorkerAPI
+	API     workerapi.WorkerAPI
 	Arbiter *arbiter.Arbiter
 	Caller  Caller
 	Now     func() time.Time
--- a/internal/agent/gang/gang_test.go
+++ b/internal/agent/gang/gang_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/wire"
 )
@@ -50,7 +50,7 @@
 		}
 		begin()
 		for i, n := range c.nodes {
-			n.worker.end(taskID("job", 1, i), platform.TaskDone, "")
+			n.worker.end(taskID("job", 1, i), workerapi.TaskDone, "")
 			c.advance(90 * time.Second) // the rest runs on
 		}
 		Expect(c.outcomes()).To(Equal([]string{"running", "done"}))
@@ -71,9 +71,9 @@
 		Entry("a member's agent crashes", func() { c.crash(c.nodes[1]) }, "lost", ""),
 		Entry("a member is cut off", func() { c.nodes[2].cut = true }, "lost", ""),
 		Entry("a member's worker interface hangs and lapses", func() { c.nodes[2].worker.silent = true }, "lost", ""),
-		Entry("a task fails after it has run", func() { c.nodes[1].worker.end("job/1/1", platform.TaskFailed, "exit 1") }, "task_failed", "w1"),
-		Entry("a task exceeds its memory", func() { c.nodes[1].worker.end("job/1/1", platform.TaskOutOfMemory, "") }, "out_of_memory", ""),
-		Entry("a task is stopped by the platform", func() { c.nodes[1].worker.end("job/1/1", platform.TaskStopped, "") }, "lost", ""),
+		Entry("a task fails after it has run", func() { c.nodes[1].worker.end("job/1/1", workerapi.TaskFailed, "exit 1") }, "task_failed", "w1"),
+		Entry("a task exceeds its memory", func() { c.nodes[1].worker.end("job/1/1", workerapi.TaskOutOfMemory, "") }, "out_of_memory", ""),
+		Entry("a task is stopped by the platform", func() { c.nodes[1].worker.end("job/1/1", workerapi.TaskStopped, "") }, "lost", ""),
 		Entry("the planner stops the gang", func() {
 			Expect(c.nodes[0].agent.StopGang(&wire.StopGang{Job: "job", Attempt: 1, GraceMS: 1000})).To(Succeed())
 		}, "stopped", ""),
@@ -116,7 +116,7 @@
 	It("blames the worker whose task fails soon after its start", func() {
 		c.reserve()
 		Expect(c.start()).To(Succeed())
-		c.nodes[2].worker.end("job/1/2", platform.TaskFailed, "bad driver")
+		c.nodes[2].worker.end("job/1/2", workerapi.TaskFailed, "bad driver")
 		c.advance(6 * time.Second)
 		Expect(c.last().Outcome).To(Equal("start_failed"))
 		Expect(c.last().BlamedWorker).To(Equal("w2"))
@@ -163,7 +163,7 @@
 		Expect(c.last().Outcome).To(Equal("running"))
 		for i, n := range c.nodes {
 			Expect(n.arbiter.Free().Accelerators).To(BeZero(), n.name)
-			n.worker.end(taskID("job", 1, i), platform.TaskDone, "")
+			n.worker.end(taskID("job", 1, i), workerapi.TaskDone, "")
 		}
 		c.advance(2 * time.Second)
 		Expect(c.last().Outcome).To(Equal("done"))
@@ -196,7 +196,7 @@
 
 	It("stops tasks without usable labels and holds their resources until then", func() {
 		n := c.nodes[0]
-		n.worker.tasks["x"] = &platform.Task{ID: "x", State: platform.TaskRunning}
+		n.worker.tasks["x"] = &workerapi.Task{ID: "x", State: workerapi.TaskRunning}
 		n.worker.tasks["x"].Resources.Accelerators = 3
 		n.worker.until["x"] = c.now.Add(time.Hour)
 		c.boot(n)
--- a/internal/agent/gang/handover.go
+++ b/internal/agent/gang/handover.go
@@ -9,7 +9,7 @@
 
 	"snipegw/internal/agent/arbiter"
 	"snipegw/internal/planner/framework"
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/wire"
 )
@@ -144,9 +144,9 @@
 
 // Adopt takes over the tasks that the worker already runs. Tasks without
 // usable labels are stopped. Call it once, before any other method.
-func (m *Manager) Adopt(tasks []platform.Task) {
+func (m *Manager) Adopt(tasks []workerapi.Task) {
 	now := m.Now()
-	groups := make(map[key][]platform.Task)
+	groups := make(map[key][]workerapi.Task)
 	ids := make(map[key]identity)
 	for _, task := range tasks {
 		id, err := decodeLabels(task.Labels)
@@ -163,19 +163,19 @@
 	}
 }
 
-func (m *Manager) adoptOrphan(task platform.Task, now time.Time) {
+func (m *Manager) adoptOrphan(task workerapi.Task, now time.Time) {
 	if ended(task.State) {
 		return
 	}
 	log.WithFields(log.Fields{"event": "task_orphaned", "task": task.ID, "code": int(result.BadRequest)}).Warn("a task without usable labels is stopped")
 	k := key{task.ID, 1}
 	m.Arbiter.Adopt(arbiter.Hold{Job: k.job, Attempt: k.attempt, Ranks: []int{0}, PerTask: task.Resources})
-	t := m.adoptedMember(k, identity{}, []platform.Task{task}, []int{0}, now)
+	t := m.adoptedMember(k, identity{}, []workerapi.Task{task}, []int{0}, now)
 	t.stopLocked(now, Grace, "a task without usable labels")
 	m.members[k] = t
 }
 
-func (m *Manager) adoptGroup(k key, id identity, group []platform.Task, now time.Time) {
+func (m *Manager) adoptGroup(k key, id identity, group []workerapi.Task, now time.Time) {
 	running := 0
 	recent := false
 	ranks := make([]int, len(group))
@@ -213,7 +213,7 @@
 	m.Arbiter.Adopt(arbiter.Hold{Job: k.job, Attempt: k.attempt, Ranks: ranks, PerTask: t.perTask})
 }
 
-func (m *Manager) adoptedMember(k key, id identity, group []platform.Task, ranks []int, now time.Time) *member {
+func (m *Manager) adoptedMember(k key, id identity, group []workerapi.Task, ranks []int, now time.Time) *member {
 	t := &member{
 		m: m, key: k, spec: id.spec, members: id.members, perTask: group[0].Resources, resume: id.resume,
 		started: make(chan struct{}), phase: phaseRunning, leaseUntil: now.Add(Lease),
@@ -252,7 +252,7 @@
 // handoverLeft returns the rest of the window of a planned restart, which shows
 // in task leases longer than TaskLease; 0 after a crash. Until it ends, other
 // agents of the gang may be restarting as well.
-func handoverLeft(group []platform.Task) time.Duration {
+func handoverLeft(group []workerapi.Task) time.Duration {
 	var left time.Duration
 	for _, task := range group {
 		lease := min(time.Duration(task.LeaseMS)*time.Millisecond, HandoverWindow)
--- a/internal/agent/gang/harness_test.go
+++ b/internal/agent/gang/harness_test.go
@@ -12,7 +12,7 @@
 
 	"snipegw/internal/agent/arbiter"
 	"snipegw/internal/model"
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/transport"
 	"snipegw/internal/wire"
@@ -21,7 +21,7 @@
 // fakeWorker is a worker interface with leases on the clock of the cluster.
 type fakeWorker struct {
 	now     func() time.Time
-	tasks   map[string]*platform.Task
+	tasks   map[string]*workerapi.Task
 	until   map[string]time.Time
 	peakGB  float64
 	refuse  bool // Run fails
@@ -37,35 +37,35 @@
 
 func (w *fakeWorker) lapse() {
 	for id, t := range w.tasks {
-		if t.State == platform.TaskRunning && w.now().After(w.until[id]) {
-			w.end(id, platform.TaskLapsed, "")
+		if t.State == workerapi.TaskRunning && w.now().After(w.until[id]) {
+			w.end(id, workerapi.TaskLapsed, "")
 		}
 	}
 }
 
-func (w *fakeWorker) end(id string, state platform.TaskState, reason string) {
+func (w *fakeWorker) end(id string, state workerapi.TaskState, reason string) {
 	w.tasks[id].State = state
 	w.tasks[id].Reason = reason
 	w.tasks[id].EndedMS = w.now().UnixMilli()
 }
 
-func (w *fakeWorker) get(id string) (platform.Task, error) {
+func (w *fakeWorker) get(id string) (workerapi.Task, error) {
 	w.lapse()
 	if w.silent {
-		return platform.Task{}, errSilent
+		return workerapi.Task{}, errSilent
 	}
 	t := w.tasks[id]
 	if t == nil {
-		return platform.Task{}, result.Errorf(result.NotFound, "no task %s", id)
+		return workerapi.Task{}, result.Errorf(result.NotFound, "no task %s", id)
 	}
 	return *t, nil
 }
 
 func (w *fakeWorker) Worker(context.Context) (model.Worker, error) { return model.Worker{}, nil }
 
-func (w *fakeWorker) Tasks(context.Context) ([]platform.Task, error) {
+func (w *fakeWorker) Tasks(context.Context) ([]workerapi.Task, error) {
 	w.lapse()
-	var out []platform.Task
+	var out []workerapi.Task
 	for _, id := range slices.Sorted(maps.Keys(w.tasks)) {
 		t := *w.tasks[id]
 		t.LeaseMS = w.until[id].Sub(w.now()).Milliseconds()
@@ -74,22 +74,22 @@
 	return out, nil
 }
 
-func (w *fakeWorker) Run(_ context.Context, t platform.Task, lease time.Duration) (platform.Task, error) {
+func (w *fakeWorker) Run(_ context.Context, t workerapi.Task, lease time.Duration) (workerapi.Task, error) {
 	if w.silent || w.refuse {
-		return platform.Task{}, errSilent
+		return workerapi.Task{}, errSilent
 	}
 	w.onStart()
-	t.State = platform.TaskRunning
+	t.State = workerapi.TaskRunning
 	t.StartedMS = w.now().UnixMilli()
 	w.tasks[t.ID] = &t
 	w.until[t.ID] = w.now().Add(lease)
 	if w.lose {
-		return platform.Task{}, errSilent
+		return workerapi.Task{}, errSilent
 	}
 	return t, nil
 }
 
-func (w *fakeWorker) Renew(_ context.Context, id string, lease time.Duration) (platform.Task, error) {
+func (w *fakeWorker) Renew(_ context.Context, id string, lease time.Duration) (workerapi.Task, error) {
 	t, err := w.get(id)
 	if err == nil {
 		w.until[id] = w.now().Add(lease)
@@ -97,9 +97,9 @@
 	return t, err
 }
 
-func (w *fakeWorker) Checkpoint(_ context.Context, id string) (platform.Task, error) {
+func (w *fakeWorker) Checkpoint(_ context.Context, id string) (workerapi.Task, error) {
 	t, err := w.get(id)
-	if err == nil && t.State == platform.TaskRunning {
+	if err == nil && t.State == workerapi.TaskRunning {
 		w.saved++
 		w.tasks[id].CheckpointMS = w.now().UnixMilli() - t.StartedMS
 	}
@@ -108,19 +108,19 @@
 
 func (w *fakeWorker) Throttle(context.Context, string, float64) error { return nil }
 
-func (w *fakeWorker) Stop(_ context.Context, id string) (platform.Task, error) {
+func (w *fakeWorker) Stop(_ context.Context, id string) (workerapi.Task, error) {
 	t, err := w.get(id)
-	if err == nil && t.State == platform.TaskRunning {
-		w.end(id, platform.TaskStopped, "")
+	if err == nil && t.State == workerapi.TaskRunning {
+		w.end(id, workerapi.TaskStopped, "")
 		t = *w.tasks[id]
 	}
 	return t, err
 }
 
-func (w *fakeWorker) Usage(context.Context) ([]platform.Usage, error) {
-	var out []platform.Usage
+func (w *fakeWorker) Usage(context.Context) ([]workerapi.Usage, error) {
+	var out []workerapi.Usage
 	for id := range w.tasks {
-		out = append(out, platform.Usage{ID: id, PeakMemoryGB: w.peakGB})
+		out = append(out, workerapi.Usage{ID: id, PeakMemoryGB: w.peakGB})
 	}
 	return out, nil
 }
@@ -129,7 +129,7 @@
 	w.lapse()
 	n := 0
 	for _, t := range w.tasks {
-		if t.State == platform.TaskRunning {
+		if t.State == workerapi.TaskRunning {
 			n++
 		}
 	}
@@ -157,7 +157,7 @@
 	c := &cluster{now: time.Unix(10_000, 0)}
 	for i := range size {
 		n := &node{name: fmt.Sprintf("w%d", i)}
-		n.worker = &fakeWorker{now: c.clock, tasks: map[string]*platform.Task{}, until: map[string]time.Time{}, onStart: c.checkStart}
+		n.worker = &fakeWorker{now: c.clock, tasks: map[string]*workerapi.Task{}, until: map[string]time.Time{}, onStart: c.checkStart}
 		c.nodes = append(c.nodes, n)
 		c.boot(n)
 	}
--- a/internal/agent/gang/labels.go
+++ b/internal/agent/gang/labels.go
@@ -5,7 +5,7 @@
 	"strconv"
 
 	"snipegw/internal/model"
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/wire"
 )
@@ -107,4 +107,4 @@
 }
 
 // ended reports whether a task holds no resources any more.
-func ended(state platform.TaskState) bool { return state != platform.TaskRunning }
+func ended(state workerapi.TaskState) bool { return state != workerapi.TaskRunning }
--- a/internal/agent/gang/member.go
+++ b/internal/agent/gang/member.go
@@ -10,7 +10,7 @@
 
 	"snipegw/internal/agent/arbiter"
 	"snipegw/internal/model"
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/wire"
 )
@@ -132,10 +132,10 @@
 // no longer waits for it.
 func (t *member) run(k *task) {
 	labels, err := encodeLabels(identity{spec: t.spec, attempt: t.key.attempt, rank: k.rank, members: t.members, resume: t.resume})
-	var state platform.Task
+	var state workerapi.Task
 	if err == nil {
 		ctx, cancel := context.WithTimeout(context.Background(), workerTimeout)
-		state, err = t.m.API.Run(ctx, platform.Task{
+		state, err = t.m.API.Run(ctx, workerapi.Task{
 			ID: k.id, Resources: t.perTask, Command: t.spec.Command, Labels: labels, ResumeMS: t.resume,
 		}, TaskLease)
 		cancel()
@@ -299,7 +299,7 @@
 	return t.phase == phaseEnded && t.startedAt.IsZero()
 }
 
-func (t *member) addUsage(usage []platform.Usage) {
+func (t *member) addUsage(usage []workerapi.Usage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, k := range t.tasks {
--- a/internal/agent/gang/model_test.go
+++ b/internal/agent/gang/model_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"snipegw/internal/model"
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 	"snipegw/internal/wire"
 )
 
@@ -35,7 +35,7 @@
 			running, done := c.running(), 0
 			for _, n := range c.nodes {
 				for _, task := range n.worker.tasks {
-					if task.State == platform.TaskDone {
+					if task.State == workerapi.TaskDone {
 						done++
 					}
 				}
@@ -91,8 +91,8 @@
 			"end": func(t *rapid.T) {
 				n := pick(t)
 				for id, task := range n.worker.tasks {
-					if task.State == platform.TaskRunning {
-						n.worker.end(id, rapid.SampledFrom([]platform.TaskState{platform.TaskDone, platform.TaskFailed}).Draw(t, "state"), "")
+					if task.State == workerapi.TaskRunning {
+						n.worker.end(id, rapid.SampledFrom([]workerapi.TaskState{workerapi.TaskDone, workerapi.TaskFailed}).Draw(t, "state"), "")
 					}
 				}
 			},
@@ -121,7 +121,7 @@
 			t.Fatalf("accepted %+v", id)
 		}
 		c := newCluster(1)
-		c.nodes[0].agent.Adopt([]platform.Task{{ID: "t", Labels: labels, State: platform.TaskRunning}})
+		c.nodes[0].agent.Adopt([]workerapi.Task{{ID: "t", Labels: labels, State: workerapi.TaskRunning}})
 		c.nodes[0].agent.Tick()
 	})
 }
--- a/internal/agent/gang/supervisor.go
+++ b/internal/agent/gang/supervisor.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"snipegw/internal/planner/framework"
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/wire"
 )
@@ -253,7 +253,7 @@
 	for _, t := range r.Tasks {
 		p.tasks[t.Rank] = t
 		switch t.State {
-		case string(platform.TaskRunning), taskStarting, taskStopping, stateFailedRunning:
+		case string(workerapi.TaskRunning), taskStarting, taskStopping, stateFailedRunning:
 			running++
 		}
 	}
@@ -283,7 +283,7 @@
 
 func (p *peer) done() bool {
 	for _, rank := range p.Ranks {
-		if p.tasks[rank].State != string(platform.TaskDone) {
+		if p.tasks[rank].State != string(workerapi.TaskDone) {
 			return false
 		}
 	}
@@ -298,9 +298,9 @@
 func (s *supervisor) judgeFailure(p *peer, t wire.TaskReport, now time.Time) {
 	reason := s.describe(p, t)
 	switch t.State {
-	case string(platform.TaskOutOfMemory):
+	case string(workerapi.TaskOutOfMemory):
 		s.fail(now, framework.OutcomeOutOfMemory, "", reason)
-	case string(platform.TaskFailed), stateFailedRunning:
+	case string(workerapi.TaskFailed), stateFailedRunning:
 		outcome := framework.OutcomeTaskFailed
 		if s.phase == phaseStarting || now.Sub(s.startedAt) < startFailureWindow {
 			outcome = framework.OutcomeStartFailed
@@ -314,7 +314,7 @@
 // member stop the others.
 func (s *supervisor) judgeLoss(p *peer, t wire.TaskReport, now time.Time) {
 	switch t.State {
-	case string(platform.TaskLapsed), string(platform.TaskStopped), taskStopping:
+	case string(workerapi.TaskLapsed), string(workerapi.TaskStopped), taskStopping:
 		s.fail(now, framework.OutcomeLost, "", s.describe(p, t))
 	}
 }
--- a/internal/agent/gang/task.go
+++ b/internal/agent/gang/task.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/wire"
 )
 
-// States of a task report besides those of platform.TaskState.
+// States of a task report besides those of workerapi.TaskState.
 const (
 	taskPending  = "pending"  // not started
 	taskStarting = "starting" // the worker has not answered yet
@@ -20,7 +20,7 @@
 type task struct {
 	rank     int
 	id       string
-	last     platform.Task // latest state from the worker
+	last     workerapi.Task // latest state from the worker
 	known    bool          // last is set
 	answered bool          // the start has been answered or has failed
 	// startError is set if the start failed or was not answered; the task may
@@ -38,7 +38,7 @@
 	peakGB      float64
 }
 
-func (k *task) observe(state platform.Task, now time.Time) {
+func (k *task) observe(state workerapi.Task, now time.Time) {
 	k.last = state
 	k.known = true
 	if ended(state.State) {
@@ -130,7 +130,7 @@
 
 // finish records the answer to a call. A task that the worker does not know
 // holds no resources.
-func (t *member) finish(k *task, state platform.Task, err error, ok func(now time.Time)) {
+func (t *member) finish(k *task, state workerapi.Task, err error, ok func(now time.Time)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.m.Now()
@@ -149,13 +149,13 @@
 	r := wire.TaskReport{Rank: k.rank, KeptMS: max(t.resume, k.last.CheckpointMS), PeakMemoryGB: k.peakGB}
 	switch {
 	case k.startError != "":
-		r.State = string(platform.TaskFailed)
+		r.State = string(workerapi.TaskFailed)
 		r.Reason = k.startError
 		if !k.over {
 			r.State = stateFailedRunning
 		}
 	case k.lapsed && (!k.known || !ended(k.last.State)):
-		r.State = string(platform.TaskLapsed)
+		r.State = string(workerapi.TaskLapsed)
 	case k.known && !k.over && t.phase == phaseStopping:
 		r.State = taskStopping
 		r.Reason = t.stopReason
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -7,7 +7,7 @@
 	"github.com/apex/log"
 
 	"snipegw/internal/kernel"
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 	"snipegw/internal/transport"
 )
 
@@ -32,7 +32,7 @@
 	LocalHTTPAddress string `json:"local_http_address"`
 	// Entries are the seed addresses of entries.
 	Entries   []string           `json:"entries"`
-	WorkerAPI platform.Settings  `json:"worker_api"`
+	WorkerAPI workerapi.Settings  `json:"worker_api"`
 	Security  transport.Security `json:"security"`
 	LogLevel  string             `json:"log_level,omitempty"`
 }
@@ -91,7 +91,7 @@
 func (s *Settings) validateWorkerAPI(faults *kernel.Faults) {
 	if s.WorkerAPI.Address == "" {
 		faults.Add("worker_api.address", "required")
-	} else if _, err := platform.Open(s.WorkerAPI); err != nil {
+	} else if _, err := workerapi.Open(s.WorkerAPI); err != nil {
 		faults.Add("worker_api", "%v", err)
 	}
 	if s.WorkerAPI.TimeoutMS < 0 || s.WorkerAPI.TimeoutMS > maxWorkerTimeoutMS {
--- a/internal/bench/gang.go
+++ b/internal/bench/gang.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"snipegw/internal/model"
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 	"snipegw/internal/transport"
 	"snipegw/internal/wire"
 )
@@ -38,18 +38,18 @@
 	mux := new(transport.Mux)
 	mux.Handle(wire.KindArm, transport.Unary(func(context.Context, *wire.GangOrder) (*wire.Ack, error) { return &wire.Ack{}, nil }))
 	mux.Handle(wire.KindHandover, transport.Unary(func(context.Context, *wire.Handover) (*wire.Ack, error) { return &wire.Ack{}, nil }))
-	mux.Handle(wire.KindStart, transport.Unary(m.report(platform.TaskRunning)))
+	mux.Handle(wire.KindStart, transport.Unary(m.report(workerapi.TaskRunning)))
 	mux.Handle(wire.KindRenew, transport.Unary(func(ctx context.Context, o *wire.GangOrder) (*wire.MemberReport, error) {
 		m.renewed.Add(1)
-		return m.report(platform.TaskRunning)(ctx, o)
+		return m.report(workerapi.TaskRunning)(ctx, o)
 	}))
-	mux.Handle(wire.KindAbort, transport.Unary(m.report(platform.TaskStopped)))
+	mux.Handle(wire.KindAbort, transport.Unary(m.report(workerapi.TaskStopped)))
 	var err error
 	m.server, err = transport.Listen("127.0.0.1:0", creds, mux)
 	return m, err
 }
 
-func (m *lightMember) report(state platform.TaskState) func(context.Context, *wire.GangOrder) (*wire.MemberReport, error) {
+func (m *lightMember) report(state workerapi.TaskState) func(context.Context, *wire.GangOrder) (*wire.MemberReport, error) {
 	return func(context.Context, *wire.GangOrder) (*wire.MemberReport, error) {
 		return &wire.MemberReport{Worker: m.worker, Tasks: []wire.TaskReport{{
 			Rank: m.rank, State: string(state), WorkMS: time.Since(m.began).Milliseconds(), PeakMemoryGB: 1.5,
--- a/internal/proof/examples_test.go
+++ b/internal/proof/examples_test.go
@@ -11,7 +11,7 @@
 	"snipegw/internal/entry"
 	"snipegw/internal/kernel"
 	_ "snipegw/internal/planner"             // registers the policies
-	_ "snipegw/internal/platform/httpworker" // registers the worker interface
+	_ "snipegw/internal/workerapi/httpworker" // registers the worker interface
 	"snipegw/internal/standin/backend"
 	"snipegw/internal/standin/kv"
 	"snipegw/internal/standin/worker"
--- a/internal/standin/worker/handlers.go
+++ b/internal/standin/worker/handlers.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 	"snipegw/internal/standin"
 )
 
@@ -58,14 +58,14 @@
 }
 
 // usage returns the usage of running tasks as it was UsageLagMS ago.
-func (s *Server) usage() []platform.Usage {
+func (s *Server) usage() []workerapi.Usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	lag := time.Duration(s.settings.UsageLagMS) * time.Millisecond
 	at := s.advance().Add(-lag)
-	list := []platform.Usage{}
+	list := []workerapi.Usage{}
 	for _, t := range s.tasks {
-		if t.state != platform.TaskRunning && t.ended.Before(at) {
+		if t.state != workerapi.TaskRunning && t.ended.Before(at) {
 			continue
 		}
 		if u, ok := t.usage(at); ok {
@@ -78,7 +78,7 @@
 
 func (s *Server) handleRun(w http.ResponseWriter, r *http.Request) {
 	s.admit(r)
-	var spec platform.Task
+	var spec workerapi.Task
 	if err := standin.ReadJSON(r, &spec); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -117,7 +117,7 @@
 	case "stop":
 		apply = func(t *task, now time.Time) {
 			if !s.faults.IgnoreStops {
-				s.end(t, now, platform.TaskStopped, "stopped")
+				s.end(t, now, workerapi.TaskStopped, "stopped")
 			}
 		}
 	default:
@@ -129,7 +129,7 @@
 }
 
 // answer sends the state of a task, or loses the answer.
-func (s *Server) answer(w http.ResponseWriter, t platform.Task, err error) {
+func (s *Server) answer(w http.ResponseWriter, t workerapi.Task, err error) {
 	s.mu.Lock()
 	lose := s.faults.LoseNext > 0
 	if lose {
--- a/internal/standin/worker/task.go
+++ b/internal/standin/worker/task.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 )
 
 const (
@@ -23,8 +23,8 @@
 
 // task is a simulated task. Work grows with time, at the rate of the throttle.
 type task struct {
-	spec    platform.Task
-	state   platform.TaskState
+	spec    workerapi.Task
+	state   workerapi.TaskState
 	reason  string
 	started time.Time
 	ended   time.Time
@@ -37,7 +37,7 @@
 	keptMS   float64 // work preserved by the latest checkpoint
 	failAt   time.Time
 	failWhy  string
-	failAs   platform.TaskState
+	failAs   workerapi.TaskState
 	memoryGB float64
 	samples  []sample
 }
@@ -50,9 +50,9 @@
 }
 
 // newTask interprets the command: sleep MS, fail MS, or memory GB [MS].
-func newTask(spec platform.Task, now time.Time, fail bool) (*task, error) {
+func newTask(spec workerapi.Task, now time.Time, fail bool) (*task, error) {
 	t := &task{
-		spec: spec, state: platform.TaskRunning, started: now, since: now, rate: 1,
+		spec: spec, state: workerapi.TaskRunning, started: now, since: now, rate: 1,
 		lease:   now.Add(time.Duration(spec.LeaseMS) * time.Millisecond),
 		totalMS: float64(defaultRun.Milliseconds()), workMS: float64(spec.ResumeMS),
 		keptMS: float64(spec.ResumeMS), memoryGB: idleMemoryGB,
@@ -61,15 +61,15 @@
 		return nil, err
 	}
 	if t.memoryGB > float64(spec.Resources.MemoryGB) && t.memoryGB > idleMemoryGB {
-		t.failsAt(now.Add(memoryAfter), platform.TaskOutOfMemory, fmt.Sprintf("used %g GB, limit %d GB", t.memoryGB, spec.Resources.MemoryGB))
+		t.failsAt(now.Add(memoryAfter), workerapi.TaskOutOfMemory, fmt.Sprintf("used %g GB, limit %d GB", t.memoryGB, spec.Resources.MemoryGB))
 	}
 	if fail {
-		t.failsAt(now.Add(failAfter), platform.TaskFailed, "worker fault")
+		t.failsAt(now.Add(failAfter), workerapi.TaskFailed, "worker fault")
 	}
 	return t, nil
 }
 
-func (t *task) failsAt(at time.Time, as platform.TaskState, why string) {
+func (t *task) failsAt(at time.Time, as workerapi.TaskState, why string) {
 	t.failAt, t.failAs, t.failWhy = at, as, why
 }
 
@@ -90,7 +90,7 @@
 		t.totalMS = values[0]
 	case command[0] == "fail" && len(values) == 1:
 		t.totalMS = values[0] + 1
-		t.failsAt(t.started.Add(milliseconds(values[0])), platform.TaskFailed, "command failed")
+		t.failsAt(t.started.Add(milliseconds(values[0])), workerapi.TaskFailed, "command failed")
 	case command[0] == "memory" && (len(values) == 1 || len(values) == 2):
 		t.memoryGB = values[0]
 		if len(values) == 2 {
@@ -120,13 +120,13 @@
 }
 
 // nextEnd returns the earliest end of the task and its cause.
-func (t *task) nextEnd() (time.Time, platform.TaskState, string) {
-	at, state, reason := t.lease, platform.TaskLapsed, "lease lapsed"
+func (t *task) nextEnd() (time.Time, workerapi.TaskState, string) {
+	at, state, reason := t.lease, workerapi.TaskLapsed, "lease lapsed"
 	if !t.failAt.IsZero() && t.failAt.Before(at) {
 		at, state, reason = t.failAt, t.failAs, t.failWhy
 	}
 	if done := t.since.Add(milliseconds(max(0, t.totalMS-t.workMS) / t.rate)); done.Before(at) {
-		at, state, reason = done, platform.TaskDone, ""
+		at, state, reason = done, workerapi.TaskDone, ""
 	}
 	return at, state, reason
 }
@@ -148,8 +148,8 @@
 }
 
 // usage returns the usage as it was at a time.
-func (t *task) usage(at time.Time) (platform.Usage, bool) {
-	u := platform.Usage{ID: t.spec.ID}
+func (t *task) usage(at time.Time) (workerapi.Usage, bool) {
+	u := workerapi.Usage{ID: t.spec.ID}
 	found := false
 	for _, s := range t.samples {
 		if s.at.After(at) {
@@ -163,13 +163,13 @@
 }
 
 // view returns the task as the interface shows it.
-func (t *task) view(now time.Time) platform.Task {
+func (t *task) view(now time.Time) workerapi.Task {
 	v := t.spec
 	v.State, v.Reason = t.state, t.reason
 	v.StartedMS = t.started.UnixMilli()
 	v.CheckpointMS = int64(t.keptMS)
 	v.LeaseMS = 0
-	if t.state == platform.TaskRunning {
+	if t.state == workerapi.TaskRunning {
 		v.LeaseMS = max(0, t.lease.Sub(now).Milliseconds())
 	} else {
 		v.EndedMS = t.ended.UnixMilli()
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -12,7 +12,7 @@
 
 	"snipegw/internal/kernel"
 	"snipegw/internal/model"
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 	"snipegw/internal/standin"
 )
 
@@ -79,7 +79,7 @@
 	Event  string             `json:"event"`
 	Worker string             `json:"worker"`
 	Task   string             `json:"task"`
-	State  platform.TaskState `json:"state,omitempty"`
+	State  workerapi.TaskState `json:"state,omitempty"`
 	Reason string             `json:"reason,omitempty"`
 	Labels map[string]string  `json:"labels,omitempty"`
 }
@@ -154,11 +154,11 @@
 }
 
 // Tasks returns the running and the lately ended tasks, ordered by id.
-func (s *Server) Tasks() []platform.Task {
+func (s *Server) Tasks() []workerapi.Task {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.advance()
-	list := make([]platform.Task, 0, len(s.tasks))
+	list := make([]workerapi.Task, 0, len(s.tasks))
 	for _, t := range s.tasks {
 		list = append(list, t.view(now))
 	}
@@ -186,7 +186,7 @@
 func (s *Server) advance() time.Time {
 	now := s.now()
 	for id, t := range s.tasks {
-		if t.state != platform.TaskRunning {
+		if t.state != workerapi.TaskRunning {
 			if now.Sub(t.ended) > keepEnded {
 				delete(s.tasks, id)
 			}
@@ -204,13 +204,13 @@
 }
 
 // end ends a running task. The caller holds s.mu.
-func (s *Server) end(t *task, at time.Time, state platform.TaskState, reason string) {
+func (s *Server) end(t *task, at time.Time, state workerapi.TaskState, reason string) {
 	t.workMS = t.work(at)
 	t.state, t.reason, t.ended = state, reason, at
 	s.record(at, "end", t.spec.ID, state, reason, t.spec.Labels)
 }
 
-func (s *Server) record(at time.Time, event, id string, state platform.TaskState, reason string, labels map[string]string) {
+func (s *Server) record(at time.Time, event, id string, state workerapi.TaskState, reason string, labels map[string]string) {
 	s.seq++
 	if len(s.log) >= maxLogEvents {
 		s.log = append([]Event(nil), s.log[maxLogEvents/2:]...)
@@ -225,7 +225,7 @@
 func (s *Server) free() model.Resources {
 	free := s.settings.Worker.Capacity
 	for _, t := range s.tasks {
-		if t.state == platform.TaskRunning {
+		if t.state == workerapi.TaskRunning {
 			free = free.Sub(t.spec.Resources)
 		}
 	}
@@ -233,7 +233,7 @@
 }
 
 // start runs a task or returns the one that runs under the same id already.
-func (s *Server) start(spec platform.Task) (platform.Task, error) {
+func (s *Server) start(spec workerapi.Task) (workerapi.Task, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.advance()
@@ -243,27 +243,27 @@
 	if free := s.free(); !spec.Resources.Fits(free) {
 		reason := fmt.Sprintf("needs %+v, free is %+v", spec.Resources, free)
 		s.record(now, "refused", spec.ID, "", reason, spec.Labels)
-		return platform.Task{}, &refusal{http.StatusConflict, reason}
+		return workerapi.Task{}, &refusal{http.StatusConflict, reason}
 	}
 	t, err := newTask(spec, now, s.faults.FailTasks)
 	if err != nil {
-		return platform.Task{}, &refusal{http.StatusBadRequest, err.Error()}
+		return workerapi.Task{}, &refusal{http.StatusBadRequest, err.Error()}
 	}
 	s.tasks[spec.ID] = t
-	s.record(now, "start", spec.ID, platform.TaskRunning, "", spec.Labels)
+	s.record(now, "start", spec.ID, workerapi.TaskRunning, "", spec.Labels)
 	return t.view(now), nil
 }
 
 // order applies f to the task id if it is running, and returns its state.
-func (s *Server) order(id string, f func(t *task, now time.Time)) (platform.Task, error) {
+func (s *Server) order(id string, f func(t *task, now time.Time)) (workerapi.Task, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.advance()
 	t, ok := s.tasks[id]
 	if !ok {
-		return platform.Task{}, &refusal{http.StatusNotFound, "unknown task " + id}
+		return workerapi.Task{}, &refusal{http.StatusNotFound, "unknown task " + id}
 	}
-	if t.state == platform.TaskRunning {
+	if t.state == workerapi.TaskRunning {
 		f(t, now)
 	}
 	return t.view(now), nil
--- a/internal/platform/httpworker/contract_test.go
+++ b/internal/workerapi/httpworker/contract_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"snipegw/internal/model"
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/standin/worker"
 )
@@ -23,7 +23,7 @@
 type harness struct {
 	ctx    context.Context
 	server *worker.Server
-	api    platform.WorkerAPI
+	api    workerapi.WorkerAPI
 }
 
 const lease = 5 * time.Second
@@ -36,18 +36,18 @@
 	})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(server.Close)
-	api, err := platform.Open(platform.Settings{Type: "httpworker", Address: server.URL(), TimeoutMS: 300})
+	api, err := workerapi.Open(workerapi.Settings{Type: "httpworker", Address: server.URL(), TimeoutMS: 300})
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	DeferCleanup(cancel)
 	return &harness{ctx: ctx, server: server, api: api}
 }
 
-func spec(id string, command ...string) platform.Task {
-	return platform.Task{ID: id, Command: command, Resources: model.Resources{Accelerators: 4, Cores: 4, MemoryGB: 16}}
+func spec(id string, command ...string) workerapi.Task {
+	return workerapi.Task{ID: id, Command: command, Resources: model.Resources{Accelerators: 4, Cores: 4, MemoryGB: 16}}
 }
 
-func (h *harness) run(t platform.Task, lease time.Duration) platform.Task {
+func (h *harness) run(t workerapi.Task, lease time.Duration) workerapi.Task {
 	GinkgoHelper()
 	state, err := h.api.Run(h.ctx, t, lease)
 	Expect(err).NotTo(HaveOccurred())
@@ -55,7 +55,7 @@
 }
 
 // state returns the task as the task list shows it.
-func (h *harness) state(id string) platform.Task {
+func (h *harness) state(id string) workerapi.Task {
 	GinkgoHelper()
 	tasks, err := h.api.Tasks(h.ctx)
 	Expect(err).NotTo(HaveOccurred())
@@ -64,12 +64,12 @@
 			return t
 		}
 	}
-	return platform.Task{}
+	return workerapi.Task{}
 }
 
-func (h *harness) ends(id string, as platform.TaskState) platform.Task {
+func (h *harness) ends(id string, as workerapi.TaskState) workerapi.Task {
 	GinkgoHelper()
-	Eventually(func() platform.TaskState { return h.state(id).State }, "3s", "10ms").Should(Equal(as))
+	Eventually(func() workerapi.TaskState { return h.state(id).State }, "3s", "10ms").Should(Equal(as))
 	return h.state(id)
 }
 
@@ -84,8 +84,8 @@
 	Entry("runs a task to its end and keeps its labels", func(h *harness) {
 		t := spec("job 1/2/0", "sleep", "150")
 		t.Labels = map[string]string{"rank": "0"}
-		Expect(h.run(t, lease).State).To(Equal(platform.TaskRunning))
-		end := h.ends(t.ID, platform.TaskDone)
+		Expect(h.run(t, lease).State).To(Equal(workerapi.TaskRunning))
+		end := h.ends(t.ID, workerapi.TaskDone)
 		Expect(end.EndedMS - end.StartedMS).To(BeNumerically("~", 150, 5))
 		Expect(end.Labels).To(HaveKeyWithValue("rank", "0"))
 	}),
@@ -98,31 +98,31 @@
 	Entry("an ended id does not run again", func(h *harness) {
 		t := spec("j/1/0", "sleep", "1")
 		h.run(t, lease)
-		h.ends(t.ID, platform.TaskDone)
-		Expect(h.run(t, lease).State).To(Equal(platform.TaskDone))
+		h.ends(t.ID, workerapi.TaskDone)
+		Expect(h.run(t, lease).State).To(Equal(workerapi.TaskDone))
 	}),
 	Entry("a task whose lease runs out ends as lapsed, at that time", func(h *harness) {
 		h.run(spec("j/1/0", "sleep", "5000"), 200*time.Millisecond)
-		end := h.ends("j/1/0", platform.TaskLapsed)
+		end := h.ends("j/1/0", workerapi.TaskLapsed)
 		Expect(end.EndedMS - end.StartedMS).To(BeNumerically("~", 200, 2))
 		renewed, err := h.api.Renew(h.ctx, "j/1/0", lease)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(renewed.State).To(Equal(platform.TaskLapsed))
+		Expect(renewed.State).To(Equal(workerapi.TaskLapsed))
 	}),
 	Entry("a renewal extends the lease", func(h *harness) {
 		h.run(spec("j/1/0", "sleep", "5000"), 300*time.Millisecond)
 		t, err := h.api.Renew(h.ctx, "j/1/0", lease)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(t.LeaseMS).To(BeNumerically("~", lease.Milliseconds(), 50))
-		Consistently(func() platform.TaskState { return h.state("j/1/0").State }, "500ms").Should(Equal(platform.TaskRunning))
+		Consistently(func() workerapi.TaskState { return h.state("j/1/0").State }, "500ms").Should(Equal(workerapi.TaskRunning))
 	}),
 	Entry("a failing command ends as failed with a reason", func(h *harness) {
 		h.run(spec("j/1/0", "fail", "100"), lease)
-		Expect(h.ends("j/1/0", platform.TaskFailed).Reason).NotTo(BeEmpty())
+		Expect(h.ends("j/1/0", workerapi.TaskFailed).Reason).NotTo(BeEmpty())
 	}),
 	Entry("a task that exceeds its memory is ended and its peak is reported", func(h *harness) {
 		h.run(spec("j/1/0", "memory", "40", "60000"), lease)
-		h.ends("j/1/0", platform.TaskOutOfMemory)
+		h.ends("j/1/0", workerapi.TaskOutOfMemory)
 	}),
 	Entry("usage lags behind", func(h *harness) {
 		h.run(spec("j/1/0", "memory", "10", "60000"), lease)
@@ -145,17 +145,17 @@
 		Expect(t.CheckpointMS).To(BeNumerically(">=", 150))
 		t, err = h.api.Stop(h.ctx, "j/1/0")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(t.State).To(Equal(platform.TaskStopped))
+		Expect(t.State).To(Equal(workerapi.TaskStopped))
 		again := spec("j/2/0", "sleep", "60000")
 		again.ResumeMS = 59_950
 		h.run(again, lease)
-		end := h.ends("j/2/0", platform.TaskDone)
+		end := h.ends("j/2/0", workerapi.TaskDone)
 		Expect(end.EndedMS - end.StartedMS).To(BeNumerically("~", 50, 5))
 	}),
 	Entry("a throttled task does its work more slowly", func(h *harness) {
 		h.run(spec("j/1/0", "sleep", "200"), lease)
 		Expect(h.api.Throttle(h.ctx, "j/1/0", 0.25)).To(Succeed())
-		end := h.ends("j/1/0", platform.TaskDone)
+		end := h.ends("j/1/0", workerapi.TaskDone)
 		Expect(end.EndedMS - end.StartedMS).To(BeNumerically(">", 600))
 	}),
 	Entry("tasks above the capacity are refused", func(h *harness) {
@@ -176,13 +176,13 @@
 	Entry("a worker that fails tasks ends them as failed", func(h *harness) {
 		h.server.SetFaults(worker.Faults{FailTasks: true})
 		h.run(spec("j/1/0", "sleep", "5000"), lease)
-		h.ends("j/1/0", platform.TaskFailed)
+		h.ends("j/1/0", workerapi.TaskFailed)
 	}),
 	Entry("a lost answer is ambiguous and the order took effect", func(h *harness) {
 		h.server.SetFaults(worker.Faults{LoseNext: 1})
 		_, err := h.api.Run(h.ctx, spec("j/1/0", "sleep", "5000"), lease)
 		Expect(result.CodeOf(err)).To(Equal(result.OutcomeUnknown))
-		Expect(h.state("j/1/0").State).To(Equal(platform.TaskRunning))
+		Expect(h.state("j/1/0").State).To(Equal(workerapi.TaskRunning))
 	}),
 	Entry("a down or slow worker is given up at the timeout", func(h *harness) {
 		for _, f := range []worker.Faults{{Down: true}, {SlowMS: 5000}} {
--- a/internal/platform/httpworker/fuzz_test.go
+++ b/internal/workerapi/httpworker/fuzz_test.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"testing"
 
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 )
 
 // canned answers every call with the same status and body.
@@ -29,7 +29,7 @@
 	f.Add(404, []byte(`{}`))
 	f.Add(200, []byte(`null`))
 	f.Fuzz(func(t *testing.T, status int, body []byte) {
-		c, err := New(platform.Settings{Address: "http://127.0.0.1:1", TimeoutMS: 100})
+		c, err := New(workerapi.Settings{Address: "http://127.0.0.1:1", TimeoutMS: 100})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -38,6 +38,6 @@
 		_, _ = c.Worker(ctx)
 		_, _ = c.Tasks(ctx)
 		_, _ = c.Usage(ctx)
-		_, _ = c.Run(ctx, platform.Task{ID: "j/1/0"}, 0)
+		_, _ = c.Run(ctx, workerapi.Task{ID: "j/1/0"}, 0)
 	})
 }
--- a/internal/platform/httpworker/httpworker.go
+++ b/internal/workerapi/httpworker/httpworker.go
@@ -1,4 +1,4 @@
-// Package httpworker implements platform.WorkerAPI with JSON over HTTP on
+// Package httpworker implements workerapi.WorkerAPI with JSON over HTTP on
 // loopback. It registers as "httpworker".
 package httpworker
 
@@ -16,7 +16,7 @@
 	"time"
 
 	"snipegw/internal/model"
-	"snipegw/internal/platform"
+	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 )
 
@@ -31,7 +31,7 @@
 )
 
 func init() {
-	platform.Plugins.Register("httpworker", func(s platform.Settings) (platform.WorkerAPI, error) { return New(s) })
+	workerapi.Plugins.Register("httpworker", func(s workerapi.Settings) (workerapi.WorkerAPI, error) { return New(s) })
 }
 
 // Client calls the worker interface. It is safe for concurrent use.
@@ -41,10 +41,10 @@
 	http    *http.Client
 }
 
-var _ platform.WorkerAPI = (*Client)(nil)
+var _ workerapi.WorkerAPI = (*Client)(nil)
 
 // New returns a Client. An address without a scheme is taken as http.
-func New(s platform.Settings) (*Client, error) {
+func New(s workerapi.Settings) (*Client, error) {
 	base := strings.TrimSuffix(s.Address, "/")
 	if !strings.Contains(base, "://") {
 		base = "http://" + base
@@ -65,58 +65,58 @@
 	return c, nil
 }
 
-// Worker implements platform.WorkerAPI.
+// Worker implements workerapi.WorkerAPI.
 func (c *Client) Worker(ctx context.Context) (model.Worker, error) {
 	var w model.Worker
 	err := c.call(ctx, http.MethodGet, "/v1/worker", nil, &w)
 	return w, err
 }
 
-// Tasks implements platform.WorkerAPI.
-func (c *Client) Tasks(ctx context.Context) ([]platform.Task, error) {
-	var tasks []platform.Task
+// Tasks implements workerapi.WorkerAPI.
+func (c *Client) Tasks(ctx context.Context) ([]workerapi.Task, error) {
+	var tasks []workerapi.Task
 	err := c.call(ctx, http.MethodGet, "/v1/tasks", nil, &tasks)
 	return tasks, err
 }
 
-// Usage implements platform.WorkerAPI.
-func (c *Client) Usage(ctx context.Context) ([]platform.Usage, error) {
-	var usage []platform.Usage
+// Usage implements workerapi.WorkerAPI.
+func (c *Client) Usage(ctx context.Context) ([]workerapi.Usage, error) {
+	var usage []workerapi.Usage
 	err := c.call(ctx, http.MethodGet, "/v1/usage", nil, &usage)
 	return usage, err
 }
 
-// Run implements platform.WorkerAPI.
-func (c *Client) Run(ctx context.Context, t platform.Task, lease time.Duration) (platform.Task, error) {
+// Run implements workerapi.WorkerAPI.
+func (c *Client) Run(ctx context.Context, t workerapi.Task, lease time.Duration) (workerapi.Task, error) {
 	t.LeaseMS = lease.Milliseconds()
-	var state platform.Task
+	var state workerapi.Task
 	err := c.call(ctx, http.MethodPut, taskPath(t.ID, ""), t, &state)
 	return state, err
 }
 
-// Renew implements platform.WorkerAPI.
-func (c *Client) Renew(ctx context.Context, id string, lease time.Duration) (platform.Task, error) {
+// Renew implements workerapi.WorkerAPI.
+func (c *Client) Renew(ctx context.Context, id string, lease time.Duration) (workerapi.Task, error) {
 	return c.order(ctx, id, "renew", map[string]int64{"lease_ms": lease.Milliseconds()})
 }
 
-// Checkpoint implements platform.WorkerAPI.
-func (c *Client) Checkpoint(ctx context.Context, id string) (platform.Task, error) {
+// Checkpoint implements workerapi.WorkerAPI.
+func (c *Client) Checkpoint(ctx context.Context, id string) (workerapi.Task, error) {
 	return c.order(ctx, id, "checkpoint", struct{}{})
 }
 
-// Stop implements platform.WorkerAPI.
-func (c *Client) Stop(ctx context.Context, id string) (platform.Task, error) {
+// Stop implements workerapi.WorkerAPI.
+func (c *Client) Stop(ctx context.Context, id string) (workerapi.Task, error) {
 	return c.order(ctx, id, "stop", struct{}{})
 }
 
-// Throttle implements platform.WorkerAPI.
+// Throttle implements workerapi.WorkerAPI.
 func (c *Client) Throttle(ctx context.Context, id string, share float64) error {
 	_, err := c.order(ctx, id, "throttle", map[string]float64{"share": share})
 	return err
 }
 
-func (c *Client) order(ctx context.Context, id, action string, body any) (platform.Task, error) {
-	var state platform.Task
+func (c *Client) order(ctx context.Context, id, action string, body any) (workerapi.Task, error) {
+	var state workerapi.Task
 	err := c.call(ctx, http.MethodPost, taskPath(id, "/"+action), body, &state)
 	return state, err
 }
--- a/internal/platform/platform.go
+++ b/internal/workerapi/platform.go
@@ -1,6 +1,6 @@
-// Package platform defines access to the worker interface of the platform: it
+// Package workerapi defines access to the worker interface of the platform: it
 // runs tasks under leases and can checkpoint, throttle or stop them.
-package platform
+package workerapi
 
 import (
 	"context"
