--- a/cmd/snipegw-agent/main.go
+++ b/cmd/snipegw-agent/main.go
@@ -14,6 +14,8 @@
 	"snipegw/internal/kernel"
 	"snipegw/internal/workerapi"
 	_ "snipegw/internal/workerapi/httpworker" // registers the worker interface
+	"snipegw/internal/workflow/daemon"
+	_ "snipegw/platform" // registers the platform's plug-ins
 )
 
 const (
@@ -57,9 +59,20 @@
 }
 
 func serve(s agent.Settings) error {
-	if err := kernel.SetupLogging(os.Stderr, program, s.LogLevel); err != nil {
+	lines := kernel.NewDropWriter(os.Stdout)
+	defer lines.Close()
+	if err := kernel.SetupLogging(lines, program, s.LogLevel); err != nil {
 		return err
 	}
+	if s.Workflow != nil {
+		components, err := daemon.AssembleAgent(daemon.Process{
+			ID: s.Workflow.Node, FailureDomain: s.FailureDomain, Address: s.AdvertiseAddress, Security: s.Security,
+		}, *s.Workflow)
+		if err != nil {
+			return err
+		}
+		return kernel.Run(context.Background(), components...)
+	}
 	api, err := workerapi.Open(s.WorkerAPI)
 	if err != nil {
 		return err
--- a/cmd/snipegw-entry/main.go
+++ b/cmd/snipegw-entry/main.go
@@ -16,6 +16,8 @@
 	"snipegw/internal/planner"
 	"snipegw/internal/result"
 	_ "snipegw/internal/store/consulkv" // registers the store plug-in
+	"snipegw/internal/workflow/daemon"
+	_ "snipegw/platform" // registers the platform's plug-ins
 )
 
 // version is set by the linker.
@@ -57,12 +59,23 @@
 	return serve(&s)
 }
 
+func assemble(s *entry.Settings) ([]kernel.Component, error) {
+	if s.Workflow == nil {
+		return entry.Assemble(s, planner.CheckGuarantees)
+	}
+	return daemon.AssembleEntry(daemon.Process{
+		ID: s.ID, FailureDomain: s.FailureDomain, Address: s.AdvertiseAddress, DebugAddress: s.HTTPAddress, Security: s.Security,
+	}, *s.Workflow)
+}
+
 func serve(s *entry.Settings) int {
-	if err := kernel.SetupLogging(os.Stderr, "snipegw-entry", s.LogLevel); err != nil {
+	lines := kernel.NewDropWriter(os.Stdout)
+	defer lines.Close()
+	if err := kernel.SetupLogging(lines, "snipegw-entry", s.LogLevel); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	components, err := entry.Assemble(s, planner.CheckGuarantees)
+	components, err := assemble(s)
 	if err == nil {
 		err = kernel.Run(context.Background(), components...)
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -22,10 +22,10 @@
 	"snipegw/internal/agent/tickets"
 	"snipegw/internal/kernel"
 	"snipegw/internal/model"
-	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/transport"
 	"snipegw/internal/wire"
+	"snipegw/internal/workerapi"
 )
 
 const (
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -18,10 +18,10 @@
 
 	"snipegw/internal/kernel"
 	"snipegw/internal/model"
-	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/transport"
 	"snipegw/internal/wire"
+	"snipegw/internal/workerapi"
 )
 
 func TestAgent(t *testing.T) {
@@ -77,7 +77,7 @@
 	return w.change(id, func(t *workerapi.Task) { t.State = workerapi.TaskStopped })
 }
 
-func (w *fakeWorker) Throttle(context.Context, string, float64) error { return nil }
+func (w *fakeWorker) Throttle(context.Context, string, float64) error  { return nil }
 func (w *fakeWorker) Usage(context.Context) ([]workerapi.Usage, error) { return nil, nil }
 func (w *fakeWorker) state(id string) workerapi.Task {
 	t, _ := w.change(id, func(*workerapi.Task) {})
--- a/internal/agent/gang/gang.go
+++ b/internal/agent/gang/gang.go
@@ -13,9 +13,9 @@
 
 	"snipegw/internal/agent/arbiter"
 	"snipegw/internal/planner/framework"
-	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/wire"
+	"snipegw/internal/workerapi"
 )
 
 // Times of the gang protocol (section 6 of the design).
--- a/internal/agent/gang/gang_test.go
+++ b/internal/agent/gang/gang_test.go
@@ -8,9 +8,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/wire"
+	"snipegw/internal/workerapi"
 )
 
 func TestGang(t *testing.T) {
--- a/internal/agent/gang/handover.go
+++ b/internal/agent/gang/handover.go
@@ -9,9 +9,9 @@
 
 	"snipegw/internal/agent/arbiter"
 	"snipegw/internal/planner/framework"
-	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/wire"
+	"snipegw/internal/workerapi"
 )
 
 // Settled reports whether no gang is starting or stopping here, so that a
--- a/internal/agent/gang/harness_test.go
+++ b/internal/agent/gang/harness_test.go
@@ -12,10 +12,10 @@
 
 	"snipegw/internal/agent/arbiter"
 	"snipegw/internal/model"
-	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/transport"
 	"snipegw/internal/wire"
+	"snipegw/internal/workerapi"
 )
 
 // fakeWorker is a worker interface with leases on the clock of the cluster.
--- a/internal/agent/gang/labels.go
+++ b/internal/agent/gang/labels.go
@@ -5,9 +5,9 @@
 	"strconv"
 
 	"snipegw/internal/model"
-	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/wire"
+	"snipegw/internal/workerapi"
 )
 
 // Names of the task labels from which a successor process rebuilds a gang.
--- a/internal/agent/gang/member.go
+++ b/internal/agent/gang/member.go
@@ -10,9 +10,9 @@
 
 	"snipegw/internal/agent/arbiter"
 	"snipegw/internal/model"
-	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/wire"
+	"snipegw/internal/workerapi"
 )
 
 // phase is the phase of a member or of a supervisor.
--- a/internal/agent/gang/model_test.go
+++ b/internal/agent/gang/model_test.go
@@ -8,8 +8,8 @@
 	"pgregory.net/rapid"
 
 	"snipegw/internal/model"
-	"snipegw/internal/workerapi"
 	"snipegw/internal/wire"
+	"snipegw/internal/workerapi"
 )
 
 func specOf(id string) model.Job { return model.Job{ID: id} }
--- a/internal/agent/gang/supervisor.go
+++ b/internal/agent/gang/supervisor.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"snipegw/internal/planner/framework"
-	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/wire"
+	"snipegw/internal/workerapi"
 )
 
 // supervisor starts a gang as a whole and ends it as a whole.
--- a/internal/agent/gang/task.go
+++ b/internal/agent/gang/task.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/wire"
+	"snipegw/internal/workerapi"
 )
 
 // States of a task report besides those of workerapi.TaskState.
@@ -21,8 +21,8 @@
 	rank     int
 	id       string
 	last     workerapi.Task // latest state from the worker
-	known    bool          // last is set
-	answered bool          // the start has been answered or has failed
+	known    bool           // last is set
+	answered bool           // the start has been answered or has failed
 	// startError is set if the start failed or was not answered; the task may
 	// run in spite of it until it is confirmed as stopped.
 	startError string
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -7,8 +7,9 @@
 	"github.com/apex/log"
 
 	"snipegw/internal/kernel"
-	"snipegw/internal/workerapi"
 	"snipegw/internal/transport"
+	"snipegw/internal/workerapi"
+	"snipegw/internal/workflow/daemon"
 )
 
 const (
@@ -32,9 +33,13 @@
 	LocalHTTPAddress string `json:"local_http_address"`
 	// Entries are the seed addresses of entries.
 	Entries   []string           `json:"entries"`
-	WorkerAPI workerapi.Settings  `json:"worker_api"`
+	WorkerAPI workerapi.Settings `json:"worker_api"`
 	Security  transport.Security `json:"security"`
 	LogLevel  string             `json:"log_level,omitempty"`
+	// Workflow makes the agent run workflows in place of gangs and requests. The
+	// settings of the worker interface, the entries and the local address are
+	// not used then.
+	Workflow *daemon.AgentSettings `json:"workflow,omitempty"`
 }
 
 // Provision implements kernel.Settings.
@@ -52,6 +57,9 @@
 		s.WorkerAPI.TimeoutMS = defaultWorkerTimeoutMS
 	}
 	s.Security.Provision()
+	if s.Workflow != nil {
+		s.Workflow.Provision()
+	}
 }
 
 // Validate implements kernel.Settings.
@@ -71,6 +79,19 @@
 			faults.Add("advertise_address", "must be an IP address that others can reach")
 		}
 	}
+	if s.Workflow != nil {
+		s.Workflow.Validate("workflow", faults)
+	} else {
+		s.validateGangs(faults)
+	}
+	s.Security.Validate("security", faults)
+	if _, err := log.ParseLevel(s.LogLevel); err != nil {
+		faults.Add("log_level", "must be debug, info, warn or error")
+	}
+}
+
+// validateGangs checks what only gangs and requests use.
+func (s *Settings) validateGangs(faults *kernel.Faults) {
 	checkAddress("local_http_address", s.LocalHTTPAddress, faults)
 	if a, err := netip.ParseAddrPort(s.LocalHTTPAddress); err == nil && !a.Addr().IsLoopback() {
 		faults.Add("local_http_address", "must be a loopback address")
@@ -82,10 +103,6 @@
 		checkAddress("entries", e, faults)
 	}
 	s.validateWorkerAPI(faults)
-	s.Security.Validate("security", faults)
-	if _, err := log.ParseLevel(s.LogLevel); err != nil {
-		faults.Add("log_level", "must be debug, info, warn or error")
-	}
 }
 
 func (s *Settings) validateWorkerAPI(faults *kernel.Faults) {
--- a/internal/bench/gang.go
+++ b/internal/bench/gang.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"snipegw/internal/model"
-	"snipegw/internal/workerapi"
 	"snipegw/internal/transport"
 	"snipegw/internal/wire"
+	"snipegw/internal/workerapi"
 )
 
 const (
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	network, err := newNetwork(s.Address, creds)
+	network, err := transport.NewNetwork(s.Address, creds)
 	if err != nil {
 		return nil, err
 	}
@@ -72,7 +72,7 @@
 	store     store.Store
 	policy    framework.Factory
 	bootstrap []byte
-	network   *network
+	network   *transport.Network
 	check     PackCheck
 }
 
@@ -89,23 +89,23 @@
 	conf := config.New(config.Options{Store: p.store, Bootstrap: p.bootstrap, Pack: packer.pack})
 	routes := new(router.Router)
 	member := members.New(members.Options{
-		Self: self, Store: p.store, Pool: p.network.pool, Config: conf,
+		Self: self, Store: p.store, Pool: p.network.Pool, Config: conf,
 		OnFreeSlots: routes.ReportFree,
 	})
 	routes.Init(s.ID, member)
 	packer.config, packer.members = conf, member
 	host := jobs.New(jobs.Options{
-		Store: p.store, Membership: member, Pool: p.network.pool, Config: conf, Policy: p.policy, Entry: self,
+		Store: p.store, Membership: member, Pool: p.network.Pool, Config: conf, Policy: p.policy, Entry: self,
 	})
 	member.SetSink(host)
 	for _, r := range []interface{ Register(*transport.Mux) }{conf, member, host} {
-		r.Register(&p.network.mux)
+		r.Register(&p.network.Mux)
 	}
 	budget := router.NewBudget()
 	dumper := kernel.NewDumper()
 	api := httpapi.New(httpapi.Options{
 		Address: s.HTTPAddress, Members: member, Config: conf, Jobs: host, Dumper: dumper,
-		Forwarder: &forward.Forwarder{Router: routes, Pool: p.network.pool, Budget: budget},
+		Forwarder: &forward.Forwarder{Router: routes, Pool: p.network.Pool, Budget: budget},
 	})
 	dumper.Add("entry", func() any { return self })
 	dumper.Add("members", func() any { return member.View() })
@@ -115,8 +115,8 @@
 	dumper.Add("store_calls", func() any { return p.store.Calls() })
 	dumper.Add("config_version", func() any { return conf.Version() })
 	publishMetrics(p, member, routes, budget, api)
-	gone := &goneWorkers{members: member, pool: p.network.pool}
-	background := &loops{name: "router", runs: []func(context.Context){routes.Run, budget.Run, gone.run}}
+	gone := &goneWorkers{members: member, pool: p.network.Pool}
+	background := &kernel.Loops{Label: "router", Runs: []func(context.Context){routes.Run, budget.Run, gone.run}}
 	return []kernel.Component{conf, p.network, member, host, background, api}
 }
 
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -16,7 +16,7 @@
 		"entry_retries_left": func() any { return b.Left() },
 		"entry_workers":      func() any { return len(m.View().Workers) },
 		"store_calls":        func() any { return p.store.Calls() },
-		"transport":          func() any { return p.network.stats() },
+		"transport":          func() any { return p.network.Stats() },
 	}
 	for name, f := range vars {
 		if expvar.Get(name) == nil {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -11,6 +11,7 @@
 	"snipegw/internal/planner/framework"
 	"snipegw/internal/store"
 	"snipegw/internal/transport"
+	"snipegw/internal/workflow/daemon"
 )
 
 // Defaults of the settings.
@@ -41,6 +42,9 @@
 	// BootstrapConfig is a file with the first configuration document. It is
 	// written to the store if there is none.
 	BootstrapConfig string `json:"bootstrap_config"`
+	// Workflow makes the entry serve workflows in place of gang jobs and
+	// requests. HTTPAddress then serves the dump and the metrics only.
+	Workflow *daemon.EntrySettings `json:"workflow"`
 }
 
 var _ kernel.Settings = (*Settings)(nil)
@@ -60,6 +64,9 @@
 		s.Store.TimeoutMS = defaultStoreTimeoutMS
 	}
 	s.Security.Provision()
+	if s.Workflow != nil {
+		s.Workflow.Provision()
+	}
 }
 
 // name is the form of ids and of the names of regions and failure domains, which
@@ -76,7 +83,11 @@
 	checkAddress(faults, "http_address", s.HTTPAddress, false)
 	checkAddress(faults, "address", s.Address, false)
 	checkAddress(faults, "advertise_address", s.AdvertiseAddress, true)
-	s.validateStore(faults)
+	if s.Workflow != nil {
+		s.Workflow.Validate("workflow", faults)
+	} else {
+		s.validateStore(faults)
+	}
 	s.Security.Validate("security", faults)
 	if !slices.Contains(framework.Policies.Names(), s.Policy) {
 		faults.Add("policy", "unknown policy %q, known: %v", s.Policy, framework.Policies.Names())
--- a/internal/proof/examples_test.go
+++ b/internal/proof/examples_test.go
@@ -10,12 +10,12 @@
 	"snipegw/internal/agent"
 	"snipegw/internal/entry"
 	"snipegw/internal/kernel"
-	_ "snipegw/internal/planner"             // registers the policies
-	_ "snipegw/internal/workerapi/httpworker" // registers the worker interface
+	_ "snipegw/internal/planner" // registers the policies
 	"snipegw/internal/standin/backend"
 	"snipegw/internal/standin/kv"
 	"snipegw/internal/standin/worker"
-	_ "snipegw/internal/store/consulkv" // registers the store plug-in
+	_ "snipegw/internal/store/consulkv"       // registers the store plug-in
+	_ "snipegw/internal/workerapi/httpworker" // registers the worker interface
 )
 
 // Guards against examples that no longer match the settings of the programs.
--- a/internal/proof/observer_test.go
+++ b/internal/proof/observer_test.go
@@ -7,8 +7,8 @@
 	. "github.com/onsi/gomega"
 
 	"snipegw/internal/model"
-	"snipegw/internal/workerapi"
 	"snipegw/internal/standin/worker"
+	"snipegw/internal/workerapi"
 )
 
 func TestProof(t *testing.T) {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -43,6 +43,9 @@
 	BadTicket       Code = 210
 	UnknownWorker   Code = 211
 	NotFound        Code = 212
+	Unsupported     Code = 213
+	UnknownQueue    Code = 214
+	JobGone         Code = 215
 
 	Overloaded           Code = 300
 	WorkerFull           Code = 301
@@ -111,6 +114,9 @@
 	{BadTicket, "bad_ticket", http.StatusBadRequest, RanNo, "Send the ticket exactly as it was issued."},
 	{UnknownWorker, "unknown_worker", http.StatusNotFound, RanNo, "Check the worker id."},
 	{NotFound, "not_found", http.StatusNotFound, RanNo, "Check the path."},
+	{Unsupported, "unsupported", http.StatusNotImplemented, RanNo, "Leave out the feature that the message names; it is not built yet."},
+	{UnknownQueue, "unknown_queue", http.StatusNotFound, RanNo, "Use a host and path of a queue of the current configuration."},
+	{JobGone, "job_gone", http.StatusGone, RanNo, "Check the id; no such job exists, or it ended too long ago."},
 
 	{Overloaded, "overloaded", http.StatusServiceUnavailable, RanNo, "Retry after the time in Retry-After."},
 	{WorkerFull, "worker_full", http.StatusServiceUnavailable, RanNo, "Retry; another worker may have a free slot."},
--- a/internal/standin/worker/handlers.go
+++ b/internal/standin/worker/handlers.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"time"
 
-	"snipegw/internal/workerapi"
 	"snipegw/internal/standin"
+	"snipegw/internal/workerapi"
 )
 
 // maxLeaseMS is the longest lease, in milliseconds.
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -12,8 +12,8 @@
 
 	"snipegw/internal/kernel"
 	"snipegw/internal/model"
-	"snipegw/internal/workerapi"
 	"snipegw/internal/standin"
+	"snipegw/internal/workerapi"
 )
 
 const (
@@ -76,12 +76,12 @@
 	// AtMS is the time in Unix milliseconds.
 	AtMS int64 `json:"at_ms"`
 	// Event is start, end or refused.
-	Event  string             `json:"event"`
-	Worker string             `json:"worker"`
-	Task   string             `json:"task"`
+	Event  string              `json:"event"`
+	Worker string              `json:"worker"`
+	Task   string              `json:"task"`
 	State  workerapi.TaskState `json:"state,omitempty"`
-	Reason string             `json:"reason,omitempty"`
-	Labels map[string]string  `json:"labels,omitempty"`
+	Reason string              `json:"reason,omitempty"`
+	Labels map[string]string   `json:"labels,omitempty"`
 }
 
 // Server is a running stand-in.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -40,6 +40,12 @@
 	KindPlanner     Kind = 47 // PlannerOrder -> Ack
 )
 
+// Operations of workflows. An agent serves sync and order, an entry accept.
+const (
+	KindWorkflowSync  Kind = 60 // workflow.SyncRequest -> workflow.SyncReply
+	KindWorkflowOrder Kind = 61 // workflow.OrderRequest -> workflow.OrderReply
+)
+
 // Fault is an error on the wire.
 type Fault struct {
 	Code    result.Code `cbor:"1,keyasint"`
--- a/internal/workerapi/httpworker/contract_test.go
+++ b/internal/workerapi/httpworker/contract_test.go
@@ -9,9 +9,9 @@
 	. "github.com/onsi/gomega"
 
 	"snipegw/internal/model"
-	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
 	"snipegw/internal/standin/worker"
+	"snipegw/internal/workerapi"
 )
 
 func TestHTTPWorker(t *testing.T) {
--- a/internal/workerapi/httpworker/httpworker.go
+++ b/internal/workerapi/httpworker/httpworker.go
@@ -16,8 +16,8 @@
 	"time"
 
 	"snipegw/internal/model"
-	"snipegw/internal/workerapi"
 	"snipegw/internal/result"
+	"snipegw/internal/workerapi"
 )
 
 const (
--- /dev/null
+++ b/internal/workflow/daemon/daemon.go
@@ -0,0 +1,158 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+
+	"snipegw/internal/kernel"
+	"snipegw/internal/result"
+	"snipegw/internal/store"
+	"snipegw/internal/transport"
+	"snipegw/internal/workflow"
+	"snipegw/internal/workflow/intake"
+	"snipegw/internal/workflow/mirror"
+	"snipegw/internal/workflow/planner"
+	"snipegw/internal/workflow/runner"
+)
+
+// Process is what an entry or an agent brings along.
+type Process struct {
+	ID            string
+	FailureDomain string
+	// Address is where other processes reach this one.
+	Address string
+	// DebugAddress serves the dump and the metrics.
+	DebugAddress string
+	Security     transport.Security
+}
+
+// AssembleEntry makes the components of an entry in the order in which they
+// start.
+func AssembleEntry(p Process, s EntrySettings) ([]kernel.Component, error) {
+	network, err := newNetwork(p)
+	if err != nil {
+		return nil, err
+	}
+	table, err := store.OpenTable(s.Store)
+	if err != nil {
+		return nil, err
+	}
+	format, err := intake.ConfigFormats.Get(s.ConfigFormat)
+	if err != nil {
+		return nil, err
+	}
+	front, err := intake.Fronts.Get(s.Front)
+	if err != nil {
+		return nil, err
+	}
+	records, conf := mirror.New(table, workflow.Prefix), mirror.New(table, format.Prefix)
+	in := intake.New(table, records, conf, format)
+	host := planner.New(planner.Options{
+		Entry: p.ID, Address: p.Address, Table: table, Records: records, Pool: network.Pool,
+		Engine: s.engine(), KeepEnded: time.Duration(s.KeepEndedMS) * time.Millisecond,
+	})
+	in.OnConfig(host.SetConfig)
+	in.Begin()
+	dumper := kernel.NewDumper()
+	dumper.Add("planner", host.State)
+	dumper.Add("config", func() any { return in.Config() })
+	debug := http.NewServeMux()
+	dumper.Handle(debug, in.Ready)
+	debug.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { in.Counts.WriteText(w) })
+	return []kernel.Component{
+		network,
+		&kernel.Loops{Label: "mirrors", Runs: []func(context.Context){conf.Run, records.Run}},
+		&kernel.HTTPServer{Label: "debug", Address: p.DebugAddress, Handler: debug},
+		intake.NewServer(in, front, s.FrontAddress, s.ReadyAddress),
+		host,
+	}, nil
+}
+
+// AssembleAgent makes the components of an agent in the order in which they
+// start.
+func AssembleAgent(p Process, s AgentSettings) ([]kernel.Component, error) {
+	network, err := newNetwork(p)
+	if err != nil {
+		return nil, err
+	}
+	table, err := store.OpenTable(s.Store)
+	if err != nil {
+		return nil, err
+	}
+	open, err := runner.Plugins.Get(s.Worker.Type)
+	if err != nil {
+		return nil, err
+	}
+	api, err := open(s.Worker)
+	if err != nil {
+		return nil, err
+	}
+	announcements, err := runner.Announcements.Get(s.Announcements)
+	if err != nil {
+		return nil, err
+	}
+	r := runner.New(api)
+	r.Register(&network.Mux)
+	registration := &registration{table: table, node: s.Node, record: workflow.AgentRecord{Address: p.Address, Zone: p.FailureDomain}}
+	return []kernel.Component{
+		network,
+		&kernel.HTTPServer{Label: "announcements", Address: s.ControlAddress, Handler: announcements(r)},
+		&kernel.Loops{Label: "runner", Runs: []func(context.Context){r.Run, registration.run}},
+	}, nil
+}
+
+func newNetwork(p Process) (*transport.Network, error) {
+	creds, err := transport.NewCredentials(p.Security)
+	if err != nil {
+		return nil, err
+	}
+	if p.Security.Mode == transport.ModeDevelopment {
+		log.WithField("event", "development_mode").Warn("connections between processes use a key that is no secret")
+	}
+	return transport.NewNetwork(p.Address, creds)
+}
+
+// registration makes an agent known to the planner.
+type registration struct {
+	table  store.Table
+	node   string
+	record workflow.AgentRecord
+}
+
+const registrationPause = 300 * time.Millisecond
+
+// run writes the agent's address once, unless it stands there already.
+func (g *registration) run(ctx context.Context) {
+	key, value := workflow.AgentPrefix+g.node, workflow.Encode(g.record)
+	for ctx.Err() == nil {
+		err := g.write(ctx, key, value)
+		if err == nil {
+			log.WithFields(log.Fields{"event": "agent_registered", "node": g.node, "address": g.record.Address}).Info("the agent is known in the store")
+			return
+		}
+		log.WithFields(log.Fields{"event": "agent_not_registered", "code": int(result.CodeOf(err)), "error": err.Error()}).Warn("trying again")
+		select {
+		case <-ctx.Done():
+		case <-time.After(registrationPause):
+		}
+	}
+}
+
+func (g *registration) write(ctx context.Context, key string, value []byte) error {
+	old, found, err := g.table.Lookup(ctx, key)
+	if err != nil || found && string(old.Value) == string(value) {
+		return err
+	}
+	out, err := g.table.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: key, Revision: old.Revision}},
+		Puts:       []store.Put{{Key: key, Value: value}},
+	})
+	if err == nil && !out.Committed {
+		return fmt.Errorf("the record of %s changed meanwhile", g.node)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/workflow/engine/dump.go
@@ -0,0 +1,57 @@
+package engine
+
+import "time"
+
+// JobState is an open job in the dump.
+type JobState struct {
+	ID        string `json:"id"`
+	Queue     string `json:"queue"`
+	Team      string `json:"team"`
+	State     string `json:"state"`
+	Cancelled bool   `json:"cancelled,omitempty"`
+	UnitsLeft int    `json:"units_left"`
+	Running   int    `json:"units_running"`
+	AgeMS     int64  `json:"age_ms"`
+}
+
+// WorkerState is a worker in the dump.
+type WorkerState struct {
+	Node     string `json:"node"`
+	Key      string `json:"incarnation"`
+	Usable   bool   `json:"usable"`
+	Draining bool   `json:"draining"`
+	SeenMS   int64  `json:"report_age_ms"`
+	Items    int    `json:"items"`
+	Excluded bool   `json:"excluded"`
+}
+
+// State is the engine's state for the dump.
+type State struct {
+	Jobs    []JobState    `json:"jobs"`
+	Workers []WorkerState `json:"workers"`
+}
+
+// Dump returns the state at now.
+func (e *Engine) Dump(now time.Time) State {
+	var s State
+	for _, j := range e.open {
+		js := JobState{
+			ID: j.id, Queue: j.rec.Queue, Team: j.rec.Team, State: string(j.state), Cancelled: j.cancelled,
+			UnitsLeft: j.left, AgeMS: now.UnixMilli() - j.rec.AcceptedMS,
+		}
+		for _, u := range j.units {
+			if u.active() {
+				js.Running++
+			}
+		}
+		s.Jobs = append(s.Jobs, js)
+	}
+	for _, node := range sortedKeys(e.workers) {
+		w := e.workers[node]
+		s.Workers = append(s.Workers, WorkerState{
+			Node: node, Key: w.key, Usable: e.usable(w, now), Draining: w.announced != nil && w.announced.Draining,
+			SeenMS: now.Sub(w.seen).Milliseconds(), Items: len(w.members), Excluded: w.health.excluded(now),
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/workflow/engine/health.go
@@ -0,0 +1,110 @@
+package engine
+
+import (
+	"time"
+
+	"snipegw/internal/workflow"
+)
+
+const (
+	// failuresToExclude is the number of different jobs that must fail in a row
+	// on a worker before it is held responsible.
+	failuresToExclude = 2
+	// firstExclusion is the time for which a worker is excluded first; it doubles
+	// up to maxExclusion with each failure of the probe that follows.
+	firstExclusion = 2 * time.Second
+	maxExclusion   = 8 * time.Second
+)
+
+// health tells a faulty worker from faulty jobs.
+type health struct {
+	failedJobs map[string]bool // since the last success
+	until      time.Time       // end of the exclusion
+	exclusion  time.Duration   // length of the latest exclusion
+}
+
+func (h *health) excluded(now time.Time) bool { return now.Before(h.until) }
+
+func (h *health) succeeded() { *h = health{} }
+
+func (h *health) failed(jobID string, now time.Time) {
+	if h.failedJobs == nil {
+		h.failedJobs = make(map[string]bool)
+	}
+	h.failedJobs[jobID] = true
+	if len(h.failedJobs) < failuresToExclude {
+		return
+	}
+	h.exclusion = min(max(2*h.exclusion, firstExclusion), maxExclusion)
+	h.until = now.Add(h.exclusion)
+}
+
+// learn updates the worker's health and the estimates from the end of a run.
+func (e *Engine) learn(m *member, how workflow.End, now time.Time) {
+	u := m.unit
+	switch how {
+	case workflow.EndDone:
+		m.worker.health.succeeded()
+		if m.listed && u.checkpoint == "" {
+			e.estim.observe(u, now.Sub(m.since))
+		}
+	case workflow.EndFailed:
+		m.worker.health.failed(u.job.id, now)
+		if u.failedOn == nil {
+			u.failedOn = make(map[string]bool)
+		}
+		u.failedOn[m.key] = true
+	}
+}
+
+// estimates correct the callers' estimates of run times by queue.
+type estimates map[string]*ratio
+
+type ratio struct {
+	mean float64 // exponentially weighted mean of actual by estimated time
+}
+
+const estimateWeight = 0.2
+
+func (s estimates) observe(u *unit, took time.Duration) {
+	if u.spec().EstimateMS <= 0 {
+		return
+	}
+	x := took.Seconds() * 1000 / float64(u.spec().EstimateMS)
+	r := s[u.job.rec.Queue]
+	if r == nil {
+		s[u.job.rec.Queue] = &ratio{mean: x}
+		return
+	}
+	r.mean += estimateWeight * (x - r.mean)
+}
+
+// duration returns the expected run time of a unit from its beginning.
+func (s estimates) duration(u *unit) time.Duration {
+	return s.ofStep(u.job.rec.Queue, u.spec())
+}
+
+func (s estimates) ofStep(queue string, step *workflow.Step) time.Duration {
+	f := 1.0
+	if r := s[queue]; r != nil {
+		f = r.mean
+	}
+	return time.Duration(float64(step.EstimateMS) * f * float64(time.Millisecond))
+}
+
+// remaining returns the expected time until the end of an active unit.
+func (s estimates) remaining(u *unit, now time.Time) time.Duration {
+	total := s.duration(u)
+	for _, m := range u.members {
+		if m.listed && m.percent > 0 {
+			elapsed := now.Sub(m.since)
+			return max(time.Duration(float64(elapsed)*(100-m.percent)/m.percent), 0)
+		}
+	}
+	for _, m := range u.members {
+		if m.listed {
+			return max(total-now.Sub(m.since), 100*time.Millisecond)
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/internal/workflow/engine/progress.go
@@ -0,0 +1,144 @@
+package engine
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"snipegw/internal/workflow"
+)
+
+// Change is a job whose record differs from the stored one.
+type Change struct {
+	ID       string
+	Revision uint64 // of the stored record, 0 if there is none
+	Progress *workflow.Progress
+	// Cancelled is set when the engine knows of the cancellation. Otherwise the
+	// change must not be stored if there is one.
+	Cancelled bool
+	// Starts says that the change records new runs.
+	Starts bool
+}
+
+// Changes returns the jobs to store, in order of their ids, and forgets that
+// they were changed.
+func (e *Engine) Changes() []Change {
+	out := make([]Change, 0, len(e.dirty))
+	for _, id := range slices.Sorted(maps.Keys(e.dirty)) {
+		j := e.dirty[id]
+		j.seq++
+		out = append(out, Change{
+			ID: id, Revision: j.revision, Progress: j.record(), Cancelled: j.cancelled, Starts: j.hasUnordered(),
+		})
+	}
+	clear(e.dirty)
+	return out
+}
+
+// Stored tells the engine the revision at which a change was stored.
+func (e *Engine) Stored(id string, revision uint64) {
+	if j := e.jobs[id]; j != nil {
+		j.revision = revision
+	}
+}
+
+// Retract takes back the starts of a job that were not stored.
+func (e *Engine) Retract(id string, now time.Time) {
+	j := e.jobs[id]
+	if j == nil {
+		return
+	}
+	e.mark(j)
+	for _, u := range j.units {
+		for _, m := range slices.Clone(u.members) {
+			if !m.ordered && !m.inherited {
+				e.ended(m, workflow.EndNever, "", now)
+			}
+		}
+	}
+}
+
+// Reopen takes back a completion that was not stored because the job was
+// cancelled before.
+func (e *Engine) Reopen(id string) {
+	if j := e.jobs[id]; j != nil && j.state == workflow.StateComplete {
+		j.state, j.endedMS = workflow.StateActive, 0
+		e.open = append(e.open, j)
+	}
+}
+
+func (j *job) hasUnordered() bool {
+	for _, u := range j.units {
+		for _, m := range u.members {
+			if !m.ordered && !m.inherited && m.end == "" {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (j *job) record() *workflow.Progress {
+	p := &workflow.Progress{State: j.state, EndedMS: j.endedMS, Seq: j.seq}
+	if p.State == workflow.StatePending && j.begun {
+		p.State = workflow.StateActive
+	}
+	for _, u := range j.units {
+		if u.run == 0 {
+			continue
+		}
+		up := workflow.UnitProgress{
+			Occurrence: u.occurrence, Step: u.step, First: u.first,
+			Run: u.run, Failed: u.failed, Done: u.done, Checkpoint: u.checkpoint,
+		}
+		for _, m := range u.members {
+			up.Members = append(up.Members, workflow.MemberProgress{Worker: m.key, End: m.end})
+		}
+		p.Units = append(p.Units, up)
+	}
+	return p
+}
+
+// restore takes over the progress that an earlier planner recorded.
+func (e *Engine) restore(j *job, p *workflow.Progress) {
+	j.seq, j.endedMS = p.Seq, p.EndedMS
+	j.state = p.State
+	units := make(map[[3]int]*unit, len(j.units))
+	for _, u := range j.units {
+		units[[3]int{u.occurrence, u.step, u.first}] = u
+	}
+	for i := range p.Units {
+		up := &p.Units[i]
+		u := units[[3]int{up.Occurrence, up.Step, up.First}]
+		if u == nil {
+			continue // a record of another job format; the job itself never changes
+		}
+		j.begun = true
+		u.run, u.failed, u.checkpoint = up.Run, up.Failed, up.Checkpoint
+		if up.Done {
+			e.unitDone(u)
+		} else if !u.spec().LongRunning {
+			j.worst = max(j.worst, u.failed)
+		}
+		e.restoreMembers(u, up.Members)
+	}
+}
+
+func (e *Engine) restoreMembers(u *unit, members []workflow.MemberProgress) {
+	open := false
+	for i, mp := range members {
+		node := nodeOf(mp.Worker)
+		e.AddWorker(node)
+		m := &member{unit: u, run: u.run, index: u.first + i, worker: e.workers[node], key: mp.Worker, end: mp.End, inherited: true, since: e.began}
+		u.members = append(u.members, m)
+		if m.end == "" {
+			open = true
+			m.worker.members[m] = struct{}{}
+		} else if !u.done && u.count > 1 {
+			u.stop("gang broken")
+		}
+	}
+	if !open {
+		u.members, u.stopping = nil, false
+	}
+}
--- /dev/null
+++ b/internal/workflow/intake/intake.go
@@ -0,0 +1,302 @@
+// Package intake accepts, reports and cancels workflows on behalf of callers,
+// independently of the protocol that they speak.
+package intake
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"snipegw/internal/kernel"
+	"snipegw/internal/result"
+	"snipegw/internal/store"
+	"snipegw/internal/workflow"
+	"snipegw/internal/workflow/mirror"
+)
+
+const (
+	// refuseAfter is the time for which an acceptance is attempted while the
+	// store says that nothing was done. Most refusals are over by then, and a
+	// caller can ask another entry in time.
+	refuseAfter = 400 * time.Millisecond
+	// answerReserve is kept of the caller's time limit to deliver the answer.
+	answerReserve = 150 * time.Millisecond
+	attemptPause  = 40 * time.Millisecond
+	// freshFor is the age of the latest answer of the store up to which this
+	// entry takes new callers.
+	freshFor = 2500 * time.Millisecond
+)
+
+// ConfigFormat is the form of the operators' configuration in the store.
+type ConfigFormat struct {
+	Prefix string // watched
+	Key    string // of the document
+	Decode func([]byte) (*workflow.Config, error)
+}
+
+// ConfigFormats holds the registered forms.
+var ConfigFormats = kernel.NewRegistry[ConfigFormat]("configuration format")
+
+// Intake serves callers from mirrors of the store.
+type Intake struct {
+	table    store.Table
+	records  *mirror.Mirror
+	conf     *mirror.Mirror
+	format   ConfigFormat
+	config   atomic.Pointer[workflow.Config]
+	configAt atomic.Int64 // Unix milliseconds at which config was adopted
+	jobs     sync.Map     // id -> *workflow.JobRecord
+	progress sync.Map     // id -> *workflow.Progress
+	stopping atomic.Bool
+	onConfig []func(*workflow.Config)
+	Counts   Counters
+}
+
+// New returns an Intake. Conf mirrors the operators' prefix, records the
+// project's own.
+func New(table store.Table, records, conf *mirror.Mirror, format ConfigFormat) *Intake {
+	in := &Intake{table: table, records: records, conf: conf, format: format}
+	return in
+}
+
+// OnConfig adds a function that is called with each new configuration. It must
+// be called before Begin.
+func (in *Intake) OnConfig(f func(*workflow.Config)) { in.onConfig = append(in.onConfig, f) }
+
+// Begin starts to follow the mirrors.
+func (in *Intake) Begin() {
+	in.records.Listen(in.takeRecords)
+	in.conf.Listen(in.takeConfig)
+}
+
+// Config returns the configuration in force, nil before the first.
+func (in *Intake) Config() *workflow.Config { return in.config.Load() }
+
+// Ready reports whether this entry should get new callers.
+func (in *Intake) Ready() bool {
+	return !in.stopping.Load() && in.Config() != nil && in.records.Synced() &&
+		in.records.Age() < freshFor && in.conf.Age() < freshFor
+}
+
+// Retire makes the entry not ready for the rest of its life.
+func (in *Intake) Retire() { in.stopping.Store(true) }
+
+// Retiring reports whether Retire was called.
+func (in *Intake) Retiring() bool { return in.stopping.Load() }
+
+func (in *Intake) takeConfig(events []store.Event) {
+	for _, e := range events {
+		if e.Key != in.format.Key || e.Deleted {
+			continue
+		}
+		c, err := in.format.Decode(e.Value)
+		if err != nil {
+			log.WithFields(log.Fields{"event": "config_unreadable", "revision": e.Revision, "code": int(result.InvalidConfig), "error": err.Error()}).Error("configuration ignored")
+			continue
+		}
+		if old := in.config.Load(); old != nil && c.Version <= old.Version {
+			continue
+		}
+		c.Provision()
+		in.config.Store(c)
+		in.configAt.Store(time.Now().UnixMilli())
+		log.WithFields(log.Fields{"event": "config_in_force", "version": c.Version, "revision": e.Revision, "queues": len(c.Queues), "teams": len(c.Teams)}).Info("configuration adopted")
+		for _, f := range in.onConfig {
+			f(c)
+		}
+	}
+}
+
+func (in *Intake) takeRecords(events []store.Event) {
+	for _, e := range events {
+		id := workflow.IDOf(e.Key)
+		switch {
+		case strings.HasPrefix(e.Key, workflow.JobPrefix):
+			takeRecord[workflow.JobRecord](&in.jobs, id, e)
+		case strings.HasPrefix(e.Key, workflow.RunPrefix):
+			takeRecord[workflow.Progress](&in.progress, id, e)
+		}
+	}
+}
+
+func takeRecord[T any](m *sync.Map, id string, e store.Event) {
+	if e.Deleted {
+		m.Delete(id)
+		return
+	}
+	v, err := workflow.Decode[T](e.Value)
+	if err != nil {
+		log.WithFields(log.Fields{"event": "record_unreadable", "key": e.Key, "revision": e.Revision, "error": err.Error()}).Error("record ignored")
+		return
+	}
+	m.Store(id, v)
+}
+
+// Submit accepts a job, or finds that it was accepted before. An error with a
+// code that promises "not run" is only returned if no write may take effect.
+func (in *Intake) Submit(ctx context.Context, q *workflow.Queue, team, id string, job *workflow.Job) error {
+	if _, known := in.jobs.Load(id); known {
+		return nil
+	}
+	if q.Advised {
+		return result.Errorf(result.Unsupported, "queue %s needs placement advice, which is not supported", q.Name)
+	}
+	if err := job.Validate(); err != nil {
+		return err
+	}
+	rec := &workflow.JobRecord{
+		Job: *job, Queue: q.Name, Team: team, AcceptedMS: time.Now().UnixMilli(), Service: q.Service, Priority: q.Priority,
+		MaxAttempts: q.MaxAttempts, SlackFactor: q.SlackFactor, TargetMS: q.TargetMS, Nonce: rand.Uint64(),
+	}
+	key := workflow.JobPrefix + id
+	return in.write(ctx, "accept", id, store.Txn{
+		Conditions: []store.Condition{{Key: key}},
+		Puts:       []store.Put{{Key: key, Value: workflow.Encode(rec)}},
+	})
+}
+
+// State returns the state of a job that team may see.
+func (in *Intake) State(ctx context.Context, team, id string) (workflow.State, error) {
+	rec, err := in.find(ctx, id)
+	if err != nil {
+		return "", err
+	}
+	if team != "" && rec.Team != "" && rec.Team != team {
+		return "", result.Errorf(result.JobGone, "no job %s of this team", id)
+	}
+	if p, ok := in.progress.Load(id); ok && p.(*workflow.Progress).State.Terminal() {
+		return p.(*workflow.Progress).State, nil
+	}
+	if _, ok := in.records.Get(workflow.CancelPrefix + id); ok {
+		return workflow.StateCanceled, nil
+	}
+	if p, ok := in.progress.Load(id); ok {
+		return p.(*workflow.Progress).State, nil
+	}
+	return workflow.StatePending, nil
+}
+
+// find returns a job's record. One that the mirror lacks is read from the store.
+func (in *Intake) find(ctx context.Context, id string) (*workflow.JobRecord, error) {
+	if v, ok := in.jobs.Load(id); ok {
+		return v.(*workflow.JobRecord), nil
+	}
+	for _, prefix := range []string{workflow.RunPrefix, workflow.CancelPrefix, workflow.JobPrefix} {
+		r, found, err := in.table.Lookup(ctx, prefix+id)
+		if err != nil {
+			return nil, err
+		}
+		if found {
+			in.records.Apply([]store.Event{{Record: r}})
+		}
+	}
+	if v, ok := in.jobs.Load(id); ok {
+		return v.(*workflow.JobRecord), nil
+	}
+	return nil, result.Errorf(result.JobGone, "no job %s", id)
+}
+
+// Cancel records the cancellation of a job.
+func (in *Intake) Cancel(ctx context.Context, team, id string) error {
+	state, err := in.State(ctx, team, id)
+	if err != nil || state.Terminal() {
+		return err
+	}
+	key := workflow.CancelPrefix + id
+	return in.write(ctx, "cancel", id, store.Txn{
+		Conditions: []store.Condition{{Key: key}},
+		Puts:       []store.Put{{Key: key, Value: []byte{1}}},
+	})
+}
+
+// Queued returns the number of accepted jobs of a queue that have not begun.
+func (in *Intake) Queued(queue string) int {
+	n := 0
+	in.jobs.Range(func(k, v any) bool {
+		if v.(*workflow.JobRecord).Queue != queue {
+			return true
+		}
+		if p, ok := in.progress.Load(k); ok && p.(*workflow.Progress).State != workflow.StatePending {
+			return true
+		}
+		if _, cancelled := in.records.Get(workflow.CancelPrefix + k.(string)); !cancelled {
+			n++
+		}
+		return true
+	})
+	return n
+}
+
+// write commits t, which creates one key. It repeats attempts whose outcome is
+// not known until the caller's time is over; a key that exists is a success.
+func (in *Intake) write(ctx context.Context, operation, id string, t store.Txn) error {
+	begin := time.Now()
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-answerReserve))
+		defer cancel()
+	}
+	open := false
+	for attempt := 1; ; attempt++ {
+		out, err := in.table.Commit(ctx, t)
+		if err == nil {
+			in.applied(t, out)
+			in.logWrite(operation, id, result.OK, attempt, begin, nil)
+			return nil
+		}
+		open = open || result.CodeOf(err) != result.StoreUnavailable
+		expired := ctx.Err() != nil
+		if !expired && (open || time.Since(begin) < refuseAfter) {
+			select {
+			case <-time.After(attemptPause):
+				continue
+			case <-ctx.Done():
+			}
+		}
+		code := result.StoreUnavailable
+		if open {
+			code = result.DeadlineRan
+		}
+		in.logWrite(operation, id, code, attempt, begin, err)
+		return result.Errorf(code, "the platform's store does not answer: %w", err)
+	}
+}
+
+// applied takes what a transaction wrote or found into the mirror, so that the
+// caller's next question is answered from it.
+func (in *Intake) applied(t store.Txn, out store.Outcome) {
+	if !out.Committed {
+		for _, r := range out.Current {
+			in.records.Apply([]store.Event{{Record: r}})
+		}
+		return
+	}
+	for _, p := range t.Puts {
+		in.records.Apply([]store.Event{{Record: store.Record{Key: p.Key, Value: p.Value, Revision: out.Revision}}})
+	}
+}
+
+func (in *Intake) logWrite(operation, id string, code result.Code, attempts int, begin time.Time, err error) {
+	in.Counts.add(operation, code, time.Since(begin))
+	e := log.WithFields(log.Fields{
+		"event": "job_" + operation, "job": id, "code": int(code), "attempts": attempts,
+		"took_ms": time.Since(begin).Milliseconds(), "config_version": in.configVersion(), "mirror_age_ms": in.records.Age().Milliseconds(),
+	})
+	if err != nil {
+		e.WithField("error", err.Error()).Warn("not recorded")
+		return
+	}
+	e.Info("recorded")
+}
+
+func (in *Intake) configVersion() int64 {
+	if c := in.Config(); c != nil {
+		return c.Version
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/workflow/planner/commit.go
@@ -0,0 +1,123 @@
+package planner
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"snipegw/internal/result"
+	"snipegw/internal/store"
+	"snipegw/internal/workflow"
+	"snipegw/internal/workflow/engine"
+)
+
+// entriesPerChange is the number of entries that a change takes in a
+// transaction: conditions on the progress and on the cancellation, and the put.
+const entriesPerChange = 3
+
+// changesPerTxn leaves one entry for the condition on the planner's key.
+const changesPerTxn = (store.MaxTxnEntries - 1) / entriesPerChange
+
+// commit stores the changes. It returns false if the term has ended.
+func (t *term) commit(ctx context.Context, changes []engine.Change) bool {
+	for len(changes) > 0 {
+		n := min(len(changes), changesPerTxn)
+		if !t.commitChunk(ctx, changes[:n]) {
+			return false
+		}
+		changes = changes[n:]
+	}
+	return ctx.Err() == nil
+}
+
+// commitChunk stores some changes in one transaction, repeated until its outcome
+// is known. Changes of jobs that were cancelled meanwhile are left out.
+func (t *term) commitChunk(ctx context.Context, changes []engine.Change) bool {
+	values := make(map[string][]byte, len(changes))
+	for _, c := range changes {
+		values[c.ID] = workflow.Encode(c.Progress)
+	}
+	for len(changes) > 0 && ctx.Err() == nil {
+		out, err := t.host.o.Table.Commit(ctx, t.transaction(changes, values))
+		switch {
+		case err != nil:
+			log.WithFields(log.Fields{"event": "records_unconfirmed", "epoch": t.epoch, "jobs": len(changes), "code": int(result.CodeOf(err)), "error": err.Error()}).Warn("repeating the transaction")
+			pause(ctx, retryPause)
+		case out.Committed:
+			t.stored(changes, values, out.Revision)
+			return true
+		case out.Current[workflow.PlannerKey].Revision != t.epoch:
+			t.end(errReplaced)
+			return false
+		default:
+			rest, ok := t.resolve(changes, values, out.Current)
+			if !ok {
+				t.end(errReplaced)
+				return false
+			}
+			changes = rest
+		}
+	}
+	return ctx.Err() == nil
+}
+
+func (t *term) transaction(changes []engine.Change, values map[string][]byte) store.Txn {
+	txn := store.Txn{Conditions: []store.Condition{{Key: workflow.PlannerKey, Revision: t.epoch}}}
+	for _, c := range changes {
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: workflow.RunPrefix + c.ID, Revision: c.Revision})
+		if !c.Cancelled {
+			txn.Conditions = append(txn.Conditions, store.Condition{Key: workflow.CancelPrefix + c.ID})
+		}
+		txn.Puts = append(txn.Puts, store.Put{Key: workflow.RunPrefix + c.ID, Value: values[c.ID]})
+	}
+	return txn
+}
+
+func (t *term) stored(changes []engine.Change, values map[string][]byte, revision uint64) {
+	t.mu.Lock()
+	for _, c := range changes {
+		t.engine.Stored(c.ID, revision)
+	}
+	t.mu.Unlock()
+	for _, c := range changes {
+		t.mirrorStored(c.ID, values[c.ID], revision)
+	}
+}
+
+func (t *term) mirrorStored(id string, value []byte, revision uint64) {
+	t.host.o.Records.Apply([]store.Event{{Record: store.Record{Key: workflow.RunPrefix + id, Value: value, Revision: revision}}})
+}
+
+// resolve takes in why a transaction did not hold, and returns the changes to
+// attempt again. It returns false if somebody else has written a progress
+// record.
+func (t *term) resolve(changes []engine.Change, values map[string][]byte, current map[string]store.Record) ([]engine.Change, bool) {
+	var rest []engine.Change
+	for _, c := range changes {
+		run := current[workflow.RunPrefix+c.ID]
+		_, cancelled := current[workflow.CancelPrefix+c.ID]
+		switch {
+		case run.Revision != c.Revision && bytes.Equal(run.Value, values[c.ID]):
+			// An earlier attempt, whose answer was lost, has taken effect.
+			t.mu.Lock()
+			t.engine.Stored(c.ID, run.Revision)
+			t.mu.Unlock()
+			t.mirrorStored(c.ID, run.Value, run.Revision)
+		case run.Revision != c.Revision:
+			log.WithFields(log.Fields{"event": "record_conflict", "job": c.ID, "expected": c.Revision, "found": run.Revision}).Error("a progress record was written by somebody else")
+			return nil, false
+		case cancelled && !c.Cancelled:
+			log.WithFields(log.Fields{"event": "cancelled_before_record", "job": c.ID, "starts": c.Starts}).Info("runs are not recorded")
+			t.mu.Lock()
+			t.engine.Reopen(c.ID)
+			t.engine.Cancel(c.ID, time.Now())
+			t.engine.Retract(c.ID, time.Now())
+			t.mu.Unlock()
+		default:
+			rest = append(rest, c)
+		}
+	}
+	return rest, true
+}
--- /dev/null
+++ b/internal/workflow/planner/planner.go
@@ -0,0 +1,236 @@
+// Package planner hosts the engine in the entry that holds the planner's term:
+// election, records in the store, and exchanges with the agents.
+package planner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"snipegw/internal/result"
+	"snipegw/internal/store"
+	"snipegw/internal/transport"
+	"snipegw/internal/workflow"
+	"snipegw/internal/workflow/engine"
+	"snipegw/internal/workflow/mirror"
+)
+
+const (
+	// termTTL is the time after which a silent planner is replaced.
+	termTTL = 2 * time.Second
+	// renewEvery leaves room for two failed renewals.
+	renewEvery = 500 * time.Millisecond
+	// ZombieLimit is the time for which a planner without the store keeps
+	// extending leases. It covers the usual outages of the store.
+	ZombieLimit = 12 * time.Second
+	// electionPause separates attempts to become planner.
+	electionPause = 200 * time.Millisecond
+)
+
+// Options are the parts that a Host works with.
+type Options struct {
+	Entry   string
+	Address string
+	Table   store.Table
+	Records *mirror.Mirror
+	Pool    *transport.Pool
+	Engine  engine.Settings
+	// KeepEnded is the time for which ended jobs stay known.
+	KeepEnded time.Duration
+}
+
+// Host takes part in the election and plans while it holds the term. It is a
+// kernel.Component.
+type Host struct {
+	o      Options
+	cancel context.CancelFunc
+	done   chan struct{}
+	retire chan struct{}
+
+	mu     sync.Mutex
+	config *workflow.Config
+	term   *term
+	// pending holds changes of the records since the term's list, and wakes it.
+	pending []store.Event
+	changed chan struct{}
+}
+
+// New returns a Host.
+func New(o Options) *Host {
+	return &Host{o: o, done: make(chan struct{}), retire: make(chan struct{}), changed: make(chan struct{}, 1)}
+}
+
+// Name implements kernel.Component.
+func (h *Host) Name() string { return "workflow planner" }
+
+// Start implements kernel.Component.
+func (h *Host) Start(ctx context.Context) error {
+	ctx, h.cancel = context.WithCancel(ctx)
+	h.o.Records.Listen(h.take)
+	go h.run(ctx)
+	return nil
+}
+
+// Stop implements kernel.Component. It hands the term over at once.
+func (h *Host) Stop(ctx context.Context) error {
+	close(h.retire)
+	select {
+	case <-h.done:
+	case <-ctx.Done():
+	}
+	h.cancel()
+	return nil
+}
+
+// SetConfig gives the planner a new configuration.
+func (h *Host) SetConfig(c *workflow.Config) {
+	h.mu.Lock()
+	h.config = c
+	h.mu.Unlock()
+	h.wake()
+}
+
+func (h *Host) wake() {
+	select {
+	case h.changed <- struct{}{}:
+	default:
+	}
+}
+
+// take is the mirror's listener.
+func (h *Host) take(events []store.Event) {
+	h.mu.Lock()
+	if h.term != nil {
+		h.pending = append(h.pending, events...)
+	}
+	h.mu.Unlock()
+	h.wake()
+}
+
+// Planning reports whether this entry holds the term.
+func (h *Host) Planning() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.term != nil
+}
+
+// State returns the engine's state for the dump.
+func (h *Host) State() any {
+	h.mu.Lock()
+	t := h.term
+	h.mu.Unlock()
+	if t == nil {
+		return map[string]any{"planning": false}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return map[string]any{"planning": true, "epoch": t.epoch, "engine": t.engine.Dump(time.Now())}
+}
+
+func (h *Host) run(ctx context.Context) {
+	defer close(h.done)
+	for ctx.Err() == nil && !h.retired() {
+		if _, held := h.o.Records.Get(workflow.PlannerKey); held || !h.o.Records.Synced() {
+			h.waitChange(ctx, time.Second)
+			continue
+		}
+		lease, epoch, err := h.elect(ctx)
+		if err != nil {
+			h.waitChange(ctx, electionPause)
+			continue
+		}
+		if epoch > 0 {
+			h.serve(ctx, lease, epoch)
+		}
+		h.release(ctx, lease)
+	}
+}
+
+func (h *Host) retired() bool {
+	select {
+	case <-h.retire:
+		return true
+	default:
+		return false
+	}
+}
+
+func (h *Host) waitChange(ctx context.Context, limit time.Duration) {
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-h.changed:
+	case <-t.C:
+	case <-h.retire:
+	case <-ctx.Done():
+	}
+}
+
+// elect tries to create the planner's key under a new lease. Epoch is 0 if
+// another entry was faster.
+func (h *Host) elect(ctx context.Context) (lease, epoch uint64, err error) {
+	lease, err = h.o.Table.Grant(ctx, termTTL)
+	if err != nil {
+		return 0, 0, err
+	}
+	out, err := h.o.Table.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: workflow.PlannerKey}},
+		Puts: []store.Put{{
+			Key: workflow.PlannerKey, Lease: lease,
+			Value: workflow.Encode(workflow.PlannerRecord{Entry: h.o.Entry, Address: h.o.Address}),
+		}},
+	})
+	if err != nil {
+		// The key may appear; it goes with the lease.
+		h.release(ctx, lease)
+		return 0, 0, err
+	}
+	if !out.Committed {
+		for _, r := range out.Current {
+			h.o.Records.Apply([]store.Event{{Record: r}})
+		}
+		return lease, 0, nil
+	}
+	return lease, out.Revision, nil
+}
+
+// release ends a lease. If that fails the lease ends by itself.
+func (h *Host) release(ctx context.Context, lease uint64) {
+	if lease == 0 {
+		return
+	}
+	if err := h.o.Table.Revoke(context.WithoutCancel(ctx), lease); err != nil {
+		log.WithFields(log.Fields{"event": "lease_not_ended", "lease": lease, "code": int(result.CodeOf(err)), "error": err.Error()}).Warn("the lease expires by itself")
+	}
+}
+
+// serve plans until the term ends.
+func (h *Host) serve(parent context.Context, lease, epoch uint64) {
+	ctx, end := context.WithCancelCause(parent)
+	defer end(nil)
+	t := newTerm(h, lease, epoch, end)
+	h.mu.Lock()
+	h.term, h.pending = t, nil
+	h.mu.Unlock()
+	log.WithFields(log.Fields{"event": "planner_term", "epoch": epoch, "lease": lease}).Info("this entry plans")
+	stop := make(chan struct{})
+	go func() {
+		select {
+		case <-h.retire:
+			end(errRetired)
+		case <-stop:
+		}
+	}()
+	t.run(ctx)
+	close(stop)
+	h.mu.Lock()
+	h.term, h.pending = nil, nil
+	h.mu.Unlock()
+	reason := "stopped"
+	if cause := context.Cause(ctx); cause != nil {
+		reason = cause.Error()
+	}
+	log.WithFields(log.Fields{"event": "planner_term_ended", "epoch": epoch, "reason": reason}).Info("this entry no longer plans")
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-unformatted=$(gofmt -l cmd internal)
+unformatted=$(gofmt -l cmd internal platform)
 if [ -n "$unformatted" ]; then
   printf 'not formatted:\n%s\n' "$unformatted"
   exit 1
