Reach the store through other entries, replace an own planner key at once, and wait before preempting

Ruled out: late acceptance (half within 25 ms) and capacity (worst class is priority 0, not the largest jobs). Change: relay.Table; a planner key of this entry's own is replaced under its revision, term 1.6 s; the engine waits while running work ends in time for the job's objective, and reserves that room; estimates use the progress that workers list.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -40,10 +40,11 @@
 	KindPlanner     Kind = 47 // PlannerOrder -> Ack
 )
 
-// Operations of workflows. An agent serves sync and order, an entry accept.
+// Operations of workflows. An agent serves sync and order, an entry the relay.
 const (
 	KindWorkflowSync  Kind = 60 // workflow.SyncRequest -> workflow.SyncReply
 	KindWorkflowOrder Kind = 61 // workflow.OrderRequest -> workflow.OrderReply
+	KindStoreRelay    Kind = 62 // relay.Request -> relay.Reply
 )
 
 // Fault is an error on the wire.
--- a/internal/workflow/daemon/daemon.go
+++ b/internal/workflow/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"snipegw/internal/workflow/intake"
 	"snipegw/internal/workflow/mirror"
 	"snipegw/internal/workflow/planner"
+	"snipegw/internal/workflow/relay"
 	"snipegw/internal/workflow/runner"
 )
 
@@ -37,10 +38,12 @@
 	if err != nil {
 		return nil, err
 	}
-	table, err := store.OpenTable(s.Store)
+	direct, err := store.OpenTable(s.Store)
 	if err != nil {
 		return nil, err
 	}
+	table := relay.New(direct, network.Pool, p.Address)
+	table.Register(&network.Mux)
 	format, err := intake.ConfigFormats.Get(s.ConfigFormat)
 	if err != nil {
 		return nil, err
@@ -55,6 +58,8 @@
 		Entry: p.ID, Address: p.Address, Table: table, Records: records, Pool: network.Pool,
 		Engine: s.engine(), KeepEnded: time.Duration(s.KeepEndedMS) * time.Millisecond,
 	})
+	records.Listen(func([]store.Event) { table.SetPeers(entries(records)) })
+	registration := &registration{table: table, key: workflow.EntryPrefix + p.ID, record: workflow.ProcessRecord{Address: p.Address, Zone: p.FailureDomain}}
 	in.OnConfig(host.SetConfig)
 	in.Begin()
 	dumper := kernel.NewDumper()
@@ -65,7 +70,7 @@
 	debug.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { in.Counts.WriteText(w) })
 	return []kernel.Component{
 		network,
-		&kernel.Loops{Label: "mirrors", Runs: []func(context.Context){conf.Run, records.Run}},
+		&kernel.Loops{Label: "mirrors", Runs: []func(context.Context){conf.Run, records.Run, registration.run}},
 		&kernel.HTTPServer{Label: "debug", Address: p.DebugAddress, Handler: debug},
 		intake.NewServer(in, front, s.FrontAddress, s.ReadyAddress),
 		host,
@@ -97,7 +102,7 @@
 	}
 	r := runner.New(api)
 	r.Register(&network.Mux)
-	registration := &registration{table: table, node: s.Node, record: workflow.AgentRecord{Address: p.Address, Zone: p.FailureDomain}}
+	registration := &registration{table: table, key: workflow.AgentPrefix + s.Node, record: workflow.ProcessRecord{Address: p.Address, Zone: p.FailureDomain}}
 	return []kernel.Component{
 		network,
 		&kernel.HTTPServer{Label: "announcements", Address: s.ControlAddress, Handler: announcements(r)},
@@ -116,25 +121,36 @@
 	return transport.NewNetwork(p.Address, creds)
 }
 
-// registration makes an agent known to the planner.
+// entries returns the addresses of the entries.
+func entries(records *mirror.Mirror) []string {
+	var out []string
+	records.Each(workflow.EntryPrefix, func(r store.Record) {
+		if e, err := workflow.Decode[workflow.ProcessRecord](r.Value); err == nil {
+			out = append(out, e.Address)
+		}
+	})
+	return out
+}
+
+// registration makes a process known to the others.
 type registration struct {
 	table  store.Table
-	node   string
-	record workflow.AgentRecord
+	key    string
+	record workflow.ProcessRecord
 }
 
 const registrationPause = 300 * time.Millisecond
 
-// run writes the agent's address once, unless it stands there already.
+// run writes the address once, unless it stands there already.
 func (g *registration) run(ctx context.Context) {
-	key, value := workflow.AgentPrefix+g.node, workflow.Encode(g.record)
+	value := workflow.Encode(g.record)
 	for ctx.Err() == nil {
-		err := g.write(ctx, key, value)
+		err := g.write(ctx, value)
 		if err == nil {
-			log.WithFields(log.Fields{"event": "agent_registered", "node": g.node, "address": g.record.Address}).Info("the agent is known in the store")
+			log.WithFields(log.Fields{"event": "registered", "key": g.key, "address": g.record.Address}).Info("the process is known in the store")
 			return
 		}
-		log.WithFields(log.Fields{"event": "agent_not_registered", "code": int(result.CodeOf(err)), "error": err.Error()}).Warn("trying again")
+		log.WithFields(log.Fields{"event": "not_registered", "key": g.key, "code": int(result.CodeOf(err)), "error": err.Error()}).Warn("trying again")
 		select {
 		case <-ctx.Done():
 		case <-time.After(registrationPause):
@@ -142,17 +158,17 @@
 	}
 }
 
-func (g *registration) write(ctx context.Context, key string, value []byte) error {
-	old, found, err := g.table.Lookup(ctx, key)
+func (g *registration) write(ctx context.Context, value []byte) error {
+	old, found, err := g.table.Lookup(ctx, g.key)
 	if err != nil || found && string(old.Value) == string(value) {
 		return err
 	}
 	out, err := g.table.Commit(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: key, Revision: old.Revision}},
-		Puts:       []store.Put{{Key: key, Value: value}},
+		Conditions: []store.Condition{{Key: g.key, Revision: old.Revision}},
+		Puts:       []store.Put{{Key: g.key, Value: value}},
 	})
 	if err == nil && !out.Committed {
-		return fmt.Errorf("the record of %s changed meanwhile", g.node)
+		return fmt.Errorf("the record of %s changed meanwhile", g.key)
 	}
 	return err
 }
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -21,6 +21,9 @@
 	// lateFactor times a job's objective is the time after which its completion
 	// no longer helps the caller.
 	lateFactor = 3
+	// reclaimShare divides the time in which a guaranteed job must have started
+	// into waiting, and stopping others after the wait was in vain.
+	reclaimShare = 2
 )
 
 // Placement is a decision to run a unit, with the reason in terms of its queue.
@@ -48,7 +51,7 @@
 	stops = e.stopHanging(now, stops)
 	var starts []Placement
 	r := e.room(now)
-	blocked := 0
+	blocked := 0 // units without claim to preemption that wait
 	for _, c := range e.candidates(now) {
 		for _, u := range c.units {
 			on := e.place(u, r)
@@ -57,26 +60,55 @@
 				r.take(u, on)
 				continue
 			}
-			if c.class <= classFirst {
-				var more []StopDecision
-				if on, more = e.preempt(u, c, r, now); on != nil {
-					stops = append(stops, more...)
-					r.take(u, on)
-					continue
-				}
+			if c.class == classOther && blocked >= blockedReservations {
+				break // equal units of the job do not fit either
 			}
-			if blocked < blockedReservations {
-				if on := e.reserve(u, r, now); on != nil {
-					blocked++
-					r.take(u, on)
-				}
+			on, more := e.wait(u, c, r, now)
+			if on == nil {
+				break
+			}
+			stops = append(stops, more...)
+			r.take(u, on)
+			if c.class == classOther {
+				blocked++
 			}
-			break // equal units of the job do not fit either
 		}
 	}
 	return starts, stops
 }
 
+// wait returns the workers to keep free for a unit that cannot start now. It
+// preempts others where the unit may do so and would otherwise start too late.
+func (e *Engine) wait(u *unit, c *candidate, r *room, now time.Time) ([]*worker, []StopDecision) {
+	on, after := e.reserve(u, r, now)
+	if c.class == classOther || on != nil && now.Add(after).Before(e.latestStart(c)) {
+		if u.count == 1 && u.spec().Accelerators <= 1 {
+			return nil, nil // starts as soon as anything ends
+		}
+		return on, nil
+	}
+	if by, stops := e.preempt(u, c, r, now); by != nil {
+		return by, stops
+	}
+	return on, nil
+}
+
+// latestStart is the time up to which a candidate can wait for room to become
+// free by itself.
+func (e *Engine) latestStart(c *candidate) time.Time {
+	latest := c.urgency
+	if c.tier > 0 {
+		latest = time.Time{}
+	}
+	if c.class == classGuaranteed {
+		reclaim := time.UnixMilli(c.job.rec.AcceptedMS).Add(e.s.Reclaim / reclaimShare)
+		if reclaim.Before(latest) {
+			latest = reclaim
+		}
+	}
+	return latest
+}
+
 // Classes of candidates, in order.
 const (
 	classGuaranteed = iota // within its team's guarantee
@@ -179,13 +211,18 @@
 	return longest
 }
 
+// objective returns the time in which an occurrence of j should be complete.
+func (e *Engine) objective(j *job, occurrence int) time.Duration {
+	slack := max(j.rec.SlackFactor, 1)
+	return time.Duration(slack*float64(e.chain(j, occurrence, true))) + time.Duration(j.rec.TargetMS)*time.Millisecond
+}
+
 // rate computes how urgent a job is.
 func (e *Engine) rate(c *candidate, now time.Time) {
 	j := c.job
 	k := c.units[0].occurrence
 	begin := time.UnixMilli(max(j.rec.AcceptedMS, j.dueMS(k)))
-	slack := max(j.rec.SlackFactor, 1)
-	objective := time.Duration(slack*float64(e.chain(j, k, true))) + time.Duration(j.rec.TargetMS)*time.Millisecond
+	objective := e.objective(j, k)
 	left := e.chain(j, k, false)
 	c.urgency = begin.Add(objective - left)
 	if now.After(c.urgency) {
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -57,6 +57,7 @@
 	workers map[string]*worker
 	dirty   map[string]*job
 	estim   estimates
+	notes   []Note
 }
 
 // New returns an Engine for a term with the given epoch that begins now.
@@ -125,6 +126,7 @@
 	stoppedMS   int64 // worker's clock when a stop was confirmed
 	listed      bool
 	since       time.Time // of the order, or of the first listing
+	percent0    float64   // at the first listing
 	percent     float64
 	percentAt   time.Time // of the latest change of percent
 	lastStop    time.Time
@@ -234,6 +236,7 @@
 // finish gives a job its final state.
 func (e *Engine) finish(j *job, s workflow.State, now time.Time) {
 	j.state, j.endedMS = s, now.UnixMilli()
+	e.noteJob(j, now)
 	e.mark(j)
 	for i, o := range e.open {
 		if o == j {
@@ -279,6 +282,7 @@
 	m.end = how
 	delete(m.worker.members, m)
 	u := m.unit
+	e.noteEnd(m, how, now)
 	e.mark(u.job)
 	if checkpoint != "" {
 		u.checkpoint = checkpoint
--- a/internal/workflow/engine/health.go
+++ b/internal/workflow/engine/health.go
@@ -45,7 +45,7 @@
 	switch how {
 	case workflow.EndDone:
 		m.worker.health.succeeded()
-		if m.listed && u.checkpoint == "" {
+		if m.listed && !m.inherited && m.percent0 == 0 {
 			e.estim.observe(u, now.Sub(m.since))
 		}
 	case workflow.EndFailed:
@@ -92,19 +92,29 @@
 	return time.Duration(float64(step.EstimateMS) * f * float64(time.Millisecond))
 }
 
-// remaining returns the expected time until the end of an active unit.
+// minPercent is the progress from which the speed of a run can be told.
+const minPercent = 4
+
+// remaining returns the expected time until the end of an active unit. Members
+// that have made progress tell their own speed; the last one to end decides.
 func (s estimates) remaining(u *unit, now time.Time) time.Duration {
-	total := s.duration(u)
+	total, longest := s.duration(u), time.Duration(0)
 	for _, m := range u.members {
-		if m.listed && m.percent > 0 {
-			elapsed := now.Sub(m.since)
-			return max(time.Duration(float64(elapsed)*(100-m.percent)/m.percent), 0)
+		if m.end != "" {
+			continue
 		}
-	}
-	for _, m := range u.members {
-		if m.listed {
-			return max(total-now.Sub(m.since), 100*time.Millisecond)
+		left := total
+		switch done := m.percent - m.percent0; {
+		case m.listed && done >= minPercent:
+			whole := time.Duration(float64(m.percentAt.Sub(m.since)) * (100 - m.percent0) / done)
+			left = whole - now.Sub(m.since)
+		case m.listed:
+			left = time.Duration(float64(total)*(100-m.percent)/100) - now.Sub(m.percentAt)
 		}
+		longest = max(longest, left, endingSoon)
 	}
-	return total
+	return longest
 }
+
+// endingSoon is the least remaining time of a run that has not ended.
+const endingSoon = 50 * time.Millisecond
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -126,11 +126,9 @@
 )
 
 // reserve returns the workers on which a waiting unit can start soonest, so that
-// units after it do not take their resources; nil if none can be told.
-func (e *Engine) reserve(u *unit, r *room, now time.Time) []*worker {
-	if u.count == 1 && u.spec().Accelerators <= 1 {
-		return nil // starts as soon as anything ends
-	}
+// units after it do not take their resources, and in what time that will be; nil
+// if none can be told.
+func (e *Engine) reserve(u *unit, r *room, now time.Time) (on []*worker, after time.Duration) {
 	var active []*unit
 	seen := make(map[*unit]bool)
 	for _, w := range r.workers {
@@ -152,8 +150,8 @@
 	for _, v := range active {
 		trial.release(v)
 		if on := e.place(u, trial); on != nil {
-			return on
+			return on, remaining[v]
 		}
 	}
-	return nil
+	return nil, 0
 }
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -152,7 +152,7 @@
 
 func (e *Engine) progress(m *member, r *workflow.RunningItem, now time.Time) {
 	if !m.listed {
-		m.listed, m.since, m.percentAt = true, now, now
+		m.listed, m.since, m.percentAt, m.percent0, m.percent = true, now, now, r.Percent, r.Percent
 	}
 	if r.Percent != m.percent {
 		m.percent, m.percentAt = r.Percent, now
--- /dev/null
+++ b/internal/workflow/planner/log.go
@@ -0,0 +1,38 @@
+package planner
+
+import (
+	"strings"
+
+	"github.com/apex/log"
+
+	"snipegw/internal/workflow/engine"
+)
+
+func logDecisions(epoch uint64, starts []engine.Placement, stops []engine.StopDecision) {
+	for _, s := range starts {
+		log.WithFields(log.Fields{
+			"event": "placed", "job": s.Unit.Job, "unit": s.Unit.String(), "items": s.Count, "run": s.Run, "epoch": epoch,
+			"workers": strings.Join(s.Workers, ","), "class": s.Class, "since_accepted_ms": s.Waited.Milliseconds(),
+		}).Info("run decided")
+	}
+	for _, s := range stops {
+		log.WithFields(log.Fields{"event": "stop_decided", "job": s.Unit.Job, "unit": s.Unit.String(), "run": s.Run, "epoch": epoch, "reason": s.Reason}).Info("stop decided")
+	}
+}
+
+func logNotes(epoch uint64, notes []engine.Note) {
+	for _, n := range notes {
+		if r := n.Run; r != nil {
+			log.WithFields(log.Fields{
+				"event": "run_ended", "job": r.Item.Job, "item": r.Item.String(), "run": r.Run, "epoch": epoch, "worker": r.Worker, "how": r.How,
+				"took_ms": r.Took.Milliseconds(), "estimate_ms": r.Estimate.Milliseconds(), "percent": r.Percent, "failed_before": r.Failed, "stop_reason": r.Reason,
+			}).Info("run ended")
+		}
+		if j := n.Job; j != nil {
+			log.WithFields(log.Fields{
+				"event": "job_ended", "job": j.ID, "queue": j.Queue, "team": j.Team, "state": j.State, "epoch": epoch,
+				"took_ms": j.Took.Milliseconds(), "objective_ms": j.Objective.Milliseconds(),
+			}).Info("job ended")
+		}
+	}
+}
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -19,9 +19,9 @@
 
 const (
 	// termTTL is the time after which a silent planner is replaced.
-	termTTL = 2 * time.Second
+	termTTL = 1600 * time.Millisecond
 	// renewEvery leaves room for two failed renewals.
-	renewEvery = 500 * time.Millisecond
+	renewEvery = 400 * time.Millisecond
 	// ZombieLimit is the time for which a planner without the store keeps
 	// extending leases. It covers the usual outages of the store.
 	ZombieLimit = 12 * time.Second
@@ -132,17 +132,20 @@
 func (h *Host) run(ctx context.Context) {
 	defer close(h.done)
 	for ctx.Err() == nil && !h.retired() {
-		if _, held := h.o.Records.Get(workflow.PlannerKey); held || !h.o.Records.Synced() {
+		held, vacant := h.vacant()
+		if !vacant {
 			h.waitChange(ctx, time.Second)
 			continue
 		}
-		lease, epoch, err := h.elect(ctx)
+		lease, epoch, err := h.elect(ctx, held)
 		if err != nil {
 			h.waitChange(ctx, electionPause)
 			continue
 		}
 		if epoch > 0 {
 			h.serve(ctx, lease, epoch)
+			// The key goes with the lease.
+			h.o.Records.Apply([]store.Event{{Record: store.Record{Key: workflow.PlannerKey, Revision: epoch + 1}, Deleted: true}})
 		}
 		h.release(ctx, lease)
 	}
@@ -168,15 +171,30 @@
 	}
 }
 
-// elect tries to create the planner's key under a new lease. Epoch is 0 if
-// another entry was faster.
-func (h *Host) elect(ctx context.Context) (lease, epoch uint64, err error) {
+// vacant reports whether this entry may become planner, and the revision of the
+// key that it replaces. A key of its own stems from an earlier life of this
+// entry, so it need not wait until the lease has lapsed.
+func (h *Host) vacant() (revision uint64, vacant bool) {
+	if !h.o.Records.Synced() {
+		return 0, false
+	}
+	r, held := h.o.Records.Get(workflow.PlannerKey)
+	if !held {
+		return 0, true
+	}
+	p, err := workflow.Decode[workflow.PlannerRecord](r.Value)
+	return r.Revision, err == nil && p.Entry == h.o.Entry
+}
+
+// elect tries to write the planner's key, now at revision held, under a new
+// lease. Epoch is 0 if another entry was faster.
+func (h *Host) elect(ctx context.Context, held uint64) (lease, epoch uint64, err error) {
 	lease, err = h.o.Table.Grant(ctx, termTTL)
 	if err != nil {
 		return 0, 0, err
 	}
 	out, err := h.o.Table.Commit(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: workflow.PlannerKey}},
+		Conditions: []store.Condition{{Key: workflow.PlannerKey, Revision: held}},
 		Puts: []store.Put{{
 			Key: workflow.PlannerKey, Lease: lease,
 			Value: workflow.Encode(workflow.PlannerRecord{Entry: h.o.Entry, Address: h.o.Address}),
@@ -188,11 +206,19 @@
 		return 0, 0, err
 	}
 	if !out.Committed {
+		if _, there := out.Current[workflow.PlannerKey]; !there && held > 0 {
+			// The key ended with its lease; the mirror has not seen that yet.
+			h.o.Records.Apply([]store.Event{{Record: store.Record{Key: workflow.PlannerKey, Revision: held + 1}, Deleted: true}})
+		}
 		for _, r := range out.Current {
 			h.o.Records.Apply([]store.Event{{Record: r}})
 		}
 		return lease, 0, nil
 	}
+	h.o.Records.Apply([]store.Event{{Record: store.Record{
+		Key: workflow.PlannerKey, Lease: lease, Revision: out.Revision,
+		Value: workflow.Encode(workflow.PlannerRecord{Entry: h.o.Entry, Address: h.o.Address}),
+	}}})
 	return lease, out.Revision, nil
 }
 
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -197,7 +197,7 @@
 		delete(t.address, node)
 		return
 	}
-	a, err := workflow.Decode[workflow.AgentRecord](e.Value)
+	a, err := workflow.Decode[workflow.ProcessRecord](e.Value)
 	if err != nil {
 		log.WithFields(log.Fields{"event": "record_unreadable", "key": e.Key, "error": err.Error()}).Error("agent ignored")
 		return
@@ -226,8 +226,10 @@
 	starts, stops := t.engine.Decide(now)
 	ends := t.lastEnds()
 	changes := t.engine.Changes()
+	notes := t.engine.Notes()
 	t.mu.Unlock()
 
+	logNotes(t.epoch, notes)
 	logDecisions(t.epoch, starts, stops)
 	if !t.commit(ctx, changes) {
 		return
@@ -253,18 +255,6 @@
 	return out
 }
 
-func logDecisions(epoch uint64, starts []engine.Placement, stops []engine.StopDecision) {
-	for _, s := range starts {
-		log.WithFields(log.Fields{
-			"event": "placed", "job": s.Unit.Job, "unit": s.Unit.String(), "items": s.Count, "run": s.Run, "epoch": epoch,
-			"workers": strings.Join(s.Workers, ","), "class": s.Class, "since_accepted_ms": s.Waited.Milliseconds(),
-		}).Info("run decided")
-	}
-	for _, s := range stops {
-		log.WithFields(log.Fields{"event": "stop_decided", "job": s.Unit.Job, "unit": s.Unit.String(), "run": s.Run, "epoch": epoch, "reason": s.Reason}).Info("stop decided")
-	}
-}
-
 // repeatStops sends stop orders, which need no record and so no store.
 func (t *term) repeatStops(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/workflow/records.go
+++ b/internal/workflow/records.go
@@ -15,6 +15,7 @@
 	CancelPrefix = Prefix + "cancels/"
 	RunPrefix    = Prefix + "runs/"
 	AgentPrefix  = Prefix + "agents/"
+	EntryPrefix  = Prefix + "entries/"
 	PlannerKey   = Prefix + "planner"
 )
 
@@ -72,8 +73,8 @@
 	Address string `cbor:"2,keyasint"`
 }
 
-// AgentRecord is where an agent takes calls.
-type AgentRecord struct {
+// ProcessRecord is where an agent or an entry takes calls.
+type ProcessRecord struct {
 	Address string `cbor:"1,keyasint"`
 	Zone    string `cbor:"2,keyasint,omitempty"`
 }
--- /dev/null
+++ b/internal/workflow/relay/relay.go
@@ -0,0 +1,346 @@
+// Package relay reaches the store through another entry when the direct way is
+// cut, so that an entry which the store turns away still serves its callers.
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"snipegw/internal/result"
+	"snipegw/internal/store"
+	"snipegw/internal/transport"
+	"snipegw/internal/wire"
+)
+
+const (
+	// directFor bounds a direct attempt after which a peer is tried. Twice the
+	// answer of a store that is sixty times slower than usual.
+	directFor = 600 * time.Millisecond
+	// peerFor bounds an attempt through one peer.
+	peerFor = 700 * time.Millisecond
+	// suspectFor is the time after a failure for which peers are asked first.
+	suspectFor = 1500 * time.Millisecond
+	// outageFor is the time after a failure of all ways for which peers are not
+	// asked.
+	outageFor = 250 * time.Millisecond
+)
+
+// Operations of a Request.
+const (
+	opLookup = iota + 1
+	opList
+	opChanges
+	opCommit
+	opGrant
+	opRenew
+	opRevoke
+)
+
+// Request is an operation on the store on behalf of another entry.
+type Request struct {
+	Op     int           `cbor:"1,keyasint"`
+	Key    string        `cbor:"2,keyasint,omitempty"` // or prefix
+	After  uint64        `cbor:"3,keyasint,omitempty"`
+	Wait   time.Duration `cbor:"4,keyasint,omitempty"` // or time to live
+	Txn    *store.Txn    `cbor:"5,keyasint,omitempty"`
+	Lease  uint64        `cbor:"6,keyasint,omitempty"`
+	Budget time.Duration `cbor:"7,keyasint,omitempty"` // time that the caller waits
+}
+
+// Reply is the result of a Request.
+type Reply struct {
+	Records   []store.Record `cbor:"1,keyasint,omitempty"`
+	Events    []store.Event  `cbor:"2,keyasint,omitempty"`
+	Revision  uint64         `cbor:"3,keyasint,omitempty"`
+	Outcome   store.Outcome  `cbor:"4,keyasint,omitempty"`
+	Found     bool           `cbor:"5,keyasint,omitempty"`
+	Lease     uint64         `cbor:"6,keyasint,omitempty"`
+	Compacted bool           `cbor:"7,keyasint,omitempty"`
+	LeaseGone bool           `cbor:"8,keyasint,omitempty"`
+}
+
+// Caller makes calls to other entries.
+type Caller interface {
+	Call(ctx context.Context, addr string, kind wire.Kind, msg, reply any) error
+}
+
+// Table implements store.Table by the direct way, or through a peer.
+type Table struct {
+	direct store.Table
+	pool   Caller
+	self   string
+
+	mu    sync.Mutex
+	peers []string // addresses; the one that answered last comes first
+
+	suspect atomic.Int64 // Unix nanoseconds until which the direct way is suspect
+	outage  atomic.Int64 // Unix nanoseconds until which no way is known
+	through atomic.Bool  // the latest answer came through a peer
+}
+
+// New returns a Table for the entry at address self.
+func New(direct store.Table, pool Caller, self string) *Table {
+	return &Table{direct: direct, pool: pool, self: self}
+}
+
+// Register serves other entries' requests. They use the direct way only, so
+// that requests do not travel in circles.
+func (t *Table) Register(mux *transport.Mux) {
+	mux.Handle(wire.KindStoreRelay, transport.Unary(t.serve))
+}
+
+// SetPeers replaces the addresses of the entries.
+func (t *Table) SetPeers(addresses []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers = t.peers[:0]
+	for _, a := range addresses {
+		if a != t.self {
+			t.peers = append(t.peers, a)
+		}
+	}
+}
+
+func (t *Table) serve(ctx context.Context, q *Request) (*Reply, error) {
+	if q.Budget > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, q.Budget)
+		defer cancel()
+	}
+	reply := new(Reply)
+	err := perform(ctx, t.direct, q, reply)
+	switch {
+	case errors.Is(err, store.ErrCompacted):
+		reply.Compacted = true
+	case errors.Is(err, store.ErrSessionLost):
+		reply.LeaseGone = true
+	case err != nil:
+		return nil, err
+	}
+	return reply, nil
+}
+
+func perform(ctx context.Context, table store.Table, q *Request, reply *Reply) (err error) {
+	switch q.Op {
+	case opLookup:
+		var r store.Record
+		r, reply.Found, err = table.Lookup(ctx, q.Key)
+		reply.Records = []store.Record{r}
+	case opList:
+		reply.Records, reply.Revision, err = table.List(ctx, q.Key)
+	case opChanges:
+		reply.Events, reply.Revision, err = table.Changes(ctx, q.Key, q.After, q.Wait)
+	case opCommit:
+		if q.Txn == nil {
+			return result.Errorf(result.BadRequest, "relayed transaction is missing")
+		}
+		reply.Outcome, err = table.Commit(ctx, *q.Txn)
+	case opGrant:
+		reply.Lease, err = table.Grant(ctx, q.Wait)
+	case opRenew:
+		err = table.Renew(ctx, q.Lease)
+	case opRevoke:
+		err = table.Revoke(ctx, q.Lease)
+	default:
+		err = result.Errorf(result.BadRequest, "relayed operation %d is not known", q.Op)
+	}
+	return err
+}
+
+// decided reports whether err is an answer of the store rather than its absence.
+func decided(err error) bool {
+	return err == nil || errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrSessionLost)
+}
+
+// do performs q by the way that worked last, and then by the others. All
+// operations may be attempted twice: a transaction carries its conditions.
+func (t *Table) do(ctx context.Context, q *Request) (*Reply, error) {
+	now := time.Now().UnixNano()
+	open := false // an attempt without an answer may take effect
+	note := func(err error) { open = open || result.CodeOf(err) == result.OutcomeUnknown }
+	first := now >= t.suspect.Load()
+	var err error
+	if first {
+		var reply *Reply
+		if reply, err = t.byDirect(ctx, q); decided(err) {
+			return reply, err
+		}
+		note(err)
+	}
+	if now >= t.outage.Load() {
+		reply, perr := t.byPeers(ctx, q, note)
+		if decided(perr) {
+			return reply, perr
+		}
+		err = perr
+	}
+	if !first && ctx.Err() == nil {
+		reply, derr := t.byDirect(ctx, q)
+		if decided(derr) {
+			return reply, derr
+		}
+		note(derr)
+		err = derr
+	}
+	if ctx.Err() == nil {
+		t.outage.Store(time.Now().Add(outageFor).UnixNano())
+	}
+	code := result.StoreUnavailable
+	if open {
+		code = result.OutcomeUnknown
+	}
+	return nil, result.Errorf(code, "no way to the store: %w", err)
+}
+
+func (t *Table) byDirect(ctx context.Context, q *Request) (*Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, directFor+waitOf(q))
+	defer cancel()
+	reply := new(Reply)
+	err := perform(ctx, t.direct, q, reply)
+	if decided(err) {
+		t.suspect.Store(0)
+		t.outage.Store(0)
+		t.route(false, nil)
+		return reply, err
+	}
+	t.suspect.Store(time.Now().Add(suspectFor).UnixNano())
+	return nil, err
+}
+
+// waitOf is the time for which the store itself holds back its answer.
+func waitOf(q *Request) time.Duration {
+	if q.Op == opChanges {
+		return q.Wait
+	}
+	return 0
+}
+
+func (t *Table) byPeers(ctx context.Context, q *Request, note func(error)) (*Reply, error) {
+	t.mu.Lock()
+	peers := append([]string(nil), t.peers...)
+	t.mu.Unlock()
+	err := error(result.Errorf(result.StoreUnavailable, "no other entry is known"))
+	for _, address := range peers {
+		if ctx.Err() != nil {
+			break
+		}
+		reply := new(Reply)
+		if err = t.byPeer(ctx, address, q, reply); err == nil {
+			t.prefer(address)
+			t.route(true, err)
+			switch {
+			case reply.Compacted:
+				return nil, store.ErrCompacted
+			case reply.LeaseGone:
+				return nil, store.ErrSessionLost
+			}
+			return reply, nil
+		}
+		note(err)
+	}
+	return nil, err
+}
+
+func (t *Table) byPeer(ctx context.Context, address string, q *Request, reply *Reply) error {
+	ctx, cancel := context.WithTimeout(ctx, peerFor+waitOf(q))
+	defer cancel()
+	q.Budget = directFor + waitOf(q)
+	err := t.pool.Call(ctx, address, wire.KindStoreRelay, q, reply)
+	if err == nil {
+		return nil
+	}
+	var coded *result.Error
+	if errors.As(err, &coded) {
+		return coded // the peer's answer
+	}
+	if transport.NotSent(err) || q.Op != opCommit && q.Op != opGrant {
+		return result.Errorf(result.StoreUnavailable, "entry %s: %w", address, err)
+	}
+	return result.Errorf(result.OutcomeUnknown, "entry %s: %w", address, err)
+}
+
+func (t *Table) prefer(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i, p := range t.peers {
+		if p == address {
+			copy(t.peers[1:i+1], t.peers[:i])
+			t.peers[0] = address
+			return
+		}
+	}
+}
+
+// route logs a change of the way to the store.
+func (t *Table) route(peer bool, err error) {
+	if t.through.Swap(peer) == peer {
+		return
+	}
+	e := log.WithFields(log.Fields{"event": "store_route", "through_peer": peer})
+	if err != nil {
+		e = e.WithField("error", err.Error())
+	}
+	e.Info("the way to the store has changed")
+}
+
+// Lookup implements store.Table.
+func (t *Table) Lookup(ctx context.Context, key string) (store.Record, bool, error) {
+	reply, err := t.do(ctx, &Request{Op: opLookup, Key: key})
+	if err != nil || !reply.Found {
+		return store.Record{}, false, err
+	}
+	return reply.Records[0], true, nil
+}
+
+// List implements store.Table.
+func (t *Table) List(ctx context.Context, prefix string) ([]store.Record, uint64, error) {
+	reply, err := t.do(ctx, &Request{Op: opList, Key: prefix})
+	if err != nil {
+		return nil, 0, err
+	}
+	return reply.Records, reply.Revision, nil
+}
+
+// Changes implements store.Table.
+func (t *Table) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
+	reply, err := t.do(ctx, &Request{Op: opChanges, Key: prefix, After: after, Wait: wait})
+	if err != nil {
+		return nil, 0, err
+	}
+	return reply.Events, reply.Revision, nil
+}
+
+// Commit implements store.Table.
+func (t *Table) Commit(ctx context.Context, txn store.Txn) (store.Outcome, error) {
+	reply, err := t.do(ctx, &Request{Op: opCommit, Txn: &txn})
+	if err != nil {
+		return store.Outcome{}, err
+	}
+	return reply.Outcome, nil
+}
+
+// Grant implements store.Table.
+func (t *Table) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	reply, err := t.do(ctx, &Request{Op: opGrant, Wait: ttl})
+	if err != nil {
+		return 0, err
+	}
+	return reply.Lease, nil
+}
+
+// Renew implements store.Table.
+func (t *Table) Renew(ctx context.Context, lease uint64) error {
+	_, err := t.do(ctx, &Request{Op: opRenew, Lease: lease})
+	return err
+}
+
+// Revoke implements store.Table.
+func (t *Table) Revoke(ctx context.Context, lease uint64) error {
+	_, err := t.do(ctx, &Request{Op: opRevoke, Lease: lease})
+	return err
+}
