--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -267,7 +267,7 @@
 	for i, w := range on {
 		m := &member{unit: u, run: u.run, index: u.first + i, worker: w, key: w.key, since: now, percentAt: now}
 		u.members = append(u.members, m)
-		w.members[m] = struct{}{}
+		w.members = append(w.members, m)
 		p.Workers = append(p.Workers, w.node)
 	}
 	e.mark(u.job)
@@ -282,7 +282,7 @@
 			continue
 		}
 		left := time.Duration(w.announced.RemainingMS)*time.Millisecond - drainSlack
-		for m := range w.members {
+		for _, m := range w.members {
 			u := m.unit
 			if u.stopping || u.done || !m.listed {
 				continue
@@ -303,7 +303,7 @@
 		if now.Sub(w.seen) > silentAfter {
 			continue
 		}
-		for m := range w.members {
+		for _, m := range w.members {
 			u := m.unit
 			if u.stopping || u.done || !m.listed || u.spec().LongRunning || now.Sub(m.percentAt) < e.hangLimit(u) {
 				continue
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -4,6 +4,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"snipegw/internal/workflow"
@@ -280,7 +281,7 @@
 		return
 	}
 	m.end = how
-	delete(m.worker.members, m)
+	m.worker.members = slices.DeleteFunc(m.worker.members, func(o *member) bool { return o == m })
 	u := m.unit
 	e.noteEnd(m, how, now)
 	e.mark(u.job)
--- a/internal/workflow/engine/orders.go
+++ b/internal/workflow/engine/orders.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"snipegw/internal/workflow"
@@ -48,7 +49,7 @@
 	byNode := make(map[string]*Order)
 	for _, node := range sortedKeys(e.workers) {
 		w := e.workers[node]
-		for m := range w.members {
+		for _, m := range slices.Clone(w.members) {
 			if m.key == w.key && m.end == "" {
 				visit(m, func() *Order { return e.orderFor(byNode, w) })
 			}
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -16,13 +16,13 @@
 
 func (e *Engine) room(now time.Time) *room {
 	r := &room{free: make(map[*worker]workflow.Resources)}
-	for _, w := range e.workers {
+	for _, node := range sortedKeys(e.workers) {
+		w := e.workers[node]
 		if e.usable(w, now) {
 			r.workers = append(r.workers, w)
 			r.free[w] = w.free()
 		}
 	}
-	slices.SortFunc(r.workers, func(a, b *worker) int { return cmp.Compare(a.node, b.node) })
 	return r
 }
 
@@ -55,7 +55,7 @@
 	if limit == 0 {
 		return -1
 	}
-	for m := range w.members {
+	for _, m := range w.members {
 		if m.unit.job == u.job && m.unit.occurrence == u.occurrence && m.unit.step == u.step {
 			limit--
 		}
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -14,7 +14,7 @@
 	var victims []*unit
 	seen := make(map[*unit]bool)
 	for _, w := range r.workers {
-		for m := range w.members {
+		for _, m := range w.members {
 			v := m.unit
 			if seen[v] || !e.mayPreempt(c, v) {
 				continue
@@ -132,7 +132,7 @@
 	var active []*unit
 	seen := make(map[*unit]bool)
 	for _, w := range r.workers {
-		for m := range w.members {
+		for _, m := range w.members {
 			if v := m.unit; !seen[v] && !v.spec().LongRunning {
 				seen[v] = true
 				active = append(active, v)
--- a/internal/workflow/engine/progress.go
+++ b/internal/workflow/engine/progress.go
@@ -133,7 +133,7 @@
 		u.members = append(u.members, m)
 		if m.end == "" {
 			open = true
-			m.worker.members[m] = struct{}{}
+			m.worker.members = append(m.worker.members, m)
 		} else if !u.done && u.count > 1 {
 			u.stop("gang broken")
 		}
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -21,7 +22,7 @@
 	maxUntil  int64     // latest time on the worker's clock until which anything may run
 	lastEnd   uint64    // highest end that was processed
 	left      bool
-	members   map[*member]struct{}
+	members   []*member // that may be running, in order of their starts
 	health    health
 }
 
@@ -39,7 +40,7 @@
 // AddWorker makes a node known. Its worker takes part after its first report.
 func (e *Engine) AddWorker(node string) {
 	if e.workers[node] == nil {
-		e.workers[node] = &worker{node: node, members: make(map[*member]struct{})}
+		e.workers[node] = &worker{node: node}
 	}
 }
 
@@ -81,7 +82,7 @@
 	w.key, w.instance, w.born = key, l.Instance, l.Born
 	w.announced, w.clockMS, w.maxUntil, w.lastEnd, w.left = nil, 0, 0, 0, false
 	w.health = health{}
-	for m := range w.members {
+	for _, m := range slices.Clone(w.members) {
 		if m.key != key {
 			e.ended(m, workflow.EndLost, "", now)
 		}
@@ -90,7 +91,7 @@
 
 // lose ends everything on a worker that is certainly gone.
 func (e *Engine) lose(w *worker, now time.Time) {
-	for m := range w.members {
+	for _, m := range slices.Clone(w.members) {
 		e.ended(m, workflow.EndLost, "", now)
 	}
 }
@@ -103,7 +104,7 @@
 // takeLists compares what the worker lists with what is believed to run there.
 func (e *Engine) takeLists(w *worker, l *workflow.WorkerLists, now time.Time) {
 	known := make(map[runKey]*member, len(w.members))
-	for m := range w.members {
+	for _, m := range w.members {
 		known[runKey{m.unit.ref(m.index), m.run}] = m
 	}
 	listed := make(map[*member]bool, len(l.Running))
@@ -122,7 +123,7 @@
 			e.ended(m, end.How, end.Checkpoint, now)
 		}
 	}
-	for m := range w.members {
+	for _, m := range slices.Clone(w.members) {
 		if !listed[m] && m.over(l.ClockMS) {
 			how := workflow.EndNever
 			if m.listed || m.confirmedMS > 0 {
@@ -165,9 +166,10 @@
 
 // Expire ends the runs on workers whose lease has certainly expired.
 func (e *Engine) Expire(now time.Time) {
-	for _, w := range e.workers {
+	for _, node := range sortedKeys(e.workers) {
+		w := e.workers[node]
 		if len(w.members) > 0 && now.After(e.expiry(w)) {
-			for m := range w.members {
+			for _, m := range slices.Clone(w.members) {
 				e.ended(m, workflow.EndLapsed, "", now)
 			}
 		}
@@ -224,7 +226,7 @@
 		return workflow.Resources{}
 	}
 	r := w.announced.Capacity
-	for m := range w.members {
+	for _, m := range w.members {
 		r = r.Add(m.unit.spec().Needs(), -1)
 	}
 	return r
