--- a/internal/workflow/daemon/daemon.go
+++ b/internal/workflow/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -58,12 +59,15 @@
 		Entry: p.ID, Address: p.Address, Table: table, Records: records, Pool: network.Pool,
 		Engine: s.engine(), KeepEnded: time.Duration(s.KeepEndedMS) * time.Millisecond,
 	})
-	records.Listen(func([]store.Event) { table.SetPeers(entries(records)) })
+	seeds := s.peers(p.Address)
+	table.SetPeers(seeds)
+	records.Listen(func([]store.Event) { table.SetPeers(append(entries(records), seeds...)) })
 	registration := &registration{table: table, key: workflow.EntryPrefix + p.ID, record: workflow.ProcessRecord{Address: p.Address, Zone: p.FailureDomain}}
 	in.OnConfig(host.SetConfig)
 	in.Begin()
 	dumper := kernel.NewDumper()
 	dumper.Add("planner", host.State)
+	dumper.Add("peers", func() any { return table.Peers() })
 	dumper.Add("config", func() any { return in.Config() })
 	debug := http.NewServeMux()
 	dumper.Handle(debug, in.Ready)
@@ -121,6 +125,21 @@
 	return transport.NewNetwork(p.Address, creds)
 }
 
+// peers returns the addresses that the seeds stand for.
+func (s *EntrySettings) peers(own string) []string {
+	var out []string
+	_, port, err := net.SplitHostPort(own)
+	if err != nil {
+		return nil // the address was validated
+	}
+	for _, seed := range s.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			out = append(out, net.JoinHostPort(host, port))
+		}
+	}
+	return out
+}
+
 // entries returns the addresses of the entries.
 func entries(records *mirror.Mirror) []string {
 	var out []string
--- a/internal/workflow/daemon/settings.go
+++ b/internal/workflow/daemon/settings.go
@@ -39,6 +39,9 @@
 	Front        string         `json:"front"`
 	ConfigFormat string         `json:"config_format"`
 	Store        store.Settings `json:"store"`
+	// Seeds are addresses on hosts of other entries, perhaps old ones. Entries
+	// listen for each other on the same port, so only the hosts are used.
+	Seeds []string `json:"seeds"`
 	// MaxLeaseMS is the longest lease that a worker grants.
 	MaxLeaseMS    int64 `json:"max_lease_ms"`
 	StopTimeoutMS int64 `json:"stop_timeout_ms"`
@@ -79,6 +82,9 @@
 	checkName(faults, path+".front", s.Front, intake.Fronts.Names())
 	checkName(faults, path+".config_format", s.ConfigFormat, intake.ConfigFormats.Names())
 	checkStore(faults, path+".store", s.Store)
+	for _, a := range s.Seeds {
+		checkAddress(faults, path+".seeds", a)
+	}
 	if s.MaxLeaseMS < minLeaseMS {
 		faults.Add(path+".max_lease_ms", "must be at least %d", minLeaseMS)
 	}
--- a/internal/workflow/relay/relay.go
+++ b/internal/workflow/relay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,16 +95,29 @@
 	mux.Handle(wire.KindStoreRelay, transport.Unary(t.serve))
 }
 
-// SetPeers replaces the addresses of the entries.
+// SetPeers replaces the addresses of the entries. Those known before keep their
+// order, so that the one that answered last stays first.
 func (t *Table) SetPeers(addresses []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers = t.peers[:0]
-	for _, a := range addresses {
-		if a != t.self {
-			t.peers = append(t.peers, a)
+	var peers []string
+	add := func(from []string, keep func(string) bool) {
+		for _, a := range from {
+			if a != t.self && !slices.Contains(peers, a) && keep(a) {
+				peers = append(peers, a)
+			}
 		}
 	}
+	add(t.peers, func(a string) bool { return slices.Contains(addresses, a) })
+	add(addresses, func(string) bool { return true })
+	t.peers = peers
+}
+
+// Peers returns the addresses of the other entries, the preferred one first.
+func (t *Table) Peers() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Clone(t.peers)
 }
 
 func (t *Table) serve(ctx context.Context, q *Request) (*Reply, error) {
@@ -221,11 +235,8 @@
 }
 
 func (t *Table) byPeers(ctx context.Context, q *Request, note func(error)) (*Reply, error) {
-	t.mu.Lock()
-	peers := append([]string(nil), t.peers...)
-	t.mu.Unlock()
 	err := error(result.Errorf(result.StoreUnavailable, "no other entry is known"))
-	for _, address := range peers {
+	for _, address := range t.Peers() {
 		if ctx.Err() != nil {
 			break
 		}
