Reload the settings on SIGHUP

Change: kernel.Run keeps running on SIGHUP and reloads the components that can; a refused reload keeps the former settings. Test: kernel, 'reloads on SIGHUP and goes on' (without the change the process ends).

--- a/cmd/snipegw-entry/main.go
+++ b/cmd/snipegw-entry/main.go
@@ -56,26 +56,33 @@
 		fmt.Println("settings are valid")
 		return 0
 	}
-	return serve(&s)
+	return serve(&s, o.Settings)
 }
 
-func assemble(s *entry.Settings) ([]kernel.Component, error) {
+func assemble(s *entry.Settings, file string) ([]kernel.Component, error) {
 	if s.Workflow == nil {
 		return entry.Assemble(s, planner.CheckGuarantees)
 	}
 	return daemon.AssembleEntry(daemon.Process{
 		ID: s.ID, FailureDomain: s.FailureDomain, Address: s.AdvertiseAddress, DebugAddress: s.HTTPAddress, Security: s.Security,
+		Reload: func() (daemon.EntrySettings, error) {
+			var fresh entry.Settings
+			if err := kernel.LoadSettings(file, &fresh); err != nil {
+				return daemon.EntrySettings{}, err
+			}
+			return *fresh.Workflow, nil
+		},
 	}, *s.Workflow)
 }
 
-func serve(s *entry.Settings) int {
+func serve(s *entry.Settings, file string) int {
 	lines := kernel.NewDropWriter(os.Stdout)
 	defer lines.Close()
 	if err := kernel.SetupLogging(lines, "snipegw-entry", s.LogLevel); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	components, err := assemble(s)
+	components, err := assemble(s, file)
 	if err == nil {
 		err = kernel.Run(context.Background(), components...)
 	}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -29,13 +29,23 @@
 	Stop(ctx context.Context) error
 }
 
+// Reloader is a Component that takes changed settings while it runs.
+type Reloader interface {
+	// Reload reads the settings again. On an error the former ones stay in
+	// force.
+	Reload() error
+}
+
 // Run starts the components in order, waits for SIGTERM or SIGINT (or for the
 // end of parent), and stops them in reverse order. A second signal ends the
-// program at once.
+// program at once. SIGHUP makes the Reloaders among the components reload.
 func Run(parent context.Context, components ...Component) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
 	defer cancel()
 	started, err := start(ctx, components)
@@ -43,16 +53,36 @@
 		return errors.Join(err, stop(started, nil))
 	}
 	log.WithField("event", "started").Info("program started")
-	select {
-	case s := <-signals:
-		log.WithField("event", "stop_requested").WithField("signal", s.String()).Info("graceful stop begins")
-	case <-parent.Done():
+	for running := true; running; {
+		select {
+		case s := <-signals:
+			log.WithField("event", "stop_requested").WithField("signal", s.String()).Info("graceful stop begins")
+			running = false
+		case <-hangups:
+			reload(components)
+		case <-parent.Done():
+			running = false
+		}
 	}
 	err = stop(started, signals)
 	log.WithField("event", "stopped").Info("program stopped")
 	return err
 }
 
+func reload(components []Component) {
+	for _, c := range components {
+		r, ok := c.(Reloader)
+		if !ok {
+			continue
+		}
+		if err := r.Reload(); err != nil {
+			log.WithFields(log.Fields{"event": "reload_refused", "component": c.Name(), "error": err.Error()}).Error("the former settings stay in force")
+			continue
+		}
+		log.WithFields(log.Fields{"event": "reloaded", "component": c.Name()}).Info("settings reloaded")
+	}
+}
+
 func start(ctx context.Context, components []Component) ([]Component, error) {
 	for i, c := range components {
 		if err := c.Start(ctx); err != nil {
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -5,7 +5,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/apex/log"
@@ -124,6 +127,21 @@
 	return nil
 }
 
+// reloading notes its reloads too.
+type reloading struct {
+	recorder
+	reloads chan struct{}
+	err     error
+}
+
+func (r reloading) Reload() error {
+	select {
+	case r.reloads <- struct{}{}:
+	default:
+	}
+	return r.err
+}
+
 var _ = Describe("Run", func() {
 	It("stops in reverse order", func() {
 		var steps []string
@@ -133,6 +151,28 @@
 		Expect(steps).To(Equal([]string{"start a", "start b", "stop b", "stop a"}))
 	})
 
+	It("reloads on SIGHUP and goes on, also when the new settings are refused", func() {
+		var steps []string
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		reloads := make(chan struct{}, 2)
+		done := make(chan error)
+		go func() {
+			done <- Run(ctx, reloading{recorder{name: "a", steps: &steps}, reloads, nil}, reloading{recorder{name: "b", steps: &steps}, reloads, errors.New("no")})
+		}()
+		// The signal must not end the process before Run handles it.
+		early := make(chan os.Signal, 1)
+		signal.Notify(early, syscall.SIGHUP)
+		defer signal.Stop(early)
+		Eventually(func() int {
+			Expect(syscall.Kill(os.Getpid(), syscall.SIGHUP)).To(Succeed())
+			return len(reloads)
+		}).Should(Equal(2))
+		Consistently(done, "50ms").ShouldNot(Receive())
+		cancel()
+		Expect(<-done).To(Succeed())
+	})
+
 	It("stops what has started when a start fails", func() {
 		var steps []string
 		err := Run(context.Background(), recorder{name: "a", steps: &steps}, recorder{name: "b", fail: true, steps: &steps})
--- a/internal/workflow/daemon/daemon.go
+++ b/internal/workflow/daemon/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -30,6 +29,8 @@
 	// DebugAddress serves the dump and the metrics.
 	DebugAddress string
 	Security     transport.Security
+	// Reload reads the settings of an entry again; nil: they are not read again.
+	Reload func() (EntrySettings, error)
 }
 
 // AssembleEntry makes the components of an entry in the order in which they
@@ -59,9 +60,9 @@
 		Entry: p.ID, Address: p.Address, Table: table, Records: records, Pool: network.Pool,
 		Engine: s.engine(), KeepEnded: time.Duration(s.KeepEndedMS) * time.Millisecond,
 	})
-	seeds := s.peers(p.Address)
-	table.SetPeers(seeds)
-	records.Listen(func([]store.Event) { table.SetPeers(append(entries(records), seeds...)) })
+	known := &knownEntries{process: p, table: table, records: records}
+	known.set(s)
+	records.Listen(func([]store.Event) { known.update() })
 	registration := &registration{table: table, key: workflow.EntryPrefix + p.ID, record: workflow.ProcessRecord{Address: p.Address, Zone: p.FailureDomain}}
 	in.OnConfig(host.SetConfig)
 	in.Begin()
@@ -74,6 +75,7 @@
 	debug.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { in.Counts.WriteText(w) })
 	return []kernel.Component{
 		network,
+		known,
 		&kernel.Loops{Label: "mirrors", Runs: []func(context.Context){conf.Run, records.Run, registration.run}},
 		&kernel.HTTPServer{Label: "debug", Address: p.DebugAddress, Handler: debug},
 		intake.NewServer(in, front, s.FrontAddress, s.ReadyAddress),
@@ -125,32 +127,6 @@
 	return transport.NewNetwork(p.Address, creds)
 }
 
-// peers returns the addresses that the seeds stand for.
-func (s *EntrySettings) peers(own string) []string {
-	var out []string
-	_, port, err := net.SplitHostPort(own)
-	if err != nil {
-		return nil // the address was validated
-	}
-	for _, seed := range s.Seeds {
-		if host, _, err := net.SplitHostPort(seed); err == nil {
-			out = append(out, net.JoinHostPort(host, port))
-		}
-	}
-	return out
-}
-
-// entries returns the addresses of the entries.
-func entries(records *mirror.Mirror) []string {
-	var out []string
-	records.Each(workflow.EntryPrefix, func(r store.Record) {
-		if e, err := workflow.Decode[workflow.ProcessRecord](r.Value); err == nil {
-			out = append(out, e.Address)
-		}
-	})
-	return out
-}
-
 // registration makes a process known to the others.
 type registration struct {
 	table  store.Table
