--- a/internal/workflow/engine/health.go
+++ b/internal/workflow/engine/health.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"math"
 	"time"
 
 	"snipegw/internal/workflow"
@@ -58,25 +59,30 @@
 }
 
 // estimates correct the callers' estimates of run times by queue.
-type estimates map[string]*ratio
+type estimates map[string]*correction
 
-type ratio struct {
-	mean float64 // exponentially weighted mean of actual by estimated time
-}
+// correction is the mean logarithm of the actual by the estimated time. Estimates
+// are wrong by factors, so that an arithmetic mean would be ruled by a few runs.
+type correction struct{ log float64 }
 
-const estimateWeight = 0.2
+const (
+	// estimateWeight is the weight of a run in the mean.
+	estimateWeight = 0.1
+	// maxCorrection bounds the logarithm that one run contributes: a factor of 4.
+	maxCorrection = 1.4
+)
 
 func (s estimates) observe(u *unit, took time.Duration) {
-	if u.spec().EstimateMS <= 0 {
+	if u.spec().EstimateMS <= 0 || took <= 0 {
 		return
 	}
-	x := took.Seconds() * 1000 / float64(u.spec().EstimateMS)
-	r := s[u.job.rec.Queue]
-	if r == nil {
-		s[u.job.rec.Queue] = &ratio{mean: x}
-		return
+	x := math.Log(took.Seconds() * 1000 / float64(u.spec().EstimateMS))
+	c := s[u.job.rec.Queue]
+	if c == nil {
+		c = new(correction)
+		s[u.job.rec.Queue] = c
 	}
-	r.mean += estimateWeight * (x - r.mean)
+	c.log += estimateWeight * (max(-maxCorrection, min(x, maxCorrection)) - c.log)
 }
 
 // duration returns the expected run time of a unit from its beginning.
@@ -86,8 +92,8 @@
 
 func (s estimates) ofStep(queue string, step *workflow.Step) time.Duration {
 	f := 1.0
-	if r := s[queue]; r != nil {
-		f = r.mean
+	if c := s[queue]; c != nil {
+		f = math.Exp(c.log)
 	}
 	return time.Duration(float64(step.EstimateMS) * f * float64(time.Millisecond))
 }
