Do not preempt while workers turn up, and value lost work by progress

Change: loss by progress; no preemption in the first two seconds of a term while known workers are missing.

--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -24,6 +24,9 @@
 	// reclaimShare divides the time in which a guaranteed job must have started
 	// into waiting, and stopping others after the wait was in vain.
 	reclaimShare = 2
+	// settleTime is the time in which the workers that are there have announced
+	// themselves to agents that have restarted.
+	settleTime = 2 * time.Second
 )
 
 // Placement is a decision to run a unit, with the reason in terms of its queue.
@@ -87,12 +90,29 @@
 		}
 		return on, nil
 	}
+	if e.settling(now) {
+		return on, nil
+	}
 	if by, stops := e.preempt(u, c, r, now); by != nil {
 		return by, stops
 	}
 	return on, nil
 }
 
+// settling reports whether workers may still turn up after a change of planner,
+// which make it needless to stop others.
+func (e *Engine) settling(now time.Time) bool {
+	if now.Sub(e.began) > settleTime {
+		return false
+	}
+	for _, w := range e.workers {
+		if w.key == "" || w.announced == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // latestStart is the time up to which a candidate can wait for room to become
 // free by itself.
 func (e *Engine) latestStart(c *candidate) time.Time {
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -99,7 +99,8 @@
 }
 
 // loss returns the work that stopping v would lose, in millicore-milliseconds
-// with an accelerator counted as acceleratorCores cores.
+// with an accelerator counted as acceleratorCores cores. A run that an earlier
+// planner started is as old as its progress says.
 func (e *Engine) loss(v *unit, now time.Time) int64 {
 	if v.stopping || v.done {
 		return 0
@@ -107,7 +108,7 @@
 	lost := time.Duration(0)
 	for _, m := range v.members {
 		if m.listed {
-			lost = max(lost, now.Sub(m.since))
+			lost = max(lost, now.Sub(m.since), time.Duration(m.percent/100*float64(e.estim.duration(v))))
 		}
 	}
 	if v.spec().Checkpoints {
