Count the time of a stop when deciding how long to wait before preempting

Cause: jobs of priority 0 waited up to the last moment and then lost the time that a worker takes to stop the other run.

--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -21,6 +21,9 @@
 	// lateFactor times a job's objective is the time after which its completion
 	// no longer helps the caller.
 	lateFactor = 3
+	// preemptLead is the time from the decision to stop a run until another runs in
+	// its place, beside the worker's own time to stop it.
+	preemptLead = 200 * time.Millisecond
 	// reclaimShare divides the time in which a guaranteed job must have started
 	// into waiting, and stopping others after the wait was in vain.
 	reclaimShare = 2
@@ -116,7 +119,7 @@
 // latestStart is the time up to which a candidate can wait for room to become
 // free by itself.
 func (e *Engine) latestStart(c *candidate) time.Time {
-	latest := c.urgency
+	latest := c.urgency.Add(-e.s.StopTimeout - preemptLead)
 	if c.tier > 0 {
 		latest = time.Time{}
 	}
