--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -61,6 +61,9 @@
 	for _, c := range e.candidates(now) {
 		for _, u := range c.units {
 			on := e.place(u, r)
+			if on != nil && e.keepsHeadroom(u, c, r, now) {
+				break // the next units of the job are as large
+			}
 			if on != nil {
 				starts = append(starts, e.start(u, on, c, now))
 				r.take(u, on)
--- a/internal/workflow/engine/notes.go
+++ b/internal/workflow/engine/notes.go
@@ -23,6 +23,8 @@
 	Percent  float64 // last progress seen
 	Reason   string  // of the stop, if there was one
 	Failed   int     // runs of the unit that failed before
+	Cores    int64   // that the run held, with its accelerators as acceleratorCores each
+	Saves    bool    // the run had a checkpoint to go on from
 }
 
 // JobNote is the end of a job.
@@ -43,7 +45,9 @@
 }
 
 func (e *Engine) noteEnd(m *member, how workflow.End, now time.Time) {
+	needs := m.unit.spec().Needs()
 	e.notes = append(e.notes, Note{Run: &RunNote{
+		Cores: needs.MilliCPU/1000 + acceleratorCores*needs.Accelerators, Saves: m.unit.spec().Checkpoints,
 		Item: m.unit.ref(m.index), Run: m.run, Worker: m.key, How: how, Took: now.Sub(m.since), Estimate: e.estim.duration(m.unit),
 		Percent: m.percent, Reason: m.unit.stopReason, Failed: m.unit.failed,
 	}})
--- a/internal/workflow/planner/log.go
+++ b/internal/workflow/planner/log.go
@@ -26,6 +26,7 @@
 			log.WithFields(log.Fields{
 				"event": "run_ended", "job": r.Item.Job, "item": r.Item.String(), "run": r.Run, "epoch": epoch, "worker": r.Worker, "how": r.How,
 				"took_ms": r.Took.Milliseconds(), "estimate_ms": r.Estimate.Milliseconds(), "percent": r.Percent, "failed_before": r.Failed, "stop_reason": r.Reason,
+				"cores": r.Cores, "saves": r.Saves,
 			}).Info("run ended")
 		}
 		if j := n.Job; j != nil {
