--- /dev/null
+++ b/internal/workflow/engine/load_test.go
@@ -0,0 +1,259 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"snipegw/internal/workflow"
+)
+
+// add hands in a job of one step and returns its id.
+func (w *world) add(queue, team string, step workflow.Step) string {
+	id := fmt.Sprintf("%016x", len(w.jobs)+1)
+	q := w.config.Queue(queue)
+	w.jobs[id] = &workflow.JobRecord{
+		Job: workflow.Job{Steps: []workflow.Step{step}}, Queue: queue, Team: team, AcceptedMS: w.now.UnixMilli(), Service: q.Service,
+		Priority: q.Priority, MaxAttempts: q.MaxAttempts, SlackFactor: q.SlackFactor, TargetMS: q.TargetMS,
+	}
+	w.planner.AddJob(id, w.jobs[id], nil, 0)
+	return id
+}
+
+func (w *world) play(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.tick()
+	}
+}
+
+// begun returns how many items of a job have been started, and when the last of
+// the first runs began.
+func (w *world) begun(id string) (n int, last time.Time) {
+	step := w.jobs[id].Steps[0]
+	for i := range step.Count {
+		if runs := w.starts[workflow.Ref{Job: id, Index: i}.String()]; len(runs) > 0 {
+			n++
+			if runs[0].began.After(last) {
+				last = runs[0].began
+			}
+		}
+	}
+	return n, last
+}
+
+func (w *world) runs(id string, index int) []*modelRun {
+	return w.starts[workflow.Ref{Job: id, Index: index}.String()]
+}
+
+func step(count int, accelerators, ms int64) workflow.Step {
+	return workflow.Step{Count: count, MilliCPU: 2000, MemoryMB: 8000, Accelerators: accelerators, EstimateMS: ms}
+}
+
+func gang(count int, accelerators, ms int64) workflow.Step {
+	s := step(count, accelerators, ms)
+	s.Gang = true
+	return s
+}
+
+// Pattern: other teams fill the pool, then a team claims its guarantee. All items
+// must begin within the reclaim bound, whatever runs and however it lies.
+func TestGuaranteeIsReclaimedFromAFullPool(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), 6, 0)
+		w.play(2500 * time.Millisecond) // past the settling of the term
+		for range 30 {
+			w.add([]string{"large", "small"}[w.rng.IntN(2)], "b", step(1+w.rng.IntN(6), 1<<w.rng.IntN(4), 4000+w.rng.Int64N(4000)))
+		}
+		w.play(time.Duration(w.rng.IntN(3000)) * time.Millisecond)
+		accelerators := int64(1) << w.rng.IntN(4)
+		count := int(16 / accelerators)
+		claim := step(1+w.rng.IntN(count), accelerators, 1000+w.rng.Int64N(2000))
+		claim.Gang = w.chance(0.5)
+		accepted := w.now
+		id := w.add("urgent", "a", claim)
+		w.play(2700 * time.Millisecond)
+		if n, last := w.begun(id); n < claim.Count {
+			t.Fatalf("%d of %d items have begun, the last after %v", n, claim.Count, last.Sub(accepted))
+		}
+		if len(w.faults) > 0 {
+			t.Fatal(w.faults)
+		}
+	})
+}
+
+// Pattern: an urgent job finds the pool full of work that is about to end. It
+// must wait rather than throw that work away.
+func TestUrgentJobWaitsForWorkThatIsAboutToEnd(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(1, 2, 0)
+	w.play(2500 * time.Millisecond)
+	for _, m := range w.workers {
+		m.capacity.Accelerators = 8
+	}
+	long := w.add("urgent", "b", step(2, 8, 2000))
+	w.play(1700 * time.Millisecond)
+	for i := range 2 {
+		w.runs(long, i)[0].doneAt = w.now.Add(300 * time.Millisecond)
+	}
+	w.planner.estim = make(estimates)
+	urgent := w.add("urgent", "a", step(1, 8, 4000))
+	w.play(1200 * time.Millisecond)
+	g.Expect(w.runs(long, 0)).To(HaveLen(1))
+	g.Expect(w.runs(long, 1)).To(HaveLen(1))
+	n, _ := w.begun(urgent)
+	g.Expect(n).To(Equal(1))
+}
+
+// Pattern: a stream of small items beside a large gang. Each small item that
+// fits would push the gang back for ever; the gang's room must be kept.
+func TestLargeGangIsNotStarvedBySmallItems(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(3, 3, 0)
+	w.play(2500 * time.Millisecond)
+	for range 12 {
+		w.add("small", "b", step(2, 1, 3000))
+		w.play(100 * time.Millisecond)
+	}
+	large := w.add("large", "a", gang(2, 8, 4000))
+	for range 120 {
+		w.add("small", "b", step(1, 1, 3000))
+		w.play(100 * time.Millisecond)
+		if n, _ := w.begun(large); n == 2 {
+			break
+		}
+	}
+	n, last := w.begun(large)
+	g.Expect(n).To(Equal(2))
+	waited := last.Sub(time.UnixMilli(w.jobs[large].AcceptedMS))
+	g.Expect(waited).To(BeNumerically("<", 9*time.Second), "objective: three times 4 s and 1 s, less the 4 s of its run")
+}
+
+// Pattern: a burst of large jobs with time to spare, then urgent jobs. The burst
+// must leave room, so that the urgent jobs start at once and stop nobody.
+func TestBurstLeavesHeadroomForUrgentJobs(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(5, 6, 0)
+	w.play(2500 * time.Millisecond)
+	for range 30 {
+		w.add("large", "b", step(2, 2, 8000))
+	}
+	w.play(200 * time.Millisecond)
+	accepted := w.now
+	urgent := w.add("urgent", "b", step(2, 1, 1000))
+	w.play(200 * time.Millisecond)
+	n, last := w.begun(urgent)
+	g.Expect(n).To(Equal(2))
+	g.Expect(last.Sub(accepted)).To(BeNumerically("<", 150*time.Millisecond))
+	for id := range w.jobs {
+		for i := range w.jobs[id].Steps[0].Count {
+			g.Expect(len(w.runs(id, i))).To(BeNumerically("<=", 1))
+		}
+	}
+}
+
+// Pattern: one worker fails everything that it starts. It must be left out after
+// a few failures, and no job may lose all its attempts on it.
+func TestFailingWorkerIsLeftOut(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(7, 3, 0)
+	w.workers[0].faultyTil = w.now.Add(time.Hour)
+	w.play(2500 * time.Millisecond)
+	for range 40 {
+		w.add("large", "a", step(1, 4, 1000))
+		w.play(150 * time.Millisecond)
+	}
+	w.play(20 * time.Second)
+	failures := 0
+	for id := range w.jobs {
+		for _, r := range w.runs(id, 0) {
+			if r.how == workflow.EndFailed && r.worker == w.workers[0] {
+				failures++
+			}
+		}
+		g.Expect(w.progress[id].State).To(Equal(workflow.StateComplete), id)
+	}
+	g.Expect(failures).To(BeNumerically("<", 12), "of 40 jobs")
+}
+
+// Pattern: items stand still on a worker that answers. They must run again
+// elsewhere.
+func TestHangingItemsRunElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(9, 2, 0)
+	w.play(2500 * time.Millisecond)
+	id := w.add("large", "a", step(1, 8, 2000))
+	w.play(200 * time.Millisecond)
+	first := w.runs(id, 0)[0]
+	first.doneAt = w.now.Add(time.Hour)
+	w.play(8 * time.Second)
+	g.Expect(w.progress[id].State).To(Equal(workflow.StateComplete))
+	runs := w.runs(id, 0)
+	g.Expect(runs).To(HaveLen(2))
+	g.Expect(runs[1].worker).NotTo(Equal(first.worker))
+}
+
+// Pattern: a worker is taken away at short notice. What cannot end there must
+// move at once, and nothing new may start there.
+func TestDrainingWorkerIsEmptied(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(11, 2, 0)
+	w.play(2500 * time.Millisecond)
+	id := w.add("large", "a", step(1, 8, 6000))
+	w.play(500 * time.Millisecond)
+	first := w.runs(id, 0)[0]
+	first.worker.draining = true
+	drained := w.now
+	w.play(time.Second)
+	w.add("small", "b", step(6, 1, 500))
+	w.play(time.Second)
+	runs := w.runs(id, 0)
+	g.Expect(runs).To(HaveLen(2))
+	g.Expect(runs[1].began.Sub(drained)).To(BeNumerically("<", time.Second))
+	for _, all := range w.starts {
+		for _, r := range all {
+			if r.began.After(drained) {
+				g.Expect(r.worker).NotTo(Equal(first.worker))
+			}
+		}
+	}
+}
+
+// Pattern: callers' estimates are wrong by factors. A few runs that took very
+// long must not make all others look urgent.
+func TestEstimatesAreNotRuledByOutliers(t *testing.T) {
+	g := NewWithT(t)
+	s := make(estimates)
+	u := &unit{job: &job{rec: &workflow.JobRecord{Queue: "q", Job: workflow.Job{Steps: []workflow.Step{{Count: 1, EstimateMS: 1000}}}}}}
+	for i := range 40 {
+		took := time.Second
+		if i%10 == 0 {
+			took = 60 * time.Second
+		}
+		s.observe(u, took)
+	}
+	g.Expect(s.duration(u)).To(BeNumerically("~", time.Second, 500*time.Millisecond))
+}
+
+// Pattern: a change of planner on a full pool. Workers announce themselves one by
+// one to agents that restart with it; nobody may be stopped before they have.
+func TestNoPreemptionWhileWorkersTurnUp(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(13, 3, 0)
+	w.play(2500 * time.Millisecond)
+	low := w.add("small", "b", step(1, 8, 20_000))
+	w.play(200 * time.Millisecond)
+	busy := w.runs(low, 0)[0].worker
+	for _, m := range w.workers {
+		if m != busy {
+			m.cutUntil = w.now.Add(1500 * time.Millisecond)
+		}
+	}
+	w.takeover()
+	w.add("urgent", "a", step(1, 8, 1000))
+	w.play(3 * time.Second)
+	g.Expect(w.runs(low, 0)).To(HaveLen(1))
+	g.Expect(w.runs(low, 0)[0].how).To(BeEmpty())
+}
--- a/internal/workflow/engine/world_test.go
+++ b/internal/workflow/engine/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -170,6 +171,15 @@
 	}
 }
 
+// percent is the progress that a worker lists, in whole percent.
+func (r *modelRun) percent() float64 {
+	if r.waiting {
+		return 0
+	}
+	whole := r.doneAt.Sub(r.began).Seconds()
+	return math.Floor(min(100*r.worker.w.now.Sub(r.began).Seconds()/whole, 99))
+}
+
 func (w *world) members(r *modelRun) []*modelRun {
 	var out []*modelRun
 	for i := range w.jobs[r.ref.Job].Steps[r.ref.Step].Count {
@@ -311,7 +321,7 @@
 	m.seq++
 	lists := &workflow.WorkerLists{Instance: m.node, Born: m.born, ClockMS: m.clockMS(), Ended: append([]workflow.EndedItem(nil), m.ended...)}
 	for _, r := range m.running {
-		lists.Running = append(lists.Running, workflow.RunningItem{Ref: r.ref, Run: r.run})
+		lists.Running = append(lists.Running, workflow.RunningItem{Ref: r.ref, Run: r.run, Percent: r.percent()})
 	}
 	return &workflow.SyncReply{Version: uint64(m.seq), Lists: lists, Announced: &workflow.Announcement{
 		Instance: m.node, Born: m.born, Service: "s", Labels: []string{"a", m.rack}, Rack: m.rack, Capacity: m.capacity,
