--- a/docs/commands_test.go
+++ b/docs/commands_test.go
@@ -31,7 +31,7 @@
 // that no process exposes.
 func TestMetrics(t *testing.T) {
 	g := NewWithT(t)
-	code, page := sources(t), read(t, "operations.md")
+	code, page := sources(t), read(t, "OPERATIONS.md")
 	_, section, found := strings.Cut(page, "\n## Metrics\n")
 	g.Expect(found).To(BeTrue())
 	section, _, _ = strings.Cut(section, "\n## ")
@@ -45,6 +45,7 @@
 	sort.Strings(rows)
 	published := metricsIn(code, `expvar\.(?:NewMap|NewInt|NewFloat|NewString|Publish)\("(\w+)"`)
 	published = append(published, metricsIn(code, `"(\w+)": +func\(\) any`)...)
+	published = append(published, metricsIn(code, `Metrics\.(?:Count|Observe)\((?:[^"]*, )?"(\w+)"`)...)
 	sort.Strings(published)
 	g.Expect(rows).To(Equal(published))
 	g.Expect(counters["jobs"]).To(Equal(metricsIn(code, `metrics\.Add\("(\w+)"( *\+)?`)))
@@ -87,7 +88,7 @@
 
 // Guards against documented commands that the program refuses.
 func TestCommands(t *testing.T) {
-	for name, atLeast := range map[string]int{"../README.md": 7, "operations.md": 13} {
+	for name, atLeast := range map[string]int{"../README.md": 7, "OPERATIONS.md": 13} {
 		commands := commandsIn(t, read(t, name))
 		if len(commands) < atLeast {
 			t.Errorf("%s: only %d commands found: %q", name, len(commands), commands)
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -65,10 +65,14 @@
 	for i := range t.NumField() {
 		f := t.Field(i)
 		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		section := f.Type
+		if section.Kind() == reflect.Pointer {
+			section = section.Elem()
+		}
 		switch {
 		case name == "" || name == "-":
-		case f.Type.Kind() == reflect.Struct:
-			list = append(list, keys(f.Type, prefix+name+".")...)
+		case section.Kind() == reflect.Struct:
+			list = append(list, keys(section, prefix+name+".")...)
 		default:
 			list = append(list, prefix+name)
 		}
@@ -81,7 +85,7 @@
 // documented ones that a program refuses.
 func TestSettingsKeys(t *testing.T) {
 	g := NewWithT(t)
-	page := read(t, "operations.md")
+	page := read(t, "OPERATIONS.md")
 	g.Expect(tableOf(page, "### Settings of snipegw-entry")).To(Equal(keys(reflect.TypeFor[entry.Settings](), "")))
 	g.Expect(tableOf(page, "### Settings of snipegw-agent")).To(Equal(keys(reflect.TypeFor[agent.Settings](), "")))
 }
@@ -91,7 +95,7 @@
 func sources(t *testing.T) string {
 	t.Helper()
 	var all strings.Builder
-	for _, root := range []string{"../internal", "../cmd"} {
+	for _, root := range []string{"../internal", "../cmd", "../platform"} {
 		err := filepath.WalkDir(root, func(path string, d os.DirEntry, err error) error {
 			if err != nil {
 				return err
@@ -130,7 +134,29 @@
 		names = append(names, name)
 	}
 	sort.Strings(names)
-	NewWithT(t).Expect(tableOf(read(t, "operations.md"), "## Log events")).To(Equal(names))
+	NewWithT(t).Expect(tableOf(read(t, "OPERATIONS.md"), "## Log events")).To(Equal(names))
+}
+
+// Guards against lines of the page that the programs no longer write so: their
+// events and fields must stand in the code.
+func TestLogLinesOfThePage(t *testing.T) {
+	g := NewWithT(t)
+	code := sources(t)
+	lines := regexp.MustCompile(`(?m)^    time=\S+ (.*)$`).FindAllStringSubmatch(read(t, "OPERATIONS.md"), -1)
+	g.Expect(len(lines)).To(BeNumerically(">=", 9), "three lines for each of three kinds of failure")
+	for _, line := range lines {
+		for _, pair := range regexp.MustCompile(`(\w+)=("[^"]*"|\S+)`).FindAllStringSubmatch(line[1], -1) {
+			key, value := pair[1], pair[2]
+			switch key {
+			case "time", "level", "program", "message":
+			case "event":
+				computed := strings.HasPrefix(value, "job_") || strings.HasPrefix(value, "item_")
+				g.Expect(computed || strings.Contains(code, `"`+value+`"`)).To(BeTrue(), "event %s", value)
+			default:
+				g.Expect(code).To(ContainSubstring(`"`+key+`"`), "field %s of %s", key, line[1])
+			}
+		}
+	}
 }
 
 // Guards against a reference to a result code that does not exist.
@@ -140,7 +166,7 @@
 		names[info.Name] = true
 	}
 	pattern := regexp.MustCompile("code `([a-z_]+)`")
-	for _, page := range []string{"operations.md", "glossary.md", "design.md"} {
+	for _, page := range []string{"OPERATIONS.md", "glossary.md", "design.md"} {
 		for _, m := range pattern.FindAllStringSubmatch(read(t, page), -1) {
 			if !names[m[1]] {
 				t.Errorf("%s names the unknown code %s", page, m[1])
@@ -152,7 +178,7 @@
 // Guards against a failure effect of the design without instructions.
 func TestFailureSections(t *testing.T) {
 	g := NewWithT(t)
-	page := read(t, "operations.md")
+	page := read(t, "OPERATIONS.md")
 	for _, failure := range []string{"entry", "planner", "agent", "worker host", "backend server", "store", "link between entries", "failure domain", "network partition between regions"} {
 		_, rest, found := strings.Cut(page, "### Failure: "+failure+"\n")
 		g.Expect(found).To(BeTrue(), failure)
--- a/internal/workflow/daemon/daemon.go
+++ b/internal/workflow/daemon/daemon.go
@@ -72,7 +72,7 @@
 	dumper.Add("config", func() any { return in.Config() })
 	debug := http.NewServeMux()
 	dumper.Handle(debug, in.Ready)
-	debug.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { in.Counts.WriteText(w) })
+	debug.Handle("GET /metrics", &kernel.Metrics)
 	return []kernel.Component{
 		network,
 		known,
--- a/internal/workflow/intake/intake.go
+++ b/internal/workflow/intake/intake.go
@@ -54,7 +54,6 @@
 	progress sync.Map     // id -> *workflow.Progress
 	stopping atomic.Bool
 	onConfig []func(*workflow.Config)
-	Counts   Counters
 }
 
 // New returns an Intake. Conf mirrors the operators' prefix, records the
@@ -282,7 +281,8 @@
 }
 
 func (in *Intake) logWrite(operation, id string, code result.Code, attempts int, begin time.Time, err error) {
-	in.Counts.add(operation, code, time.Since(begin))
+	kernel.Metrics.Count("snipegw_caller_operations_total", "operation", operation, "code", code.String())
+	kernel.Metrics.Observe(time.Since(begin), "snipegw_caller_operation_seconds", "operation", operation)
 	e := log.WithFields(log.Fields{
 		"event": "job_" + operation, "job": id, "code": int(code), "attempts": attempts,
 		"took_ms": time.Since(begin).Milliseconds(), "config_version": in.configVersion(), "mirror_age_ms": in.records.Age().Milliseconds(),
--- a/internal/workflow/planner/log.go
+++ b/internal/workflow/planner/log.go
@@ -5,11 +5,16 @@
 
 	"github.com/apex/log"
 
+	"snipegw/internal/kernel"
 	"snipegw/internal/workflow/engine"
 )
 
 func logDecisions(epoch uint64, starts []engine.Placement, stops []engine.StopDecision) {
 	for _, s := range starts {
+		kernel.Metrics.Count("snipegw_runs_decided_total", "class", s.Class)
+		if s.Run == 1 {
+			kernel.Metrics.Observe(s.Waited, "snipegw_first_start_seconds", "class", s.Class)
+		}
 		log.WithFields(log.Fields{
 			"event": "placed", "job": s.Unit.Job, "unit": s.Unit.String(), "items": s.Count, "run": s.Run, "epoch": epoch,
 			"workers": strings.Join(s.Workers, ","), "class": s.Class, "since_accepted_ms": s.Waited.Milliseconds(),
@@ -23,6 +28,7 @@
 func logNotes(epoch uint64, notes []engine.Note) {
 	for _, n := range notes {
 		if r := n.Run; r != nil {
+			kernel.Metrics.Count("snipegw_runs_ended_total", "how", string(r.How))
 			log.WithFields(log.Fields{
 				"event": "run_ended", "job": r.Item.Job, "item": r.Item.String(), "run": r.Run, "epoch": epoch, "worker": r.Worker, "how": r.How,
 				"took_ms": r.Took.Milliseconds(), "estimate_ms": r.Estimate.Milliseconds(), "percent": r.Percent, "failed_before": r.Failed, "stop_reason": r.Reason,
@@ -30,6 +36,8 @@
 			}).Info("run ended")
 		}
 		if j := n.Job; j != nil {
+			kernel.Metrics.Count("snipegw_jobs_ended_total", "state", string(j.State))
+			kernel.Metrics.Observe(j.Took, "snipegw_job_seconds", "state", string(j.State))
 			log.WithFields(log.Fields{
 				"event": "job_ended", "job": j.ID, "queue": j.Queue, "team": j.Team, "state": j.State, "epoch": epoch,
 				"took_ms": j.Took.Milliseconds(), "objective_ms": j.Objective.Milliseconds(),
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"snipegw/internal/kernel"
 	"snipegw/internal/result"
 	"snipegw/internal/store"
 	"snipegw/internal/transport"
@@ -241,6 +242,7 @@
 	h.term, h.pending = t, nil
 	h.mu.Unlock()
 	log.WithFields(log.Fields{"event": "planner_term", "epoch": epoch, "lease": lease}).Info("this entry plans")
+	kernel.Metrics.Count("snipegw_planner_terms_total")
 	stop := make(chan struct{})
 	go func() {
 		select {
--- a/internal/workflow/relay/relay.go
+++ b/internal/workflow/relay/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/apex/log"
 
+	"snipegw/internal/kernel"
 	"snipegw/internal/result"
 	"snipegw/internal/store"
 	"snipegw/internal/transport"
@@ -42,6 +43,10 @@
 	opRevoke
 )
 
+var operations = map[int]string{
+	opLookup: "lookup", opList: "list", opChanges: "watch", opCommit: "commit", opGrant: "grant", opRenew: "renew", opRevoke: "revoke",
+}
+
 // Request is an operation on the store on behalf of another entry.
 type Request struct {
 	Op     int           `cbor:"1,keyasint"`
@@ -215,7 +220,12 @@
 	ctx, cancel := context.WithTimeout(ctx, directFor+waitOf(q))
 	defer cancel()
 	reply := new(Reply)
+	begin := time.Now()
 	err := perform(ctx, t.direct, q, reply)
+	kernel.Metrics.Count("snipegw_store_calls_total", "operation", operations[q.Op], "code", result.CodeOf(err).String())
+	if q.Op != opChanges {
+		kernel.Metrics.Observe(time.Since(begin), "snipegw_store_call_seconds", "operation", operations[q.Op])
+	}
 	if decided(err) {
 		t.suspect.Store(0)
 		t.outage.Store(0)
--- a/internal/workflow/runner/order.go
+++ b/internal/workflow/runner/order.go
@@ -51,20 +51,20 @@
 			reply.Stops[i] = r.repeat(ctx, func(ctx context.Context) (workflow.OrderOutcome, error) {
 				return r.api.Stop(ctx, q.Instance, q.Epoch, o)
 			})
-			logOrder("item_stop", q, o.Ref, o.Run, reply.Stops[i])
+			logOrder("stop", q, o.Ref, o.Run, reply.Stops[i])
 		})
 	}
 	for i, o := range q.Starts {
 		if draining {
 			reply.Starts[i] = workflow.OrderOutcome{Verdict: workflow.VerdictRefused, Reason: workflow.ReasonDraining}
-			logOrder("item_start", q, o.Ref, o.Run, reply.Starts[i])
+			logOrder("start", q, o.Ref, o.Run, reply.Starts[i])
 			continue
 		}
 		run(func() {
 			reply.Starts[i] = r.repeat(ctx, func(ctx context.Context) (workflow.OrderOutcome, error) {
 				return r.api.Start(ctx, q.Instance, q.Epoch, o)
 			})
-			logOrder("item_start", q, o.Ref, o.Run, reply.Starts[i])
+			logOrder("start", q, o.Ref, o.Run, reply.Starts[i])
 		})
 	}
 	wg.Wait()
@@ -100,9 +100,9 @@
 	}
 }
 
-func logOrder(event string, q *workflow.OrderRequest, ref workflow.Ref, run int, out workflow.OrderOutcome) {
+func logOrder(operation string, q *workflow.OrderRequest, ref workflow.Ref, run int, out workflow.OrderOutcome) {
 	log.WithFields(log.Fields{
-		"event": event, "job": ref.Job, "item": ref.String(), "run": run, "epoch": q.Epoch, "worker": q.Instance,
+		"event": "item_" + operation, "job": ref.Job, "item": ref.String(), "run": run, "epoch": q.Epoch, "worker": q.Instance,
 		"verdict": out.Verdict, "reason": out.Reason, "worker_clock_ms": out.ClockMS,
 	}).Info("order carried out")
 }
