Add a fault soak of the real programs, and do not take silence for a lack of progress

Change: progress is compared with the time of the agent's latest report. Test: TestSilentAgentsRunsDoNotHang fails without the change. The soak runs entries and agents as processes, with signals, cuts, and faults of store and workers that overlap; callers ask again as real ones do. make run shows a job of two steps and a gang.

--- a/cmd/snipegw-entry/main.go
+++ b/cmd/snipegw-entry/main.go
@@ -64,7 +64,7 @@
 		return entry.Assemble(s, planner.CheckGuarantees)
 	}
 	return daemon.AssembleEntry(daemon.Process{
-		ID: s.ID, FailureDomain: s.FailureDomain, Address: s.AdvertiseAddress, DebugAddress: s.HTTPAddress, Security: s.Security,
+		ID: s.ID, FailureDomain: s.FailureDomain, Listen: s.Address, Address: s.AdvertiseAddress, DebugAddress: s.HTTPAddress, Security: s.Security,
 		Reload: func() (daemon.EntrySettings, error) {
 			var fresh entry.Settings
 			if err := kernel.LoadSettings(file, &fresh); err != nil {
--- a/cmd/snipegw-proof/main.go
+++ b/cmd/snipegw-proof/main.go
@@ -27,6 +27,7 @@
 	Verbose bool   `long:"verbose" description:"print the steps of the proofs"`
 	Example string `long:"examples" description:"directory with the settings files for --demo; none generates settings on free ports"`
 	Demo    bool   `long:"demo" description:"run the demonstration of make run instead of the proofs"`
+	Soak    int    `long:"soak" value-name:"SECONDS" description:"run random faults against workflows for this time instead of the proofs"`
 	Stay    bool   `long:"stay" description:"start the processes of the demonstration and keep them until interrupted"`
 }
 
@@ -58,6 +59,13 @@
 	switch {
 	case o.Stay:
 		ok = proof.Stay(ctx, env, os.Stdout)
+	case o.Soak > 0:
+		err := proof.Soak(ctx, env, time.Duration(o.Soak)*time.Second)
+		ok = err == nil
+		fmt.Printf("soak seed=%d seconds=%d %s\n", o.Seed, o.Soak, map[bool]string{true: "pass", false: "fail"}[ok])
+		if err != nil {
+			fmt.Println(err)
+		}
 	case o.Demo:
 		ok = proof.Demo(ctx, env, o.Example, os.Stdout)
 	default:
--- a/internal/proof/demo.go
+++ b/internal/proof/demo.go
@@ -48,6 +48,12 @@
 		}
 		fmt.Fprintf(out, "%s: %s\n", s.name, text)
 	}
+	text, err := demoWorkflows(ctx, e)
+	if err != nil {
+		ok = false
+		text = "FAILED: " + err.Error()
+	}
+	fmt.Fprintf(out, "workflows: %s\n", text)
 	took, err := c.Stop(StopLimit)
 	fmt.Fprintf(out, "stopped with SIGTERM, longest stop %s\n", took.Round(10*time.Millisecond))
 	if err != nil {
--- /dev/null
+++ b/internal/proof/workflow.go
@@ -0,0 +1,274 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"snipegw/internal/standin/platformstore"
+	"snipegw/internal/standin/platformworker"
+)
+
+const (
+	workflowHost    = "queue.example"
+	workflowToken   = "workflow-token"
+	workflowService = "service"
+	workflowLimit   = 30 * time.Second
+	callerLimit     = 3 * time.Second
+)
+
+// WorkflowNode is an entry or an agent of a WorkflowCluster.
+type WorkflowNode struct {
+	*Process
+	Front string // of an entry
+	gate  *platformstore.Gate
+	relay *udpRelay // in front of its address for other processes
+	cut   atomic.Bool
+}
+
+// WorkflowCluster is a system that serves workflows: entries and agents as
+// processes, the platform's store and workers as stand-ins in this program.
+type WorkflowCluster struct {
+	Store   *platformstore.Store
+	Pool    *platformworker.Pool
+	Workers []*platformworker.Worker
+	Entries []*WorkflowNode
+	Agents  []*WorkflowNode
+	bin     string
+	dir     string
+	cancel  context.CancelFunc
+}
+
+// LaunchWorkflows starts a cluster and waits until its entries are ready.
+func LaunchWorkflows(ctx context.Context, bin, dir string, entries, workers int) (*WorkflowCluster, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	c := &WorkflowCluster{Store: platformstore.New(), Pool: platformworker.NewPool(), bin: bin, dir: dir, cancel: cancel}
+	document, err := json.Marshal(map[string]any{
+		"version": 1,
+		"routes": []any{
+			map[string]any{"name": "urgent", "hostname": workflowHost, "pathPrefix": "/urgent/", "backend": workflowService, "maxAttempts": 3, "slackFactor": 1.5, "targetLatencyMs": 250},
+			map[string]any{"name": "batch", "hostname": workflowHost, "pathPrefix": "/batch/", "backend": workflowService, "priority": 1, "maxAttempts": 3, "slackFactor": 3, "targetLatencyMs": 1000},
+		},
+		"services": []any{map[string]any{"name": workflowService}},
+		"tenants":  []any{map[string]any{"name": "team", "apiKeys": []string{workflowToken}, "guaranteed": map[string]int{"gpus": 8}}},
+	})
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	c.Store.Put("op/config", document)
+	for i := range entries {
+		err = firstError(err, c.addEntry(fmt.Sprintf("entry-%d", i+1)))
+	}
+	for i := range workers {
+		err = firstError(err, c.addWorker(ctx, fmt.Sprintf("worker-%d", i+1)))
+	}
+	if err != nil {
+		c.Kill()
+		return nil, err
+	}
+	return c, nil
+}
+
+func firstError(a, b error) error {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
+// addresses returns n free addresses.
+func addresses(n int) ([]string, error) {
+	out := make([]string, n)
+	for i := range out {
+		var err error
+		if out[i], err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+// open gives a node its own way to the store and a relay before its address.
+func (c *WorkflowCluster) open(n *WorkflowNode, listen, advertise string) error {
+	var err error
+	if n.gate, err = c.Store.Gate(); err != nil {
+		return err
+	}
+	n.relay, err = newUDPRelay(advertise, listen, func(int) bool { return n.cut.Load() })
+	return err
+}
+
+func (c *WorkflowCluster) store(n *WorkflowNode) map[string]any {
+	return map[string]any{"type": "platform", "addresses": []string{n.gate.Addr()}, "timeout_ms": 600}
+}
+
+func (c *WorkflowCluster) addEntry(id string) error {
+	a, err := addresses(5)
+	if err != nil {
+		return err
+	}
+	n := &WorkflowNode{Front: a[0]}
+	if err := c.open(n, a[3], a[4]); err != nil {
+		return err
+	}
+	file, err := writeJSON(c.dir, id+".json", map[string]any{
+		"id": id, "region": "r", "failure_domain": "d", "address": a[3], "advertise_address": a[4], "http_address": a[2],
+		"security": map[string]string{"mode": "development"},
+		"workflow": map[string]any{"front_address": a[0], "ready_address": a[1], "front": "platform", "config_format": "platform", "store": c.store(n)},
+	})
+	if err != nil {
+		return err
+	}
+	n.Process = newProcess(c.dir, c.bin, "snipegw-entry", id, "--settings", file)
+	c.Entries = append(c.Entries, n)
+	if err := n.Start(); err != nil {
+		return err
+	}
+	return awaitHTTP("http://"+a[1]+"/api/readyz", workflowLimit)
+}
+
+func (c *WorkflowCluster) addWorker(ctx context.Context, id string) error {
+	a, err := addresses(3)
+	if err != nil {
+		return err
+	}
+	w, err := c.Pool.Add(id, "rack-1", workflowService)
+	if err != nil {
+		return err
+	}
+	n := new(WorkflowNode)
+	if err := c.open(n, a[1], a[2]); err != nil {
+		return err
+	}
+	file, err := writeJSON(c.dir, id+".json", map[string]any{
+		"region": "r", "failure_domain": "d", "address": a[1], "advertise_address": a[2], "security": map[string]string{"mode": "development"},
+		"workflow": map[string]any{
+			"node": id, "control_address": a[0], "announcements": "platform", "store": c.store(n),
+			"worker": map[string]string{"type": "platform", "address": w.Addr()},
+		},
+	})
+	if err != nil {
+		return err
+	}
+	n.Process = newProcess(c.dir, c.bin, "snipegw-agent", id, "--settings", file)
+	c.Workers, c.Agents = append(c.Workers, w), append(c.Agents, n)
+	go w.Announce(ctx, a[0])
+	return n.Start()
+}
+
+func (c *WorkflowCluster) nodes() []*WorkflowNode {
+	return append(append([]*WorkflowNode{}, c.Entries...), c.Agents...)
+}
+
+// Kill ends all processes and stand-ins.
+func (c *WorkflowCluster) Kill() {
+	c.cancel()
+	for _, n := range c.nodes() {
+		if n.Process != nil {
+			n.Thaw()
+			n.Process.Kill()
+		}
+		if n.relay != nil {
+			n.relay.close()
+		}
+		if n.gate != nil {
+			_ = n.gate.Close()
+		}
+	}
+	for _, w := range c.Workers {
+		_ = w.Close()
+	}
+}
+
+// WorkflowSteps returns the body of a job whose steps follow each other, each of
+// count items with one accelerator.
+func WorkflowSteps(p platformworker.Payload, counts ...int) []byte {
+	var steps []any
+	for i, count := range counts {
+		step := map[string]any{"count": count, "cpu": 1000, "gpus": p.GPUs, "estimatedMs": p.MS, "gang": p.Gang > 1}
+		if i > 0 {
+			step["after"] = []int{i - 1}
+		}
+		steps = append(steps, step)
+	}
+	spec, _ := json.Marshal(p) // numbers and flags only
+	body, _ := json.Marshal(map[string]any{"spec": string(spec), "steps": steps})
+	return body
+}
+
+var workflowClient = &http.Client{Timeout: callerLimit + time.Second}
+
+// Call makes one call as a caller does. Status 0 means that no answer came.
+func (c *WorkflowCluster) Call(e *WorkflowNode, method, path string, body []byte) (status int, answer []byte) {
+	req, err := http.NewRequest(method, "http://"+e.Front+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	req.Host = workflowHost
+	req.Header.Set("Authorization", "Token "+workflowToken)
+	req.Header.Set("Deadline-Ms", fmt.Sprint(callerLimit.Milliseconds()))
+	resp, err := workflowClient.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	if answer, err = io.ReadAll(resp.Body); err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, answer
+}
+
+// State returns the state of a job as an entry shows it, empty if it does not.
+func (c *WorkflowCluster) State(e *WorkflowNode, path string) (status int, state string) {
+	status, body := c.Call(e, http.MethodGet, path, nil)
+	var r struct{ State string }
+	if status != http.StatusOK || json.Unmarshal(body, &r) != nil {
+		return status, ""
+	}
+	return status, r.State
+}
+
+// demoWorkflows runs a job of two steps and a gang through the platform's
+// interfaces.
+func demoWorkflows(ctx context.Context, e Env) (string, error) {
+	c, err := LaunchWorkflows(ctx, e.Bin, e.Dir, 2, 2)
+	if err != nil {
+		return "", err
+	}
+	defer c.Kill()
+	jobs := []struct {
+		path string
+		body []byte
+	}{
+		{"/batch/00000000000000a1", WorkflowSteps(platformworker.Payload{MS: 200, GPUs: 1}, 3, 2)},
+		{"/urgent/00000000000000a2", WorkflowSteps(platformworker.Payload{MS: 200, GPUs: 8, Gang: 2}, 2)},
+	}
+	began := time.Now()
+	for i, j := range jobs {
+		if status, body := c.Call(c.Entries[i], http.MethodPost, j.path, j.body); status != http.StatusOK {
+			return "", fmt.Errorf("%s: status %d: %s", j.path, status, body)
+		}
+	}
+	for _, j := range jobs {
+		for {
+			_, state := c.State(c.Entries[0], j.path)
+			if state == "complete" {
+				break
+			}
+			if state == "failed" || time.Since(began) > workflowLimit {
+				return "", fmt.Errorf("%s is %q after %v", j.path, state, time.Since(began))
+			}
+			sleep(ctx, 20*time.Millisecond)
+		}
+	}
+	if faults := c.Pool.Faults(); len(faults) > 0 {
+		return "", fmt.Errorf("%v", faults)
+	}
+	return fmt.Sprintf("a job of two steps and a gang of 2 x 8 accelerators are complete after %s", time.Since(began).Round(10*time.Millisecond)), nil
+}
--- a/internal/workflow/daemon/daemon.go
+++ b/internal/workflow/daemon/daemon.go
@@ -24,7 +24,9 @@
 type Process struct {
 	ID            string
 	FailureDomain string
-	// Address is where other processes reach this one.
+	// Listen is the address on which other processes are served, Address the one
+	// under which they reach it.
+	Listen  string
 	Address string
 	// DebugAddress serves the dump and the metrics.
 	DebugAddress string
@@ -124,7 +126,7 @@
 	if p.Security.Mode == transport.ModeDevelopment {
 		log.WithField("event", "development_mode").Warn("connections between processes use a key that is no secret")
 	}
-	return transport.NewNetwork(p.Address, creds)
+	return transport.NewNetwork(p.Listen, creds)
 }
 
 // registration makes a process known to the others.
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -322,7 +322,8 @@
 	return stops
 }
 
-// stopHanging stops runs that make no progress.
+// stopHanging stops runs that make no progress. The silence of an agent is not
+// taken for a lack of progress.
 func (e *Engine) stopHanging(now time.Time, stops []StopDecision) []StopDecision {
 	for _, node := range sortedKeys(e.workers) {
 		w := e.workers[node]
@@ -331,7 +332,7 @@
 		}
 		for _, m := range w.members {
 			u := m.unit
-			if u.stopping || u.done || !m.listed || u.spec().LongRunning || now.Sub(m.percentAt) < e.hangLimit(u) {
+			if u.stopping || u.done || !m.listed || u.spec().LongRunning || w.seen.Sub(m.percentAt) < e.hangLimit(u) {
 				continue
 			}
 			u.stop("no progress")
--- a/internal/workflow/engine/load_test.go
+++ b/internal/workflow/engine/load_test.go
@@ -257,3 +257,20 @@
 	g.Expect(w.runs(low, 0)).To(HaveLen(1))
 	g.Expect(w.runs(low, 0)[0].how).To(BeEmpty())
 }
+
+// Pattern: an agent is silent for some seconds. Its reports stand still, its runs
+// do not, and must not be stopped when it returns.
+func TestSilentAgentsRunsDoNotHang(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(15, 1, 0)
+	w.play(2500 * time.Millisecond)
+	id := w.add("large", "a", step(1, 8, 5000))
+	w.play(1200 * time.Millisecond)
+	wk := w.planner.workers["n0"]
+	wk.members[0].percentAt, wk.seen = w.now.Add(-3100*time.Millisecond), w.now.Add(-2400*time.Millisecond)
+	_, stops := w.planner.Decide(w.now)
+	g.Expect(stops).To(BeEmpty())
+	w.play(15 * time.Second)
+	g.Expect(w.runs(id, 0)).To(HaveLen(1))
+	g.Expect(w.progress[id].State).To(Equal(workflow.StateComplete))
+}
