--- a/internal/proof/soak.go
+++ b/internal/proof/soak.go
@@ -154,11 +154,13 @@
 	down := []string{platformstore.DownBusy, platformstore.DownMany, platformstore.DownReset, platformstore.DownSilent}
 	switch kind {
 	case 0, 1:
+		n.kills.Add(1)
 		n.Process.Kill()
 		time.Sleep(d / 8)
 		s.restart(n)
 	case 2:
-		if _, err := n.Terminate(20 * time.Second); err != nil {
+		kills := n.kills.Load()
+		if _, err := n.Terminate(20 * time.Second); err != nil && n.kills.Load() == kills {
 			s.note("stop of %s: %v", n.Name, err)
 		}
 		s.restart(n)
--- a/internal/proof/soak_test.go
+++ b/internal/proof/soak_test.go
@@ -17,6 +17,7 @@
 }{
 	{1, "the check took an end that was never acknowledged, on a worker whose lease had lapsed, for one that counts; and runs of a silent agent were stopped for lack of progress"},
 	{2, ""},
+	{112, "the check took a stop that another fault cut short by SIGKILL for a failed stop"},
 }
 
 const soakInCI = 5 * time.Second
--- a/internal/proof/workflow.go
+++ b/internal/proof/workflow.go
@@ -29,6 +29,7 @@
 	gate  *platformstore.Gate
 	relay *udpRelay // in front of its address for other processes
 	cut   atomic.Bool
+	kills atomic.Int64 // by the soak
 }
 
 // WorkflowCluster is a system that serves workflows: entries and agents as
--- a/internal/workflow/intake/intake.go
+++ b/internal/workflow/intake/intake.go
@@ -23,7 +23,14 @@
 	// refuseAfter is the time for which an acceptance is attempted while the
 	// store says that nothing was done. Most refusals are over by then, and a
 	// caller can ask another entry in time.
-	refuseAfter = 400 * time.Millisecond
+	refuseAfter = 200 * time.Millisecond
+	// openFor is the time for which a write whose outcome is open is repeated. It
+	// covers a store that answers in a quarter of a second, and leaves the caller
+	// time to ask again: the same id finds out what became of the write.
+	openFor = 1200 * time.Millisecond
+	// unreachableAfter is the age of the store's latest answer, by any way, from
+	// which writes are refused at once. A healthy watch answers each second.
+	unreachableAfter = 1800 * time.Millisecond
 	// answerReserve is kept of the caller's time limit to deliver the answer.
 	answerReserve = 150 * time.Millisecond
 	attemptPause  = 40 * time.Millisecond
@@ -231,8 +238,9 @@
 	return n
 }
 
-// write commits t, which creates one key. It repeats attempts whose outcome is
-// not known until the caller's time is over; a key that exists is a success.
+// write commits t, which creates one key; a key that exists is a success. It
+// repeats attempts that failed or whose outcome is open for a while, within the
+// caller's time.
 func (in *Intake) write(ctx context.Context, operation, id string, t store.Txn) error {
 	begin := time.Now()
 	if deadline, ok := ctx.Deadline(); ok {
@@ -240,6 +248,13 @@
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-answerReserve))
 		defer cancel()
 	}
+	ctx, cancel := context.WithTimeout(ctx, openFor)
+	defer cancel()
+	if age := min(in.records.Age(), in.conf.Age()); age > unreachableAfter {
+		err := result.Errorf(result.StoreUnavailable, "the platform's store has not answered for %d ms", age.Milliseconds())
+		in.logWrite(operation, id, result.StoreUnavailable, 0, begin, err)
+		return err
+	}
 	open := false
 	for attempt := 1; ; attempt++ {
 		out, err := in.table.Commit(ctx, t)
@@ -249,8 +264,11 @@
 			return nil
 		}
 		open = open || result.CodeOf(err) != result.StoreUnavailable
-		expired := ctx.Err() != nil
-		if !expired && (open || time.Since(begin) < refuseAfter) {
+		limit := refuseAfter
+		if open {
+			limit = openFor
+		}
+		if ctx.Err() == nil && time.Since(begin) < limit {
 			select {
 			case <-time.After(attemptPause):
 				continue
--- a/internal/workflow/relay/relay.go
+++ b/internal/workflow/relay/relay.go
@@ -32,6 +32,10 @@
 	outageFor = 250 * time.Millisecond
 )
 
+// errOutage stands for attempts that were left out, because all ways failed just
+// before.
+var errOutage = errors.New("all ways failed just before")
+
 // Operations of a Request.
 const (
 	opLookup = iota + 1
@@ -213,6 +217,9 @@
 	if open {
 		code = result.OutcomeUnknown
 	}
+	if err == nil {
+		err = errOutage
+	}
 	return nil, result.Errorf(code, "no way to the store: %w", err)
 }
 
@@ -248,7 +255,7 @@
 	err := error(result.Errorf(result.StoreUnavailable, "no other entry is known"))
 	for _, address := range t.Peers() {
 		if ctx.Err() != nil {
-			break
+			return nil, result.Errorf(result.StoreUnavailable, "entry %s: not called: %w", address, ctx.Err())
 		}
 		reply := new(Reply)
 		if err = t.byPeer(ctx, address, q, reply); err == nil {
