Remove the records of jobs that ended long ago

Cause: records of ended jobs stayed in the store for ever. Change: the planner deletes job, cancellation and progress together, under the progress record's revision, once the job ended longer ago than keep_ended_ms and nothing of it is left on a worker. Test: TestEndedJobsAreForgotten.

--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -256,10 +256,8 @@
 		e.finish(j, workflow.StateComplete, now)
 		return
 	}
-	for _, u := range j.units {
-		if u.active() {
-			return
-		}
+	if j.active() {
+		return
 	}
 	switch {
 	case j.cancelled:
--- a/internal/workflow/engine/progress.go
+++ b/internal/workflow/engine/progress.go
@@ -67,6 +67,25 @@
 	}
 }
 
+// Outdated returns jobs that ended longer than keep ago, with nothing left on any
+// worker, and the revision of their progress records; at most limit.
+func (e *Engine) Outdated(now time.Time, keep time.Duration, limit int) map[string]uint64 {
+	out := make(map[string]uint64)
+	for id, j := range e.jobs {
+		if len(out) == limit {
+			break
+		}
+		if j.state.Terminal() && j.revision > 0 && now.Sub(time.UnixMilli(j.endedMS)) > keep && e.dirty[id] == nil && !j.active() {
+			out[id] = j.revision
+		}
+	}
+	return out
+}
+
+func (j *job) active() bool {
+	return slices.ContainsFunc(j.units, (*unit).active)
+}
+
 func (j *job) hasUnordered() bool {
 	for _, u := range j.units {
 		for _, m := range u.members {
--- a/internal/workflow/planner/commit.go
+++ b/internal/workflow/planner/commit.go
@@ -20,6 +20,37 @@
 // changesPerTxn leaves one entry for the condition on the planner's key.
 const changesPerTxn = (store.MaxTxnEntries - 1) / entriesPerChange
 
+// outdatedPerTxn is the number of jobs that one transaction removes: a condition
+// and three keys each, beside the condition on the planner's key.
+const outdatedPerTxn = (store.MaxTxnEntries - 1) / 4
+
+// removeOutdated deletes the records of jobs that ended long ago. What fails is
+// attempted again later.
+func (t *term) removeOutdated(ctx context.Context) {
+	t.mu.Lock()
+	jobs := t.engine.Outdated(time.Now(), t.host.o.KeepEnded, outdatedPerTxn)
+	t.mu.Unlock()
+	if len(jobs) == 0 {
+		return
+	}
+	txn := store.Txn{Conditions: []store.Condition{{Key: workflow.PlannerKey, Revision: t.epoch}}}
+	for id, revision := range jobs {
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: workflow.RunPrefix + id, Revision: revision})
+		txn.Deletes = append(txn.Deletes, workflow.JobPrefix+id, workflow.CancelPrefix+id, workflow.RunPrefix+id)
+	}
+	out, err := t.host.o.Table.Commit(ctx, txn)
+	if err != nil || !out.Committed {
+		log.WithFields(log.Fields{"event": "jobs_not_removed", "jobs": len(jobs), "code": int(result.CodeOf(err))}).Warn("trying again later")
+		return
+	}
+	t.mu.Lock()
+	for id := range jobs {
+		t.engine.Remove(id)
+	}
+	t.mu.Unlock()
+	log.WithFields(log.Fields{"event": "jobs_removed", "jobs": len(jobs), "keep_ms": t.host.o.KeepEnded.Milliseconds()}).Info("records of ended jobs removed")
+}
+
 // commit stores the changes. It returns false if the term has ended.
 func (t *term) commit(ctx context.Context, changes []engine.Change) bool {
 	for len(changes) > 0 {
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -22,6 +22,8 @@
 	// passGap is the shortest time between two passes; events within it are
 	// handled, and recorded, together.
 	passGap = 10 * time.Millisecond
+	// cleanEvery is how often records of jobs that ended long ago are removed.
+	cleanEvery = time.Second
 	// retryPause follows a failed call to the store or to an agent.
 	retryPause = 60 * time.Millisecond
 	// syncWait is the time for which an agent holds back a report that has
@@ -79,8 +81,13 @@
 		return
 	}
 	go t.repeatStops(ctx)
+	cleaned := time.Now()
 	for ctx.Err() == nil {
 		t.pass(ctx)
+		if time.Since(cleaned) > cleanEvery {
+			t.removeOutdated(ctx)
+			cleaned = time.Now()
+		}
 		pause(ctx, passGap)
 		t.host.waitChange(ctx, idlePass)
 	}
