Notice the return of the store within half a second

Change: reads go by all ways at once while the direct one is suspect, and do not wait for changes; the mirror probes with 400 ms.

--- a/internal/workflow/mirror/mirror.go
+++ b/internal/workflow/mirror/mirror.go
@@ -24,7 +24,12 @@
 	// it cost one call.
 	watchPause = 30 * time.Millisecond
 	// retryPause follows a failed call.
-	retryPause = 150 * time.Millisecond
+	retryPause = 100 * time.Millisecond
+	// probeWait and probeLimit bound a watch after one that failed, so that the
+	// return of the store is noticed soon. The limit covers a store that is sixty
+	// times slower than usual.
+	probeWait  = 10 * time.Millisecond
+	probeLimit = 400 * time.Millisecond
 )
 
 // Listener takes changes in the order of their revisions. It must not block.
@@ -133,7 +138,7 @@
 		report(err)
 		for err == nil {
 			var next uint64
-			next, err = m.watch(ctx, revision)
+			next, err = m.watch(ctx, revision, lost)
 			if err == nil || !errors.Is(err, store.ErrCompacted) {
 				report(err)
 			}
@@ -166,8 +171,15 @@
 	}
 }
 
-func (m *Mirror) watch(ctx context.Context, after uint64) (uint64, error) {
-	events, revision, err := m.table.Changes(ctx, m.prefix, after, watchWait)
+func (m *Mirror) watch(ctx context.Context, after uint64, probe bool) (uint64, error) {
+	wait := watchWait
+	if probe {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, probeLimit)
+		defer cancel()
+		wait = probeWait
+	}
+	events, revision, err := m.table.Changes(ctx, m.prefix, after, wait)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/workflow/relay/relay.go
+++ b/internal/workflow/relay/relay.go
@@ -36,7 +36,7 @@
 // before.
 var errOutage = errors.New("all ways failed just before")
 
-// Operations of a Request.
+// Operations of a Request, reads first.
 const (
 	opLookup = iota + 1
 	opList
@@ -182,7 +182,11 @@
 
 // do performs q by the way that worked last, and then by the others. All
 // operations may be attempted twice: a transaction carries its conditions.
+// Reads are told apart, since they can be made by several ways at once.
 func (t *Table) do(ctx context.Context, q *Request) (*Reply, error) {
+	if q.Op <= opChanges {
+		return t.read(ctx, q)
+	}
 	now := time.Now().UnixNano()
 	open := false // an attempt without an answer may take effect
 	note := func(err error) { open = open || result.CodeOf(err) == result.OutcomeUnknown }
@@ -223,6 +227,55 @@
 	return nil, result.Errorf(code, "no way to the store: %w", err)
 }
 
+// read performs a read. After a failure of the direct way it does not wait for
+// changes any more.
+func (t *Table) read(ctx context.Context, q *Request) (*Reply, error) {
+	if time.Now().UnixNano() >= t.suspect.Load() {
+		if reply, err := t.byDirect(ctx, q); decided(err) {
+			return reply, err
+		}
+		now := *q
+		now.Wait = min(q.Wait, time.Millisecond)
+		q = &now
+	}
+	return t.race(ctx, q)
+}
+
+// race reads by the direct way and through peers at once, while the direct way is
+// suspect, and returns the first answer. It shows soon that a way works again.
+func (t *Table) race(ctx context.Context, q *Request) (*Reply, error) {
+	type answer struct {
+		reply *Reply
+		err   error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ways := []func(*Request) (*Reply, error){func(q *Request) (*Reply, error) { return t.byDirect(ctx, q) }}
+	if time.Now().UnixNano() >= t.outage.Load() {
+		ways = append(ways, func(q *Request) (*Reply, error) { return t.byPeers(ctx, q, func(error) {}) })
+	}
+	answers := make(chan answer, len(ways))
+	for _, way := range ways {
+		own := *q
+		go func() {
+			reply, err := way(&own)
+			answers <- answer{reply, err}
+		}()
+	}
+	var last error
+	for range ways {
+		a := <-answers
+		if decided(a.err) {
+			return a.reply, a.err
+		}
+		last = a.err
+	}
+	if ctx.Err() == nil {
+		t.outage.Store(time.Now().Add(outageFor).UnixNano())
+	}
+	return nil, result.Errorf(result.StoreUnavailable, "no way to the store: %w", last)
+}
+
 func (t *Table) byDirect(ctx context.Context, q *Request) (*Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, directFor+waitOf(q))
 	defer cancel()
