Serve items with response time targets and items that fill

Cause: both were refused. Change: they never share a worker, so that neither disturbs the other; filling items hold no processors; a long-running item that fails restarts after 0.5 s. Tests: TestFillingItemsKeepAwayFromServingOnes, TestLongRunningItemsAreRestarted.

--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -45,6 +45,9 @@
 	// retryPause keeps a unit whose start did not take effect from starting again
 	// at once.
 	retryPause = 100 * time.Millisecond
+	// restartPause keeps a long-running item that fails from restarting all the
+	// time.
+	restartPause = 500 * time.Millisecond
 )
 
 // Engine holds the jobs, the workers and what runs.
@@ -324,8 +327,11 @@
 			u.job.worst = max(u.job.worst, u.failed)
 		}
 	}
-	if never {
+	switch {
+	case never:
 		u.notBefore = now.Add(retryPause)
+	case failed && u.spec().LongRunning:
+		u.notBefore = now.Add(restartPause)
 	}
 	if !u.done && e.exhausted(u.job) {
 		for _, o := range u.job.units {
--- a/internal/workflow/engine/load_test.go
+++ b/internal/workflow/engine/load_test.go
@@ -274,3 +274,53 @@
 	g.Expect(w.runs(id, 0)).To(HaveLen(1))
 	g.Expect(w.progress[id].State).To(Equal(workflow.StateComplete))
 }
+
+// Pattern: filling items beside serving ones. They would disturb each other, so
+// they must never share a worker, and filling items hold no processors.
+func TestFillingItemsKeepAwayFromServingOnes(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(17, 3, 0)
+	w.play(2500 * time.Millisecond)
+	serving := step(2, 1, 60_000)
+	serving.LongRunning, serving.TargetMS, serving.MaxUnavailable, serving.MaxPerWorker = true, 50, 1, 1
+	filling := step(8, 1, 2000)
+	filling.Fills, filling.MilliCPU = true, 32_000
+	a := w.add("urgent", "a", serving)
+	w.play(300 * time.Millisecond)
+	b := w.add("small", "b", filling)
+	w.play(10 * time.Second)
+	used := make(map[*modelWorker]bool)
+	for i := range 2 {
+		g.Expect(w.runs(a, i)).To(HaveLen(1))
+		used[w.runs(a, i)[0].worker] = true
+	}
+	g.Expect(used).To(HaveLen(2))
+	for i := range 8 {
+		for _, r := range w.runs(b, i) {
+			g.Expect(used).NotTo(HaveKey(r.worker))
+		}
+	}
+	g.Expect(w.progress[b].State).To(Equal(workflow.StateComplete))
+	g.Expect(w.faults).To(BeEmpty())
+}
+
+// Pattern: long-running items on a pool that loses workers. They must come back
+// whenever there is room, and must not be stopped for urgent jobs.
+func TestLongRunningItemsAreRestarted(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(19, 2, 0)
+	w.play(2500 * time.Millisecond)
+	lasting := step(1, 8, 0)
+	lasting.LongRunning, lasting.MaxUnavailable, lasting.EstimateMS = true, 1, 3_600_000
+	id := w.add("small", "b", lasting)
+	w.play(500 * time.Millisecond)
+	w.add("urgent", "a", step(1, 8, 1500))
+	w.add("urgent", "a", step(1, 8, 1500))
+	w.play(2 * time.Second)
+	g.Expect(w.runs(id, 0)).To(HaveLen(1))
+	w.runs(id, 0)[0].worker.restart()
+	w.play(3 * time.Second)
+	runs := w.runs(id, 0)
+	g.Expect(runs).To(HaveLen(2))
+	g.Expect(runs[1].how).To(BeEmpty())
+}
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -42,9 +42,14 @@
 	}
 }
 
-// fits reports whether w may run items of u at all.
+// suits reports whether w may run items of u at all.
 func (e *Engine) suits(u *unit, w *worker) bool {
 	s := u.spec()
+	for _, m := range w.members {
+		if o := m.unit.spec(); o.Fills && s.TargetMS > 0 || s.Fills && o.TargetMS > 0 {
+			return false // the one would disturb the other
+		}
+	}
 	return w.announced.Service == e.service(u.job) && (s.Label == "" || slices.Contains(w.announced.Labels, s.Label))
 }
 
--- a/internal/workflow/messages.go
+++ b/internal/workflow/messages.go
@@ -18,9 +18,14 @@
 	return Resources{MilliCPU: r.MilliCPU + n*o.MilliCPU, MemoryMB: r.MemoryMB + n*o.MemoryMB, Accelerators: r.Accelerators + n*o.Accelerators}
 }
 
-// Needs returns the resources of one item of the step.
+// Needs returns the resources that one item of the step holds. A filling item
+// uses the processors that others leave, and holds none.
 func (s *Step) Needs() Resources {
-	return Resources{MilliCPU: s.MilliCPU, MemoryMB: s.MemoryMB, Accelerators: s.Accelerators}
+	r := Resources{MilliCPU: s.MilliCPU, MemoryMB: s.MemoryMB, Accelerators: s.Accelerators}
+	if s.Fills {
+		r.MilliCPU = 0
+	}
+	return r
 }
 
 // Announcement is what a worker says about itself.
