--- a/internal/workflow/daemon/settings.go
+++ b/internal/workflow/daemon/settings.go
@@ -19,11 +19,8 @@
 	defaultStoreTimeoutMS = 1000
 	defaultMaxLeaseMS     = 6000
 	defaultStopTimeoutMS  = 400
-	defaultGangTimeoutMS  = 3000
-	defaultCheckpointMS   = 1000
 	defaultReclaimMS      = 2700
 	defaultKeepEndedMS    = 120_000
-	defaultRemoteFactor   = 3.0
 	// leaseReserveMS keeps a granted lease below the worker's limit.
 	leaseReserveMS = 100
 	minLeaseMS     = 2000
@@ -45,13 +42,8 @@
 	// MaxLeaseMS is the longest lease that a worker grants.
 	MaxLeaseMS    int64 `json:"max_lease_ms"`
 	StopTimeoutMS int64 `json:"stop_timeout_ms"`
-	GangTimeoutMS int64 `json:"gang_timeout_ms"`
-	// CheckpointMS is the work between two checkpoints.
-	CheckpointMS int64 `json:"checkpoint_ms"`
 	// ReclaimMS is the time in which a guaranteed job must have started.
 	ReclaimMS int64 `json:"reclaim_ms"`
-	// RemoteFactor is the slowdown of items away from their rack.
-	RemoteFactor float64 `json:"remote_factor"`
 	// KeepEndedMS is the time for which ended jobs stay known.
 	KeepEndedMS int64 `json:"keep_ended_ms"`
 }
@@ -68,11 +60,8 @@
 	fill(&s.Store.TimeoutMS, defaultStoreTimeoutMS)
 	fill(&s.MaxLeaseMS, defaultMaxLeaseMS)
 	fill(&s.StopTimeoutMS, defaultStopTimeoutMS)
-	fill(&s.GangTimeoutMS, defaultGangTimeoutMS)
-	fill(&s.CheckpointMS, defaultCheckpointMS)
 	fill(&s.ReclaimMS, defaultReclaimMS)
 	fill(&s.KeepEndedMS, defaultKeepEndedMS)
-	fill(&s.RemoteFactor, defaultRemoteFactor)
 }
 
 // Validate appends the faults of s.
@@ -88,21 +77,17 @@
 	if s.MaxLeaseMS < minLeaseMS {
 		faults.Add(path+".max_lease_ms", "must be at least %d", minLeaseMS)
 	}
-	for name, v := range map[string]int64{"stop_timeout_ms": s.StopTimeoutMS, "gang_timeout_ms": s.GangTimeoutMS, "checkpoint_ms": s.CheckpointMS, "reclaim_ms": s.ReclaimMS, "keep_ended_ms": s.KeepEndedMS} {
+	for name, v := range map[string]int64{"stop_timeout_ms": s.StopTimeoutMS, "reclaim_ms": s.ReclaimMS, "keep_ended_ms": s.KeepEndedMS} {
 		if v < 0 {
 			faults.Add(path+"."+name, "must not be negative")
 		}
 	}
-	if s.RemoteFactor < 1 {
-		faults.Add(path+".remote_factor", "must be at least 1")
-	}
 }
 
 func (s *EntrySettings) engine() engine.Settings {
 	ms := func(v int64) time.Duration { return time.Duration(v) * time.Millisecond }
 	return engine.Settings{
-		Lease: ms(s.MaxLeaseMS - leaseReserveMS), StopTimeout: ms(s.StopTimeoutMS), GangTimeout: ms(s.GangTimeoutMS),
-		CheckpointEvery: ms(s.CheckpointMS), Reclaim: ms(s.ReclaimMS), RemoteFactor: s.RemoteFactor,
+		Lease: ms(s.MaxLeaseMS - leaseReserveMS), StopTimeout: ms(s.StopTimeoutMS), Reclaim: ms(s.ReclaimMS),
 	}
 }
 
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// minNotice is the least remaining time of a draining worker for which a run
-	// without checkpoints is left to end by itself.
+	// drainSlack is the time by which a run must be expected to end before its
+	// draining worker leaves; otherwise it is stopped at once.
 	drainSlack = 300 * time.Millisecond
 	// hangAfter is the time without progress after which a run is taken to hang.
 	// Progress is listed in whole percent; a run of 30 s advances one in 0.3 s.
@@ -345,7 +345,8 @@
 }
 
 // hangLimit is the time without a change of percent that a slow but sound run
-// does not reach: a twentieth of ten times its estimate.
+// does not reach: one that takes fifty times its estimate still advances a
+// percent in half of it.
 func (e *Engine) hangLimit(u *unit) time.Duration {
 	return max(hangAfter, e.estim.duration(u)/2)
 }
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -19,12 +19,6 @@
 	ZombieLimit time.Duration
 	// StopTimeout is the longest time that a worker takes to stop a run.
 	StopTimeout time.Duration
-	// GangTimeout is the longest wait of a gang member for the others.
-	GangTimeout time.Duration
-	// RemoteFactor is the slowdown of a gang or of an item away from its rack.
-	RemoteFactor float64
-	// CheckpointEvery is the work between two checkpoints.
-	CheckpointEvery time.Duration
 	// Reclaim is the time in which a guaranteed job must have started.
 	Reclaim time.Duration
 }
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -35,15 +35,15 @@
 		trial.release(v)
 		released = append(released, v)
 		if on := e.place(u, trial); on != nil {
-			return e.choose(u, on, released, r, trial)
+			return e.spare(u, on, released, r)
 		}
 	}
 	return nil, nil
 }
 
-// choose keeps those of the released units that the placement does not need, and
-// stops the others.
-func (e *Engine) choose(u *unit, on []*worker, released []*unit, r, trial *room) ([]*worker, []StopDecision) {
+// spare keeps those of the released units that a placement of u does not need, and
+// stops the others. It returns the placement.
+func (e *Engine) spare(u *unit, on []*worker, released []*unit, r *room) ([]*worker, []StopDecision) {
 	needed := slices.Clone(released)
 	// The most expensive victims were released last; try to spare them first.
 	for i := len(needed) - 1; i >= 0; i-- {
@@ -63,7 +63,6 @@
 			stops = append(stops, StopDecision{Unit: v.ref(v.first), Run: v.run, Reason: v.stopReason})
 		}
 	}
-	_ = trial
 	return on, stops
 }
 
--- a/internal/workflow/engine/world_test.go
+++ b/internal/workflow/engine/world_test.go
@@ -350,7 +350,7 @@
 func (w *world) takeover() {
 	w.clock++
 	w.epoch = w.clock
-	w.planner = New(Settings{Lease: 5900 * time.Millisecond, ZombieLimit: 2 * time.Second, Reclaim: 2700 * time.Millisecond, RemoteFactor: 3}, w.epoch, w.now)
+	w.planner = New(Settings{Lease: 5900 * time.Millisecond, ZombieLimit: 2 * time.Second, Reclaim: 2700 * time.Millisecond}, w.epoch, w.now)
 	w.planner.SetConfig(w.config)
 	for _, id := range sortedKeys(w.jobs) {
 		var p *workflow.Progress
--- a/internal/workflow/relay/relay.go
+++ b/internal/workflow/relay/relay.go
@@ -289,7 +289,7 @@
 	if decided(err) {
 		t.suspect.Store(0)
 		t.outage.Store(0)
-		t.route(false, nil)
+		t.route(false)
 		return reply, err
 	}
 	t.suspect.Store(time.Now().Add(suspectFor).UnixNano())
@@ -313,7 +313,7 @@
 		reply := new(Reply)
 		if err = t.byPeer(ctx, address, q, reply); err == nil {
 			t.prefer(address)
-			t.route(true, err)
+			t.route(true)
 			switch {
 			case reply.Compacted:
 				return nil, store.ErrCompacted
@@ -358,15 +358,10 @@
 }
 
 // route logs a change of the way to the store.
-func (t *Table) route(peer bool, err error) {
-	if t.through.Swap(peer) == peer {
-		return
+func (t *Table) route(peer bool) {
+	if t.through.Swap(peer) != peer {
+		log.WithFields(log.Fields{"event": "store_route", "through_peer": peer}).Info("the way to the store has changed")
 	}
-	e := log.WithFields(log.Fields{"event": "store_route", "through_peer": peer})
-	if err != nil {
-		e = e.WithField("error", err.Error())
-	}
-	e.Info("the way to the store has changed")
 }
 
 // Lookup implements store.Table.
