--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -141,7 +141,7 @@
 
 	{OutcomeUnknown, "outcome_unknown", http.StatusBadGateway, RanUnknown, "Ask again with the ticket; check the effect before a new request."},
 	{BrokenResponse, "broken_response", http.StatusBadGateway, RanUnknown, "Treat the answer as lost; ask again with the ticket if there is one."},
-	{DeadlineRan, "deadline_ran", http.StatusGatewayTimeout, RanUnknown, "Ask again with the ticket; the request may still finish."},
+	{DeadlineRan, "deadline_ran", http.StatusGatewayTimeout, RanUnknown, "Ask again with the ticket or the id of the job; it may still finish."},
 	{TaskFailed, "task_failed", http.StatusOK, RanYes, "Read the reason in the job's status."},
 	{GangLost, "gang_lost", http.StatusOK, RanYes, "None; the job is queued again."},
 	{Preempted, "preempted", http.StatusOK, RanYes, "None; the job is queued again."},
--- a/internal/workflow/mirror/mirror.go
+++ b/internal/workflow/mirror/mirror.go
@@ -42,6 +42,7 @@
 	records   sync.Map // key -> store.Record
 	contact   atomic.Int64
 	synced    atomic.Bool
+	lost      bool       // the store cannot be read; used by Run only
 	mu        sync.Mutex // serialises changes
 	listeners []Listener
 }
@@ -123,44 +124,45 @@
 
 // Run lists and watches until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
-	lost := false
-	report := func(err error) {
-		if err != nil && !lost && ctx.Err() == nil {
-			lost = true
-			log.WithFields(log.Fields{"event": "store_lost", "prefix": m.prefix, "code": int(result.CodeOf(err)), "error": err.Error()}).Warn("the store cannot be read")
-		} else if err == nil && lost {
-			lost = false
-			log.WithFields(log.Fields{"event": "store_regained", "prefix": m.prefix}).Info("the store can be read again")
-		}
-	}
 	for ctx.Err() == nil {
 		revision, err := m.list(ctx)
-		report(err)
-		for err == nil {
-			var next uint64
-			next, err = m.watch(ctx, revision, lost)
-			if err == nil || !errors.Is(err, store.ErrCompacted) {
-				report(err)
-			}
-			if err == nil {
-				revision = next
-				pause(ctx, watchPause)
-				continue
-			}
-			if !errors.Is(err, store.ErrCompacted) && ctx.Err() == nil {
-				// The history is still there: continue where the watch broke off.
-				pause(ctx, retryPause)
-				err = nil
-			}
-			if ctx.Err() != nil {
-				return
-			}
+		m.report(ctx, err)
+		if err != nil {
+			pause(ctx, retryPause)
+			continue
 		}
+		m.follow(ctx, revision)
+	}
+}
+
+// follow watches from revision until the store has dropped the changes in between
+// or ctx ends. After a failed watch it continues where it broke off.
+func (m *Mirror) follow(ctx context.Context, revision uint64) {
+	for ctx.Err() == nil {
+		next, err := m.watch(ctx, revision)
 		if errors.Is(err, store.ErrCompacted) {
 			log.WithFields(log.Fields{"event": "store_history_dropped", "prefix": m.prefix, "revision": revision}).Warn("listing the store again")
+			return
+		}
+		m.report(ctx, err)
+		if err != nil {
+			pause(ctx, retryPause)
 			continue
 		}
-		pause(ctx, retryPause)
+		revision = next
+		pause(ctx, watchPause)
+	}
+}
+
+// report logs when the store is lost and regained.
+func (m *Mirror) report(ctx context.Context, err error) {
+	switch {
+	case err != nil && !m.lost && ctx.Err() == nil:
+		m.lost = true
+		log.WithFields(log.Fields{"event": "store_lost", "prefix": m.prefix, "code": int(result.CodeOf(err)), "error": err.Error()}).Warn("the store cannot be read")
+	case err == nil && m.lost:
+		m.lost = false
+		log.WithFields(log.Fields{"event": "store_regained", "prefix": m.prefix}).Info("the store can be read again")
 	}
 }
 
@@ -171,9 +173,10 @@
 	}
 }
 
-func (m *Mirror) watch(ctx context.Context, after uint64, probe bool) (uint64, error) {
+// watch waits for changes. While the store is lost it only asks for them.
+func (m *Mirror) watch(ctx context.Context, after uint64) (uint64, error) {
 	wait := watchWait
-	if probe {
+	if m.lost {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, probeLimit)
 		defer cancel()
