--- a/internal/kernel/components.go
+++ b/internal/kernel/components.go
@@ -36,6 +36,14 @@
 	return nil
 }
 
+// Sleep waits for d, or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 const (
 	httpHeaderTimeout  = 3 * time.Second
 	httpIdleTimeout    = 30 * time.Second
--- a/internal/workflow/daemon/daemon.go
+++ b/internal/workflow/daemon/daemon.go
@@ -148,10 +148,7 @@
 			return
 		}
 		log.WithFields(log.Fields{"event": "not_registered", "key": g.key, "code": int(result.CodeOf(err)), "error": err.Error()}).Warn("trying again")
-		select {
-		case <-ctx.Done():
-		case <-time.After(registrationPause):
-		}
+		kernel.Sleep(ctx, registrationPause)
 	}
 }
 
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -105,7 +105,6 @@
 	stopReason string
 	notBefore  time.Time       // of the next run
 	failedOn   map[string]bool // worker keys
-	progress   float64         // percent at the last report
 }
 
 // member is one item of a run.
@@ -314,7 +313,7 @@
 		failed = failed || m.end == workflow.EndFailed
 		never = never && m.end == workflow.EndNever
 	}
-	u.members, u.stopping, u.stopReason, u.progress = nil, false, "", 0
+	u.members, u.stopping, u.stopReason = nil, false, ""
 	if failed && !u.done {
 		u.failed++
 		if !u.spec().LongRunning {
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -158,7 +158,6 @@
 	if r.Percent != m.percent {
 		m.percent, m.percentAt = r.Percent, now
 	}
-	m.unit.progress = max(m.unit.progress, r.Percent)
 	if r.Checkpoint != "" {
 		m.unit.checkpoint = r.Checkpoint
 	}
--- a/internal/workflow/mirror/mirror.go
+++ b/internal/workflow/mirror/mirror.go
@@ -12,6 +12,7 @@
 
 	"github.com/apex/log"
 
+	"snipegw/internal/kernel"
 	"snipegw/internal/result"
 	"snipegw/internal/store"
 )
@@ -128,7 +129,7 @@
 		revision, err := m.list(ctx)
 		m.report(ctx, err)
 		if err != nil {
-			pause(ctx, retryPause)
+			kernel.Sleep(ctx, retryPause)
 			continue
 		}
 		m.follow(ctx, revision)
@@ -146,11 +147,11 @@
 		}
 		m.report(ctx, err)
 		if err != nil {
-			pause(ctx, retryPause)
+			kernel.Sleep(ctx, retryPause)
 			continue
 		}
 		revision = next
-		pause(ctx, watchPause)
+		kernel.Sleep(ctx, watchPause)
 	}
 }
 
@@ -166,13 +167,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // watch waits for changes. While the store is lost it only asks for them.
 func (m *Mirror) watch(ctx context.Context, after uint64) (uint64, error) {
 	wait := watchWait
--- a/internal/workflow/planner/commit.go
+++ b/internal/workflow/planner/commit.go
@@ -7,6 +7,7 @@
 
 	"github.com/apex/log"
 
+	"snipegw/internal/kernel"
 	"snipegw/internal/result"
 	"snipegw/internal/store"
 	"snipegw/internal/workflow"
@@ -75,7 +76,7 @@
 		switch {
 		case err != nil:
 			log.WithFields(log.Fields{"event": "records_unconfirmed", "epoch": t.epoch, "jobs": len(changes), "code": int(result.CodeOf(err)), "error": err.Error()}).Warn("repeating the transaction")
-			pause(ctx, retryPause)
+			kernel.Sleep(ctx, retryPause)
 		case out.Committed:
 			t.stored(changes, values, out.Revision)
 			return true
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 
+	"snipegw/internal/kernel"
 	"snipegw/internal/result"
 	"snipegw/internal/store"
 	"snipegw/internal/wire"
@@ -88,23 +89,16 @@
 			t.removeOutdated(ctx)
 			cleaned = time.Now()
 		}
-		pause(ctx, passGap)
+		kernel.Sleep(ctx, passGap)
 		t.host.waitChange(ctx, idlePass)
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // renew keeps the term. Without the store it goes on extending the workers'
 // leases, but not longer than ZombieLimit.
 func (t *term) renew(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, renewEvery)
+		kernel.Sleep(ctx, renewEvery)
 		sent := time.Now()
 		err := t.host.o.Table.Renew(ctx, t.lease)
 		switch {
@@ -130,7 +124,7 @@
 	for ctx.Err() == nil {
 		records, _, err := t.host.o.Table.List(ctx, workflow.Prefix)
 		if err != nil {
-			pause(ctx, retryPause)
+			kernel.Sleep(ctx, retryPause)
 			continue
 		}
 		t.mu.Lock()
@@ -271,7 +265,7 @@
 		for _, o := range orders {
 			go t.send(ctx, o)
 		}
-		pause(ctx, 2*passGap)
+		kernel.Sleep(ctx, 2*passGap)
 	}
 }
 
@@ -321,9 +315,9 @@
 			version = 0
 			t.host.o.Pool.Forget(address)
 			if time.Since(last) > quietAfter {
-				pause(ctx, quietPause)
+				kernel.Sleep(ctx, quietPause)
 			}
-			pause(ctx, retryPause)
+			kernel.Sleep(ctx, retryPause)
 			continue
 		}
 		last, version = time.Now(), reply.Version
--- a/internal/workflow/runner/runner.go
+++ b/internal/workflow/runner/runner.go
@@ -147,10 +147,7 @@
 	for ctx.Err() == nil {
 		pause := r.look(ctx, lookWait)
 		if pause > 0 {
-			select {
-			case <-ctx.Done():
-			case <-time.After(pause):
-			}
+			kernel.Sleep(ctx, pause)
 		}
 	}
 }
