Refuse a reload whose settings lost the section workflow

Cause: an entry that serves workflows read its settings again at SIGHUP and took the section without looking whether it is there; the entry panicked. All running entries can lose their processes at once by one wrong settings file. Ruled out: LoadSettings cannot refuse it, since an entry without the section is valid at its start. Before: the new test panics (nil pointer). After: the reload is refused with a fault of "workflow", and the former settings stay in force.

--- a/cmd/snipegw-entry/main.go
+++ b/cmd/snipegw-entry/main.go
@@ -65,13 +65,7 @@
 	}
 	return daemon.AssembleEntry(daemon.Process{
 		ID: s.ID, FailureDomain: s.FailureDomain, Listen: s.Address, Address: s.AdvertiseAddress, DebugAddress: s.HTTPAddress, Security: s.Security,
-		Reload: func() (daemon.EntrySettings, error) {
-			var fresh entry.Settings
-			if err := kernel.LoadSettings(file, &fresh); err != nil {
-				return daemon.EntrySettings{}, err
-			}
-			return *fresh.Workflow, nil
-		},
+		Reload: func() (daemon.EntrySettings, error) { return entry.LoadWorkflow(file) },
 	}, *s.Workflow)
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// LoadWorkflow reads the section "workflow" of the settings file of a running
+// entry. It fails with kernel.Faults if a setting is wrong or the section is
+// missing: an entry cannot stop serving workflows without a restart.
+func LoadWorkflow(file string) (daemon.EntrySettings, error) {
+	var s Settings
+	if err := kernel.LoadSettings(file, &s); err != nil {
+		return daemon.EntrySettings{}, err
+	}
+	if s.Workflow == nil {
+		return daemon.EntrySettings{}, kernel.Faults{{Path: "workflow", Reason: "missing, but the running entry serves workflows"}}
+	}
+	return *s.Workflow, nil
+}
+
 // name is the form of ids and of the names of regions and failure domains, which
 // are parts of keys in the store.
 var name = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
--- a/internal/entry/settings_test.go
+++ b/internal/entry/settings_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -45,6 +47,20 @@
 	}
 }
 
+// Guards against a running entry that panics when a reload meets settings that
+// are valid but have lost the section "workflow".
+func TestReloadWithoutWorkflowSectionIsRefused(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "entry.json")
+	if err := os.WriteFile(file, []byte(validSettings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err := LoadWorkflow(file)
+	var faults kernel.Faults
+	if !errors.As(err, &faults) || len(faults) != 1 || faults[0].Path != "workflow" {
+		t.Errorf("error %v, want one fault of workflow", err)
+	}
+}
+
 type fixed struct{ view *members.View }
 
 func (f *fixed) View() *members.View      { return f.view }
