Stop what loses least in all, and urgent jobs last

Cause: preemption released the runs of the whole pool one by one, the cheapest first, until the unit fitted. Eight small runs that are each cheap went before one large run that is cheaper than all of them (test), and racks that could not hold the gang were weighed together. Change: each rack, or the pool, is cleared worker by worker where an item costs least, and the cheapest clearance wins; jobs of priority 0 are stopped only if nothing else makes room.

--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -154,7 +154,7 @@
 }
 
 func (e *Engine) candidates(now time.Time) []*candidate {
-	guaranteed := e.guaranteedJobs()
+	e.guaranteed = e.guaranteedJobs()
 	var out []*candidate
 	for _, j := range e.open {
 		if j.cancelled || e.exhausted(j) {
@@ -163,7 +163,7 @@
 		if units := e.ready(j, now); len(units) > 0 {
 			c := &candidate{job: j, units: units, class: classOther}
 			switch {
-			case guaranteed[j]:
+			case e.guaranteed[j]:
 				c.class = classGuaranteed
 			case e.priority(j) == 0:
 				c.class = classFirst
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -46,16 +46,19 @@
 
 // Engine holds the jobs, the workers and what runs.
 type Engine struct {
-	s       Settings
-	epoch   uint64
-	began   time.Time // of this planner's term
-	config  *workflow.Config
-	jobs    map[string]*job
-	open    []*job // not ended, in order of acceptance
-	workers map[string]*worker
-	dirty   map[string]*job
-	estim   estimates
-	notes   []Note
+	s      Settings
+	epoch  uint64
+	began  time.Time // of this planner's term
+	config *workflow.Config
+	jobs   map[string]*job
+	open   []*job // not ended, in order of acceptance
+	// guaranteed holds the jobs that are within their teams' guarantees, as of the
+	// latest decision.
+	guaranteed map[*job]bool
+	workers    map[string]*worker
+	dirty      map[string]*job
+	estim      estimates
+	notes      []Note
 }
 
 // New returns an Engine for a term with the given epoch that begins now.
--- a/internal/workflow/engine/load_test.go
+++ b/internal/workflow/engine/load_test.go
@@ -23,6 +23,14 @@
 	return id
 }
 
+// addLate hands in a job that can no longer meet its objective, and so does not
+// have to leave headroom.
+func (w *world) addLate(queue, team string, step workflow.Step) string {
+	id := w.add(queue, team, step)
+	w.jobs[id].AcceptedMS -= 3 * step.EstimateMS
+	return id
+}
+
 func (w *world) play(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); {
 		w.tick()
@@ -107,6 +115,76 @@
 	g.Expect(n).To(Equal(1))
 }
 
+// Pattern: an urgent item needs a whole worker. One is full of small items that
+// are each cheap to stop, another runs one large item that is cheaper than all of
+// them together. The total loss decides, not that of the single run.
+func TestPreemptionLosesTheLeastInAll(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(2, 2, 0)
+	w.sound = true
+	w.play(2500 * time.Millisecond)
+	small := w.add("small", "b", step(8, 1, 20_000))
+	w.play(time.Second)
+	large := w.addLate("large", "b", step(1, 8, 20_000))
+	w.play(2 * time.Second)
+	urgent := w.add("urgent", "b", step(1, 8, 4000))
+	w.play(2 * time.Second)
+	n, _ := w.begun(urgent)
+	g.Expect(n).To(Equal(1))
+	g.Expect(w.runs(large, 0)[0].how).To(Equal(workflow.EndStopped))
+	for i := range 8 {
+		g.Expect(w.runs(small, i)).To(HaveLen(1))
+	}
+}
+
+// Pattern: a team claims its guarantee while an urgent job of another team, which
+// has just begun, and an old job of low priority hold the pool. The urgent job
+// would come late; the other must make room, though it loses more work.
+func TestReclaimStopsLowPriorityFirst(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(6, 2, 0)
+	w.sound = true
+	w.play(2500 * time.Millisecond)
+	low := w.addLate("large", "b", step(1, 8, 20_000))
+	w.play(3 * time.Second)
+	urgent := w.add("urgent", "c", step(1, 8, 20_000))
+	w.play(500 * time.Millisecond)
+	claim := w.add("urgent", "a", step(1, 8, 4000))
+	w.play(2500 * time.Millisecond)
+	n, _ := w.begun(claim)
+	g.Expect(n).To(Equal(1))
+	g.Expect(w.runs(urgent, 0)).To(HaveLen(1))
+	g.Expect(w.runs(urgent, 0)[0].how).To(BeEmpty())
+	g.Expect(w.runs(low, 0)[0].how).To(Equal(workflow.EndStopped))
+}
+
+// Pattern: an urgent gang that belongs in one rack finds all racks full. Only the
+// rack that loses least is cleared.
+func TestPreemptionClearsOneRack(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(4, 6, 0)
+	w.sound = true
+	w.play(2500 * time.Millisecond)
+	var jobs []string
+	for i := range 6 {
+		jobs = append(jobs, w.addLate("large", "b", step(1, 8, 60_000)))
+		w.play(time.Duration(300+150*i) * time.Millisecond)
+	}
+	claim := gang(2, 8, 4000)
+	claim.SameRack = true
+	urgent := w.add("urgent", "b", claim)
+	w.play(2 * time.Second)
+	n, _ := w.begun(urgent)
+	g.Expect(n).To(Equal(2))
+	racks := make(map[string]int)
+	for _, id := range jobs {
+		if r := w.runs(id, 0)[0]; r.how == workflow.EndStopped {
+			racks[r.worker.rack]++
+		}
+	}
+	g.Expect(racks).To(HaveLen(1))
+}
+
 // Pattern: a stream of small items beside a large gang. Each small item that
 // fits would push the gang back for ever; the gang's room must be kept.
 func TestLargeGangIsNotStarvedBySmallItems(t *testing.T) {
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -4,51 +4,171 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"snipegw/internal/workflow"
 )
 
+// clearance is a way to make room for a unit: what to stop, and where the unit
+// runs then.
+type clearance struct {
+	victims []*unit
+	on      []*worker
+	loss    int64
+}
+
 // preempt finds a placement for u on the resources that are free, are being
-// freed, or are held by units of a lower class, and stops the latter. It returns
-// the workers to keep free for u, nil if there is no such placement.
+// freed, or are held by units of a lower class, and stops the latter. Of all
+// groups of workers that could hold u it clears the one that loses the least
+// work in all. Jobs of priority 0, which would come late, are stopped only if
+// nothing else makes room. It returns the workers to keep free for u, nil if there
+// is no such placement.
 func (e *Engine) preempt(u *unit, c *candidate, r *room, now time.Time) ([]*worker, []StopDecision) {
-	trial := r.clone()
-	var victims []*unit
-	seen := make(map[*unit]bool)
+	best := e.cheapestClearance(u, r, func(v *unit) bool {
+		return e.mayPreempt(c, v) && (v.stopping || v.done || e.classOf(v.job) == classOther)
+	}, now)
+	if best == nil && c.class < classFirst {
+		best = e.cheapestClearance(u, r, func(v *unit) bool { return e.mayPreempt(c, v) }, now)
+	}
+	if best == nil {
+		return nil, nil
+	}
+	var stops []StopDecision
+	for _, v := range best.victims {
+		if !v.stopping && !v.done {
+			v.stop("preempted for " + u.job.id)
+			stops = append(stops, StopDecision{Unit: v.ref(v.first), Run: v.run, Reason: v.stopReason})
+		}
+	}
+	return best.on, stops
+}
+
+// cheapestClearance returns the way to make room for u that loses the least work
+// among the units that may be stopped, nil if there is none.
+func (e *Engine) cheapestClearance(u *unit, r *room, may func(*unit) bool, now time.Time) *clearance {
+	var best *clearance
+	for _, group := range e.groups(u, r) {
+		if p := e.clear(u, may, group, now); p != nil && (best == nil || p.loss < best.loss) {
+			best = p
+		}
+	}
+	return best
+}
+
+// groups returns the parts of the room that are cleared as a whole: racks for a
+// gang that belongs in one and finds one that is large enough, else all workers.
+func (e *Engine) groups(u *unit, r *room) []*room {
+	if u.count == 1 || !u.spec().SameRack || !e.rackCouldHold(u) {
+		return []*room{r}
+	}
+	racks := make(map[string]*room)
 	for _, w := range r.workers {
+		rack := racks[w.announced.Rack]
+		if rack == nil {
+			rack = &room{free: r.free}
+			racks[w.announced.Rack] = rack
+		}
+		rack.workers = append(rack.workers, w)
+	}
+	var out []*room
+	for _, name := range sortedKeys(racks) {
+		out = append(out, racks[name])
+	}
+	return out
+}
+
+// clear makes room for u in a group, worker by worker, each time where an item
+// costs the least. It returns nil if there is not enough that may be stopped.
+func (e *Engine) clear(u *unit, may func(*unit) bool, group *room, now time.Time) *clearance {
+	trial := group.clone()
+	losses := make(map[*unit]int64)
+	for _, w := range group.workers {
 		for _, m := range w.members {
-			v := m.unit
-			if seen[v] || !e.mayPreempt(c, v) {
-				continue
+			if _, ok := losses[m.unit]; !ok && may(m.unit) {
+				losses[m.unit] = e.loss(m.unit, now)
 			}
-			seen[v] = true
-			victims = append(victims, v)
 		}
 	}
-	slices.SortFunc(victims, func(a, b *unit) int {
-		return cmp.Or(
-			cmp.Compare(e.loss(a, now), e.loss(b, now)),
-			cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.occurrence, b.occurrence),
-			cmp.Compare(a.step, b.step), cmp.Compare(a.first, b.first),
-		)
-	})
 	var released []*unit
-	for _, v := range victims {
-		trial.release(v)
-		released = append(released, v)
+	for {
 		if on := e.place(u, trial); on != nil {
-			return e.spare(u, on, released, r)
+			return e.spare(u, on, released, group, losses)
+		}
+		victims := e.cheapestItem(u, trial, losses, released)
+		if victims == nil {
+			return nil
+		}
+		for _, v := range victims {
+			trial.release(v)
+		}
+		released = append(released, victims...)
+	}
+}
+
+// cheapestItem returns the units whose stop makes room for further items of u on
+// one worker at the least loss an item.
+func (e *Engine) cheapestItem(u *unit, trial *room, losses map[*unit]int64, released []*unit) []*unit {
+	var best []*unit
+	bestLoss, bestItems := int64(0), int64(0)
+	for _, w := range trial.workers {
+		if !e.suits(u, w) {
+			continue
+		}
+		victims, loss, items := freeItems(u, w, trial, losses, released)
+		if items > 0 && (best == nil || loss*bestItems < bestLoss*items) {
+			best, bestLoss, bestItems = victims, loss, items
 		}
 	}
-	return nil, nil
+	return best
 }
 
-// spare keeps those of the released units that a placement of u does not need, and
-// stops the others. It returns the placement.
-func (e *Engine) spare(u *unit, on []*worker, released []*unit, r *room) ([]*worker, []StopDecision) {
+// freeItems releases units on w on trial, the cheapest first, until more items of
+// u fit, and leaves out those that were not needed for it.
+func freeItems(u *unit, w *worker, trial *room, losses map[*unit]int64, released []*unit) (victims []*unit, loss, items int64) {
+	var all []*unit
+	for _, m := range w.members {
+		if _, ok := losses[m.unit]; ok && !slices.Contains(released, m.unit) && !slices.Contains(all, m.unit) {
+			all = append(all, m.unit)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b *unit) int { return cmp.Compare(losses[a], losses[b]) })
+	before, free := holds(u, w, trial.free[w]), trial.free[w]
+	for i, v := range all {
+		free = free.Add(v.on(w), 1)
+		if holds(u, w, free) > before {
+			victims = slices.Clone(all[:i+1])
+			break
+		}
+	}
+	for i := len(victims) - 2; i >= 0; i-- {
+		if without := free.Add(victims[i].on(w), -1); holds(u, w, without) > before {
+			free, victims = without, slices.Delete(victims, i, i+1)
+		}
+	}
+	for _, v := range victims {
+		loss += losses[v]
+	}
+	return victims, loss, int64(holds(u, w, free) - before)
+}
+
+// on returns the resources that v's members hold on w.
+func (v *unit) on(w *worker) workflow.Resources {
+	var sum workflow.Resources
+	for _, m := range v.members {
+		if m.worker == w && m.end == "" {
+			sum = sum.Add(v.spec().Needs(), 1)
+		}
+	}
+	return sum
+}
+
+// spare leaves out those of the released units that a placement of u in the
+// group does not need, the most expensive first.
+func (e *Engine) spare(u *unit, on []*worker, released []*unit, group *room, losses map[*unit]int64) *clearance {
 	needed := slices.Clone(released)
-	// The most expensive victims were released last; try to spare them first.
+	slices.SortStableFunc(needed, func(a, b *unit) int { return cmp.Compare(losses[a], losses[b]) })
 	for i := len(needed) - 1; i >= 0; i-- {
 		without := slices.Delete(slices.Clone(needed), i, i+1)
-		t := r.clone()
+		t := group.clone()
 		for _, v := range without {
 			t.release(v)
 		}
@@ -56,14 +176,11 @@
 			needed, on = without, alt
 		}
 	}
-	var stops []StopDecision
+	p := &clearance{victims: needed, on: on}
 	for _, v := range needed {
-		if !v.stopping && !v.done {
-			v.stop("preempted for " + u.job.id)
-			stops = append(stops, StopDecision{Unit: v.ref(v.first), Run: v.run, Reason: v.stopReason})
-		}
+		p.loss += losses[v]
 	}
-	return on, stops
+	return p
 }
 
 // release gives back the resources that v's members hold.
@@ -91,7 +208,7 @@
 	switch {
 	case e.priority(j) != 0:
 		return classOther
-	case e.guaranteedJobs()[j]:
+	case e.guaranteed[j]:
 		return classGuaranteed
 	}
 	return classFirst
--- a/internal/workflow/engine/world_test.go
+++ b/internal/workflow/engine/world_test.go
@@ -35,6 +35,7 @@
 	faults   []string
 
 	hideCancels bool // from the planner, to test the check
+	sound       bool // runs do not fail by chance
 }
 
 // delayed is an order that reaches its worker later.
@@ -251,7 +252,7 @@
 	step := &job.Steps[o.Ref.Step]
 	r := &modelRun{
 		ref: o.Ref, run: o.Run, began: w.now, worker: m, needs: step.Needs(), waiting: step.Gang && step.Count > 1,
-		fails: job.Payload == "poison" || w.now.Before(m.faultyTil) || w.chance(0.03),
+		fails: job.Payload == "poison" || w.now.Before(m.faultyTil) || !w.sound && w.chance(0.03),
 	}
 	r.doneAt = w.now.Add(time.Duration(float64(step.EstimateMS)*(0.5+w.rng.Float64())) * time.Millisecond)
 	if r.fails {
