Never ask the store for a lease shorter than it grants

Cause: the term of one second is the shortest lease on the deployments at hand; on one whose store grants only longer ones no entry could become planner. Change: the template passes the platform's bound, and the term is the longer of both.

--- a/internal/workflow/daemon/daemon.go
+++ b/internal/workflow/daemon/daemon.go
@@ -60,7 +60,7 @@
 	in := intake.New(table, records, conf, format)
 	host := planner.New(planner.Options{
 		Entry: p.ID, Address: p.Address, Table: table, Records: records, Pool: network.Pool,
-		Engine: s.engine(), KeepEnded: time.Duration(s.KeepEndedMS) * time.Millisecond,
+		Engine: s.engine(), Term: max(planner.DefaultTerm, time.Duration(s.MinStoreLeaseMS)*time.Millisecond), KeepEnded: time.Duration(s.KeepEndedMS) * time.Millisecond,
 	})
 	known := &knownEntries{process: p, table: table, records: records}
 	known.set(s)
--- a/internal/workflow/daemon/settings.go
+++ b/internal/workflow/daemon/settings.go
@@ -44,6 +44,8 @@
 	StopTimeoutMS int64 `json:"stop_timeout_ms"`
 	// ReclaimMS is the time in which a guaranteed job must have started.
 	ReclaimMS int64 `json:"reclaim_ms"`
+	// MinStoreLeaseMS is the shortest lease that the store grants.
+	MinStoreLeaseMS int64 `json:"min_store_lease_ms"`
 	// KeepEndedMS is the time for which ended jobs stay known.
 	KeepEndedMS int64 `json:"keep_ended_ms"`
 }
@@ -77,7 +79,7 @@
 	if s.MaxLeaseMS < minLeaseMS {
 		faults.Add(path+".max_lease_ms", "must be at least %d", minLeaseMS)
 	}
-	for name, v := range map[string]int64{"stop_timeout_ms": s.StopTimeoutMS, "reclaim_ms": s.ReclaimMS, "keep_ended_ms": s.KeepEndedMS} {
+	for name, v := range map[string]int64{"stop_timeout_ms": s.StopTimeoutMS, "reclaim_ms": s.ReclaimMS, "keep_ended_ms": s.KeepEndedMS, "min_store_lease_ms": s.MinStoreLeaseMS} {
 		if v < 0 {
 			faults.Add(path+"."+name, "must not be negative")
 		}
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -19,12 +19,11 @@
 )
 
 const (
-	// termTTL is the time after which a silent planner is replaced. It is the
-	// shortest that the store grants; with 1.6 s urgent jobs accepted around a
-	// planner's death came late.
-	termTTL = time.Second
-	// renewEvery leaves room for two failed renewals.
-	renewEvery = 250 * time.Millisecond
+	// DefaultTerm is the time after which a silent planner is replaced. With 1.6 s
+	// urgent jobs accepted around a planner's death came late.
+	DefaultTerm = time.Second
+	// renewalsPerTerm leaves room for two failed renewals.
+	renewalsPerTerm = 4
 	// ZombieLimit is the time for which a planner without the store keeps
 	// extending leases. It covers the usual outages of the store.
 	ZombieLimit = 12 * time.Second
@@ -40,6 +39,9 @@
 	Records *mirror.Mirror
 	Pool    *transport.Pool
 	Engine  engine.Settings
+	// Term is the time after which this entry is replaced when it plans and does
+	// not renew its lease.
+	Term time.Duration
 	// KeepEnded is the time for which ended jobs stay known.
 	KeepEnded time.Duration
 }
@@ -192,7 +194,7 @@
 // elect tries to write the planner's key, now at revision held, under a new
 // lease. Epoch is 0 if another entry was faster.
 func (h *Host) elect(ctx context.Context, held uint64) (lease, epoch uint64, err error) {
-	lease, err = h.o.Table.Grant(ctx, termTTL)
+	lease, err = h.o.Table.Grant(ctx, h.o.Term)
 	if err != nil {
 		return 0, 0, err
 	}
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -98,7 +98,7 @@
 // leases, but not longer than ZombieLimit.
 func (t *term) renew(ctx context.Context) {
 	for ctx.Err() == nil {
-		kernel.Sleep(ctx, renewEvery)
+		kernel.Sleep(ctx, t.host.o.Term/renewalsPerTerm)
 		sent := time.Now()
 		err := t.host.o.Table.Renew(ctx, t.lease)
 		switch {
