Stop others for an urgent job only if less work is lost than it has

What is lost must run again and makes others late in turn. Ruled out: the choice of what to stop (the least loss is chosen already); jobs within their guarantee, which must start in time, are not touched. Change: the loss must not exceed the job's own work that is left. The test fails before.

--- a/internal/workflow/engine/load_test.go
+++ b/internal/workflow/engine/load_test.go
@@ -158,6 +158,26 @@
 	g.Expect(w.runs(low, 0)[0].how).To(Equal(workflow.EndStopped))
 }
 
+// Pattern: a small urgent job beyond its team's guarantee finds the pool full of
+// large runs that are well under way. It must wait; a job of more work than is
+// lost may stop them.
+func TestUrgentJobDoesNotThrowMoreWorkAwayThanItHas(t *testing.T) {
+	for _, c := range []struct {
+		ms    int64
+		stops bool
+	}{{500, false}, {20_000, true}} {
+		g := NewWithT(t)
+		w := newWorld(8, 1, 0)
+		w.sound = true
+		w.play(2500 * time.Millisecond)
+		low := w.addLate("large", "b", step(1, 8, 20_000))
+		w.play(4 * time.Second)
+		w.add("urgent", "c", step(1, 8, c.ms))
+		w.play(time.Second)
+		g.Expect(w.runs(low, 0)[0].how == workflow.EndStopped).To(Equal(c.stops), "urgent job of %d ms", c.ms)
+	}
+}
+
 // Pattern: an urgent gang that belongs in one rack finds all racks full. Only the
 // rack that loses least is cleared.
 func TestPreemptionClearsOneRack(t *testing.T) {
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -20,7 +20,8 @@
 // freed, or are held by units of a lower class, and stops the latter. Of all
 // groups of workers that could hold u it clears the one that loses the least
 // work in all. Jobs of priority 0, which would come late, are stopped only if
-// nothing else makes room. It returns the workers to keep free for u, nil if there
+// nothing else makes room. A job beyond its team's guarantee stops others only if
+// they lose less work than it has: the pool would else be slower for all. It returns the workers to keep free for u, nil if there
 // is no such placement.
 func (e *Engine) preempt(u *unit, c *candidate, r *room, now time.Time) ([]*worker, []StopDecision) {
 	best := e.cheapestClearance(u, r, func(v *unit) bool {
@@ -29,7 +30,7 @@
 	if best == nil && c.class < classFirst {
 		best = e.cheapestClearance(u, r, func(v *unit) bool { return e.mayPreempt(c, v) }, now)
 	}
-	if best == nil {
+	if best == nil || c.class == classFirst && best.loss > e.work(u.job) {
 		return nil, nil
 	}
 	var stops []StopDecision
@@ -183,6 +184,24 @@
 	return p
 }
 
+// work returns the work of a job that is left, in the unit of loss.
+func (e *Engine) work(j *job) int64 {
+	sum := int64(0)
+	for _, u := range j.units {
+		if !u.done {
+			sum += u.cores() * e.estim.duration(u).Milliseconds()
+		}
+	}
+	return sum
+}
+
+// cores returns what the items of u hold in thousandths of a core, with an
+// accelerator counted as acceleratorCores cores.
+func (u *unit) cores() int64 {
+	needs := u.spec().Needs()
+	return int64(u.count) * (needs.MilliCPU + 1000*acceleratorCores*needs.Accelerators)
+}
+
 // release gives back the resources that v's members hold.
 func (r *room) release(v *unit) {
 	for _, m := range v.members {
@@ -230,8 +249,7 @@
 	if v.spec().Checkpoints {
 		lost = min(lost, resumeCost)
 	}
-	needs := v.spec().Needs()
-	return int64(v.count) * (needs.MilliCPU + 1000*acceleratorCores*needs.Accelerators) * lost.Milliseconds()
+	return v.cores() * lost.Milliseconds()
 }
 
 const (
