Show and explain a system on the platform's store

Cause: operators of a system that serves workflows had only logs and the dump of the right entry; snipegwctl could not read the store, and nothing told why a job waits. Settings that change without a signal were not read. Change: snipegwctl workflow status, jobs, explain, queues, workers, planner and config read the records and the planner's dump, whose address entries now write to their record; the engine says for each open job why its first waiting item waits; snipegwctl trace puts the lines of one job from several logs in order. Ruled out: a call of the front for operators, which the platform's callers could reach as well; file notifications, which are not available there.

--- a/cmd/snipegwctl/main.go
+++ b/cmd/snipegwctl/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"snipegw/internal/ctl"
+	_ "snipegw/platform" // registers the store and the form of the configuration
 )
 
 // version is set by the linker.
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -1,5 +1,5 @@
 // Package ctl implements the command line snipegwctl. It uses only the HTTP API
-// of an entry.
+// of an entry, and for systems that serve workflows the records in their store.
 package ctl
 
 import (
@@ -167,6 +167,8 @@
 		{name: "request", short: "Send a request to a service", long: requestHelp, data: &request{app: a}},
 		{name: "ticket", short: "Ask what became of a request", long: "Prints the recorded response of a request that was not marked idempotent.\n\nExample: snipegwctl ticket w07/0000018f/12", data: &ticket{app: a}},
 		{name: "worker", short: "Show and control workers", sub: a.workerCommands()},
+		a.workflowCommands(),
+		{name: "trace", short: "Show a job's way through the logs", long: traceHelp, data: &trace{app: a}},
 		{name: "status", short: "Summary of the system", long: "Example: snipegwctl status --watch", data: &status{app: a}},
 		{name: "dump", short: "State of one process", long: "Prints /debug/state of the process at ADDRESS, an entry or the local address of an agent.\n\nExample: snipegwctl dump 127.0.0.1:8080", data: &dump{app: a}},
 		{name: "completion", short: "Print a completion script for a shell", long: completionHelp, data: &completion{app: a}},
--- /dev/null
+++ b/internal/ctl/trace.go
@@ -0,0 +1,115 @@
+package ctl
+
+import (
+	"bufio"
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+
+	"snipegw/internal/result"
+)
+
+const traceHelp = `Prints the lines of one job or request from the logs of several processes, in order of time.
+
+Example: snipegwctl trace 5c0e7a21d94b36f8 entry-1.log entry-2.log agent-w07.log`
+
+// maxLogLine bounds a line of a log; longer ones are skipped.
+const maxLogLine = 1 << 20
+
+type trace struct {
+	*app `no-flag:"true"`
+	Args struct {
+		ID    string   `positional-arg-name:"ID"`
+		Files []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// traceLine is a line of a log that names the id.
+type traceLine struct {
+	Time   string            `json:"time"`
+	File   string            `json:"file"`
+	Fields map[string]string `json:"fields"`
+}
+
+// Execute implements flags.Commander.
+func (c *trace) Execute([]string) error {
+	var lines []traceLine
+	for _, file := range c.Args.Files {
+		found, err := traceFile(file, c.Args.ID)
+		if err != nil {
+			return usagef("%v", err)
+		}
+		lines = append(lines, found...)
+	}
+	if len(lines) == 0 {
+		return result.Errorf(result.JobGone, "no line names %s", c.Args.ID)
+	}
+	// RFC 3339 in UTC with all digits sorts as text; lines of a file keep their order.
+	slices.SortStableFunc(lines, func(a, b traceLine) int { return cmp.Compare(a.Time, b.Time) })
+	if c.JSON {
+		return c.printJSON(map[string]any{"lines": lines})
+	}
+	var rows [][]string
+	for _, l := range lines {
+		rows = append(rows, []string{l.Time, l.File, l.Fields["event"], l.Fields["code"], traceDetails(l.Fields)})
+	}
+	return c.table("time file event code details", rows)
+}
+
+// traceDetails returns the fields that have no column of their own.
+func traceDetails(fields map[string]string) string {
+	var parts []string
+	for _, k := range sortedKeys(fields) {
+		switch k {
+		case "time", "code", "job", "level", "program", "message", "event":
+		default:
+			if v := fields[k]; v != "" {
+				parts = append(parts, fmt.Sprintf("%s=%s", k, v))
+			}
+		}
+	}
+	return strings.Join(append(parts, fields["message"]), " ")
+}
+
+// traceFile returns the lines of a log that name id as a whole word.
+func traceFile(file, id string) ([]traceLine, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var lines []traceLine
+	word := regexp.MustCompile(`(^|[^0-9A-Za-z])` + regexp.QuoteMeta(id) + `($|[^0-9A-Za-z])`)
+	r := bufio.NewReaderSize(f, maxLogLine)
+	for {
+		line, err := r.ReadSlice('\n')
+		if err == nil || errors.Is(err, io.EOF) {
+			if fields := logFields(string(line)); fields["time"] != "" && word.Match(line) {
+				lines = append(lines, traceLine{Time: fields["time"], File: filepath.Base(file), Fields: fields})
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return lines, nil
+		case err != nil && !errors.Is(err, bufio.ErrBufferFull):
+			return nil, err
+		}
+	}
+}
+
+var logField = regexp.MustCompile(`([A-Za-z_]+)=("(?:[^"\\]|\\.)*"|[^ \n]*)`)
+
+// logFields reads the key=value pairs of a line.
+func logFields(line string) map[string]string {
+	fields := make(map[string]string)
+	for _, m := range logField.FindAllStringSubmatch(line, -1) {
+		fields[m[1]] = strings.Trim(m[2], `"`)
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/ctl/workflow.go
@@ -0,0 +1,363 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"snipegw/internal/result"
+	"snipegw/internal/store"
+	"snipegw/internal/workflow"
+	"snipegw/internal/workflow/engine"
+	"snipegw/internal/workflow/inspect"
+	"snipegw/internal/workflow/intake"
+)
+
+const workflowHelp = `Shows a system that serves workflows, from the records in its store and the planner's dump.
+
+Examples:
+  snipegwctl workflow --store 10.0.0.7:8524 status --watch
+  SNIPEGW_STORE=10.0.0.7:8524 snipegwctl workflow explain 5c0e7a21d94b36f8`
+
+// workflowOptions are those of the commands below workflow.
+type workflowOptions struct {
+	Store  string `long:"store" description:"address of the store, host:port (environment SNIPEGW_STORE)" value-name:"HOST:PORT"`
+	Type   string `long:"store-type" description:"plug-in of the store" default:"platform"`
+	Format string `long:"config-format" description:"registered form of the operators' configuration" default:"platform"`
+}
+
+func (a *app) workflowCommands() command {
+	o := new(workflowOptions)
+	base := workflowCommand{app: a, o: o}
+	return command{name: "workflow", short: "Show a system that serves workflows", long: workflowHelp, data: o, sub: []command{
+		{name: "status", short: "Summary: planner, jobs, teams and who borrows", long: "Example: snipegwctl workflow status --watch", data: &workflowStatus{workflowCommand: base}},
+		{name: "jobs", short: "List jobs", long: "Example: snipegwctl workflow jobs --state active", data: &workflowJobs{workflowCommand: base}},
+		{name: "explain", short: "Say why a job is in its state", long: "Example: snipegwctl workflow explain 5c0e7a21d94b36f8", data: &workflowExplain{workflowCommand: base}},
+		{name: "queues", short: "List queues with their jobs", long: "Example: snipegwctl workflow queues", data: &workflowQueues{workflowCommand: base}},
+		{name: "workers", short: "List workers as the planner sees them", long: "Example: snipegwctl workflow workers --watch", data: &workflowWorkers{workflowCommand: base}},
+		{name: "planner", short: "Show the planner and the entries", long: "Example: snipegwctl workflow planner", data: &workflowPlanner{workflowCommand: base}},
+		{name: "config", short: "Show the configuration in force", long: "Tokens are not shown.\n\nExample: snipegwctl workflow config", data: &workflowConfig{workflowCommand: base}},
+	}}
+}
+
+// workflowCommand is what the commands below workflow share.
+type workflowCommand struct {
+	*app `no-flag:"true"`
+	o    *workflowOptions
+}
+
+// read lists the records of the system.
+func (c *workflowCommand) read() (*inspect.System, error) {
+	address := c.o.Store
+	if address == "" {
+		address = c.env.Getenv("SNIPEGW_STORE")
+	}
+	if address == "" {
+		return nil, usagef("the address of the store is missing: --store HOST:PORT or SNIPEGW_STORE")
+	}
+	format, err := intake.ConfigFormats.Get(c.o.Format)
+	if err != nil {
+		return nil, usagef("%v", err)
+	}
+	table, err := store.OpenTable(store.Settings{Type: c.o.Type, Addresses: []string{address}, TimeoutMS: int(c.Timeout.Milliseconds())})
+	if err != nil {
+		return nil, usagef("%v", err)
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, c.Timeout)
+	defer cancel()
+	return inspect.Read(ctx, table, format)
+}
+
+// plannerDump is the part of the planner's dump that is shown.
+type plannerDump struct {
+	Planner struct {
+		Planning bool         `json:"planning"`
+		Engine   engine.State `json:"engine"`
+	} `json:"planner"`
+}
+
+// dump reads the planner's state; it fails with code NoPlanner if no entry plans
+// and with EntryUnreachable if it does not answer.
+func (c *workflowCommand) dump(s *inspect.System) (*engine.State, error) {
+	if s.Planner == nil {
+		return nil, result.Errorf(result.NoPlanner, "no entry plans at the moment")
+	}
+	address := s.Entries[s.Planner.Entry].Debug
+	if address == "" {
+		return nil, result.Errorf(result.EntryUnreachable, "the record of entry %s has no address for its dump", s.Planner.Entry)
+	}
+	var d plannerDump
+	if err := newClient("http://"+address, "", c.Timeout).get(c.ctx, "/debug/state", &d); err != nil {
+		return nil, err
+	}
+	if !d.Planner.Planning {
+		return nil, result.Errorf(result.NoPlanner, "entry %s no longer plans", s.Planner.Entry)
+	}
+	return &d.Planner.Engine, nil
+}
+
+type workflowJobs struct {
+	workflowCommand
+	watchOptions
+	Queue string `long:"queue" description:"only jobs of this queue"`
+	Team  string `long:"team" description:"only jobs of this team"`
+	State string `long:"state" description:"only jobs in this state: pending, active, complete, failed or canceled"`
+}
+
+// jobRow is a job in the output.
+type jobRow struct {
+	ID       string         `json:"id"`
+	Queue    string         `json:"queue"`
+	Team     string         `json:"team"`
+	Priority int            `json:"priority"`
+	State    workflow.State `json:"state"`
+	Accepted time.Time      `json:"accepted"`
+	inspect.Counts
+}
+
+// Execute implements flags.Commander.
+func (c *workflowJobs) Execute([]string) error { return c.repeat(c.watchOptions, c.show) }
+
+func (c *workflowJobs) show() error {
+	s, err := c.read()
+	if err != nil {
+		return err
+	}
+	list := []jobRow{}
+	var rows [][]string
+	for _, j := range s.Jobs {
+		if c.Queue != "" && j.Record.Queue != c.Queue || c.Team != "" && j.Record.Team != c.Team || c.State != "" && string(j.State()) != c.State {
+			continue
+		}
+		r := newJobRow(s, j)
+		list = append(list, r)
+		rows = append(rows, []string{r.ID, r.Queue, r.Team, strconv.Itoa(r.Priority), string(r.State), age(j.Record.AcceptedMS),
+			fmt.Sprintf("%d/%d", r.Done, r.Items), strconv.Itoa(r.Running), strings.Join(r.Workers, ",")})
+	}
+	if c.JSON {
+		return c.printJSON(map[string]any{"jobs": list})
+	}
+	return c.table("job queue team priority state age done running workers", rows)
+}
+
+func newJobRow(s *inspect.System, j *inspect.Job) jobRow {
+	return jobRow{ID: j.ID, Queue: j.Record.Queue, Team: j.Record.Team, Priority: s.Priority(j), State: j.State(),
+		Accepted: time.UnixMilli(j.Record.AcceptedMS).UTC(), Counts: j.Count()}
+}
+
+type workflowExplain struct {
+	workflowCommand
+	Args struct {
+		Job string `positional-arg-name:"JOB"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *workflowExplain) Execute([]string) error {
+	s, err := c.read()
+	if err != nil {
+		return err
+	}
+	j := s.Job(c.Args.Job)
+	if j == nil {
+		return result.Errorf(result.JobGone, "the store has no job %s: it was not accepted, or it ended long ago", c.Args.Job)
+	}
+	waiting := ""
+	var planner *engine.JobState
+	var dumpErr error
+	if !j.State().Terminal() {
+		var d *engine.State
+		if d, dumpErr = c.dump(s); dumpErr == nil {
+			if i := slices.IndexFunc(d.Jobs, func(p engine.JobState) bool { return p.ID == j.ID }); i >= 0 {
+				planner, waiting = &d.Jobs[i], d.Jobs[i].Waiting
+			}
+		}
+	}
+	sentence := s.Explain(j, waiting, time.Now())
+	if c.JSON {
+		out := map[string]any{"job": newJobRow(s, j), "sentence": sentence, "planner": planner}
+		if dumpErr != nil {
+			out["planner_error"] = dumpErr.Error()
+		}
+		return c.printJSON(out)
+	}
+	fmt.Fprintf(c.env.Stdout, "%s is %s. %s\n", j.ID, j.State(), sentence)
+	fmt.Fprintf(c.env.Stdout, "queue %s, priority %d, team %s, accepted %s ago\n", j.Record.Queue, s.Priority(j), j.Record.Team, age(j.Record.AcceptedMS))
+	if planner != nil {
+		fmt.Fprintf(c.env.Stdout, "claim: %s\n", planner.Class)
+	}
+	if dumpErr != nil {
+		fmt.Fprintf(c.env.Stderr, "the planner's state is missing: %v\n", dumpErr)
+	}
+	return nil
+}
+
+type workflowQueues struct{ workflowCommand }
+
+// queueRow is a queue in the output.
+type queueRow struct {
+	Name     string                 `json:"queue"`
+	Priority int                    `json:"priority"`
+	Attempts int                    `json:"max_attempts"`
+	Service  string                 `json:"service"`
+	Path     string                 `json:"path"`
+	Jobs     map[workflow.State]int `json:"jobs"`
+}
+
+// Execute implements flags.Commander.
+func (c *workflowQueues) Execute([]string) error {
+	s, err := c.read()
+	if err != nil {
+		return err
+	}
+	list := make([]queueRow, len(s.Config.Queues))
+	var rows [][]string
+	for i, q := range s.Config.Queues {
+		r := queueRow{Name: q.Name, Priority: q.Priority, Attempts: q.MaxAttempts, Service: q.Service, Path: q.Host + q.PathPrefix, Jobs: make(map[workflow.State]int)}
+		for _, j := range s.Jobs {
+			if j.Record.Queue == q.Name {
+				r.Jobs[j.State()]++
+			}
+		}
+		list[i] = r
+		rows = append(rows, []string{r.Name, strconv.Itoa(r.Priority), strconv.Itoa(r.Attempts), r.Service, r.Path,
+			strconv.Itoa(r.Jobs[workflow.StatePending]), strconv.Itoa(r.Jobs[workflow.StateActive]), strconv.Itoa(r.Jobs[workflow.StateFailed])})
+	}
+	if c.JSON {
+		return c.printJSON(map[string]any{"queues": list})
+	}
+	return c.table("queue priority attempts service path pending active failed", rows)
+}
+
+type workflowWorkers struct {
+	workflowCommand
+	watchOptions
+}
+
+// Execute implements flags.Commander.
+func (c *workflowWorkers) Execute([]string) error { return c.repeat(c.watchOptions, c.show) }
+
+func (c *workflowWorkers) show() error {
+	s, err := c.read()
+	if err != nil {
+		return err
+	}
+	d, err := c.dump(s)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.printJSON(map[string]any{"workers": d.Workers})
+	}
+	var rows [][]string
+	for _, w := range d.Workers {
+		use := flagNames(map[string]bool{"usable": w.Usable, "draining": w.Draining, "excluded": w.Excluded})
+		rows = append(rows, []string{w.Node, s.Agents[w.Node].Zone, w.Rack, use, fmt.Sprintf("%d/%d", w.FreeAccelerators, w.Accelerators),
+			strconv.Itoa(w.Items), short(time.Duration(w.SeenMS) * time.Millisecond)})
+	}
+	return c.table("worker failure_domain rack use accelerators_free items silent", rows)
+}
+
+type workflowPlanner struct{ workflowCommand }
+
+// Execute implements flags.Commander.
+func (c *workflowPlanner) Execute([]string) error {
+	s, err := c.read()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return c.printJSON(map[string]any{"planner": s.Planner, "epoch": s.Epoch, "entries": s.Entries})
+	}
+	var rows [][]string
+	for _, id := range sortedKeys(s.Entries) {
+		e := s.Entries[id]
+		role := ""
+		if s.Planner != nil && s.Planner.Entry == id {
+			role = fmt.Sprintf("planner, epoch %d", s.Epoch)
+		}
+		rows = append(rows, []string{id, e.Zone, e.Address, e.Debug, role})
+	}
+	if err := c.table("entry failure_domain address dump role", rows); err != nil {
+		return err
+	}
+	if s.Planner == nil {
+		return result.Errorf(result.NoPlanner, "no entry plans at the moment")
+	}
+	return nil
+}
+
+type workflowConfig struct{ workflowCommand }
+
+// Execute implements flags.Commander.
+func (c *workflowConfig) Execute([]string) error {
+	s, err := c.read()
+	if err != nil {
+		return err
+	}
+	type team struct {
+		Name      string `json:"team"`
+		Guarantee int64  `json:"guaranteed_accelerators"`
+		Tokens    int    `json:"tokens"`
+	}
+	var teams []team
+	for _, name := range sortedKeys(s.Config.Teams) {
+		t := s.Config.Teams[name]
+		teams = append(teams, team{name, t.Guarantee, len(t.Tokens)})
+	}
+	if c.JSON {
+		return c.printJSON(map[string]any{"version": s.Config.Version, "queues": s.Config.Queues, "services": s.Config.Services, "teams": teams})
+	}
+	fmt.Fprintf(c.env.Stdout, "version %d: %d queues, services %s\n", s.Config.Version, len(s.Config.Queues), strings.Join(sortedKeys(s.Config.Services), ", "))
+	var rows [][]string
+	for _, t := range teams {
+		rows = append(rows, []string{t.Name, strconv.FormatInt(t.Guarantee, 10), strconv.Itoa(t.Tokens)})
+	}
+	return c.table("team guaranteed_accelerators tokens", rows)
+}
+
+type workflowStatus struct {
+	workflowCommand
+	watchOptions
+}
+
+// Execute implements flags.Commander.
+func (c *workflowStatus) Execute([]string) error { return c.repeat(c.watchOptions, c.show) }
+
+func (c *workflowStatus) show() error {
+	s, err := c.read()
+	if err != nil {
+		return err
+	}
+	states := make(map[workflow.State]int)
+	for _, j := range s.Jobs {
+		states[j.State()]++
+	}
+	teams := s.Teams()
+	if c.JSON {
+		return c.printJSON(map[string]any{"planner": s.Planner, "epoch": s.Epoch, "config_version": s.Config.Version,
+			"entries": len(s.Entries), "agents": len(s.Agents), "jobs": states, "teams": teams, "unreadable_records": s.Unreadable})
+	}
+	out := c.env.Stdout
+	if s.Planner == nil {
+		fmt.Fprintln(out, "planner  NONE")
+	} else {
+		fmt.Fprintf(out, "planner  %s, epoch %d\n", s.Planner.Entry, s.Epoch)
+	}
+	fmt.Fprintf(out, "config   version %d, %d queues\n", s.Config.Version, len(s.Config.Queues))
+	fmt.Fprintf(out, "known    %d entries, %d agents\n", len(s.Entries), len(s.Agents))
+	fmt.Fprintf(out, "jobs     %d pending, %d active, %d complete, %d failed, %d canceled\n", states[workflow.StatePending], states[workflow.StateActive],
+		states[workflow.StateComplete], states[workflow.StateFailed], states[workflow.StateCanceled])
+	if len(s.Unreadable) > 0 {
+		fmt.Fprintf(out, "UNREADABLE RECORDS  %s\n", strings.Join(s.Unreadable, ", "))
+	}
+	var rows [][]string
+	for _, t := range teams {
+		rows = append(rows, []string{t.Name, strconv.FormatInt(t.Guarantee, 10), strconv.FormatInt(t.Urgent, 10), strconv.FormatInt(t.Other, 10),
+			strconv.FormatInt(t.Borrows, 10), strconv.FormatInt(t.Lends, 10)})
+	}
+	return c.table("team guaranteed urgent other borrows lends", rows)
+}
--- /dev/null
+++ b/internal/ctl/workflow_test.go
@@ -0,0 +1,145 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"snipegw/internal/standin/platformstore"
+	"snipegw/internal/workflow"
+	_ "snipegw/platform" // registers the store and the form of the configuration
+)
+
+const workflowDocument = `{"version":9,"routes":[{"name":"urgent","hostname":"q.example","pathPrefix":"/u/","backend":"svc","maxAttempts":3},
+{"name":"batch","hostname":"q.example","pathPrefix":"/b/","backend":"svc","priority":1,"maxAttempts":2}],
+"services":[{"name":"svc"}],"tenants":[{"name":"a","apiKeys":["secret"],"guaranteed":{"gpus":8}},{"name":"b","apiKeys":["other"],"guaranteed":{"gpus":4}}]}`
+
+const plannerState = `{"planner":{"planning":true,"epoch":7,"engine":{"jobs":[{"id":"00000000000000a2","class":"other","waiting":"item 00000000000000a2/0/0/1 finds no room"}],
+"workers":[{"node":"w1","rack":"r1","usable":true,"accelerators":8,"accelerators_free":2,"items":2}]}}}`
+
+var _ = Describe("snipegwctl workflow", func() {
+	var (
+		store     *platformstore.Store
+		gate      *platformstore.Gate
+		out, errs bytes.Buffer
+	)
+	run := func(args ...string) int {
+		out.Reset()
+		errs.Reset()
+		return Run(context.Background(), args, Env{Stdin: strings.NewReader(""), Stdout: &out, Stderr: &errs, Version: "test",
+			Getenv: func(name string) string { return map[string]string{"SNIPEGW_STORE": gate.Addr()}[name] }})
+	}
+	put := func(key string, v any) { store.Put(key, workflow.Encode(v)) }
+	job := func(id, queue, team string, count int, accelerators int64) {
+		put(workflow.JobPrefix+id, workflow.JobRecord{Queue: queue, Team: team, AcceptedMS: time.Now().UnixMilli(), MaxAttempts: 3,
+			Job: workflow.Job{Steps: []workflow.Step{{Count: count, Accelerators: accelerators}}}})
+	}
+	BeforeEach(func() {
+		store = platformstore.New()
+		var err error
+		gate, err = store.Gate()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(gate.Close)
+		planner := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, plannerState) }))
+		DeferCleanup(planner.Close)
+		store.Put("op/config", []byte(workflowDocument))
+		put(workflow.PlannerKey, workflow.PlannerRecord{Entry: "e1", Address: "10.0.0.1:7000"})
+		put(workflow.EntryPrefix+"e1", workflow.ProcessRecord{Address: "10.0.0.1:7000", Zone: "z", Debug: strings.TrimPrefix(planner.URL, "http://")})
+		put(workflow.AgentPrefix+"w1", workflow.ProcessRecord{Address: "10.0.0.2:7000", Zone: "z"})
+		job("00000000000000a1", "urgent", "a", 2, 1)
+		put(workflow.RunPrefix+"00000000000000a1", workflow.Progress{State: workflow.StateComplete, Units: []workflow.UnitProgress{{Done: true}, {First: 1, Done: true}}})
+		job("00000000000000a2", "batch", "b", 2, 6)
+		put(workflow.RunPrefix+"00000000000000a2", workflow.Progress{State: workflow.StateActive,
+			Units: []workflow.UnitProgress{{Run: 1, Members: []workflow.MemberProgress{{Worker: "w1|5"}}}}})
+		job("00000000000000a3", "batch", "a", 1, 1)
+		put(workflow.RunPrefix+"00000000000000a3", workflow.Progress{State: workflow.StateFailed, Units: []workflow.UnitProgress{{Failed: 2}}})
+	})
+
+	It("lists jobs, and only those asked for", func() {
+		Expect(run("workflow", "jobs")).To(Equal(ExitOK), errs.String())
+		Expect(out.String()).To(MatchRegexp(`00000000000000a2\s+batch\s+b\s+1\s+active\s+\S+\s+0/2\s+1\s+w1`))
+		Expect(run("workflow", "jobs", "--state", "failed", "--json")).To(Equal(ExitOK))
+		Expect(out.String()).To(ContainSubstring("00000000000000a3"))
+		Expect(out.String()).NotTo(ContainSubstring("00000000000000a1"))
+	})
+
+	It("explains each state, with the planner's reason for what waits", func() {
+		for id, text := range map[string]string{
+			"00000000000000a1": "is complete. All 2 items are done.",
+			"00000000000000a2": "1 run on w1, 1 wait: item 00000000000000a2/0/0/1 finds no room.",
+			"00000000000000a3": "An item failed 2 times, and its queue allows 2 attempts",
+		} {
+			Expect(run("workflow", "explain", id)).To(Equal(ExitOK), errs.String())
+			Expect(out.String()).To(ContainSubstring(text))
+		}
+		Expect(run("workflow", "explain", "00000000000000ff")).To(Equal(ExitRefused))
+		Expect(errs.String()).To(ContainSubstring("job_gone"))
+	})
+
+	It("says that the planner's reason is missing, rather than none", func() {
+		put(workflow.EntryPrefix+"e1", workflow.ProcessRecord{Address: "10.0.0.1:7000", Debug: "127.0.0.1:1"})
+		Expect(run("workflow", "explain", "00000000000000a2")).To(Equal(ExitOK))
+		Expect(out.String()).To(ContainSubstring("the planner e1 did not tell why"))
+		Expect(errs.String()).To(ContainSubstring("the planner's state is missing"))
+	})
+
+	It("shows who borrows and who lends", func() {
+		Expect(run("workflow", "status")).To(Equal(ExitOK), errs.String())
+		Expect(out.String()).To(MatchRegexp(`(?m)^a\s+8\s+0\s+0\s+0\s+8$`))
+		Expect(out.String()).To(MatchRegexp(`(?m)^b\s+4\s+0\s+6\s+6\s+4$`))
+		Expect(out.String()).To(ContainSubstring("1 active, 1 complete, 1 failed"))
+	})
+
+	It("shows queues, workers, planner and configuration, but no tokens", func() {
+		for command, text := range map[string]string{"queues": "q.example/b/", "workers": "2/8", "planner": "planner, epoch", "config": "version 9"} {
+			Expect(run("workflow", command)).To(Equal(ExitOK), command+errs.String())
+			Expect(out.String()).To(ContainSubstring(text), command)
+			Expect(run("workflow", command, "--json")).To(Equal(ExitOK), command)
+			Expect(out.String()).NotTo(ContainSubstring("secret"), command)
+		}
+	})
+
+	It("tells a store that is away from one that is not named", func() {
+		gate.SetFaults(platformstore.Faults{Down: platformstore.DownBusy})
+		Expect(run("workflow", "jobs")).To(Equal(ExitRefused))
+		Expect(errs.String()).To(ContainSubstring("store_unavailable"))
+		Expect(Run(context.Background(), []string{"workflow", "jobs"}, Env{Stdout: &out, Stderr: &errs, Getenv: func(string) string { return "" }})).To(Equal(ExitUsage))
+	})
+})
+
+var _ = Describe("snipegwctl trace", func() {
+	// Guards against lines out of order, and lines of other jobs.
+	It("merges the lines of one job from several logs in order of time", func() {
+		dir := GinkgoT().TempDir()
+		write := func(name, text string) string {
+			file := filepath.Join(dir, name)
+			Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+			return file
+		}
+		a := write("entry.log", `time=2026-01-01T00:00:01.2Z level=info program=snipegw-entry event=job_accept code=100 job=a1 message="recorded"
+time=2026-01-01T00:00:01.9Z level=info program=snipegw-entry event=job_ended job=a1 message="job ended"
+time=2026-01-01T00:00:01.3Z level=info program=snipegw-entry event=job_accept code=100 job=a11 message="recorded"
+not a log line about a1
+`)
+		b := write("agent.log", `time=2026-01-01T00:00:01.5Z level=info program=snipegw-agent event=item_start item=a1/0/0/0 code=100 message="a \"quoted\" word"`)
+		var out, errs bytes.Buffer
+		env := Env{Stdout: &out, Stderr: &errs, Getenv: func(string) string { return "" }}
+		Expect(Run(context.Background(), []string{"trace", "a1", a, b}, env)).To(Equal(ExitOK), errs.String())
+		var events []string
+		for _, line := range strings.Split(strings.TrimSpace(out.String()), "\n")[1:] {
+			events = append(events, strings.Fields(line)[2])
+		}
+		Expect(events).To(Equal([]string{"job_accept", "item_start", "job_ended"}))
+		Expect(Run(context.Background(), []string{"trace", "zz", a}, env)).To(Equal(ExitRefused))
+		Expect(Run(context.Background(), []string{"trace", "a1", filepath.Join(dir, "none.log")}, env)).To(Equal(ExitUsage))
+	})
+})
--- a/internal/kernel/components.go
+++ b/internal/kernel/components.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/apex/log"
@@ -81,3 +82,72 @@
 
 // Stop implements Component. It ends all connections at once.
 func (s *HTTPServer) Stop(context.Context) error { return s.server.Close() }
+
+// filePoll is how often a FileWatch looks at its file. The platform promises no
+// signal for a changed settings file, and file notifications are not available
+// there.
+const filePoll = 2 * time.Second
+
+// FileWatch is a Component that asks for a reload when a file has changed.
+type FileWatch struct {
+	File string
+	// Poll is the time between two looks, filePoll if it is zero.
+	Poll    time.Duration
+	changed chan struct{}
+	cancel  context.CancelFunc
+}
+
+// Name implements Component.
+func (f *FileWatch) Name() string { return "file watch" }
+
+// Start implements Component.
+func (f *FileWatch) Start(ctx context.Context) error {
+	if f.Poll == 0 {
+		f.Poll = filePoll
+	}
+	ctx, f.cancel = context.WithCancel(ctx)
+	go f.run(ctx, f.version())
+	return nil
+}
+
+// Stop implements Component.
+func (f *FileWatch) Stop(context.Context) error {
+	f.cancel()
+	return nil
+}
+
+// Changed implements Trigger.
+func (f *FileWatch) Changed() <-chan struct{} {
+	if f.changed == nil {
+		f.changed = make(chan struct{}, 1)
+	}
+	return f.changed
+}
+
+func (f *FileWatch) run(ctx context.Context, last fileVersion) {
+	for ctx.Err() == nil {
+		Sleep(ctx, f.Poll)
+		// A file that is being replaced may be missing for a moment.
+		if v := f.version(); v != last && v != (fileVersion{}) {
+			last = v
+			select {
+			case f.changed <- struct{}{}:
+			default: // a reload is due already
+			}
+		}
+	}
+}
+
+// fileVersion tells the contents of a file apart without reading it.
+type fileVersion struct {
+	modified time.Time
+	size     int64
+}
+
+func (f *FileWatch) version() fileVersion {
+	info, err := os.Stat(f.File)
+	if err != nil {
+		return fileVersion{}
+	}
+	return fileVersion{info.ModTime(), info.Size()}
+}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -36,9 +36,17 @@
 	Reload() error
 }
 
+// Trigger is a Component that asks for a reload by itself.
+type Trigger interface {
+	// Changed receives a value when the settings should be read again. It is
+	// called before Start.
+	Changed() <-chan struct{}
+}
+
 // Run starts the components in order, waits for SIGTERM or SIGINT (or for the
 // end of parent), and stops them in reverse order. A second signal ends the
-// program at once. SIGHUP makes the Reloaders among the components reload.
+// program at once. SIGHUP, or a Trigger among the components, makes the Reloaders
+// among them reload.
 func Run(parent context.Context, components ...Component) error {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -48,6 +56,7 @@
 	defer signal.Stop(hangups)
 	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
 	defer cancel()
+	changed := triggered(components)
 	started, err := start(ctx, components)
 	if err != nil {
 		return errors.Join(err, stop(started, nil))
@@ -60,6 +69,8 @@
 			running = false
 		case <-hangups:
 			reload(components)
+		case <-changed:
+			reload(components)
 		case <-parent.Done():
 			running = false
 		}
@@ -69,6 +80,17 @@
 	return err
 }
 
+// triggered returns the channel of the Trigger among the components, nil if there
+// is none.
+func triggered(components []Component) <-chan struct{} {
+	for _, c := range components {
+		if t, ok := c.(Trigger); ok {
+			return t.Changed()
+		}
+	}
+	return nil
+}
+
 func reload(components []Component) {
 	for _, c := range components {
 		r, ok := c.(Reloader)
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -7,9 +7,11 @@
 	"errors"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/apex/log"
 	. "github.com/onsi/ginkgo/v2"
@@ -173,6 +175,28 @@
 		Expect(<-done).To(Succeed())
 	})
 
+	// Guards against settings that change without a signal and are never read,
+	// and against a reload while the file is missing.
+	It("reloads when the watched file has changed", func() {
+		var steps []string
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		file := filepath.Join(GinkgoT().TempDir(), "settings.json")
+		Expect(os.WriteFile(file, []byte("a"), 0o600)).To(Succeed())
+		reloads := make(chan struct{}, 2)
+		done := make(chan error)
+		go func() {
+			done <- Run(ctx, reloading{recorder{name: "a", steps: &steps}, reloads, nil}, &FileWatch{File: file, Poll: time.Millisecond})
+		}()
+		Consistently(reloads, "30ms").ShouldNot(Receive())
+		Expect(os.Remove(file)).To(Succeed())
+		Consistently(reloads, "30ms").ShouldNot(Receive())
+		Expect(os.WriteFile(file, []byte("other"), 0o600)).To(Succeed())
+		Eventually(reloads).Should(Receive())
+		cancel()
+		Expect(<-done).To(Succeed())
+	})
+
 	It("stops what has started when a start fails", func() {
 		var steps []string
 		err := Run(context.Background(), recorder{name: "a", steps: &steps}, recorder{name: "b", fail: true, steps: &steps})
--- a/internal/workflow/daemon/daemon.go
+++ b/internal/workflow/daemon/daemon.go
@@ -65,7 +65,8 @@
 	known := &knownEntries{process: p, table: table, records: records}
 	known.set(s)
 	records.Listen(func([]store.Event) { known.update() })
-	registration := &registration{table: table, key: workflow.EntryPrefix + p.ID, record: workflow.ProcessRecord{Address: p.Address, Zone: p.FailureDomain}}
+	registration := &registration{table: table, key: workflow.EntryPrefix + p.ID,
+		record: workflow.ProcessRecord{Address: p.Address, Zone: p.FailureDomain, Debug: p.DebugAddress}}
 	in.OnConfig(host.SetConfig)
 	in.Begin()
 	dumper := kernel.NewDumper()
--- a/internal/workflow/engine/dump.go
+++ b/internal/workflow/engine/dump.go
@@ -12,6 +12,11 @@
 	UnitsLeft int    `json:"units_left"`
 	Running   int    `json:"units_running"`
 	AgeMS     int64  `json:"age_ms"`
+	// Class is the job's claim: guaranteed, first or other.
+	Class string `json:"class"`
+	// Waiting says why the first item that does not run waits.
+	Waiting string   `json:"waiting,omitempty"`
+	Workers []string `json:"workers,omitempty"` // on which items may be running
 }
 
 // WorkerState is a worker in the dump.
@@ -23,6 +28,10 @@
 	SeenMS   int64  `json:"report_age_ms"`
 	Items    int    `json:"items"`
 	Excluded bool   `json:"excluded"`
+	// Rack and the accelerators are as announced; empty and zero before that.
+	Rack             string `json:"rack,omitempty"`
+	Accelerators     int64  `json:"accelerators"`
+	FreeAccelerators int64  `json:"accelerators_free"`
 }
 
 // State is the engine's state for the dump.
@@ -38,6 +47,7 @@
 		js := JobState{
 			ID: j.id, Queue: j.rec.Queue, Team: j.rec.Team, State: string(j.state), Cancelled: j.cancelled,
 			UnitsLeft: j.left, AgeMS: now.UnixMilli() - j.rec.AcceptedMS,
+			Class: classNames[e.classOf(j)], Waiting: e.waiting(j, now), Workers: j.runsOn(),
 		}
 		for _, u := range j.units {
 			if u.active() {
@@ -48,10 +58,15 @@
 	}
 	for _, node := range sortedKeys(e.workers) {
 		w := e.workers[node]
-		s.Workers = append(s.Workers, WorkerState{
+		ws := WorkerState{
 			Node: node, Key: w.key, Usable: e.usable(w, now), Draining: w.announced != nil && w.announced.Draining,
 			SeenMS: now.Sub(w.seen).Milliseconds(), Items: len(w.members), Excluded: w.health.excluded(now),
-		})
+			FreeAccelerators: w.free().Accelerators,
+		}
+		if w.announced != nil {
+			ws.Rack, ws.Accelerators = w.announced.Rack, w.announced.Capacity.Accelerators
+		}
+		s.Workers = append(s.Workers, ws)
 	}
 	return s
 }
--- a/internal/workflow/engine/load_test.go
+++ b/internal/workflow/engine/load_test.go
@@ -422,3 +422,42 @@
 	g.Expect(runs).To(HaveLen(2))
 	g.Expect(runs[1].how).To(BeEmpty())
 }
+
+// Operators ask why a job waits. Guards against a reason that is missing, or that
+// names another cause than the one that holds the job back.
+func TestDumpSaysWhyJobsWait(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(21, 2, 0)
+	w.sound = true
+	w.play(2500 * time.Millisecond)
+	waiting := func(id string) string {
+		for _, j := range w.planner.Dump(w.now).Jobs {
+			if j.ID == id {
+				return j.Waiting
+			}
+		}
+		return "not open"
+	}
+	running := w.addLate("large", "b", step(2, 8, 20_000))
+	w.play(300 * time.Millisecond)
+	g.Expect(waiting(running)).To(BeEmpty())
+	full := w.add("large", "b", step(1, 8, 5000))
+	labelled := step(1, 1, 5000)
+	labelled.Label = "none"
+	alone := w.add("large", "b", labelled)
+	w.play(300 * time.Millisecond)
+	g.Expect(waiting(full)).To(ContainSubstring("needs 1 x (8 accelerators"))
+	g.Expect(waiting(full)).To(ContainSubstring("2 are usable and suit it, with 0 accelerators free"))
+	g.Expect(waiting(alone)).To(ContainSubstring("label none; of 2 workers 0 are usable"))
+
+	id := fmt.Sprintf("%016x", len(w.jobs)+1)
+	w.jobs[id] = &workflow.JobRecord{
+		Job:   workflow.Job{Steps: []workflow.Step{step(1, 1, 100), {Count: 1, After: []int{0}}}, Occurrences: 1, FirstAtMS: w.now.Add(time.Minute).UnixMilli()},
+		Queue: "small", Service: "s", MaxAttempts: 3, SlackFactor: 3,
+	}
+	w.planner.AddJob(id, w.jobs[id], nil, 0)
+	g.Expect(waiting(id)).To(ContainSubstring("is due in 1m0s"))
+	w.jobs[id].FirstAtMS = w.now.UnixMilli()
+	w.planner.jobs[id].stages[0][0].units[0].members = []*member{{worker: &worker{node: "n0"}}}
+	g.Expect(waiting(id)).To(ContainSubstring("waits for step 0, of which 1 units are left"))
+}
--- a/internal/workflow/records.go
+++ b/internal/workflow/records.go
@@ -77,6 +77,8 @@
 type ProcessRecord struct {
 	Address string `cbor:"1,keyasint"`
 	Zone    string `cbor:"2,keyasint,omitempty"`
+	// Debug is the address of the dump and the metrics, empty if there is none.
+	Debug string `cbor:"3,keyasint,omitempty"`
 }
 
 // Encode returns the stored form of a record.
