Wait for the direct answer when a peer was faster

While the direct way is suspect, reads go both ways; the slower attempt was cancelled, and a cancelled direct attempt made the way suspect for another 1.5 s, so that reads were made twice for seconds.

--- a/internal/workflow/relay/relay.go
+++ b/internal/workflow/relay/relay.go
@@ -242,7 +242,9 @@
 }
 
 // race reads by the direct way and through peers at once, while the direct way is
-// suspect, and returns the first answer. It shows soon that a way works again.
+// suspect, and returns the first answer. The direct attempt runs to its end also
+// when a peer was faster, so that it shows whether that way works again; it does
+// not wait for changes.
 func (t *Table) race(ctx context.Context, q *Request) (*Reply, error) {
 	type answer struct {
 		reply *Reply
@@ -250,7 +252,9 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	ways := []func(*Request) (*Reply, error){func(q *Request) (*Reply, error) { return t.byDirect(ctx, q) }}
+	probe := *q
+	probe.Wait = min(q.Wait, time.Millisecond)
+	ways := []func(*Request) (*Reply, error){func(*Request) (*Reply, error) { return t.byDirect(context.WithoutCancel(ctx), &probe) }}
 	if time.Now().UnixNano() >= t.outage.Load() {
 		ways = append(ways, func(q *Request) (*Reply, error) { return t.byPeers(ctx, q, func(error) {}) })
 	}
