Name the configuration that decided a refusal, and what is not carried out

Cause: call_refused told the code but not the version and age of the configuration that decided it, so that a refused token could not be told from an entry that lags behind. An operator's wave of upkeep disappeared without a line.

--- a/internal/workflow/intake/intake.go
+++ b/internal/workflow/intake/intake.go
@@ -97,7 +97,12 @@
 
 func (in *Intake) takeConfig(events []store.Event) {
 	for _, e := range events {
-		if e.Key != in.format.Key || e.Deleted {
+		if e.Deleted {
+			continue
+		}
+		if e.Key != in.format.Key {
+			kernel.Metrics.Count("snipegw_operator_requests_total", "code", result.Unsupported.String())
+			log.WithFields(log.Fields{"event": "operator_request_unsupported", "key": e.Key, "revision": e.Revision, "code": int(result.Unsupported)}).Error("not carried out, and no state is written")
 			continue
 		}
 		c, err := in.format.Decode(e.Value)
@@ -301,9 +306,10 @@
 func (in *Intake) logWrite(operation, id string, code result.Code, attempts int, begin time.Time, err error) {
 	kernel.Metrics.Count("snipegw_caller_operations_total", "operation", operation, "code", code.String())
 	kernel.Metrics.Observe(time.Since(begin), "snipegw_caller_operation_seconds", "operation", operation)
+	version, age := in.ConfigVersion()
 	e := log.WithFields(log.Fields{
 		"event": "job_" + operation, "job": id, "code": int(code), "attempts": attempts,
-		"took_ms": time.Since(begin).Milliseconds(), "config_version": in.configVersion(), "mirror_age_ms": in.records.Age().Milliseconds(),
+		"took_ms": time.Since(begin).Milliseconds(), "config_version": version, "config_age_ms": age.Milliseconds(), "mirror_age_ms": in.records.Age().Milliseconds(),
 	})
 	if err != nil {
 		e.WithField("error", err.Error()).Warn("not recorded")
@@ -312,9 +318,12 @@
 	e.Info("recorded")
 }
 
-func (in *Intake) configVersion() int64 {
-	if c := in.Config(); c != nil {
-		return c.Version
+// ConfigVersion returns the version of the configuration in force and the time for
+// which it has been; both are 0 before the first one.
+func (in *Intake) ConfigVersion() (version int64, age time.Duration) {
+	c := in.Config()
+	if c == nil {
+		return 0, 0
 	}
-	return 0
+	return c.Version, time.Since(time.UnixMilli(in.configAt.Load()))
 }
