Give a list of the store time for its pages

A list is read page by page, and all pages together had the 600 ms of one call. With 60 times slower calls (240 ms) three pages, 1,500 records, are too many; a new planner would not begin. Ruled out: a hanging watch (its waits are 1 s at most); the load (the same entry accepted jobs directly meanwhile). Change: a list has 5 s more; each page is still bounded by the store's client. The test fails before.

--- a/internal/workflow/relay/relay.go
+++ b/internal/workflow/relay/relay.go
@@ -25,6 +25,9 @@
 	directFor = 600 * time.Millisecond
 	// peerFor bounds an attempt through one peer.
 	peerFor = 700 * time.Millisecond
+	// listFor is added for a list: it has many pages, each of which the store's
+	// client bounds. 20 pages of a store that is sixty times slower than usual.
+	listFor = 5 * time.Second
 	// suspectFor is the time after a failure for which peers are asked first.
 	suspectFor = 1500 * time.Millisecond
 	// outageFor is the time after a failure of all ways for which peers are not
@@ -281,7 +284,7 @@
 }
 
 func (t *Table) byDirect(ctx context.Context, q *Request) (*Reply, error) {
-	ctx, cancel := context.WithTimeout(ctx, directFor+waitOf(q))
+	ctx, cancel := context.WithTimeout(ctx, directFor+extraTime(q))
 	defer cancel()
 	reply := new(Reply)
 	begin := time.Now()
@@ -300,10 +303,14 @@
 	return nil, err
 }
 
-// waitOf is the time for which the store itself holds back its answer.
-func waitOf(q *Request) time.Duration {
-	if q.Op == opChanges {
+// extraTime is what an operation may take beyond a single call: the time for
+// which the store itself holds back its answer, and further pages.
+func extraTime(q *Request) time.Duration {
+	switch q.Op {
+	case opChanges:
 		return q.Wait
+	case opList:
+		return listFor
 	}
 	return 0
 }
@@ -332,9 +339,9 @@
 }
 
 func (t *Table) byPeer(ctx context.Context, address string, q *Request, reply *Reply) error {
-	ctx, cancel := context.WithTimeout(ctx, peerFor+waitOf(q))
+	ctx, cancel := context.WithTimeout(ctx, peerFor+extraTime(q))
 	defer cancel()
-	q.Budget = directFor + waitOf(q)
+	q.Budget = directFor + extraTime(q)
 	err := t.pool.Call(ctx, address, wire.KindStoreRelay, q, reply)
 	if err == nil {
 		return nil
--- a/internal/workflow/relay/relay_test.go
+++ b/internal/workflow/relay/relay_test.go
@@ -40,6 +40,10 @@
 	return store.Record{Key: key}, err == nil, err
 }
 
+func (f *table) List(ctx context.Context, _ string) ([]store.Record, uint64, error) {
+	return nil, 1, f.answer(ctx)
+}
+
 func (f *table) Commit(ctx context.Context, _ store.Txn) (store.Outcome, error) {
 	err := f.answer(ctx)
 	return store.Outcome{Committed: err == nil}, err
@@ -102,6 +106,17 @@
 	g.Eventually(func() bool { return time.Until(time.Unix(0, r.suspect.Load())) > suspectFor/2 }, 2*directFor).Should(BeTrue())
 }
 
+// A list has many pages, each bounded by the store's client. Guards against an
+// entry that starts, or becomes planner, while the store is slow and never
+// finishes its list, because all pages together had the time of one call.
+func TestListOfManyPagesHasMoreTimeThanOneCall(t *testing.T) {
+	g := NewWithT(t)
+	r := newTable(&table{delay: directFor + 200*time.Millisecond}, &peer{err: result.Errorf(result.StoreUnavailable, "away")})
+	_, revision, err := r.List(t.Context(), "p/")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(revision).To(BeEquivalentTo(1))
+}
+
 // Guards against "nothing was done" for a transaction that one of the ways left
 // open.
 func TestOpenAttemptMakesTheOutcomeUnknown(t *testing.T) {
