Prove pairs of faults, a long outage and the loss of a rack

Change: proof workflow-disasters. The stand-in's leases end also on a worker that nobody calls any more: its check took such runs for second runs (test). Proofs that run side by side no longer take each other's ports. The load is now 400 ms a job.

--- /dev/null
+++ b/internal/proof/p9_workflows.go
@@ -0,0 +1,216 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"snipegw/internal/standin/platformstore"
+	"snipegw/internal/standin/platformworker"
+	"snipegw/internal/workflow"
+)
+
+const (
+	// storeOutage is far beyond the longest lease on a worker and the time for
+	// which a planner without the store extends leases.
+	storeOutage = 2 * time.Minute
+	// outageRun is the run time of items that a shorter outage must not stop.
+	outageRun = 8 * time.Second
+	// returnBound is the time after the return of the store in which a job is
+	// accepted again: callers wait no longer.
+	returnBound = callerLimit
+	// proofSubmit is the mean time between two jobs. They need half of the pool, so
+	// that what the faults held up can be made up for within soakSettle.
+	proofSubmit = 400 * time.Millisecond
+	// pairClusters run the pairs of faults side by side.
+	pairClusters = 3
+	// pairTime is how long a fault of a pair lasts, pairPause the time to the next
+	// pair, in which the system need not have recovered.
+	pairTime  = 2 * time.Second
+	pairPause = time.Second
+)
+
+// pairedFaults are the kinds of faults of soak.inject that are paired, by their
+// names.
+var pairedFaults = []struct {
+	kind int
+	name string
+}{
+	{0, "kill"}, {2, "stop"}, {3, "freeze"}, {6, "store refuses one"}, {7, "store loses answers"}, {8, "store down"},
+	{9, "cut from the others"}, {10, "history dropped, worker loses answers"}, {11, "worker leaves and crashes"},
+}
+
+func workflowProof() Proof {
+	return Proof{
+		Name: "workflow-disasters", Promise: "jobs of steps", Limit: 12 * time.Minute,
+		Bound: "every job ends as its caller was told, no item twice, accepted within 3s of the store's return",
+		Run:   runWorkflowProof,
+	}
+}
+
+// runWorkflowProof runs the cases side by side, each on a cluster of its own.
+func runWorkflowProof(ctx context.Context, e *Env) (Verdict, error) {
+	cases := map[string]func(context.Context, *soak) (string, error){
+		"store-down":   storeDownForMinutes,
+		"rack-is-lost": rackIsLost,
+	}
+	for i := range pairClusters {
+		cases[fmt.Sprintf("pairs-%d", i)] = func(ctx context.Context, s *soak) (string, error) { return pairsOfFaults(ctx, s, i, e.Control) }
+	}
+	var (
+		wg       sync.WaitGroup
+		mu       sync.Mutex
+		measured []string
+		errs     []error
+	)
+	for name, run := range cases {
+		if e.Control && !strings.HasPrefix(name, "pairs") {
+			continue
+		}
+		wg.Go(func() {
+			text, err := runCase(ctx, e, name, run)
+			mu.Lock()
+			defer mu.Unlock()
+			measured = append(measured, name+": "+text)
+			if err != nil {
+				errs = append(errs, fmt.Errorf("%s: %w", name, err))
+			}
+		})
+	}
+	wg.Wait()
+	return Verdict{Pass: len(errs) == 0, Measured: strings.Join(measured, "; ")}, errors.Join(errs...)
+}
+
+// runCase runs load beside a case until the case ends, and then checks what
+// callers and workers saw.
+func runCase(ctx context.Context, e *Env, name string, run func(context.Context, *soak) (string, error)) (string, error) {
+	dir := filepath.Join(e.Dir, name)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return "", err
+	}
+	c, err := LaunchWorkflows(ctx, e.Bin, dir, soakEntries, soakWorkers)
+	if err != nil {
+		return "", err
+	}
+	defer c.Kill()
+	s := &soak{c: c, rng: rand.New(rand.NewPCG(e.Seed, 4)), every: proofSubmit, trace: io.Discard}
+	loadCtx, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { s.load(loadCtx, rand.New(rand.NewPCG(e.Seed, 5))) })
+	text, err := run(ctx, s)
+	stop()
+	wg.Wait()
+	if e.Control {
+		s.loseAcceptedJob()
+	}
+	s.settle(ctx)
+	return fmt.Sprintf("%s, %d jobs", text, len(s.jobs)), errors.Join(err, s.verdict())
+}
+
+// storeDownForMinutes takes the store away. Work that runs must not be stopped
+// by an outage that is shorter than leases are extended; the rest must go on when
+// the store is back.
+func storeDownForMinutes(ctx context.Context, s *soak) (string, error) {
+	const path = "/urgent/e000000000000001"
+	body := WorkflowSteps(platformworker.Payload{MS: outageRun.Milliseconds(), GPUs: 1}, 2)
+	if status, _ := s.c.Call(s.c.Entries[0], http.MethodPost, path, body); status != http.StatusOK {
+		return "", fmt.Errorf("the job before the outage: status %d", status)
+	}
+	sleep(ctx, 2*time.Second)
+	s.setStore(platformstore.Faults{Down: platformstore.DownSilent})
+	sleep(ctx, storeOutage)
+	s.setStore(platformstore.Faults{})
+	back := time.Now()
+	accepted := -1 * time.Second
+	for i := 0; time.Since(back) < workflowLimit; i++ {
+		job := fmt.Sprintf("/batch/f%015x", i) // the load's ids begin with 0
+		if status, _ := s.c.Call(s.c.Entries[i%soakEntries], http.MethodPost, job, WorkflowSteps(platformworker.Payload{MS: 100, GPUs: 1}, 1)); status == http.StatusOK {
+			accepted = time.Since(back)
+			break
+		}
+		sleep(ctx, 50*time.Millisecond)
+	}
+	text := fmt.Sprintf("%v without the store, accepted %v after its return", storeOutage, accepted.Round(time.Millisecond))
+	if accepted < 0 || accepted > returnBound {
+		return text, fmt.Errorf("accepted later than %v after the return", returnBound)
+	}
+	for i := range 2 {
+		if runs := s.c.Pool.Runs(fmt.Sprintf("%s.0.0.%d", path[len("/urgent/"):], i)); len(runs) != 1 || runs[0] != string(workflow.EndDone) {
+			return text, fmt.Errorf("item %d of %v that ran as the store went away has runs %v", i, outageRun, runs)
+		}
+	}
+	return text, nil
+}
+
+// rackIsLost takes the workers and agents of a rack away for good, and with them
+// the entry of their failure domain.
+func rackIsLost(ctx context.Context, s *soak) (string, error) {
+	sleep(ctx, 4*time.Second)
+	s.c.Entries[soakEntries-1].Process.Kill()
+	for i := soakWorkers / 2; i < soakWorkers; i++ {
+		s.c.Agents[i].Process.Kill()
+		_ = s.c.Workers[i].Close() // what it runs goes on until its lease ends
+	}
+	sleep(ctx, 15*time.Second)
+	return fmt.Sprintf("%d of %d workers and an entry gone", soakWorkers/2, soakWorkers), nil
+}
+
+// pairsOfFaults injects each pair of faults at the same time, the first at the
+// planner, the second at another process. Each cluster takes its part of them.
+func pairsOfFaults(ctx context.Context, s *soak, part int, control bool) (string, error) {
+	n, pairs := 0, 0
+	for i, a := range pairedFaults {
+		for _, b := range pairedFaults[i:] {
+			if n++; n%pairClusters != part || ctx.Err() != nil || control && pairs > 0 {
+				continue
+			}
+			pairs++
+			planner, other := s.plannerAndOther()
+			w := s.c.Workers[s.rng.IntN(len(s.c.Workers))]
+			var wg sync.WaitGroup
+			wg.Go(func() { s.inject(a.kind, planner, w, pairTime) })
+			wg.Go(func() { s.inject(b.kind, other, w, pairTime) })
+			wg.Wait()
+			sleep(ctx, pairPause)
+		}
+	}
+	s.heal()
+	return fmt.Sprintf("%d pairs", pairs), nil
+}
+
+// plannerAndOther returns the entry that plans, or the first one if none does,
+// and another process.
+func (s *soak) plannerAndOther() (planner, other *WorkflowNode) {
+	planner = s.c.Entries[0]
+	if r, err := workflow.Decode[workflow.PlannerRecord](s.c.Store.Value(workflow.PlannerKey)); err == nil {
+		for _, e := range s.c.Entries {
+			if e.Name == r.Entry {
+				planner = e
+			}
+		}
+	}
+	for other == nil || other == planner {
+		nodes := s.c.nodes()
+		other = nodes[s.rng.IntN(len(nodes))]
+	}
+	return planner, other
+}
+
+// loseAcceptedJob removes the record of the job that was accepted last.
+func (s *soak) loseAcceptedJob() {
+	for _, j := range slices.Backward(s.jobs) {
+		if j.accepted {
+			s.c.Store.Remove(workflow.JobPrefix + j.id)
+			return
+		}
+	}
+}
--- a/internal/proof/proof.go
+++ b/internal/proof/proof.go
@@ -46,6 +46,7 @@
 func Proofs() []Proof {
 	return []Proof{
 		requestProof(), digestProof(), gangProof(), leaveProof(), rollingProof(), patchProof(), guaranteeProof(),
+		workflowProof(),
 	}
 }
 
--- a/internal/proof/settings.go
+++ b/internal/proof/settings.go
@@ -88,6 +88,11 @@
 	lastPort  = 31000
 )
 
+// portsPerProcess keeps proofs that run side by side, often with process ids that
+// follow each other, from taking each other's ports between the look and the use:
+// the largest proof needs some 150.
+const portsPerProcess = 499
+
 var portState struct {
 	sync.Mutex
 	next int
@@ -98,7 +103,7 @@
 	portState.Lock()
 	defer portState.Unlock()
 	if portState.next == 0 {
-		portState.next = firstPort + os.Getpid()*37%(lastPort-firstPort)
+		portState.next = firstPort + os.Getpid()*portsPerProcess%(lastPort-firstPort)
 	}
 	for range lastPort - firstPort {
 		portState.next++
--- a/internal/proof/soak.go
+++ b/internal/proof/soak.go
@@ -34,7 +34,8 @@
 // soak is one run of random faults and load with a seed.
 type soak struct {
 	c     *WorkflowCluster
-	rng   *rand.Rand // of the faults
+	rng   *rand.Rand    // of the faults
+	every time.Duration // mean time between two jobs
 	trace io.Writer
 	mu    sync.Mutex
 	jobs  []*soakJob
@@ -58,7 +59,7 @@
 		return err
 	}
 	defer c.Kill()
-	s := &soak{c: c, rng: rand.New(rand.NewPCG(e.Seed, 2)), trace: e.Trace}
+	s := &soak{c: c, rng: rand.New(rand.NewPCG(e.Seed, 2)), every: soakSubmit, trace: e.Trace}
 	loadCtx, stop := context.WithTimeout(ctx, d)
 	defer stop()
 	var wg sync.WaitGroup
@@ -67,10 +68,15 @@
 	wg.Wait()
 	s.heal()
 	s.settle(ctx)
-	for _, f := range c.Pool.Faults() {
+	fmt.Fprintf(s.trace, "soak seed %d: %d jobs\n", e.Seed, len(s.jobs))
+	return s.verdict()
+}
+
+// verdict returns what callers or workers saw that must not happen.
+func (s *soak) verdict() error {
+	for _, f := range s.c.Pool.Faults() {
 		s.note("worker: %s", f)
 	}
-	fmt.Fprintf(s.trace, "soak seed %d: %d jobs\n", e.Seed, len(s.jobs))
 	errs := make([]error, len(s.wrong))
 	for i, w := range s.wrong {
 		errs[i] = errors.New(w)
@@ -88,7 +94,7 @@
 func (s *soak) load(ctx context.Context, rng *rand.Rand) {
 	var wg sync.WaitGroup
 	for i := 1; ctx.Err() == nil; i++ {
-		sleep(ctx, time.Duration(rng.Int64N(int64(2*soakSubmit))))
+		sleep(ctx, time.Duration(rng.Int64N(int64(2*s.every))))
 		j := &soakJob{id: fmt.Sprintf("%016x", i), payload: platformworker.Payload{MS: 100 + rng.Int64N(1500), GPUs: 1 << rng.IntN(4), Fail: rng.IntN(25) == 0}}
 		count, queue := 1+rng.IntN(3), []string{"/urgent/", "/batch/"}[rng.IntN(2)]
 		if rng.IntN(3) == 0 {
@@ -177,14 +183,10 @@
 	case 7:
 		n.gate.SetFaults(platformstore.Faults{LoseAnswers: 3, Late: d / 2 * time.Duration(int(d)%2)})
 	case 8:
-		for _, o := range s.c.nodes() {
-			o.gate.SetFaults(platformstore.Faults{Down: down[int(d)%len(down)]})
-		}
+		s.setStore(platformstore.Faults{Down: down[int(d)%len(down)]})
 		s.c.Store.FreezeLeases(int(d)%2 == 0)
 		time.Sleep(d)
-		for _, o := range s.c.nodes() {
-			o.gate.SetFaults(platformstore.Faults{Slow: d / 50})
-		}
+		s.setStore(platformstore.Faults{Slow: d / 50})
 		s.c.Store.FreezeLeases(false)
 	case 9:
 		n.cut.Store(true)
@@ -200,6 +202,13 @@
 	}
 }
 
+// setStore sets the faults of the store for all processes.
+func (s *soak) setStore(f platformstore.Faults) {
+	for _, n := range s.c.nodes() {
+		n.gate.SetFaults(f)
+	}
+}
+
 func (s *soak) restart(n *WorkflowNode) {
 	if n.Running() {
 		return // by another fault that overlaps
--- a/internal/proof/workflow.go
+++ b/internal/proof/workflow.go
@@ -20,6 +20,7 @@
 	workflowService = "service"
 	workflowLimit   = 30 * time.Second
 	callerLimit     = 3 * time.Second
+	workersPerRack  = 2
 )
 
 // WorkflowNode is an entry or an agent of a WorkflowCluster.
@@ -67,7 +68,7 @@
 		err = firstError(err, c.addEntry(fmt.Sprintf("entry-%d", i+1)))
 	}
 	for i := range workers {
-		err = firstError(err, c.addWorker(ctx, fmt.Sprintf("worker-%d", i+1)))
+		err = firstError(err, c.addWorker(ctx, fmt.Sprintf("worker-%d", i+1), fmt.Sprintf("rack-%d", 1+i/workersPerRack)))
 	}
 	if err != nil {
 		c.Kill()
@@ -134,12 +135,12 @@
 	return awaitHTTP("http://"+a[1]+"/api/readyz", workflowLimit)
 }
 
-func (c *WorkflowCluster) addWorker(ctx context.Context, id string) error {
+func (c *WorkflowCluster) addWorker(ctx context.Context, id, rack string) error {
 	a, err := addresses(3)
 	if err != nil {
 		return err
 	}
-	w, err := c.Pool.Add(id, "rack-1", workflowService)
+	w, err := c.Pool.Add(id, rack, workflowService)
 	if err != nil {
 		return err
 	}
--- a/internal/standin/platformstore/store.go
+++ b/internal/standin/platformstore/store.go
@@ -101,6 +101,15 @@
 	s.wake()
 }
 
+// Remove deletes a record.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.remove(key)
+	s.wake()
+}
+
 // Value returns the value of a key, nil if there is none.
 func (s *Store) Value(key string) []byte {
 	s.mu.Lock()
--- a/internal/standin/platformworker/worker.go
+++ b/internal/standin/platformworker/worker.go
@@ -262,6 +262,10 @@
 
 func (w *Worker) begin(o *order, p Payload) {
 	for _, other := range w.pool.runs[o.Task] {
+		if other.how == "" {
+			// Leases also end on a worker that nobody calls any more.
+			other.worker.advance()
+		}
 		if other.how == "" {
 			w.pool.faults = append(w.pool.faults, fmt.Sprintf("%s run %d starts beside run %d", o.Task, o.RunID, other.number))
 		}
