Hold an agent's report without news back for one second

Cause: the planner's entry took 18.2% of a core at 300 machines, carried on to 46.6% at 1,387. Each agent exchanged a report every 0.5 s also when nothing had changed. Ruled out: news (ends, starts, announcements) as the reason for short waits: they end the wait at once. The age of a report stays below the 2.5 s after which a worker counts as silent.

--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -29,7 +29,7 @@
 	retryPause = 60 * time.Millisecond
 	// syncWait is the time for which an agent holds back a report that has
 	// nothing new, and syncGrace the time for the exchange itself.
-	syncWait  = 500 * time.Millisecond
+	syncWait  = time.Second
 	syncGrace = 600 * time.Millisecond
 	// quietAfter is the silence of an agent after which it is asked less often.
 	quietAfter = 10 * time.Second
