Search a place once for equal units of a decision

Cause: profile of a pass at 1,400 workers with a backlog: 86% in Decide, nearly all of it in the search of a place for each waiting unit on each worker, though equal units had just found none, or had one that headroom denied them. The names of all workers were sorted six times a pass. Change: within a decision a shape that found no place is not searched again (resources only become less), one that fits is not searched again before headroom; free resources lie in a slice; workers are kept in order.

--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -60,7 +60,10 @@
 	blocked := 0 // units without claim to preemption that wait
 	for _, c := range e.candidates(now) {
 		for _, u := range c.units {
-			on := e.place(u, r)
+			if r.fit[e.shape(u)] && e.keepsHeadroom(u, c, r, now) {
+				break // as for an equal unit before
+			}
+			on := e.placeOnce(u, r)
 			if on != nil && e.keepsHeadroom(u, c, r, now) {
 				break // the next units of the job are as large
 			}
@@ -302,8 +305,7 @@
 
 // stopOnDraining stops runs that would not end before their worker leaves.
 func (e *Engine) stopOnDraining(now time.Time, stops []StopDecision) []StopDecision {
-	for _, node := range sortedKeys(e.workers) {
-		w := e.workers[node]
+	for _, w := range e.ordered {
 		if w.announced == nil || !w.announced.Draining {
 			continue
 		}
@@ -325,8 +327,7 @@
 // stopHanging stops runs that make no progress. The silence of an agent is not
 // taken for a lack of progress.
 func (e *Engine) stopHanging(now time.Time, stops []StopDecision) []StopDecision {
-	for _, node := range sortedKeys(e.workers) {
-		w := e.workers[node]
+	for _, w := range e.ordered {
 		if now.Sub(w.seen) > silentAfter {
 			continue
 		}
--- a/internal/workflow/engine/dump.go
+++ b/internal/workflow/engine/dump.go
@@ -56,10 +56,9 @@
 		}
 		s.Jobs = append(s.Jobs, js)
 	}
-	for _, node := range sortedKeys(e.workers) {
-		w := e.workers[node]
+	for _, w := range e.ordered {
 		ws := WorkerState{
-			Node: node, Key: w.key, Usable: e.usable(w, now), Draining: w.announced != nil && w.announced.Draining,
+			Node: w.node, Key: w.key, Usable: e.usable(w, now), Draining: w.announced != nil && w.announced.Draining,
 			SeenMS: now.Sub(w.seen).Milliseconds(), Items: len(w.members), Excluded: w.health.excluded(now),
 			FreeAccelerators: w.free().Accelerators,
 		}
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -56,6 +56,8 @@
 	// latest decision.
 	guaranteed map[*job]bool
 	workers    map[string]*worker
+	ordered    []*worker // in order of node names
+	exhaustive bool      // search a place for every unit; set by tests only
 	dirty      map[string]*job
 	estim      estimates
 	notes      []Note
--- a/internal/workflow/engine/explain.go
+++ b/internal/workflow/engine/explain.go
@@ -64,9 +64,9 @@
 			continue
 		}
 		suitable++
-		free += max(r.free[w].Accelerators, 0)
-		most = max(most, r.free[w].Accelerators)
-		if holds(u, w, r.free[w]) > 0 {
+		free += max(r.free[w.index].Accelerators, 0)
+		most = max(most, r.free[w.index].Accelerators)
+		if holds(u, w, r.free[w.index]) > 0 {
 			holding++
 		}
 	}
--- a/internal/workflow/engine/headroom.go
+++ b/internal/workflow/engine/headroom.go
@@ -24,12 +24,8 @@
 	if c.class != classOther || u.spec().LongRunning || !e.hasTime(u, c, now) {
 		return false
 	}
-	var free, total [2]int64
-	for _, w := range r.workers {
-		f, t := r.free[w], w.announced.Capacity
-		free[0], total[0] = free[0]+max(f.Accelerators, 0), total[0]+t.Accelerators
-		free[1], total[1] = free[1]+max(f.MilliCPU, 0), total[1]+t.MilliCPU
-	}
+	f, t := r.sum()
+	free, total := [2]int64{f.Accelerators, f.MilliCPU}, [2]int64{t.Accelerators, t.MilliCPU}
 	needs := u.spec().Needs()
 	takes := [2]int64{int64(u.count) * needs.Accelerators, int64(u.count) * needs.MilliCPU}
 	for i := range takes {
--- a/internal/workflow/engine/load_test.go
+++ b/internal/workflow/engine/load_test.go
@@ -423,6 +423,34 @@
 	g.Expect(runs[1].how).To(BeEmpty())
 }
 
+// Guards against shortcuts of the search that lead to other decisions than the
+// search itself.
+func TestShortcutsChangeNoDecision(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		var starts [2]string
+		for i, exhaustive := range []bool{false, true} {
+			w := newWorld(seed, 6, 0.3)
+			for range 150 {
+				w.planner.exhaustive = exhaustive
+				if w.chance(0.15) {
+					w.submit()
+				}
+				w.disturb()
+				w.tick()
+			}
+			for _, item := range sortedKeys(w.starts) {
+				for _, r := range w.starts[item] {
+					starts[i] += fmt.Sprintf("%s %d %s %v\n", item, r.run, r.worker.node, r.began)
+				}
+			}
+		}
+		if starts[0] != starts[1] || starts[0] == "" {
+			t.Fatalf("with shortcuts:\n%s\nwithout:\n%s", starts[0], starts[1])
+		}
+	})
+}
+
 // Operators ask why a job waits. Guards against a reason that is missing, or that
 // names another cause than the one that holds the job back.
 func TestDumpSaysWhyJobsWait(t *testing.T) {
--- a/internal/workflow/engine/orders.go
+++ b/internal/workflow/engine/orders.go
@@ -47,8 +47,7 @@
 // orders visits the members that may be running and collects orders by node.
 func (e *Engine) orders(visit func(m *member, order func() *Order)) []*Order {
 	byNode := make(map[string]*Order)
-	for _, node := range sortedKeys(e.workers) {
-		w := e.workers[node]
+	for _, w := range e.ordered {
 		for _, m := range slices.Clone(w.members) {
 			if m.key == w.key && m.end == "" {
 				visit(m, func() *Order { return e.orderFor(byNode, w) })
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -10,44 +10,98 @@
 
 // room is the free resources of the usable workers during one decision.
 type room struct {
-	workers []*worker // in order of node names
-	free    map[*worker]workflow.Resources
+	workers []*worker            // usable, in order of node names
+	free    []workflow.Resources // by index of the worker
+	// full holds the shapes that found no place. Within a decision resources only
+	// become less, so that further units of the shape need no search.
+	full map[shape]bool
+	// fit holds those that found one, until something is taken.
+	fit map[shape]bool
+	// sums is that of free and of capacity over the workers, nil after a change.
+	sums *[2]workflow.Resources
+}
+
+// shape is all that decides whether a unit fits.
+type shape struct {
+	service, label string
+	needs          workflow.Resources
+	count          int
+	sameRack       bool
+	fills, serves  bool
 }
 
 func (e *Engine) room(now time.Time) *room {
-	r := &room{free: make(map[*worker]workflow.Resources)}
-	for _, node := range sortedKeys(e.workers) {
-		w := e.workers[node]
+	r := &room{free: make([]workflow.Resources, len(e.ordered)), full: make(map[shape]bool), fit: make(map[shape]bool)}
+	for _, w := range e.ordered {
 		if e.usable(w, now) {
 			r.workers = append(r.workers, w)
-			r.free[w] = w.free()
+			r.free[w.index] = w.free()
 		}
 	}
 	return r
 }
 
+// placeOnce is place for a room from which nothing is released.
+func (e *Engine) placeOnce(u *unit, r *room) []*worker {
+	if e.exhaustive || u.spec().MaxPerWorker > 0 {
+		return e.place(u, r) // a spread limit also depends on where the other items run
+	}
+	s := e.shape(u)
+	if r.full[s] {
+		return nil
+	}
+	on := e.place(u, r)
+	if on == nil {
+		r.full[s] = true
+	} else {
+		r.fit[s] = true
+	}
+	return on
+}
+
+func (e *Engine) shape(u *unit) shape {
+	s := u.spec()
+	return shape{
+		service: e.service(u.job), label: s.Label, needs: s.Needs(), count: u.count, sameRack: s.SameRack,
+		fills: s.Fills, serves: s.TargetMS > 0,
+	}
+}
+
+// sum returns the resources that are free, and the capacity, of all workers.
+func (r *room) sum() (free, total workflow.Resources) {
+	if r.sums == nil {
+		r.sums = new([2]workflow.Resources)
+		for _, w := range r.workers {
+			f := r.free[w.index]
+			f.Accelerators, f.MilliCPU = max(f.Accelerators, 0), max(f.MilliCPU, 0)
+			r.sums[0], r.sums[1] = r.sums[0].Add(f, 1), r.sums[1].Add(w.announced.Capacity, 1)
+		}
+	}
+	return r.sums[0], r.sums[1]
+}
+
 // clone returns a copy in which resources can be released on trial.
 func (r *room) clone() *room {
-	c := &room{workers: r.workers, free: make(map[*worker]workflow.Resources, len(r.free))}
-	for w, f := range r.free {
-		c.free[w] = f
-	}
-	return c
+	return &room{workers: r.workers, free: slices.Clone(r.free)}
 }
 
 // take subtracts the needs of u's items from the workers.
 func (r *room) take(u *unit, on []*worker) {
 	for _, w := range on {
-		r.free[w] = r.free[w].Add(u.spec().Needs(), -1)
+		r.free[w.index] = r.free[w.index].Add(u.spec().Needs(), -1)
+		r.sums = nil
+		clear(r.fit)
 	}
 }
 
 // suits reports whether w may run items of u at all.
 func (e *Engine) suits(u *unit, w *worker) bool {
 	s := u.spec()
-	for _, m := range w.members {
-		if o := m.unit.spec(); o.Fills && s.TargetMS > 0 || s.Fills && o.TargetMS > 0 {
-			return false // the one would disturb the other
+	if s.Fills || s.TargetMS > 0 {
+		for _, m := range w.members {
+			if o := m.unit.spec(); o.Fills && s.TargetMS > 0 || s.Fills && o.TargetMS > 0 {
+				return false // the one would disturb the other
+			}
 		}
 	}
 	return w.announced.Service == e.service(u.job) && (s.Label == "" || slices.Contains(w.announced.Labels, s.Label))
@@ -86,7 +140,7 @@
 func (e *Engine) place(u *unit, r *room) []*worker {
 	var fit []*worker
 	for _, w := range r.workers {
-		if e.suits(u, w) && holds(u, w, r.free[w]) > 0 {
+		if holds(u, w, r.free[w.index]) > 0 && e.suits(u, w) {
 			fit = append(fit, w)
 		}
 	}
@@ -115,7 +169,7 @@
 		}
 		left := int64(0)
 		for _, w := range racks[rack] {
-			left += r.free[w].Accelerators
+			left += r.free[w.index].Accelerators
 		}
 		if rack == u.spec().PreferredRack {
 			return on
@@ -167,8 +221,8 @@
 	slices.SortStableFunc(out, func(a, b *worker) int {
 		return cmp.Or(
 			cmp.Compare(rank(a), rank(b)),
-			cmp.Compare(r.free[a].Accelerators, r.free[b].Accelerators),
-			cmp.Compare(r.free[a].MilliCPU, r.free[b].MilliCPU),
+			cmp.Compare(r.free[a.index].Accelerators, r.free[b.index].Accelerators),
+			cmp.Compare(r.free[a.index].MilliCPU, r.free[b.index].MilliCPU),
 		)
 	})
 	return out
@@ -178,7 +232,7 @@
 func pack(u *unit, r *room, workers []*worker) []*worker {
 	on := make([]*worker, 0, u.count)
 	for _, w := range workers {
-		for range min(holds(u, w, r.free[w]), u.count-len(on)) {
+		for range min(holds(u, w, r.free[w.index]), u.count-len(on)) {
 			on = append(on, w)
 		}
 		if len(on) == u.count {
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -132,7 +132,7 @@
 		}
 	}
 	slices.SortStableFunc(all, func(a, b *unit) int { return cmp.Compare(losses[a], losses[b]) })
-	before, free := holds(u, w, trial.free[w]), trial.free[w]
+	before, free := holds(u, w, trial.free[w.index]), trial.free[w.index]
 	for i, v := range all {
 		free = free.Add(v.on(w), 1)
 		if holds(u, w, free) > before {
@@ -205,8 +205,8 @@
 // release gives back the resources that v's members hold.
 func (r *room) release(v *unit) {
 	for _, m := range v.members {
-		if _, ok := r.free[m.worker]; ok && m.end == "" {
-			r.free[m.worker] = r.free[m.worker].Add(v.spec().Needs(), 1)
+		if m.end == "" {
+			r.free[m.worker.index] = r.free[m.worker.index].Add(v.spec().Needs(), 1)
 		}
 	}
 }
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -11,8 +11,9 @@
 
 // worker is a worker host, known by its agent's node name.
 type worker struct {
-	node string
-	key  string // of the incarnation; empty before the first report
+	node  string
+	index int    // tells workers apart in slices
+	key   string // of the incarnation; empty before the first report
 	// instance and born name the incarnation to the agent.
 	instance  string
 	born      int64
@@ -39,9 +40,13 @@
 
 // AddWorker makes a node known. Its worker takes part after its first report.
 func (e *Engine) AddWorker(node string) {
-	if e.workers[node] == nil {
-		e.workers[node] = &worker{node: node}
+	if e.workers[node] != nil {
+		return
 	}
+	w := &worker{node: node, index: len(e.ordered)}
+	e.workers[node] = w
+	at, _ := slices.BinarySearchFunc(e.ordered, node, func(o *worker, n string) int { return strings.Compare(o.node, n) })
+	e.ordered = slices.Insert(e.ordered, at, w)
 }
 
 // Report takes in what an agent says at now.
@@ -165,8 +170,7 @@
 
 // Expire ends the runs on workers whose lease has certainly expired.
 func (e *Engine) Expire(now time.Time) {
-	for _, node := range sortedKeys(e.workers) {
-		w := e.workers[node]
+	for _, w := range e.ordered {
 		if len(w.members) > 0 && now.After(e.expiry(w)) {
 			for _, m := range slices.Clone(w.members) {
 				e.ended(m, workflow.EndLapsed, "", now)
