--- a/internal/proof/faultloop.go
+++ b/internal/proof/faultloop.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"snipegw/internal/kernel"
 )
 
 // fault is one fault that begins and, after a while, ends.
@@ -87,7 +89,7 @@
 	count := 0
 	for ctx.Err() == nil {
 		f, hold := p.choose(), e.between(p.hold)
-		sleep(ctx, e.between(p.pause))
+		kernel.Sleep(ctx, e.between(p.pause))
 		select {
 		case slots <- struct{}{}:
 		case <-ctx.Done():
@@ -111,7 +113,7 @@
 		return
 	}
 	e.note("fault %s begins for %s", f.name, d)
-	sleep(ctx, d)
+	kernel.Sleep(ctx, d)
 	if err := f.end(); err != nil {
 		e.note("fault %s does not end: %v", f.name, err)
 		return
@@ -126,14 +128,4 @@
 	return bounds[0] + time.Duration(e.Rand.Int64N(int64(bounds[1]-bounds[0])))
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func pick[T any](e *Env, list []T) T { return list[e.Rand.IntN(len(list))] }
--- a/internal/proof/p1_guarantee.go
+++ b/internal/proof/p1_guarantee.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"snipegw/internal/kernel"
 	"snipegw/internal/model"
 )
 
@@ -168,7 +169,7 @@
 			return nil, err
 		}
 		e.kill(round, dead)
-		sleep(ctx, e.between(soon))
+		kernel.Sleep(ctx, e.between(soon))
 	}
 	planner := c.Planner(ctx, client)
 	if planner == nil {
@@ -179,7 +180,7 @@
 	}
 	if fault == plannerKilled {
 		// The planner dies while it preempts and reserves for the claims.
-		sleep(ctx, e.between(soon))
+		kernel.Sleep(ctx, e.between(soon))
 		dead = planner
 		e.kill(round, dead)
 	}
@@ -251,6 +252,6 @@
 		if open == 0 {
 			return
 		}
-		sleep(ctx, 50*time.Millisecond)
+		kernel.Sleep(ctx, 50*time.Millisecond)
 	}
 }
--- a/internal/proof/p2_gang.go
+++ b/internal/proof/p2_gang.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"snipegw/internal/kernel"
 	"snipegw/internal/model"
 )
 
@@ -231,7 +232,7 @@
 		c.Isolate(cut, false)
 		return err
 	}
-	sleep(ctx, 4*time.Second)
+	kernel.Sleep(ctx, 4*time.Second)
 	joined := time.Now().UnixMilli()
 	c.Isolate(cut, false)
 	if _, err := awaitRunning(ctx, c, client, job.ID); err != nil {
@@ -267,14 +268,14 @@
 	}
 	if gc.when == beforeSubmission {
 		inject()
-		sleep(ctx, 30*time.Millisecond) // the fault order takes effect first
+		kernel.Sleep(ctx, 30*time.Millisecond) // the fault order takes effect first
 	}
 	if err := e.submitUntil(ctx, c, client, gangJob(id)); err != nil {
 		return err
 	}
 	switch gc.when {
 	case atStart:
-		sleep(ctx, e.between([2]time.Duration{0, 40 * time.Millisecond}))
+		kernel.Sleep(ctx, e.between([2]time.Duration{0, 40 * time.Millisecond}))
 		inject()
 	case inRun:
 		st, err := awaitRunning(ctx, c, client, id)
@@ -282,7 +283,7 @@
 			return err
 		}
 		first, member = c.ranked(st, first, member)
-		sleep(ctx, e.between([2]time.Duration{300 * time.Millisecond, time.Second}))
+		kernel.Sleep(ctx, e.between([2]time.Duration{300 * time.Millisecond, time.Second}))
 		inject()
 	}
 	began := time.Now()
@@ -296,7 +297,7 @@
 	if gc.planned {
 		observe = observePlanned
 	}
-	sleep(ctx, time.Until(began.Add(observe)))
+	kernel.Sleep(ctx, time.Until(began.Add(observe)))
 	obs.poll()
 	worst.add(gc, obs.Attempts(id, gangTasks))
 	return e.cancel(ctx, c, client, id)
@@ -311,7 +312,7 @@
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		sleep(ctx, 100*time.Millisecond)
+		kernel.Sleep(ctx, 100*time.Millisecond)
 	}
 }
 
--- a/internal/proof/p6_leave.go
+++ b/internal/proof/p6_leave.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"snipegw/internal/kernel"
 	"snipegw/internal/standin/backend"
 )
 
@@ -91,7 +92,7 @@
 	for i := range leaveCallers {
 		callers.Go(func() { shortRequests(loadCtx, c, client, i) })
 	}
-	sleep(ctx, time.Second) // all backend servers receive requests before one leaves
+	kernel.Sleep(ctx, time.Second) // all backend servers receive requests before one leaves
 	var latest time.Duration
 	var worst string
 	before, late := 0, 0
@@ -104,7 +105,7 @@
 				return Verdict{}, fmt.Errorf("%s: %w", lc.name, err)
 			}
 		}
-		sleep(ctx, leaveObserve)
+		kernel.Sleep(ctx, leaveObserve)
 		starts, err := startsOf(server)
 		if err != nil {
 			return Verdict{}, err
@@ -136,7 +137,7 @@
 		a := client.Call(callCtx, http.MethodGet, url, nil, nil)
 		cancel()
 		if !a.Complete() {
-			sleep(ctx, 20*time.Millisecond)
+			kernel.Sleep(ctx, 20*time.Millisecond)
 		}
 	}
 }
--- a/internal/proof/p7_rolling.go
+++ b/internal/proof/p7_rolling.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"snipegw/internal/kernel"
 )
 
 const (
@@ -59,12 +61,12 @@
 	for i := range c.Entries {
 		running.Go(func() { l.check(loadCtx, i) })
 	}
-	sleep(ctx, time.Second) // the first health checks
+	kernel.Sleep(ctx, time.Second) // the first health checks
 	for i := range rollingCallers {
 		random := rand.New(rand.NewPCG(e.Seed, uint64(i)))
 		running.Go(func() { l.run(loadCtx, random, i) })
 	}
-	sleep(ctx, time.Second)
+	kernel.Sleep(ctx, time.Second)
 	var longest time.Duration
 	for _, n := range append(append([]*Node{}, c.Entries...), c.Agents...) {
 		took, err := c.Restart(n, !e.Control)
@@ -76,7 +78,7 @@
 		if err != nil {
 			return Verdict{Measured: l.String()}, err
 		}
-		sleep(ctx, time.Second)
+		kernel.Sleep(ctx, time.Second)
 	}
 	stopLoad()
 	running.Wait()
@@ -101,7 +103,7 @@
 			_ = resp.Body.Close()
 		}
 		l.healthy[i].Store(ok)
-		sleep(ctx, healthInterval)
+		kernel.Sleep(ctx, healthInterval)
 	}
 }
 
@@ -109,7 +111,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		i := random.IntN(len(l.cluster.Entries))
 		if !l.healthy[i].Load() {
-			sleep(ctx, 10*time.Millisecond)
+			kernel.Sleep(ctx, 10*time.Millisecond)
 			continue
 		}
 		delay := 50 + random.IntN(400)
--- a/internal/proof/p8_patch.go
+++ b/internal/proof/p8_patch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"snipegw/internal/config"
+	"snipegw/internal/kernel"
 	"snipegw/internal/model"
 	"snipegw/internal/result"
 )
@@ -86,7 +87,7 @@
 		},
 	})
 	operators.Wait()
-	sleep(ctx, forceBound+time.Second)
+	kernel.Sleep(ctx, forceBound+time.Second)
 	watch.stop()
 	final, err := finalDocument(ctx, c)
 	if err != nil {
@@ -115,7 +116,7 @@
 func (l *patchLoad) run(ctx context.Context, operator int) {
 	client := NewClient(OperatorToken)
 	for n := 0; ctx.Err() == nil; n++ {
-		sleep(ctx, patchPause)
+		kernel.Sleep(ctx, patchPause)
 		e := l.cluster.Entries[(operator+n)%len(l.cluster.Entries)]
 		callCtx, cancel := context.WithTimeout(ctx, 4*time.Second)
 		doc, err := client.Config(callCtx, e)
@@ -223,7 +224,7 @@
 		w.mu.Lock()
 		w.samples[n.Name] = append(w.samples[n.Name], s)
 		w.mu.Unlock()
-		sleep(ctx, versionInterval)
+		kernel.Sleep(ctx, versionInterval)
 	}
 }
 
--- a/internal/proof/p9_workflows.go
+++ b/internal/proof/p9_workflows.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"snipegw/internal/kernel"
 	"snipegw/internal/standin/platformstore"
 	"snipegw/internal/standin/platformworker"
 	"snipegw/internal/workflow"
@@ -125,9 +126,9 @@
 	if status, _ := s.c.Call(s.c.Entries[0], http.MethodPost, path, body); status != http.StatusOK {
 		return "", fmt.Errorf("the job before the outage: status %d", status)
 	}
-	sleep(ctx, 2*time.Second)
+	kernel.Sleep(ctx, 2*time.Second)
 	s.setStore(platformstore.Faults{Down: platformstore.DownSilent})
-	sleep(ctx, storeOutage)
+	kernel.Sleep(ctx, storeOutage)
 	s.setStore(platformstore.Faults{})
 	back := time.Now()
 	accepted := -1 * time.Second
@@ -137,7 +138,7 @@
 			accepted = time.Since(back)
 			break
 		}
-		sleep(ctx, 50*time.Millisecond)
+		kernel.Sleep(ctx, 50*time.Millisecond)
 	}
 	text := fmt.Sprintf("%v without the store, accepted %v after its return", storeOutage, accepted.Round(time.Millisecond))
 	if accepted < 0 || accepted > returnBound {
@@ -154,13 +155,13 @@
 // rackIsLost takes the workers and agents of a rack away for good, and with them
 // the entry of their failure domain.
 func rackIsLost(ctx context.Context, s *soak) (string, error) {
-	sleep(ctx, 4*time.Second)
+	kernel.Sleep(ctx, 4*time.Second)
 	s.c.Entries[soakEntries-1].Process.Kill()
 	for i := soakWorkers / 2; i < soakWorkers; i++ {
 		s.c.Agents[i].Process.Kill()
 		_ = s.c.Workers[i].Close() // what it runs goes on until its lease ends
 	}
-	sleep(ctx, 15*time.Second)
+	kernel.Sleep(ctx, 15*time.Second)
 	return fmt.Sprintf("%d of %d workers and an entry gone", soakWorkers/2, soakWorkers), nil
 }
 
@@ -180,7 +181,7 @@
 			wg.Go(func() { s.inject(a.kind, planner, w, pairTime) })
 			wg.Go(func() { s.inject(b.kind, other, w, pairTime) })
 			wg.Wait()
-			sleep(ctx, pairPause)
+			kernel.Sleep(ctx, pairPause)
 		}
 	}
 	s.heal()
--- a/internal/proof/soak.go
+++ b/internal/proof/soak.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"snipegw/internal/kernel"
 	"snipegw/internal/standin/platformstore"
 	"snipegw/internal/standin/platformworker"
 )
@@ -94,7 +95,7 @@
 func (s *soak) load(ctx context.Context, rng *rand.Rand) {
 	var wg sync.WaitGroup
 	for i := 1; ctx.Err() == nil; i++ {
-		sleep(ctx, time.Duration(rng.Int64N(int64(2*s.every))))
+		kernel.Sleep(ctx, time.Duration(rng.Int64N(int64(2*s.every))))
 		j := &soakJob{id: fmt.Sprintf("%016x", i), payload: platformworker.Payload{MS: 100 + rng.Int64N(1500), GPUs: 1 << rng.IntN(4), Fail: rng.IntN(25) == 0}}
 		count, queue := 1+rng.IntN(3), []string{"/urgent/", "/batch/"}[rng.IntN(2)]
 		if rng.IntN(3) == 0 {
@@ -145,7 +146,7 @@
 // next ones.
 func (s *soak) faults(ctx context.Context, wg *sync.WaitGroup) {
 	for ctx.Err() == nil {
-		sleep(ctx, time.Duration(s.rng.Int64N(int64(2*soakPause))))
+		kernel.Sleep(ctx, time.Duration(s.rng.Int64N(int64(2*soakPause))))
 		nodes := s.c.nodes()
 		n := nodes[s.rng.IntN(len(nodes))]
 		w := s.c.Workers[s.rng.IntN(len(s.c.Workers))]
@@ -242,7 +243,7 @@
 				s.note("job %s: %s", j.path, problem)
 				break
 			}
-			sleep(ctx, 50*time.Millisecond)
+			kernel.Sleep(ctx, 50*time.Millisecond)
 		}
 		if !j.cancelled.IsZero() && s.c.Pool.Begun(j.id).After(j.cancelled.Add(cancelBound)) {
 			s.note("job %s: an item started later than %v after the cancellation", j.path, cancelBound)
--- a/internal/proof/workflow.go
+++ b/internal/proof/workflow.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"snipegw/internal/kernel"
 	"snipegw/internal/standin/platformstore"
 	"snipegw/internal/standin/platformworker"
 )
@@ -266,7 +267,7 @@
 			if state == "failed" || time.Since(began) > workflowLimit {
 				return "", fmt.Errorf("%s is %q after %v", j.path, state, time.Since(began))
 			}
-			sleep(ctx, 20*time.Millisecond)
+			kernel.Sleep(ctx, 20*time.Millisecond)
 		}
 	}
 	if faults := c.Pool.Faults(); len(faults) > 0 {
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -21,8 +21,8 @@
 // groups of workers that could hold u it clears the one that loses the least
 // work in all. Jobs of priority 0, which would come late, are stopped only if
 // nothing else makes room. A job beyond its team's guarantee stops others only if
-// they lose less work than it has: the pool would else be slower for all. It returns the workers to keep free for u, nil if there
-// is no such placement.
+// they lose less work than it has: the pool would else be slower for all. It
+// returns the workers to keep free for u, nil if there is no such placement.
 func (e *Engine) preempt(u *unit, c *candidate, r *room, now time.Time) ([]*worker, []StopDecision) {
 	if e.policy.stopForGuaranteesOnly && c.class != classGuaranteed {
 		return nil, nil
--- /dev/null
+++ b/internal/workflow/engine/world_worker_test.go
@@ -0,0 +1,280 @@
+package engine
+
+import (
+	"math"
+	"time"
+
+	"snipegw/internal/workflow"
+)
+
+type modelRun struct {
+	ref     workflow.Ref
+	run     int
+	began   time.Time
+	doneAt  time.Time
+	fails   bool
+	stopped time.Time // when the stop takes effect; zero if none
+	needs   workflow.Resources
+	ended   bool
+	how     workflow.End
+	worker  *modelWorker
+	waiting bool // a gang member that waits for the others
+}
+
+type modelWorker struct {
+	w         *world
+	node      string
+	rack      string
+	born      int64
+	origin    time.Time // of its clock
+	slow      float64
+	token     uint64
+	lease     int64
+	running   []*modelRun
+	ended     []workflow.EndedItem
+	lastN     uint64
+	highest   map[string]int // highest run ended or stopped, by item
+	cutUntil  time.Time
+	draining  bool
+	seq       int64
+	capacity  workflow.Resources
+	faultyTil time.Time
+}
+
+func (m *modelWorker) restart() {
+	for _, r := range m.running {
+		r.ended = true
+	}
+	m.born = m.w.now.UnixMilli() + 1
+	m.origin, m.slow = m.w.now, 1-0.02*m.w.rng.Float64()
+	m.token, m.lease, m.running, m.ended, m.lastN = 0, 0, nil, nil, 0
+	m.highest, m.draining, m.seq = make(map[string]int), false, 0
+}
+
+func (m *modelWorker) clockMS() int64 {
+	return 1000 + int64(float64(m.w.now.Sub(m.origin).Milliseconds())*m.slow)
+}
+
+func (m *modelWorker) cut() bool { return m.w.now.Before(m.cutUntil) }
+
+// finish ends a run at the worker.
+func (m *modelWorker) finish(r *modelRun, how workflow.End) {
+	r.ended, r.how = true, how
+	for i, o := range m.running {
+		if o == r {
+			m.running = append(m.running[:i:i], m.running[i+1:]...)
+			break
+		}
+	}
+	m.lastN++
+	m.ended = append(m.ended, workflow.EndedItem{N: m.lastN, Ref: r.ref, Run: r.run, How: how})
+	m.highest[r.ref.String()] = max(m.highest[r.ref.String()], r.run)
+}
+
+// tick lets time act on a worker.
+func (m *modelWorker) tick() {
+	for _, r := range append([]*modelRun(nil), m.running...) {
+		if r.ended {
+			continue // together with another member of its gang
+		}
+		step := &m.w.jobs[r.ref.Job].Steps[r.ref.Step]
+		switch {
+		case m.clockMS() > m.lease:
+			m.finish(r, workflow.EndLapsed)
+		case !r.stopped.IsZero() && !m.w.now.Before(r.stopped):
+			m.finish(r, workflow.EndStopped)
+		case r.waiting && m.w.gangComplete(r):
+			m.w.beginGang(r)
+		case r.waiting && m.w.now.Sub(r.began) > 3*time.Second:
+			m.finish(r, workflow.EndAlone)
+		case !r.waiting && !m.w.now.Before(r.doneAt):
+			how := workflow.EndDone
+			if r.fails {
+				how = workflow.EndFailed
+			}
+			if step.Gang {
+				m.w.endGang(r, how)
+			} else {
+				m.finish(r, how)
+			}
+		}
+	}
+}
+
+// percent is the progress that a worker lists, in whole percent.
+func (r *modelRun) percent() float64 {
+	if r.waiting {
+		return 0
+	}
+	whole := r.doneAt.Sub(r.began).Seconds()
+	return math.Floor(min(100*r.worker.w.now.Sub(r.began).Seconds()/whole, 99))
+}
+
+func (w *world) members(r *modelRun) []*modelRun {
+	var out []*modelRun
+	for i := range w.jobs[r.ref.Job].Steps[r.ref.Step].Count {
+		ref := r.ref
+		ref.Index = i
+		for _, o := range w.starts[ref.String()] {
+			if o.run == r.run && !o.ended {
+				out = append(out, o)
+			}
+		}
+	}
+	return out
+}
+
+func (w *world) gangComplete(r *modelRun) bool {
+	return len(w.members(r)) == w.jobs[r.ref.Job].Steps[r.ref.Step].Count
+}
+
+func (w *world) beginGang(r *modelRun) {
+	for _, o := range w.members(r) {
+		o.waiting, o.doneAt = false, r.doneAt.Add(w.now.Sub(r.began))
+	}
+}
+
+func (w *world) endGang(r *modelRun, how workflow.End) {
+	all := w.members(r)
+	complete := len(all) == w.jobs[r.ref.Job].Steps[r.ref.Step].Count
+	for _, o := range all {
+		switch {
+		case complete && how == workflow.EndDone:
+			o.worker.finish(o, how)
+		case o == r && complete:
+			o.worker.finish(o, how)
+		default:
+			o.worker.finish(o, workflow.EndBroken)
+		}
+	}
+}
+
+// start is the worker's handling of a start order, with the checks of the rules.
+func (m *modelWorker) start(epoch uint64, o workflow.StartOrder) workflow.OrderOutcome {
+	clock := m.clockMS()
+	refuse := func(reason string) workflow.OrderOutcome {
+		return workflow.OrderOutcome{Verdict: workflow.VerdictRefused, Reason: reason, ClockMS: clock}
+	}
+	name := o.Ref.String()
+	switch {
+	case epoch < m.token:
+		return refuse(workflow.ReasonFence)
+	case o.UntilMS <= clock:
+		return refuse(workflow.ReasonLate)
+	}
+	m.token, m.lease = epoch, max(m.lease, o.UntilMS)
+	for _, r := range m.running {
+		if r.ref == o.Ref && r.run == o.Run {
+			return workflow.OrderOutcome{Verdict: workflow.VerdictDone, ClockMS: clock}
+		}
+	}
+	if o.Run <= m.highest[name] {
+		return refuse(workflow.ReasonOld)
+	}
+	m.begin(o)
+	return workflow.OrderOutcome{Verdict: workflow.VerdictDone, ClockMS: clock}
+}
+
+func (m *modelWorker) begin(o workflow.StartOrder) {
+	w, name := m.w, o.Ref.String()
+	job := w.jobs[o.Ref.Job]
+	step := &job.Steps[o.Ref.Step]
+	r := &modelRun{
+		ref: o.Ref, run: o.Run, began: w.now, worker: m, needs: step.Needs(), waiting: step.Gang && step.Count > 1,
+		fails: job.Payload == "poison" || w.now.Before(m.faultyTil) || !w.sound && w.chance(0.03),
+	}
+	r.doneAt = w.now.Add(time.Duration(float64(step.EstimateMS)*(0.5+w.rng.Float64())) * time.Millisecond)
+	if d, ok := w.took[name]; ok {
+		r.doneAt = w.now.Add(d)
+	}
+	if r.fails {
+		r.doneAt = w.now.Add(300 * time.Millisecond)
+	}
+	for _, other := range w.starts[name] {
+		if !other.ended {
+			w.fault("TWICE: %s run %d starts on %s beside run %d on %s", name, o.Run, m.node, other.run, other.worker.node)
+		}
+	}
+	if w.finished[name] {
+		w.fault("TWICE: %s run %d starts after its end was acknowledged", name, o.Run)
+	}
+	used := r.needs
+	for _, other := range m.running {
+		used = used.Add(other.needs, 1)
+	}
+	if !used.Fits(m.capacity) {
+		w.fault("LIMIT: %s starts on %s, which then holds %v of %v", name, m.node, used, m.capacity)
+	}
+	for _, dep := range step.After {
+		for i := range job.Steps[dep].Count {
+			before := workflow.Ref{Job: o.Ref.Job, Occurrence: o.Ref.Occurrence, Step: dep, Index: i}
+			done := false
+			for _, x := range w.starts[before.String()] {
+				done = done || x.how == workflow.EndDone
+			}
+			if !done {
+				w.fault("ORDER: %s starts before %s is done", name, before)
+			}
+		}
+	}
+	if at, cancelled := w.cancels[o.Ref.Job]; cancelled && w.now.Sub(at) > 3*time.Second {
+		w.fault("UNASKED: %s starts %v after the cancellation", name, w.now.Sub(at))
+	}
+	if w.failures[name] >= 3 {
+		w.fault("BUDGET: %s starts after %d acknowledged failures", name, w.failures[name])
+	}
+	w.starts[name] = append(w.starts[name], r)
+	m.running = append(m.running, r)
+}
+
+func (m *modelWorker) stop(epoch uint64, o workflow.StopOrder) workflow.OrderOutcome {
+	if epoch < m.token {
+		return workflow.OrderOutcome{Verdict: workflow.VerdictRefused, Reason: workflow.ReasonFence, ClockMS: m.clockMS()}
+	}
+	m.token = epoch
+	m.highest[o.Ref.String()] = max(m.highest[o.Ref.String()], o.Run)
+	for _, r := range m.running {
+		if r.ref == o.Ref && r.run == o.Run && r.stopped.IsZero() {
+			r.stopped = m.w.now.Add(time.Duration(m.w.rng.IntN(200)) * time.Millisecond)
+		}
+	}
+	return workflow.OrderOutcome{Verdict: workflow.VerdictDone, ClockMS: m.clockMS()}
+}
+
+// sync is one exchange of the planner with the worker's agent.
+func (m *modelWorker) sync(req workflow.SyncRequest) *workflow.SyncReply {
+	if req.Epoch < m.token || m.cut() {
+		return nil
+	}
+	m.token = req.Epoch
+	if req.Born == m.born {
+		m.lease = max(m.lease, req.LeaseUntilMS)
+		m.acknowledge(req.AckedEnds)
+	}
+	m.seq++
+	lists := &workflow.WorkerLists{Instance: m.node, Born: m.born, ClockMS: m.clockMS(), Ended: append([]workflow.EndedItem(nil), m.ended...)}
+	for _, r := range m.running {
+		lists.Running = append(lists.Running, workflow.RunningItem{Ref: r.ref, Run: r.run, Percent: r.percent()})
+	}
+	return &workflow.SyncReply{Version: uint64(m.seq), Lists: lists, Announced: &workflow.Announcement{
+		Instance: m.node, Born: m.born, Service: "s", Labels: []string{"a", m.rack}, Rack: m.rack, Capacity: m.capacity,
+		Draining: m.draining, Seq: m.seq,
+	}}
+}
+
+func (m *modelWorker) acknowledge(n uint64) {
+	kept := m.ended[:0]
+	for _, e := range m.ended {
+		if e.N > n {
+			kept = append(kept, e)
+			continue
+		}
+		switch e.How {
+		case workflow.EndDone:
+			m.w.finished[e.Ref.String()] = true
+		case workflow.EndFailed:
+			m.w.failures[e.Ref.String()]++
+		}
+	}
+	m.ended = kept
+}
