Tell a stop that a second signal cuts short from a failed one

The log says "stop callers: context canceled" 0.2 s after the first signal; the list of faults has two stops of that entry after each other, which overlap. A second signal ends the program at once, as documented, and with a failure. Ruled out: a fault of the stop itself: one that is alone must still succeed, as before.

--- a/internal/proof/soak.go
+++ b/internal/proof/soak.go
@@ -166,8 +166,11 @@
 		time.Sleep(d / 8)
 		s.restart(n)
 	case 2:
-		kills := n.kills.Load()
-		if _, err := n.Terminate(20 * time.Second); err != nil && n.kills.Load() == kills {
+		kills, stops, alone := n.kills.Load(), n.stops.Add(1), n.stopping.Add(1) == 1
+		_, err := n.Terminate(20 * time.Second)
+		n.stopping.Add(-1)
+		// A second signal ends a stop at once, with a failure.
+		if err != nil && n.kills.Load() == kills && alone && n.stops.Load() == stops {
 			s.note("stop of %s: %v", n.Name, err)
 		}
 		s.restart(n)
--- a/internal/proof/soak_test.go
+++ b/internal/proof/soak_test.go
@@ -17,6 +17,8 @@
 }{
 	{1, "the check took an end that was never acknowledged, on a worker whose lease had lapsed, for one that counts; and runs of a silent agent were stopped for lack of progress"},
 	{2, ""},
+	{519, "the check took two stops of one process that overlapped, of which the second signal ends it at once, for a failed stop"},
+	{530, "as seed 519"},
 	{112, "the check took a stop that another fault cut short by SIGKILL for a failed stop"},
 }
 
--- a/internal/proof/workflow.go
+++ b/internal/proof/workflow.go
@@ -31,7 +31,9 @@
 	gate  *platformstore.Gate
 	relay *udpRelay // in front of its address for other processes
 	cut   atomic.Bool
-	kills atomic.Int64 // by the soak
+	// kills and stops count what the soak did to the process, stopping the stops
+	// that are in progress.
+	kills, stops, stopping atomic.Int64
 }
 
 // WorkflowCluster is a system that serves workflows: entries and agents as
