--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -71,7 +71,6 @@
 type policy struct {
 	order                 func(e *Engine, a, b *candidate) int
 	noHeadroom            bool
-	within                bool
 	stopForGuaranteesOnly bool
 	anyLoss               bool // an urgent job may throw more work away than it has
 }
