Read worker keys and queues in force in one place

Cause: the package that explains a system to operators had its own copies of what the engine knows: the node of a worker key, and a queue's priority and attempts with their values at acceptance as a fallback. The two differed in one point, the least number of attempts. Change: workflow.WorkerKey and NodeOf, Config.ServiceOf, PriorityOf and AttemptsOf serve both. Two fields of Config that nothing set, a parameter that nothing read and a wait written out beside kernel.Sleep are gone. Behaviour: the same; a job recorded without attempts is now explained with the one attempt that the engine grants.

--- a/internal/ctl/workflow.go
+++ b/internal/ctl/workflow.go
@@ -176,7 +176,7 @@
 			}
 		}
 	}
-	sentence := s.Explain(j, waiting, time.Now())
+	sentence := s.Explain(j, waiting)
 	if c.JSON {
 		out := map[string]any{"job": newJobRow(s, j), "sentence": sentence, "planner": planner}
 		if dumpErr != nil {
--- a/internal/workflow/config.go
+++ b/internal/workflow/config.go
@@ -40,8 +40,6 @@
 	Services map[string]Service
 	Teams    map[string]Team
 	MaxBody  int64
-	HeaderMS int64
-	IdleMS   int64
 	teamOf   map[string]string // token -> team
 	byName   map[string]*Queue
 	byPath   []*Queue // longest prefix first
@@ -84,6 +82,32 @@
 // Queue returns the queue of that name, nil if there is none.
 func (c *Config) Queue(name string) *Queue { return c.byName[name] }
 
+// ServiceOf returns the service that runs a job's items: that of its queue, or of
+// its acceptance if the queue is gone.
+func (c *Config) ServiceOf(r *JobRecord) string {
+	if q := c.Queue(r.Queue); q != nil {
+		return q.Service
+	}
+	return r.Service
+}
+
+// PriorityOf returns the priority of a job, like ServiceOf.
+func (c *Config) PriorityOf(r *JobRecord) int {
+	if q := c.Queue(r.Queue); q != nil {
+		return q.Priority
+	}
+	return r.Priority
+}
+
+// AttemptsOf returns how often an item of a job may fail, at least once, like
+// ServiceOf.
+func (c *Config) AttemptsOf(r *JobRecord) int {
+	if q := c.Queue(r.Queue); q != nil && q.MaxAttempts > 0 {
+		return q.MaxAttempts
+	}
+	return max(r.MaxAttempts, 1)
+}
+
 // TeamOf returns the team that holds token.
 func (c *Config) TeamOf(token string) (team string, ok bool) {
 	team, ok = c.teamOf[token]
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -169,7 +169,7 @@
 			switch {
 			case e.guaranteed[j]:
 				c.class = classGuaranteed
-			case e.priority(j) == 0:
+			case e.config.PriorityOf(j.rec) == 0:
 				c.class = classFirst
 			}
 			e.rate(c, now)
@@ -183,7 +183,7 @@
 		return cmp.Or(
 			cmp.Compare(a.class, b.class),
 			cmp.Compare(a.tier, b.tier),
-			cmp.Compare(e.priority(a.job), e.priority(b.job)),
+			cmp.Compare(e.config.PriorityOf(a.job.rec), e.config.PriorityOf(b.job.rec)),
 			a.urgency.Compare(b.urgency),
 		)
 	})
@@ -273,7 +273,7 @@
 	used := make(map[string]int64)
 	out := make(map[*job]bool)
 	for _, j := range e.open {
-		if e.priority(j) != 0 || j.cancelled {
+		if e.config.PriorityOf(j.rec) != 0 || j.cancelled {
 			continue
 		}
 		need := int64(0)
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -154,28 +154,6 @@
 	return workflow.Ref{Job: u.job.id, Occurrence: u.occurrence, Step: u.step, Index: index}
 }
 
-// service returns the service that runs the job's items.
-func (e *Engine) service(j *job) string {
-	if q := e.config.Queue(j.rec.Queue); q != nil {
-		return q.Service
-	}
-	return j.rec.Service
-}
-
-func (e *Engine) maxAttempts(j *job) int {
-	if q := e.config.Queue(j.rec.Queue); q != nil && q.MaxAttempts > 0 {
-		return q.MaxAttempts
-	}
-	return max(j.rec.MaxAttempts, 1)
-}
-
-func (e *Engine) priority(j *job) int {
-	if q := e.config.Queue(j.rec.Queue); q != nil {
-		return q.Priority
-	}
-	return j.rec.Priority
-}
-
 // SetConfig replaces the configuration.
 func (e *Engine) SetConfig(c *workflow.Config) { e.config = c }
 
@@ -282,7 +260,7 @@
 
 // exhausted reports whether a unit of the job has used all its attempts.
 func (e *Engine) exhausted(j *job) bool {
-	return j.worst >= e.maxAttempts(j)
+	return j.worst >= e.config.AttemptsOf(j.rec)
 }
 
 // ended records the end of a member. The unit is settled when all members have
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -62,7 +62,7 @@
 func (e *Engine) shape(u *unit) shape {
 	s := u.spec()
 	return shape{
-		service: e.service(u.job), label: s.Label, needs: s.Needs(), count: u.count, sameRack: s.SameRack,
+		service: e.config.ServiceOf(u.job.rec), label: s.Label, needs: s.Needs(), count: u.count, sameRack: s.SameRack,
 		fills: s.Fills, serves: s.TargetMS > 0,
 	}
 }
@@ -104,7 +104,7 @@
 			}
 		}
 	}
-	return w.announced.Service == e.service(u.job) && (s.Label == "" || slices.Contains(w.announced.Labels, s.Label))
+	return w.announced.Service == e.config.ServiceOf(u.job.rec) && (s.Label == "" || slices.Contains(w.announced.Labels, s.Label))
 }
 
 // perWorker returns how many further items of u's stage may run on w under the
--- a/internal/workflow/engine/policy_test.go
+++ b/internal/workflow/engine/policy_test.go
@@ -73,7 +73,7 @@
 // valueForTimeLeft prefers what earns most for the time that is left to be in time.
 func valueForTimeLeft(e *Engine, a, b *candidate) int {
 	density := func(c *candidate) float64 {
-		return worthOf(e.priority(c.job)) * float64(e.work(c.job)) / math.Max(1, float64(c.urgency.UnixMilli()-e.lastDecision.UnixMilli()))
+		return worthOf(e.config.PriorityOf(c.job.rec)) * float64(e.work(c.job)) / math.Max(1, float64(c.urgency.UnixMilli()-e.lastDecision.UnixMilli()))
 	}
 	return cmp.Compare(density(b), density(a))
 }
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -228,7 +228,7 @@
 
 func (e *Engine) classOf(j *job) int {
 	switch {
-	case e.priority(j) != 0:
+	case e.config.PriorityOf(j.rec) != 0:
 		return classOther
 	case e.guaranteed[j]:
 		return classGuaranteed
--- a/internal/workflow/engine/progress.go
+++ b/internal/workflow/engine/progress.go
@@ -146,7 +146,7 @@
 func (e *Engine) restoreMembers(u *unit, members []workflow.MemberProgress) {
 	open := false
 	for i, mp := range members {
-		node := nodeOf(mp.Worker)
+		node := workflow.NodeOf(mp.Worker)
 		e.AddWorker(node)
 		m := &member{unit: u, run: u.run, index: u.first + i, worker: e.workers[node], key: mp.Worker, end: mp.End, inherited: true, since: e.began}
 		u.members = append(u.members, m)
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -27,17 +26,6 @@
 	health    health
 }
 
-// Key names an incarnation of the worker at a node. The time of birth tells
-// incarnations apart even where the agent does not know the instance's id yet.
-func Key(node, instance string, born int64) string {
-	if born != 0 {
-		return fmt.Sprintf("%s|%d", node, born)
-	}
-	return node + "|" + instance
-}
-
-func nodeOf(key string) string { return strings.SplitN(key, "|", 2)[0] }
-
 // AddWorker makes a node known. Its worker takes part after its first report.
 func (e *Engine) AddWorker(node string) {
 	if e.workers[node] != nil {
@@ -63,7 +51,7 @@
 	if w.key != "" && r.Lists.Born < w.born {
 		return // said by an earlier incarnation
 	}
-	if key := Key(node, r.Lists.Instance, r.Lists.Born); key != w.key {
+	if key := workflow.WorkerKey(node, r.Lists.Instance, r.Lists.Born); key != w.key {
 		e.reborn(w, key, r.Lists, now)
 	}
 	if r.Lists.ClockMS < w.clockMS {
@@ -73,7 +61,7 @@
 	if r.Lists.Instance != "" {
 		w.instance = r.Lists.Instance
 	}
-	if a := r.Announced; a != nil && Key(node, a.Instance, a.Born) == w.key {
+	if a := r.Announced; a != nil && workflow.WorkerKey(node, a.Instance, a.Born) == w.key {
 		w.instance = a.Instance
 		if w.announced == nil || a.Seq >= w.announced.Seq {
 			w.announced = a
--- a/internal/workflow/engine/world_test.go
+++ b/internal/workflow/engine/world_test.go
@@ -112,7 +112,7 @@
 	p.Decide(w.now)
 	acked := make(map[string]uint64)
 	for _, m := range w.workers {
-		if key, n := p.LastEnd(m.node); key == Key(m.node, m.node, m.born) {
+		if key, n := p.LastEnd(m.node); key == workflow.WorkerKey(m.node, m.node, m.born) {
 			acked[m.node] = n
 		}
 	}
--- a/internal/workflow/inspect/inspect.go
+++ b/internal/workflow/inspect/inspect.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"snipegw/internal/result"
 	"snipegw/internal/store"
@@ -166,7 +165,7 @@
 			if m.End == "" && !u.Done {
 				c.Running++
 				c.Accelerators += step.Accelerators
-				c.Workers = append(c.Workers, nodeOf(m.Worker))
+				c.Workers = append(c.Workers, workflow.NodeOf(m.Worker))
 			}
 		}
 	}
@@ -175,12 +174,6 @@
 	return c
 }
 
-// nodeOf returns the node of an incarnation.
-func nodeOf(worker string) string {
-	node, _, _ := strings.Cut(worker, "|")
-	return node
-}
-
 // Team is a team's share of the pool.
 type Team struct {
 	Name      string `json:"team"`
@@ -230,23 +223,14 @@
 	return out
 }
 
-// Priority returns the priority of j's queue, as of now or else of its
-// acceptance.
-func (s *System) Priority(j *Job) int {
-	if q := s.Config.Queue(j.Record.Queue); q != nil {
-		return q.Priority
-	}
-	return j.Record.Priority
-}
+// Priority returns the priority of j's queue.
+func (s *System) Priority(j *Job) int { return s.Config.PriorityOf(j.Record) }
 
 // Explain says in one sentence why j is in its state. Waiting is the planner's
 // reason for the items that wait, empty if it is not known.
-func (s *System) Explain(j *Job, waiting string, now time.Time) string {
+func (s *System) Explain(j *Job, waiting string) string {
 	c := j.Count()
-	attempts := j.Record.MaxAttempts
-	if q := s.Config.Queue(j.Record.Queue); q != nil && q.MaxAttempts > 0 {
-		attempts = q.MaxAttempts
-	}
+	attempts := s.Config.AttemptsOf(j.Record)
 	switch j.State() {
 	case workflow.StateComplete:
 		return fmt.Sprintf("All %d items are done.", c.Items)
--- a/internal/workflow/intake/intake.go
+++ b/internal/workflow/intake/intake.go
@@ -67,8 +67,7 @@
 // New returns an Intake. Conf mirrors the operators' prefix, records the
 // project's own.
 func New(table store.Table, records, conf *mirror.Mirror, format ConfigFormat) *Intake {
-	in := &Intake{table: table, records: records, conf: conf, format: format}
-	return in
+	return &Intake{table: table, records: records, conf: conf, format: format}
 }
 
 // OnConfig adds a function that is called with each new configuration. It must
--- a/internal/workflow/intake/server.go
+++ b/internal/workflow/intake/server.go
@@ -46,10 +46,7 @@
 // balancer has noticed, and then finishes what is in progress.
 func (s *Server) Stop(ctx context.Context) error {
 	s.intake.Retire()
-	select {
-	case <-time.After(retireFor):
-	case <-ctx.Done():
-	}
+	kernel.Sleep(ctx, retireFor)
 	ctx, cancel := context.WithTimeout(ctx, finishFor)
 	defer cancel()
 	return errors.Join(s.callers.Shutdown(ctx), s.ready.Stop(ctx))
--- a/internal/workflow/records.go
+++ b/internal/workflow/records.go
@@ -1,6 +1,7 @@
 package workflow
 
 import (
+	"fmt"
 	"strings"
 
 	"snipegw/internal/wire"
@@ -63,7 +64,7 @@
 // MemberProgress is one item of a run.
 type MemberProgress struct {
 	_      struct{} `cbor:",toarray"`
-	Worker string   // WorkerKey
+	Worker string   // of WorkerKey
 	End    End      // empty while it may be running
 }
 
@@ -81,6 +82,21 @@
 	Debug string `cbor:"3,keyasint,omitempty"`
 }
 
+// WorkerKey names an incarnation of the worker at a node. The time of birth tells
+// incarnations apart even where the agent does not know the instance's id yet.
+func WorkerKey(node, instance string, born int64) string {
+	if born != 0 {
+		return fmt.Sprintf("%s|%d", node, born)
+	}
+	return node + "|" + instance
+}
+
+// NodeOf returns the node of a WorkerKey.
+func NodeOf(key string) string {
+	node, _, _ := strings.Cut(key, "|")
+	return node
+}
+
 // Encode returns the stored form of a record.
 func Encode(v any) []byte {
 	data, err := wire.Marshal(v)
