Compute the free room once for a dump, and a job's class in one function

Cause: a dump, which the planner waits for, gathered the free resources of all workers anew for each open job that waits. candidates had a copy of classOf, notes one of the sum of cores, and each decision kept its time for a comparison in tests only. Behaviour: the same decisions and the same dump; the tests of both are unchanged but for the argument.

--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -52,7 +52,6 @@
 // Decide starts what should run now and stops what should not. The changes are
 // to be stored before Orders are sent.
 func (e *Engine) Decide(now time.Time) ([]Placement, []StopDecision) {
-	e.lastDecision = now
 	var stops []StopDecision
 	stops = e.stopOnDraining(now, stops)
 	stops = e.stopHanging(now, stops)
@@ -165,20 +164,14 @@
 			continue
 		}
 		if units := e.ready(j, now); len(units) > 0 {
-			c := &candidate{job: j, units: units, class: classOther}
-			switch {
-			case e.guaranteed[j]:
-				c.class = classGuaranteed
-			case e.config.PriorityOf(j.rec) == 0:
-				c.class = classFirst
-			}
+			c := &candidate{job: j, units: units, class: e.classOf(j)}
 			e.rate(c, now)
 			out = append(out, c)
 		}
 	}
 	slices.SortStableFunc(out, func(a, b *candidate) int {
 		if order := e.policy.order; order != nil {
-			return cmp.Or(cmp.Compare(min(a.class, classFirst), min(b.class, classFirst)), order(e, a, b))
+			return cmp.Or(cmp.Compare(min(a.class, classFirst), min(b.class, classFirst)), order(e, now, a, b))
 		}
 		return cmp.Or(
 			cmp.Compare(a.class, b.class),
--- a/internal/workflow/engine/dump.go
+++ b/internal/workflow/engine/dump.go
@@ -43,11 +43,12 @@
 // Dump returns the state at now.
 func (e *Engine) Dump(now time.Time) State {
 	var s State
+	r := e.room(now)
 	for _, j := range e.open {
 		js := JobState{
 			ID: j.id, Queue: j.rec.Queue, Team: j.rec.Team, State: string(j.state), Cancelled: j.cancelled,
 			UnitsLeft: j.left, AgeMS: now.UnixMilli() - j.rec.AcceptedMS,
-			Class: classNames[e.classOf(j)], Waiting: e.waiting(j, now), Workers: j.runsOn(),
+			Class: classNames[e.classOf(j)], Waiting: e.waiting(j, r, now), Workers: j.runsOn(),
 		}
 		for _, u := range j.units {
 			if u.active() {
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -59,17 +59,15 @@
 	ordered    []*worker // in order of node names
 	exhaustive bool      // search a place for every unit; set by tests only
 	policy     policy    // other than zero in comparisons only
-	// lastDecision is the time of the latest decision.
-	lastDecision time.Time
-	dirty        map[string]*job
-	estim        estimates
-	notes        []Note
+	dirty      map[string]*job
+	estim      estimates
+	notes      []Note
 }
 
 // policy leaves out parts of the decisions, or replaces the order of jobs within
 // a class, to compare them on recorded loads.
 type policy struct {
-	order                 func(e *Engine, a, b *candidate) int
+	order                 func(e *Engine, now time.Time, a, b *candidate) int
 	noHeadroom            bool
 	stopForGuaranteesOnly bool
 	anyLoss               bool // an urgent job may throw more work away than it has
--- a/internal/workflow/engine/explain.go
+++ b/internal/workflow/engine/explain.go
@@ -8,41 +8,36 @@
 )
 
 // waiting says why the first unit of j that does not run waits, in one sentence;
-// empty if none waits.
-func (e *Engine) waiting(j *job, now time.Time) string {
+// empty if none waits. R is the free room at now.
+func (e *Engine) waiting(j *job, r *room, now time.Time) string {
 	if j.cancelled {
 		return "the job is cancelled; its runs are being stopped"
 	}
 	if e.exhausted(j) {
 		return "an item has used all its attempts; the other runs are being stopped"
 	}
-	for k, stages := range j.stages {
-		for s := range stages {
-			for _, u := range stages[s].units {
-				if !u.done && !u.active() {
-					return fmt.Sprintf("item %s %s", u.ref(u.first), e.waitsFor(u, k, s, now))
-				}
-			}
+	for _, u := range j.units {
+		if !u.done && !u.active() {
+			return fmt.Sprintf("item %s %s", u.ref(u.first), e.waitsFor(u, r, now))
 		}
 	}
 	return ""
 }
 
 // waitsFor says what a unit that does not run waits for.
-func (e *Engine) waitsFor(u *unit, occurrence, step int, now time.Time) string {
+func (e *Engine) waitsFor(u *unit, r *room, now time.Time) string {
 	j := u.job
-	if due := j.dueMS(occurrence); now.UnixMilli() < due {
+	if due := j.dueMS(u.occurrence); now.UnixMilli() < due {
 		return fmt.Sprintf("is due in %v", (time.Duration(due-now.UnixMilli()) * time.Millisecond).Round(100*time.Millisecond))
 	}
-	for _, dep := range j.rec.Steps[step].After {
-		if left := j.stages[occurrence][dep].left; left > 0 {
+	for _, dep := range u.spec().After {
+		if left := j.stages[u.occurrence][dep].left; left > 0 {
 			return fmt.Sprintf("waits for step %d, of which %d units are left", dep, left)
 		}
 	}
 	if now.Before(u.notBefore) {
 		return fmt.Sprintf("pauses for %v after its last run", u.notBefore.Sub(now).Round(10*time.Millisecond))
 	}
-	r := e.room(now)
 	c := &candidate{job: j, units: []*unit{u}, class: e.classOf(j)}
 	e.rate(c, now)
 	if e.place(u, r) != nil {
--- a/internal/workflow/engine/notes.go
+++ b/internal/workflow/engine/notes.go
@@ -45,9 +45,8 @@
 }
 
 func (e *Engine) noteEnd(m *member, how workflow.End, now time.Time) {
-	needs := m.unit.spec().Needs()
 	e.notes = append(e.notes, Note{Run: &RunNote{
-		Cores: needs.MilliCPU/1000 + acceleratorCores*needs.Accelerators, Saves: m.unit.spec().Checkpoints,
+		Cores: milliCores(m.unit.spec().Needs()) / 1000, Saves: m.unit.spec().Checkpoints,
 		Item: m.unit.ref(m.index), Run: m.run, Worker: m.key, How: how, Took: now.Sub(m.since), Estimate: e.estim.duration(m.unit),
 		Percent: m.percent, Reason: m.unit.stopReason, Failed: m.unit.failed,
 	}})
--- a/internal/workflow/engine/policy_test.go
+++ b/internal/workflow/engine/policy_test.go
@@ -62,18 +62,18 @@
 	{"value for the time left", policy{order: valueForTimeLeft}},
 }
 
-func firstCome(_ *Engine, a, b *candidate) int {
+func firstCome(_ *Engine, _ time.Time, a, b *candidate) int {
 	return cmp.Compare(a.job.rec.AcceptedMS, b.job.rec.AcceptedMS)
 }
 
-func largestFirst(_ *Engine, a, b *candidate) int {
+func largestFirst(_ *Engine, _ time.Time, a, b *candidate) int {
 	return cmp.Compare(b.units[0].cores(), a.units[0].cores())
 }
 
 // valueForTimeLeft prefers what earns most for the time that is left to be in time.
-func valueForTimeLeft(e *Engine, a, b *candidate) int {
+func valueForTimeLeft(e *Engine, now time.Time, a, b *candidate) int {
 	density := func(c *candidate) float64 {
-		return worthOf(e.config.PriorityOf(c.job.rec)) * float64(e.work(c.job)) / math.Max(1, float64(c.urgency.UnixMilli()-e.lastDecision.UnixMilli()))
+		return worthOf(e.config.PriorityOf(c.job.rec)) * float64(e.work(c.job)) / math.Max(1, float64(c.urgency.UnixMilli()-now.UnixMilli()))
 	}
 	return cmp.Compare(density(b), density(a))
 }
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -200,10 +200,9 @@
 
 // cores returns what the items of u hold in thousandths of a core, with an
 // accelerator counted as acceleratorCores cores.
-func (u *unit) cores() int64 {
-	needs := u.spec().Needs()
-	return int64(u.count) * (needs.MilliCPU + 1000*acceleratorCores*needs.Accelerators)
-}
+func (u *unit) cores() int64 { return int64(u.count) * milliCores(u.spec().Needs()) }
+
+func milliCores(r workflow.Resources) int64 { return r.MilliCPU + 1000*acceleratorCores*r.Accelerators }
 
 // release gives back the resources that v's members hold.
 func (r *room) release(v *unit) {
