Drop the copies of a request in a race for the store

Cause: since the direct attempt has a request of its own, the other way is the only user of the caller's; the copy and the parameter that one way ignored were left over. Behaviour: the same.

--- a/internal/workflow/relay/relay.go
+++ b/internal/workflow/relay/relay.go
@@ -257,15 +257,14 @@
 	defer cancel()
 	probe := *q
 	probe.Wait = min(q.Wait, time.Millisecond)
-	ways := []func(*Request) (*Reply, error){func(*Request) (*Reply, error) { return t.byDirect(context.WithoutCancel(ctx), &probe) }}
+	ways := []func() (*Reply, error){func() (*Reply, error) { return t.byDirect(context.WithoutCancel(ctx), &probe) }}
 	if time.Now().UnixNano() >= t.outage.Load() {
-		ways = append(ways, func(q *Request) (*Reply, error) { return t.byPeers(ctx, q, func(error) {}) })
+		ways = append(ways, func() (*Reply, error) { return t.byPeers(ctx, q, func(error) {}) })
 	}
 	answers := make(chan answer, len(ways))
 	for _, way := range ways {
-		own := *q
 		go func() {
-			reply, err := way(&own)
+			reply, err := way()
 			answers <- answer{reply, err}
 		}()
 	}
