End a read of the store with its context again

Ruled out: the attempt itself; it is meant to run on, only nobody may wait for it. Change: the race ends with its context.

--- a/internal/workflow/relay/relay.go
+++ b/internal/workflow/relay/relay.go
@@ -270,11 +270,15 @@
 	}
 	var last error
 	for range ways {
-		a := <-answers
-		if decided(a.err) {
-			return a.reply, a.err
+		select {
+		case a := <-answers:
+			if decided(a.err) {
+				return a.reply, a.err
+			}
+			last = a.err
+		case <-ctx.Done():
+			return nil, result.Errorf(result.StoreUnavailable, "no way to the store: %w", ctx.Err())
 		}
-		last = a.err
 	}
 	if ctx.Err() == nil {
 		t.outage.Store(time.Now().Add(outageFor).UnixNano())
--- a/internal/workflow/relay/relay_test.go
+++ b/internal/workflow/relay/relay_test.go
@@ -106,6 +106,20 @@
 	g.Eventually(func() bool { return time.Until(time.Unix(0, r.suspect.Load())) > suspectFor/2 }, 2*directFor).Should(BeTrue())
 }
 
+// Guards against a read that outlives its caller, because the direct attempt
+// goes on for the sake of what it shows.
+func TestReadEndsWithItsContext(t *testing.T) {
+	g := NewWithT(t)
+	r := newTable(&table{delay: time.Hour}, &peer{err: result.Errorf(result.StoreUnavailable, "away")})
+	r.suspect.Store(time.Now().Add(suspectFor).UnixNano())
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	_, _, err := r.Lookup(ctx, "k")
+	g.Expect(result.CodeOf(err)).To(Equal(result.StoreUnavailable))
+	g.Expect(time.Since(began)).To(BeNumerically("<", directFor))
+}
+
 // A list has many pages, each bounded by the store's client. Guards against an
 // entry that starts, or becomes planner, while the store is slow and never
 // finishes its list, because all pages together had the time of one call.
