Try ports only while no process is being started

Clusters start side by side; a child holds copies of the sockets that try a port until it executes its program. The test starts programs beside the search and fails at once. Ruled out: ports of other proofs (nothing else ran) and of outgoing connections (they begin above the range). Change: the port is tried under the runtime's fork lock.

--- a/internal/proof/settings.go
+++ b/internal/proof/settings.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 
 	"snipegw/internal/model"
 )
@@ -118,7 +119,11 @@
 	return "", fmt.Errorf("no free port from %d to %d", firstPort, lastPort)
 }
 
+// portFree tries addr. No process is started meanwhile: the child would hold copies
+// of the sockets, and with them the port, until it executes its program.
 func portFree(addr string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	tcp, err := net.Listen("tcp", addr)
 	if err != nil {
 		return false
