Play the soak and the proof of disasters by one function

Cause: the proof had its own copy of what the soak does around its faults: start a cluster, load it, end the load, let it settle, judge. Change: soak.play serves both with a course of faults each; the control removes its record within its own course. A comment told of one accelerator where the payload says how many. Behaviour: the same seeds draw the same faults and jobs.

--- a/internal/proof/p9_workflows.go
+++ b/internal/proof/p9_workflows.go
@@ -91,30 +91,24 @@
 	return Verdict{Pass: len(errs) == 0, Measured: strings.Join(measured, "; ")}, errors.Join(errs...)
 }
 
-// runCase runs load beside a case until the case ends, and then checks what
-// callers and workers saw.
+// runCase plays a case and says what it measured.
 func runCase(ctx context.Context, e *Env, name string, run func(context.Context, *soak) (string, error)) (string, error) {
-	dir := filepath.Join(e.Dir, name)
-	if err := os.MkdirAll(dir, 0o700); err != nil {
+	own := *e
+	own.Dir = filepath.Join(e.Dir, name)
+	if err := os.MkdirAll(own.Dir, 0o700); err != nil {
 		return "", err
 	}
-	c, err := LaunchWorkflows(ctx, e.Bin, dir, soakEntries, soakWorkers)
-	if err != nil {
-		return "", err
-	}
-	defer c.Kill()
-	s := &soak{c: c, rng: rand.New(rand.NewPCG(e.Seed, 4)), every: proofSubmit, trace: io.Discard}
-	loadCtx, stop := context.WithCancel(ctx)
-	var wg sync.WaitGroup
-	wg.Go(func() { s.load(loadCtx, rand.New(rand.NewPCG(e.Seed, 5))) })
-	text, err := run(ctx, s)
-	stop()
-	wg.Wait()
-	if e.Control {
-		s.loseAcceptedJob()
-	}
-	s.settle(ctx)
-	return fmt.Sprintf("%s, %d jobs", text, len(s.jobs)), errors.Join(err, s.verdict())
+	s := &soak{rng: rand.New(rand.NewPCG(e.Seed, 4)), every: proofSubmit, trace: io.Discard}
+	var text string
+	err := s.play(ctx, own, rand.New(rand.NewPCG(e.Seed, 5)), func(ctx context.Context) (err error) {
+		text, err = run(ctx, s)
+		if e.Control {
+			s.endLoad()
+			s.loseAcceptedJob()
+		}
+		return err
+	})
+	return fmt.Sprintf("%s, %d jobs", text, len(s.jobs)), err
 }
 
 // storeDownForMinutes takes the store away. Work that runs must not be stopped
--- a/internal/proof/soak.go
+++ b/internal/proof/soak.go
@@ -38,9 +38,12 @@
 	rng   *rand.Rand    // of the faults
 	every time.Duration // mean time between two jobs
 	trace io.Writer
-	mu    sync.Mutex
-	jobs  []*soakJob
-	wrong []string
+	// endLoad hands in no more jobs, and waits until the callers have their
+	// answers.
+	endLoad func()
+	mu      sync.Mutex
+	jobs    []*soakJob
+	wrong   []string
 }
 
 // soakJob is a job and what its caller was told.
@@ -55,22 +58,42 @@
 // Soak runs load and faults for d, then waits until all jobs have ended. It
 // returns what callers or workers saw that must not happen.
 func Soak(ctx context.Context, e Env, d time.Duration) error {
+	s := &soak{rng: rand.New(rand.NewPCG(e.Seed, 2)), every: soakSubmit, trace: e.Trace}
+	err := s.play(ctx, e, rand.New(rand.NewPCG(e.Seed, 3)), func(ctx context.Context) error {
+		ctx, stop := context.WithTimeout(ctx, d)
+		defer stop()
+		var wg sync.WaitGroup
+		s.faults(ctx, &wg)
+		s.endLoad()
+		wg.Wait()
+		s.heal()
+		return nil
+	})
+	fmt.Fprintf(s.trace, "soak seed %d: %d jobs\n", e.Seed, len(s.jobs))
+	return err
+}
+
+// play runs load on a new cluster beside a course of faults, until the course
+// ends. Then all jobs must end, and callers and workers must have seen nothing
+// that must not happen.
+func (s *soak) play(ctx context.Context, e Env, rng *rand.Rand, course func(context.Context) error) error {
 	c, err := LaunchWorkflows(ctx, e.Bin, e.Dir, soakEntries, soakWorkers)
 	if err != nil {
 		return err
 	}
 	defer c.Kill()
-	s := &soak{c: c, rng: rand.New(rand.NewPCG(e.Seed, 2)), every: soakSubmit, trace: e.Trace}
-	loadCtx, stop := context.WithTimeout(ctx, d)
-	defer stop()
+	s.c = c
+	loadCtx, stop := context.WithCancel(ctx)
 	var wg sync.WaitGroup
-	wg.Go(func() { s.load(loadCtx, rand.New(rand.NewPCG(e.Seed, 3))) })
-	s.faults(loadCtx, &wg)
-	wg.Wait()
-	s.heal()
+	wg.Go(func() { s.load(loadCtx, rng) })
+	s.endLoad = func() {
+		stop()
+		wg.Wait()
+	}
+	err = course(ctx)
+	s.endLoad()
 	s.settle(ctx)
-	fmt.Fprintf(s.trace, "soak seed %d: %d jobs\n", e.Seed, len(s.jobs))
-	return s.verdict()
+	return errors.Join(err, s.verdict())
 }
 
 // verdict returns what callers or workers saw that must not happen.
--- a/internal/proof/workflow.go
+++ b/internal/proof/workflow.go
@@ -192,7 +192,7 @@
 }
 
 // WorkflowSteps returns the body of a job whose steps follow each other, each of
-// count items with one accelerator.
+// count items that run p.
 func WorkflowSteps(p platformworker.Payload, counts ...int) []byte {
 	var steps []any
 	for i, count := range counts {
