Name the method of reload triggers after what only they do

Cause: the kernel finds reload triggers by assertion on a method Changed, which members.Service has too. Its channel is closed at a change and stays ready, so an idle entry reloaded in a loop. Ruled out: the file watch (it polls every 2 s) and other assertions: Reloader is the only one left, and only the known entries implement Reload. Change: the method is ReloadRequests; a closed channel ends the listening instead of being ready for ever. Both tests fail without the change.

--- a/internal/kernel/components.go
+++ b/internal/kernel/components.go
@@ -118,8 +118,8 @@
 	return nil
 }
 
-// Changed implements ReloadTrigger.
-func (f *FileWatcher) Changed() <-chan struct{} {
+// ReloadRequests implements ReloadTrigger.
+func (f *FileWatcher) ReloadRequests() <-chan struct{} {
 	if f.changed == nil {
 		f.changed = make(chan struct{}, 1)
 	}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -38,11 +38,13 @@
 	Reload() error
 }
 
-// ReloadTrigger is a Component that triggers reloads.
+// ReloadTrigger is a Component that triggers reloads. Run finds it by assertion, so
+// its method has a name that no component has for another purpose: a channel that is
+// closed at a change, taken for a trigger, makes Run spin.
 type ReloadTrigger interface {
-	// Changed returns a channel that receives a value when the settings should
-	// be read again. It is called before Start.
-	Changed() <-chan struct{}
+	// ReloadRequests returns a channel that receives a value when the settings should
+	// be read again. It is called once, before Start.
+	ReloadRequests() <-chan struct{}
 }
 
 // Run starts the components in order, waits for SIGTERM, SIGINT or the end of
@@ -59,7 +61,7 @@
 	defer signal.Stop(hangups)
 	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
 	defer cancel()
-	settingsChanged := reloadChannel(components)
+	reloadRequests := reloadChannel(components)
 	started, err := start(ctx, components)
 	if err != nil {
 		return errors.Join(err, stop(started, nil))
@@ -72,7 +74,11 @@
 			running = false
 		case <-hangups:
 			reload(components)
-		case <-settingsChanged:
+		case _, open := <-reloadRequests:
+			if !open {
+				reloadRequests = nil // a closed channel would be ready for ever
+				continue
+			}
 			reload(components)
 		case <-parent.Done():
 			running = false
@@ -88,7 +94,7 @@
 func reloadChannel(components []Component) <-chan struct{} {
 	for _, c := range components {
 		if t, ok := c.(ReloadTrigger); ok {
-			return t.Changed()
+			return t.ReloadRequests()
 		}
 	}
 	return nil
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -144,6 +144,23 @@
 	return r.err
 }
 
+// changingRecorder is a recorder with a method of the membership table's form.
+type changingRecorder struct{ recorder }
+
+func (changingRecorder) Changed() <-chan struct{} {
+	closed := make(chan struct{})
+	close(closed)
+	return closed
+}
+
+// triggeringRecorder is a recorder that also implements ReloadTrigger.
+type triggeringRecorder struct {
+	recorder
+	requests chan struct{}
+}
+
+func (r triggeringRecorder) ReloadRequests() <-chan struct{} { return r.requests }
+
 var _ = Describe("Run", func() {
 	It("stops the components in reverse order", func() {
 		var steps []string
@@ -197,6 +214,30 @@
 		Expect(<-done).To(Succeed())
 	})
 
+	// Guards against a component whose method for another purpose is taken for a reload
+	// trigger: its closed channel made an idle entry reload in a loop and use a whole
+	// core.
+	It("takes no component with a method Changed for a reload trigger", func() {
+		Expect(reloadChannel([]Component{changingRecorder{recorder{name: "a"}}})).To(BeNil())
+	})
+
+	// Guards against a loop that spins on a trigger whose channel is closed.
+	It("stops listening to a trigger that closes its channel", func() {
+		var steps []string
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		reloads := make(chan struct{}, 1)
+		closed := make(chan struct{})
+		close(closed)
+		done := make(chan error)
+		go func() {
+			done <- Run(ctx, reloadingRecorder{recorder{name: "a", steps: &steps}, reloads, nil}, triggeringRecorder{recorder{name: "b", steps: &steps}, closed})
+		}()
+		Consistently(reloads, "30ms").ShouldNot(Receive())
+		cancel()
+		Expect(<-done).To(Succeed())
+	})
+
 	It("stops the started components when another fails to start", func() {
 		var steps []string
 		err := Run(context.Background(), recorder{name: "a", steps: &steps}, recorder{name: "b", fail: true, steps: &steps})
