Keep callers' tokens as digests only

Cause: the state dump of a workflow entry shows the configuration with the tokens of all teams. Ruled out: a type that prints a fixed text but holds the token; fmt prints unexported fields without calling their methods. Conclusion: a token leaves the decoder of the configuration as a digest only.

--- a/internal/workflow/config.go
+++ b/internal/workflow/config.go
@@ -1,6 +1,8 @@
 package workflow
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"slices"
 	"strings"
 )
@@ -28,10 +30,29 @@
 	Advised bool
 }
 
+// TokenDigest is the SHA-256 digest of a caller's token. Processes keep tokens in this
+// form only, so that no dump, log line or error can show one.
+type TokenDigest [sha256.Size]byte
+
+// DigestToken returns the digest of a token.
+func DigestToken(token string) TokenDigest { return sha256.Sum256([]byte(token)) }
+
+// fingerprintBytes is the length of the part of a digest that is shown. It tells the
+// tokens of a configuration apart.
+const fingerprintBytes = 4
+
+// String returns a short fingerprint of the token, for dumps and logs.
+func (d TokenDigest) String() string {
+	return "token " + hex.EncodeToString(d[:fingerprintBytes])
+}
+
+// MarshalText implements encoding.TextMarshaler with the fingerprint.
+func (d TokenDigest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
 // Team is a tenant that shares the workers with other teams.
 type Team struct {
 	Name   string
-	Tokens []string
+	Tokens []TokenDigest
 	// Guarantee is the number of accelerators that the team can claim at any
 	// time for jobs of priority 0.
 	Guarantee int64
@@ -44,7 +65,7 @@
 	Services       map[string]Service
 	Teams          map[string]Team
 	MaxBody        int64
-	teamByToken    map[string]string // token -> team
+	teamByToken    map[TokenDigest]string // name of the team
 	queueByName    map[string]*Queue
 	queuesByPrefix []*Queue // longest prefix first
 }
@@ -58,7 +79,7 @@
 
 // Provision builds the lookup tables of c. It must be called once before use.
 func (c *Config) Provision() {
-	c.teamByToken, c.queueByName = make(map[string]string), make(map[string]*Queue)
+	c.teamByToken, c.queueByName = make(map[TokenDigest]string), make(map[string]*Queue)
 	for _, t := range c.Teams {
 		for _, token := range t.Tokens {
 			c.teamByToken[token] = t.Name
@@ -116,6 +137,6 @@
 
 // TeamOf returns the team to which token belongs.
 func (c *Config) TeamOf(token string) (team string, ok bool) {
-	team, ok = c.teamByToken[token]
+	team, ok = c.teamByToken[DigestToken(token)]
 	return team, ok
 }
