Say "no effect" only where the store guarantees it, and try few peers

A caller could be told that a job was not accepted which then ran. The number of calls grows with the square of the entries. Ruled out: no relaying during an outage; an entry cannot tell an outage for all from one for itself.

--- a/internal/workflow/relay/relay.go
+++ b/internal/workflow/relay/relay.go
@@ -34,6 +34,10 @@
 	// direct route is suspect: writes try peers first, and reads try the direct
 	// route and the peers concurrently.
 	suspectPeriod = 1500 * time.Millisecond
+	// maxPeersPerAttempt limits the peers that one operation tries. While the store is
+	// down for all, trying every peer would multiply the calls by the number of entries,
+	// and a refusal would take as long as all of them together.
+	maxPeersPerAttempt = 3
 	// outagePeriod is the time after a failure of all routes during which peers
 	// are not tried.
 	outagePeriod = 250 * time.Millisecond
@@ -94,7 +98,7 @@
 	self   string
 
 	mu    sync.Mutex
-	peers []string // addresses; the peer that responded last comes first
+	peers []string // addresses, in the order in which they are tried
 
 	directSuspectUntil atomic.Int64 // Unix nanoseconds until which the direct route is suspect; 0: not suspect
 	outageUntil        atomic.Int64 // Unix nanoseconds until which peers are not tried; 0: no outage
@@ -202,7 +206,7 @@
 	}
 	now := time.Now().UnixNano()
 	outcomeUnknown := false // an attempt without a response may still take effect
-	noteOutcome := func(err error) { outcomeUnknown = outcomeUnknown || result.CodeOf(err) == result.OutcomeUnknown }
+	noteOutcome := func(err error) { outcomeUnknown = outcomeUnknown || !result.CodeOf(err).NotRun() }
 	directFirst := now >= t.directSuspectUntil.Load()
 	var err error
 	if directFirst {
@@ -330,17 +334,19 @@
 	return 0
 }
 
-// callPeers performs req through the peers in order, until one responds. It passes
+// callPeers performs req through the first peers in order, until one responds. Those
+// that fail become the last ones, so that the next operation tries others. It passes
 // the error of each failed attempt to noteOutcome.
 func (t *Table) callPeers(ctx context.Context, req *Request, noteOutcome func(error)) (*Reply, error) {
 	err := error(result.Errorf(result.StoreUnavailable, "no other entry is known"))
-	for _, address := range t.Peers() {
+	peers := t.Peers()
+	for _, address := range peers[:min(len(peers), maxPeersPerAttempt)] {
 		if ctx.Err() != nil {
 			return nil, result.Errorf(result.StoreUnavailable, "entry %s: not called: %w", address, ctx.Err())
 		}
 		reply := new(Reply)
 		if err = t.callPeer(ctx, address, req, reply); err == nil {
-			t.preferPeer(address)
+			t.movePeer(address, true)
 			t.recordRoute(true)
 			switch {
 			case reply.Compacted:
@@ -351,6 +357,7 @@
 			return reply, nil
 		}
 		noteOutcome(err)
+		t.movePeer(address, false)
 	}
 	return nil, err
 }
@@ -376,15 +383,20 @@
 	return result.Errorf(result.OutcomeUnknown, "entry %s: %w", address, err)
 }
 
-func (t *Table) preferPeer(address string) {
+// movePeer makes a peer the first one to try, or the last one. It ignores a peer that
+// is no longer known.
+func (t *Table) movePeer(address string, first bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for i, p := range t.peers {
-		if p == address {
-			copy(t.peers[1:i+1], t.peers[:i])
-			t.peers[0] = address
-			return
-		}
+	i := slices.Index(t.peers, address)
+	if i < 0 {
+		return
+	}
+	t.peers = slices.Delete(t.peers, i, i+1)
+	if first {
+		t.peers = slices.Insert(t.peers, 0, address)
+	} else {
+		t.peers = append(t.peers, address)
 	}
 }
 
@@ -401,6 +413,9 @@
 	if err != nil || !reply.Found {
 		return store.Record{}, false, err
 	}
+	if len(reply.Records) != 1 {
+		return store.Record{}, false, result.Errorf(result.StoreUnavailable, "the relayed response has %d records instead of one", len(reply.Records))
+	}
 	return reply.Records[0], true, nil
 }
 
--- a/internal/workflow/relay/relay_test.go
+++ b/internal/workflow/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -140,6 +141,8 @@
 	}{
 		{result.OutcomeUnknown, result.StoreUnavailable, result.OutcomeUnknown},
 		{result.StoreUnavailable, result.OutcomeUnknown, result.OutcomeUnknown},
+		{result.StoreUnavailable, result.Internal, result.OutcomeUnknown},
+		{result.StoreUnavailable, result.DeadlineRan, result.OutcomeUnknown},
 		{result.StoreUnavailable, result.StoreUnavailable, result.StoreUnavailable},
 	} {
 		g := NewWithT(t)
@@ -149,6 +152,68 @@
 	}
 }
 
+// Guards against an outage of the store during which every write of an entry becomes a
+// call to each other entry, and takes as long as all of them together. The next writes
+// must try the other peers, one of which may still reach the store.
+func TestWriteTriesFewPeers(t *testing.T) {
+	g := NewWithT(t)
+	p := &reachablePeer{address: "e12"}
+	relayed := New(&fakeTable{err: result.Errorf(result.StoreUnavailable, "away")}, p, "e0")
+	var addresses []string
+	for i := range 15 {
+		addresses = append(addresses, fmt.Sprintf("e%d", i))
+	}
+	relayed.SetPeers(addresses)
+	for attempt := 1; ; attempt++ {
+		relayed.outageUntil.Store(0)
+		out, err := relayed.Commit(t.Context(), store.Txn{})
+		g.Expect(p.calls.Load()).To(BeNumerically("<=", attempt*maxPeersPerAttempt))
+		if err == nil {
+			g.Expect(out.Committed).To(BeTrue())
+			break
+		}
+		g.Expect(result.CodeOf(err)).To(Equal(result.StoreUnavailable))
+		g.Expect(attempt).To(BeNumerically("<", len(addresses)))
+	}
+	calls := p.calls.Load()
+	_, err := relayed.Commit(t.Context(), store.Txn{})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(p.calls.Load()).To(Equal(calls+1), "the peer that responded is tried first")
+}
+
+// reachablePeer stands for several entries, of which only the one with the given address
+// reaches the store.
+type reachablePeer struct {
+	address string
+	calls   atomic.Int64
+}
+
+func (p *reachablePeer) Call(_ context.Context, address string, _ wire.Kind, _, reply any) error {
+	p.calls.Add(1)
+	if address != p.address {
+		return result.Errorf(result.StoreUnavailable, "away")
+	}
+	reply.(*Reply).Outcome = store.Outcome{Committed: true}
+	return nil
+}
+
+// Guards against a relayed response without a record that ends the process.
+func TestEmptyRelayedResponse(t *testing.T) {
+	g := NewWithT(t)
+	relayed := New(&fakeTable{err: result.Errorf(result.StoreUnavailable, "away")}, emptyPeer{}, "self")
+	relayed.SetPeers([]string{"other"})
+	_, _, err := relayed.Lookup(t.Context(), "k")
+	g.Expect(result.CodeOf(err)).To(Equal(result.StoreUnavailable))
+}
+
+// emptyPeer is a Caller that says that it found a record and sends none.
+type emptyPeer struct{}
+
+func (emptyPeer) Call(_ context.Context, _ string, _ wire.Kind, _, reply any) error {
+	reply.(*Reply).Found = true
+	return nil
+}
+
 // Guards against requests that are relayed in a cycle between entries that all
 // fail to reach the store.
 func TestRelayedRequestsUseTheDirectRouteOnly(t *testing.T) {
