Contain unexpected errors and malformed reports

Cause: nothing recovers from a panic in the handlers of calls or in the planner, so one message or record could end the process, and on every entry in turn when the cause is a record: a stored job whose step depends on a missing one does (TestInvalidRecordsStopNoOtherJob: index out of range in the planner). Ruled out: the callers' HTTP server (net/http recovers), announcements (they name no worker then). Change: a panic in a call fails the call with code 900, whose outcome is unknown; one in the planner ends its term, and the entry waits longer than a lease before it tries again. Stored jobs are validated before they are planned.

--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -118,7 +118,7 @@
 func (s *Server) serveSessionCall(ctx context.Context, kind wire.Kind, st *Stream) bool {
 	s.activeCalls.Add(1)
 	defer s.activeCalls.Add(-1)
-	err := s.handler.ServeCall(ctx, kind, st)
+	err := s.serveCall(ctx, kind, st)
 	var re *result.Error
 	switch {
 	case err == nil:
--- a/internal/transport/tcpserver.go
+++ b/internal/transport/tcpserver.go
@@ -142,7 +142,7 @@
 	s.activeCalls.Add(1)
 	defer s.activeCalls.Add(-1)
 	st := newTCPStream(c, true)
-	if err := s.handler.ServeCall(ctx, wire.KindRequest, st); err != nil {
+	if err := s.serveCall(ctx, wire.KindRequest, st); err != nil {
 		s.endFailedCall(st, wire.KindRequest, err)
 	} else {
 		_ = st.Close()
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -16,6 +16,7 @@
 	"github.com/apex/log"
 	"github.com/quic-go/quic-go"
 
+	"snipegw/internal/kernel"
 	"snipegw/internal/result"
 	"snipegw/internal/wire"
 )
@@ -190,13 +191,25 @@
 	}
 	s.activeCalls.Add(1)
 	defer s.activeCalls.Add(-1)
-	if err := s.handler.ServeCall(ctx, wire.Kind(kind), st); err != nil {
+	if err := s.serveCall(ctx, wire.Kind(kind), st); err != nil {
 		s.endFailedCall(st, wire.Kind(kind), err)
 		return
 	}
 	_ = st.Close()
 }
 
+// serveCall passes a call to the handler. A panic of the handler fails this call with
+// code Internal, which leaves its outcome open, and not the process.
+func (s *Server) serveCall(ctx context.Context, kind wire.Kind, st *Stream) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			kernel.LogPanic("call", r, log.Fields{"kind": int(kind)})
+			err = result.Errorf(result.Internal, "the handler of calls of kind %d failed", kind)
+		}
+	}()
+	return s.handler.ServeCall(ctx, kind, st)
+}
+
 // endFailedCall ends a call whose handler returned err. An error with a result
 // code is sent to the peer as a fault; any other truncates the response.
 func (s *Server) endFailedCall(st *Stream, kind wire.Kind, err error) {
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -38,6 +38,9 @@
 		if r.Attempt == 0 {
 			return result.Errorf(result.Fenced, "attempt 0 is fenced")
 		}
+		if r.Attempt == 666 {
+			panic("unexpected")
+		}
 		return s.Send(&wire.Ack{Epoch: r.Attempt})
 	}
 	if kind == wire.KindTicketQuery {
@@ -123,6 +126,17 @@
 		Expect(ack.Epoch).To(Equal(uint64(7)))
 	})
 
+	// Guards against an unexpected error in one call that ends the process, and against
+	// a caller that is told that such a call was not executed.
+	It("contains the panic of a handler in its call", func() {
+		var ack wire.Ack
+		err := pool.Call(ctx, server.Addr(), wire.KindRelease, &wire.Release{Attempt: 666}, &ack)
+		Expect(result.CodeOf(err)).To(Equal(result.Internal))
+		Expect(NotRun(err)).To(BeFalse())
+		Expect(pool.Call(ctx, server.Addr(), wire.KindRelease, &wire.Release{Attempt: 7}, &ack)).To(Succeed())
+		Expect(ack.Epoch).To(Equal(uint64(7)))
+	})
+
 	It("opens more connections only under load and closes idle ones", func() {
 		open := func() func() {
 			// All kinds but KindRequest use QUIC; echo serves this one like a
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -35,6 +36,9 @@
 	// electionRetryDelay is the delay between two attempts to become planner after
 	// an error.
 	electionRetryDelay = 200 * time.Millisecond
+	// panicRetryDelay is the delay before this entry becomes planner again after its
+	// engine has failed. It is longer than the lease, so that another entry may try.
+	panicRetryDelay = 3 * time.Second
 )
 
 // Options are the settings of a Host and the components that it uses.
@@ -157,7 +161,10 @@
 			continue
 		}
 		if epoch > 0 {
-			h.runTerm(ctx, lease, epoch)
+			if errors.Is(h.runTerm(ctx, lease, epoch), errPanicked) {
+				// Whatever caused it may be in the records, and happen again at once.
+				kernel.Sleep(ctx, panicRetryDelay)
+			}
 			// The store deletes the key with the lease; tell the mirror now.
 			h.options.Records.Apply([]store.Event{{Record: store.Record{Key: workflow.PlannerKey, Revision: epoch + 1}, Deleted: true}})
 		}
@@ -252,8 +259,8 @@
 }
 
 // runTerm runs a planner's term until it ends: the lease is lost, another planner
-// has taken over, or the Host is stopping.
-func (h *Host) runTerm(parent context.Context, lease, epoch uint64) {
+// has taken over, the engine has failed, or the Host is stopping. It returns why.
+func (h *Host) runTerm(parent context.Context, lease, epoch uint64) error {
 	ctx, endTerm := context.WithCancelCause(parent)
 	defer endTerm(nil)
 	t := newTerm(h, lease, epoch, endTerm)
@@ -280,4 +287,5 @@
 		reason = cause.Error()
 	}
 	log.WithFields(log.Fields{"event": "planner_term_ended", "epoch": epoch, "reason": reason}).Info("this entry is no longer planner")
+	return context.Cause(ctx)
 }
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -46,6 +46,7 @@
 	errStopping   = errors.New("this entry is stopping")
 	errReplaced   = errors.New("another planner has taken over")
 	errNotRenewed = errors.New("the planner's lease was not renewed in time")
+	errPanicked   = errors.New("an unexpected error has left the state of the term in doubt")
 )
 
 // term is one term of this entry as planner.
@@ -90,7 +91,9 @@
 	go t.sendStopOrders(ctx)
 	lastCleanup := time.Now()
 	for ctx.Err() == nil {
-		t.runPass(ctx)
+		if !t.guard("planner pass", func() { t.runPass(ctx) }) {
+			return
+		}
 		if time.Since(lastCleanup) > cleanupInterval {
 			t.removeOutdatedJobs(ctx)
 			lastCleanup = time.Now()
@@ -169,8 +172,13 @@
 // one. It skips a job with a record that cannot be decoded. t.mu is held.
 func (t *term) addJob(r store.Record, progressRecords map[string]store.Record) {
 	rec, err := workflow.Decode[workflow.JobRecord](r.Value)
+	if err == nil {
+		// A job that breaks the limits, such as one with a dependency on a missing step,
+		// would make every decision fail.
+		err = rec.Validate()
+	}
 	if err != nil {
-		log.WithFields(log.Fields{"event": "record_unreadable", "key": r.Key, "error": err.Error()}).Error("record cannot be decoded; the job is ignored")
+		log.WithFields(log.Fields{"event": "record_unreadable", "key": r.Key, "error": err.Error()}).Error("record cannot be decoded or is invalid; the job is ignored")
 		return
 	}
 	id := workflow.IDOfKey(r.Key)
@@ -232,33 +240,67 @@
 	t.host.pending = nil
 	t.host.mu.Unlock()
 
+	d := t.decide(events, config)
+	logEndEvents(t.epoch, d.endEvents)
+	logDecisions(t.epoch, d.starts, d.stops)
+	if !t.commitChanges(ctx, d.changes) {
+		return
+	}
+	for _, o := range t.startOrders(d.ends) {
+		go t.sendOrder(ctx, o)
+	}
+}
+
+// decisions is the outcome of one pass of the engine.
+type decisions struct {
+	starts    []engine.Placement
+	stops     []engine.StopDecision
+	changes   []engine.Change
+	endEvents []engine.EndEvent
+	ends      map[string]endPosition // by node; to be acknowledged once the changes are stored
+}
+
+// decide passes the events and the configuration, nil for none, to the engine and
+// returns what it decides.
+func (t *term) decide(events []store.Event, config *workflow.Config) decisions {
 	now := time.Now()
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	if config != nil {
 		t.engine.SetConfig(config)
 	}
 	t.applyEvents(events)
 	t.engine.ExpireLeases(now)
 	starts, stops := t.engine.Decide(now)
-	ends := t.processedEnds()
-	changes := t.engine.TakeChanges()
-	endEvents := t.engine.TakeEndEvents()
-	t.mu.Unlock()
-
-	logEndEvents(t.epoch, endEvents)
-	logDecisions(t.epoch, starts, stops)
-	if !t.commitChanges(ctx, changes) {
-		return
+	return decisions{
+		starts: starts, stops: stops, ends: t.processedEnds(),
+		changes: t.engine.TakeChanges(), endEvents: t.engine.TakeEndEvents(),
 	}
+}
+
+// startOrders notes the ends that are stored now, and returns the start orders for the
+// runs that are.
+func (t *term) startOrders(ends map[string]endPosition) []*engine.Order {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	for node, end := range ends {
 		t.storedEnds[node] = end
 	}
-	orders := t.engine.StartOrders(time.Now())
-	t.mu.Unlock()
-	for _, o := range orders {
-		go t.sendOrder(ctx, o)
-	}
+	return t.engine.StartOrders(time.Now())
+}
+
+// guard calls f and ends the term if f panics: the engine's state may be inconsistent
+// then, and the next term builds it anew from the records. It reports whether f
+// returned.
+func (t *term) guard(scope string, f func()) (ok bool) {
+	defer func() {
+		if r := recover(); r != nil {
+			kernel.LogPanic(scope, r, log.Fields{"epoch": t.epoch})
+			t.endTerm(errPanicked)
+		}
+	}()
+	f()
+	return true
 }
 
 // processedEnds returns, by node, how far the engine has processed the ends of each
@@ -299,9 +341,11 @@
 		log.WithFields(log.Fields{"event": "order_unanswered", "node": o.Node, "code": int(result.CodeOf(err)), "error": err.Error()}).Warn("no reply to an order; later reports will show its outcome")
 		reply = nil
 	}
-	t.mu.Lock()
-	t.engine.HandleOrderReply(o, reply, time.Now())
-	t.mu.Unlock()
+	t.guard("order reply", func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.engine.HandleOrderReply(o, reply, time.Now())
+	})
 	t.host.wake()
 }
 
@@ -342,9 +386,11 @@
 			continue
 		}
 		lastReply, version = time.Now(), reply.Version
-		t.mu.Lock()
-		t.engine.HandleReport(node, reply, lastReply)
-		t.mu.Unlock()
+		t.guard("worker report", func() {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.engine.HandleReport(node, reply, lastReply)
+		})
 		t.host.wake()
 	}
 }
