--- a/internal/workflow/intake/intake.go
+++ b/internal/workflow/intake/intake.go
@@ -34,10 +34,12 @@
 	// or through a peer, after which writes are refused immediately. A healthy
 	// watch responds every second.
 	maxStoreSilence = 1800 * time.Millisecond
-	// responseReserve is the part of the caller's deadline that is kept for
-	// sending the response.
-	responseReserve = 150 * time.Millisecond
-	retryDelay      = 40 * time.Millisecond
+	// responseReserve is the part of the caller's deadline that is kept for sending
+	// the response, and responseReserveDivisor bounds it to a share of the time that
+	// is left: the last attempt of a caller often has less than the reserve.
+	responseReserve        = 150 * time.Millisecond
+	responseReserveDivisor = 3
+	retryDelay             = 40 * time.Millisecond
 	// maxReadyAge is the time since the last response of the store after which
 	// this entry is not ready for new callers.
 	maxReadyAge = 2500 * time.Millisecond
@@ -263,7 +265,7 @@
 	begin := time.Now()
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-responseReserve))
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-min(responseReserve, time.Until(deadline)/responseReserveDivisor)))
 		defer cancel()
 	}
 	ctx, cancel := context.WithTimeout(ctx, unknownWriteTimeout)
