Predict run times from the usual ones of the queue, too

Callers of that queue are wrong by a factor of 2.5, and the planner corrected only their mean. An underestimated job seemed worth less than what it would stop, so it waited for others to end; an overestimated one seemed to have time. The planner took run times from the first report of a run, up to 0.5 s late. Change: a prediction weighs the caller's estimate and the usual run time of the queue by how well each has predicted. Run times are taken on the worker's clock, from the confirmed start. Ruled out: the order of jobs; without faults all orders within the classes earn about the same.

--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -147,6 +147,7 @@
 	listed           bool      // the worker has reported the run
 	startedAt        time.Time // first report of the run; before that, the decision or the order, or the term's start if inherited
 	firstPercent     float64   // progress in the first report of the run
+	resumed          bool      // the start order carried a checkpoint
 	percent          float64   // progress in the latest report, 0 to 100
 	percentChangedAt time.Time
 	lastStopSent     time.Time
--- a/internal/workflow/engine/health.go
+++ b/internal/workflow/engine/health.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"math"
 	"time"
 
 	"snipegw/internal/workflow"
@@ -45,15 +44,17 @@
 }
 
 // observeEnd updates the health of the worker, the run-time estimates and the list
-// of workers on which the unit failed from the end of a member. Runs of which the
-// engine did not see the whole run time do not change the estimates.
+// of workers on which the unit failed from the end of a member. The run time is taken on
+// the worker's clock, from the confirmation of the start to the report of the end. Runs
+// that resumed from a checkpoint, or were started by another planner, do not change the
+// estimates.
 func (e *Engine) observeEnd(m *member, how workflow.End, now time.Time) {
 	u := m.unit
 	switch how {
 	case workflow.EndDone:
 		m.worker.health.recordSuccess()
-		if m.listed && !m.inherited && m.firstPercent == 0 {
-			e.estimates.observe(u, now.Sub(m.startedAt))
+		if m.startConfirmedMS > 0 && !m.resumed {
+			e.estimates.observe(u, time.Duration(m.worker.clockMS-m.startConfirmedMS)*time.Millisecond)
 		}
 	case workflow.EndFailed:
 		m.worker.health.recordFailure(u.job.id, now)
@@ -63,77 +64,3 @@
 		u.failedOn[m.incarnation] = true
 	}
 }
-
-// durationEstimates holds a correction of the callers' run-time estimates for each
-// queue.
-type durationEstimates map[string]*correction
-
-// correction holds the moving average of the logarithm of the ratio of actual to
-// estimated run time. Estimates are wrong by factors; a few extreme runs would
-// dominate an average of the ratios themselves.
-type correction struct{ meanLogRatio float64 }
-
-const (
-	// estimateSmoothing is the weight of the latest run in the moving average.
-	estimateSmoothing = 0.1
-	// maxLogRatio bounds the logarithm that one run contributes; it is a factor of 4.
-	maxLogRatio = 1.4
-)
-
-// observe updates the correction of u's queue with the run time of one of its items.
-func (est durationEstimates) observe(u *unit, runTime time.Duration) {
-	if u.spec().EstimateMS <= 0 || runTime <= 0 {
-		return
-	}
-	logRatio := math.Log(runTime.Seconds() * 1000 / float64(u.spec().EstimateMS))
-	c := est[u.job.rec.Queue]
-	if c == nil {
-		c = new(correction)
-		est[u.job.rec.Queue] = c
-	}
-	c.meanLogRatio += estimateSmoothing * (max(-maxLogRatio, min(logRatio, maxLogRatio)) - c.meanLogRatio)
-}
-
-// duration returns the expected run time of a unit from its start to its end.
-func (est durationEstimates) duration(u *unit) time.Duration {
-	return est.stepDuration(u.job.rec.Queue, u.spec())
-}
-
-// stepDuration returns the estimated run time of an item of a step, corrected for
-// the queue.
-func (est durationEstimates) stepDuration(queue string, step *workflow.Step) time.Duration {
-	factor := 1.0
-	if c := est[queue]; c != nil {
-		factor = math.Exp(c.meanLogRatio)
-	}
-	return time.Duration(float64(step.EstimateMS) * factor * float64(time.Millisecond))
-}
-
-// minProgressPercent is the least progress, in percent, from which the speed of a
-// run is extrapolated.
-const minProgressPercent = 4
-
-// remaining returns the expected time until all members of an active unit have
-// ended. For members with enough progress it extrapolates their speed; for the
-// others it uses the estimate.
-func (est durationEstimates) remaining(u *unit, now time.Time) time.Duration {
-	total, longest := est.duration(u), time.Duration(0)
-	for _, m := range u.members {
-		if m.end != "" {
-			continue
-		}
-		timeLeft := total
-		switch done := m.percent - m.firstPercent; {
-		case m.listed && done >= minProgressPercent:
-			whole := time.Duration(float64(m.percentChangedAt.Sub(m.startedAt)) * (100 - m.firstPercent) / done)
-			timeLeft = whole - now.Sub(m.startedAt)
-		case m.listed:
-			timeLeft = time.Duration(float64(total)*(100-m.percent)/100) - now.Sub(m.percentChangedAt)
-		}
-		longest = max(longest, timeLeft, minRemaining)
-	}
-	return longest
-}
-
-// minRemaining is the least expected remaining time of a run that has not ended.
-const minRemaining = 50 * time.Millisecond
--- a/internal/workflow/engine/orders.go
+++ b/internal/workflow/engine/orders.go
@@ -77,7 +77,7 @@
 // worker's lease to the start deadline.
 func (e *Engine) orderStart(o *Order, m *member, now time.Time) {
 	w := m.worker
-	m.startSent, m.startedAt = true, now
+	m.startSent, m.startedAt, m.resumed = true, now, m.unit.checkpoint != ""
 	m.startDeadlineMS = w.clockMS + now.Sub(w.reportedAt).Milliseconds() + startWindow.Milliseconds()
 	w.maxLeaseUntilMS = max(w.maxLeaseUntilMS, m.startDeadlineMS)
 	o.Request.Starts = append(o.Request.Starts, workflow.StartOrder{
--- a/internal/workflow/engine/policy_test.go
+++ b/internal/workflow/engine/policy_test.go
@@ -34,6 +34,7 @@
 	Workers        int                      `json:"workers"`
 	PerRack        int                      `json:"workers_per_rack"`
 	WorkerCapacity workflow.Resources       `json:"worker"`
+	Slowness       []float64                `json:"slowness,omitempty"` // factors of run times, by worker in turn
 	Queues         []workflow.Queue         `json:"queues"`
 	Teams          map[string]workflow.Team `json:"teams"`
 	Jobs           []loadJob                `json:"jobs"` // in order of acceptance
@@ -118,6 +119,9 @@
 	w.config.Provision()
 	for i, m := range w.workers {
 		m.rack, m.capacity = fmt.Sprintf("r%d", i/l.PerRack), l.WorkerCapacity
+		if len(l.Slowness) > 0 {
+			m.slowness = l.Slowness[i%len(l.Slowness)]
+		}
 	}
 	w.planner.SetConfig(w.config)
 	w.advance(2500 * time.Millisecond)
--- a/internal/workflow/engine/world_worker_test.go
+++ b/internal/workflow/engine/world_worker_test.go
@@ -41,6 +41,7 @@
 	seq              int64
 	capacity         workflow.Resources
 	faultyUntil      time.Time
+	slowness         float64 // factor of run times; 0 is 1
 }
 
 // restart begins a new incarnation; its runs are gone.
@@ -134,8 +135,13 @@
 
 // beginGang lets all members of a gang go on, now that the last one has started.
 func (w *world) beginGang(r *modelRun) {
-	for _, o := range w.gangMembers(r) {
-		o.waiting, o.doneAt = false, r.doneAt.Add(w.now.Sub(r.startedAt))
+	all := w.gangMembers(r)
+	longest := time.Duration(0) // a gang is as slow as its slowest member
+	for _, o := range all {
+		longest = max(longest, o.doneAt.Sub(o.startedAt))
+	}
+	for _, o := range all {
+		o.waiting, o.doneAt = false, w.now.Add(longest)
 	}
 }
 
@@ -199,6 +205,9 @@
 	if d, ok := w.runTimes[name]; ok {
 		r.doneAt = w.now.Add(d)
 	}
+	if m.slowness > 0 {
+		r.doneAt = w.now.Add(time.Duration(m.slowness * float64(r.doneAt.Sub(w.now))))
+	}
 	if r.willFail {
 		r.doneAt = w.now.Add(300 * time.Millisecond)
 	}
