Count late, refused and failed jobs by their cause from the logs

It also sorted times as text, which is wrong where fractions differ in digits (a placement at 1.25 s came before an acceptance at 1.2 s). Change: `snipegwctl causes LOG...` gives each job that was not served in time to the cause by which it lost most time; `trace` sorts by time. Both read logs by one function. Tests for both; that of the order fails without the change.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -171,6 +171,7 @@
 		{name: "ticket", short: "Show the outcome of a request", long: "Prints the recorded response of a request that was not marked idempotent.\n\nExample: snipegwctl ticket w07/0000018f/12", options: &ticketCommand{app: a}},
 		{name: "worker", short: "Show and control workers", subcommands: a.workerCommands()},
 		a.workflowCommands(),
+		{name: "causes", short: "Count late, refused and failed jobs by their cause", long: causesHelp, options: &causesCommand{app: a}},
 		{name: "trace", short: "Merge the log lines of one job or request", long: traceHelp, options: &traceCommand{app: a}},
 		{name: "status", short: "Show a summary of the system", long: "Example: snipegwctl status --watch", options: &statusCommand{app: a}},
 		{name: "dump", short: "Print the internal state of one process", long: "Prints /debug/state of the process at ADDRESS, an entry or the local address of an agent.\n\nExample: snipegwctl dump 127.0.0.1:8080", options: &dumpCommand{app: a}},
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +10,7 @@
 	"regexp"
 	"slices"
 	"strings"
+	"time"
 
 	"snipegw/internal/result"
 )
@@ -32,6 +32,7 @@
 
 // traceLine is a log line that contains the traced id.
 type traceLine struct {
+	at     time.Time
 	Time   string            `json:"time"`
 	File   string            `json:"file"`
 	Fields map[string]string `json:"fields"`
@@ -50,9 +51,9 @@
 	if len(lines) == 0 {
 		return result.Errorf(result.JobGone, "no log line contains the id %s", c.Args.ID)
 	}
-	// RFC 3339 times in UTC sort as text if they have the same number of digits. Lines
-	// with the same time keep their order.
-	slices.SortStableFunc(lines, func(a, b traceLine) int { return cmp.Compare(a.Time, b.Time) })
+	// Lines with the same time keep their order. Times do not sort as text, since their
+	// fractions have no trailing zeros.
+	slices.SortStableFunc(lines, func(a, b traceLine) int { return a.at.Compare(b.at) })
 	if c.JSON {
 		return c.printJSON(map[string]any{"lines": lines})
 	}
@@ -81,26 +82,38 @@
 
 // traceFile returns the lines of a log that contain id as a whole word.
 func traceFile(file, id string) ([]traceLine, error) {
+	var lines []traceLine
+	idPattern := regexp.MustCompile(`(^|[^0-9A-Za-z])` + regexp.QuoteMeta(id) + `($|[^0-9A-Za-z])`)
+	err := readLog(file, func(line []byte, fields map[string]string) {
+		if idPattern.Match(line) {
+			at, _ := time.Parse(time.RFC3339Nano, fields["time"]) // other times come first
+			lines = append(lines, traceLine{at: at, Time: fields["time"], File: filepath.Base(file), Fields: fields})
+		}
+	})
+	return lines, err
+}
+
+// readLog calls visit for each line of a log that has a time. The line is valid during the
+// call only. Lines longer than maxLogLineBytes are skipped.
+func readLog(file string, visit func(line []byte, fields map[string]string)) error {
 	f, err := os.Open(file)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer f.Close()
-	var lines []traceLine
-	idPattern := regexp.MustCompile(`(^|[^0-9A-Za-z])` + regexp.QuoteMeta(id) + `($|[^0-9A-Za-z])`)
 	r := bufio.NewReaderSize(f, maxLogLineBytes)
 	for {
 		line, err := r.ReadSlice('\n')
 		if err == nil || errors.Is(err, io.EOF) {
-			if fields := parseLogFields(string(line)); fields["time"] != "" && idPattern.Match(line) {
-				lines = append(lines, traceLine{Time: fields["time"], File: filepath.Base(file), Fields: fields})
+			if fields := parseLogFields(string(line)); fields["time"] != "" {
+				visit(line, fields)
 			}
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return lines, nil
+			return nil
 		case err != nil && !errors.Is(err, bufio.ErrBufferFull):
-			return nil, err
+			return err
 		}
 	}
 }
--- a/internal/ctl/workflow_test.go
+++ b/internal/ctl/workflow_test.go
@@ -131,6 +131,7 @@
 			return file
 		}
 		a := write("entry.log", `time=2026-01-01T00:00:01.2Z level=info program=snipegw-entry event=job_accept code=100 job=a1 message="recorded"
+time=2026-01-01T00:00:01.25Z level=info program=snipegw-entry event=placed job=a1 message="run decided"
 time=2026-01-01T00:00:01.9Z level=info program=snipegw-entry event=job_ended job=a1 message="job ended"
 time=2026-01-01T00:00:01.3Z level=info program=snipegw-entry event=job_accept code=100 job=a11 message="recorded"
 not a log line about a1
@@ -143,8 +144,42 @@
 		for _, line := range strings.Split(strings.TrimSpace(out.String()), "\n")[1:] {
 			events = append(events, strings.Fields(line)[2])
 		}
-		Expect(events).To(Equal([]string{"job_accept", "item_start", "job_ended"}))
+		Expect(events).To(Equal([]string{"job_accept", "placed", "item_start", "job_ended"}))
 		Expect(Run(context.Background(), []string{"trace", "zz", a}, env)).To(Equal(ExitRefused))
 		Expect(Run(context.Background(), []string{"trace", "a1", filepath.Join(dir, "none.log")}, env)).To(Equal(ExitUsage))
 	})
 })
+
+var _ = Describe("snipegwctl causes", func() {
+	// Guards against a late day whose causes are counted wrongly: jobs in time and
+	// cancelled ones must be left out, and a job counts where it lost most time.
+	It("counts the jobs that were not served in time by their main cause", func() {
+		file := filepath.Join(GinkgoT().TempDir(), "entry.log")
+		line := func(at, event, job, fields string) string {
+			return "time=2026-01-01T00:00:" + at + "Z level=info event=" + event + " job=" + job + " " + fields + "\n"
+		}
+		text := line("01.1", "job_accept", "intime", "code=100 took_ms=10") + line("01.2", "placed", "intime", "unit=intime/0/0/0") +
+			line("02", "run_ended", "intime", "how=done took_ms=790") + line("02", "job_ended", "intime", "state=complete objective_ms=1000") +
+			line("01", "job_accept", "away", "code=306 took_ms=900") + line("02", "job_accept", "away", "code=306 took_ms=0") +
+			line("01", "job_accept", "room", "code=100 took_ms=10") + line("04", "placed", "room", "unit=room/0/0/0") +
+			line("05", "run_ended", "room", "how=done took_ms=990") + line("05", "job_ended", "room", "state=complete objective_ms=1500") +
+			line("01", "job_accept", "stopped", "code=100 took_ms=10") + line("01.1", "placed", "stopped", "unit=stopped/0/0/0") +
+			line("03", "run_ended", "stopped", `how=stopped stop_reason="preempted for room" took_ms=1900`) + line("04.5", "placed", "stopped", "unit=stopped/0/0/0") +
+			line("01", "job_accept", "late", "code=306 took_ms=100") + line("03", "job_accept", "late", "code=100 took_ms=10") +
+			line("01", "job_accept", "long", "code=100 took_ms=10") + line("01.1", "placed", "long", "unit=long/0/0/0") + line("06", "run_ended", "long", "how=done took_ms=4890") + line("06", "job_ended", "long", "state=complete objective_ms=1500") +
+			line("03.1", "placed", "late", "unit=late/0/0/0") + line("04", "run_ended", "late", "how=done took_ms=890") + line("04", "job_ended", "late", "state=complete objective_ms=1500") +
+			line("01", "job_accept", "cancelled", "code=100 took_ms=10") + line("09", "job_ended", "cancelled", "state=canceled objective_ms=1500")
+		Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+		var out, errs bytes.Buffer
+		env := Env{Stdout: &out, Stderr: &errs, Getenv: func(string) string { return "" }}
+		Expect(Run(context.Background(), []string{"causes", file}, env)).To(Equal(ExitOK), errs.String())
+		Expect(out.String()).To(And(
+			MatchRegexp(`(?m)^recorded late\s+1\s+1\s+0\s+0\s+2\.1\s+late$`),
+			MatchRegexp(`(?m)^refused with code 306\s+1\s+0\s+0\s+0\s+0\.0\s+away$`),
+			MatchRegexp(`(?m)^stopped for another job\s+1\s+0\s+0\s+1\s+3\.4\s+stopped$`),
+			MatchRegexp(`(?m)^ran longer than estimated\s+1\s+1\s+0\s+0\s+\S+\s+long$`),
+			MatchRegexp(`(?m)^waited for room\s+1\s+1\s+0\s+0\s+3\.0\s+room$`),
+			Not(ContainSubstring("intime")), Not(ContainSubstring("cancelled"))))
+		Expect(Run(context.Background(), []string{"causes", filepath.Join(GinkgoT().TempDir(), "none.log")}, env)).To(Equal(ExitUsage))
+	})
+})
