--- a/internal/proof/workflow.go
+++ b/internal/proof/workflow.go
@@ -13,6 +13,7 @@
 	"snipegw/internal/kernel"
 	"snipegw/internal/standin/platformstore"
 	"snipegw/internal/standin/platformworker"
+	"snipegw/internal/workflow"
 )
 
 const (
@@ -25,6 +26,9 @@
 	// callerTimeout is the time that a caller waits for a response.
 	callerTimeout  = 3 * time.Second
 	workersPerRack = 2
+	// workflowRetention is how long entries keep ended jobs. It outlasts every run, so
+	// that callers can ask for all their jobs at its end.
+	workflowRetention = 20 * time.Minute
 )
 
 // WorkflowNode is the process of an entry or an agent of a WorkflowCluster.
@@ -53,7 +57,8 @@
 }
 
 // LaunchWorkflows starts a cluster with the given numbers of entries and workers, and waits until
-// its entries are ready.
+// its entries are ready and its agents have registered: a stop that comes before ends a program
+// without grace.
 func LaunchWorkflows(ctx context.Context, bin, dir string, entries, workers int) (*WorkflowCluster, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	c := &WorkflowCluster{Store: platformstore.New(), Pool: platformworker.NewPool(), bin: bin, dir: dir, cancel: cancel}
@@ -77,6 +82,9 @@
 	for i := range workers {
 		err = firstError(err, c.addWorker(ctx, fmt.Sprintf("worker-%d", i+1), fmt.Sprintf("rack-%d", 1+i/workersPerRack)))
 	}
+	if err == nil {
+		err = c.awaitAgents(ctx)
+	}
 	if err != nil {
 		c.Kill()
 		return nil, err
@@ -84,6 +92,21 @@
 	return c, nil
 }
 
+// awaitAgents waits until all agents have registered in the store.
+func (c *WorkflowCluster) awaitAgents(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, workflowTimeout)
+	defer cancel()
+	for _, a := range c.Agents {
+		for c.Store.Value(workflow.AgentPrefix+a.Name) == nil {
+			if ctx.Err() != nil {
+				return fmt.Errorf("agent %s has not registered: %w", a.Name, ctx.Err())
+			}
+			kernel.Sleep(ctx, 20*time.Millisecond)
+		}
+	}
+	return nil
+}
+
 func firstError(a, b error) error {
 	if a != nil {
 		return a
@@ -130,7 +153,8 @@
 	file, err := writeJSON(c.dir, id+".json", map[string]any{
 		"id": id, "region": "r", "failure_domain": "d", "address": addrs[3], "advertise_address": addrs[4], "http_address": addrs[2],
 		"security": map[string]string{"mode": "development"},
-		"workflow": map[string]any{"front_address": addrs[0], "ready_address": addrs[1], "front": "platform", "config_format": "platform", "store": c.storeSettings(n)},
+		"workflow": map[string]any{"front_address": addrs[0], "ready_address": addrs[1], "front": "platform", "config_format": "platform", "store": c.storeSettings(n),
+			"keep_ended_ms": workflowRetention.Milliseconds()},
 	})
 	if err != nil {
 		return err
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -281,8 +281,8 @@
 }
 
 // guaranteedJobs returns the open jobs of priority 0 that their teams' guarantees
-// cover. A team's guarantee goes to its jobs in the order in which they were added
-// to the engine; each takes the accelerators of its largest step.
+// cover. A team's guarantee goes to its jobs in the order of their acceptance; each
+// takes the accelerators of its largest step.
 func (e *Engine) guaranteedJobs() map[*job]bool {
 	used := make(map[string]int64)
 	covered := make(map[*job]bool)
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -5,6 +5,7 @@
 package engine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -56,7 +57,7 @@
 	termStart time.Time
 	config    *workflow.Config
 	jobs      map[string]*job
-	openJobs  []*job // jobs that have not ended, in the order in which they were added
+	openJobs  []*job // jobs that have not ended, see addOpenJob for their order
 	// guaranteed holds the jobs that were within their teams' guarantees at the
 	// latest decision.
 	guaranteed    map[*job]bool
@@ -180,10 +181,20 @@
 		e.restoreProgress(j, p)
 	}
 	if !j.state.Terminal() {
-		e.openJobs = append(e.openJobs, j)
+		e.addOpenJob(j)
 	}
 }
 
+// addOpenJob adds a job to the open jobs, in the order of their acceptance. Which jobs a
+// guarantee covers depends on this order, so it must be the same in every term, also
+// when the records are listed by id.
+func (e *Engine) addOpenJob(j *job) {
+	at, _ := slices.BinarySearchFunc(e.openJobs, j, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.rec.AcceptedMS, b.rec.AcceptedMS), cmp.Compare(a.id, b.id))
+	})
+	e.openJobs = slices.Insert(e.openJobs, at, j)
+}
+
 // buildUnits creates the units and stages of all occurrences of a job.
 func (j *job) buildUnits() {
 	for occurrenceIndex := range j.rec.OccurrenceCount() {
--- a/internal/workflow/engine/load_test.go
+++ b/internal/workflow/engine/load_test.go
@@ -381,6 +381,49 @@
 	g.Expect(w.progress[id].State).To(Equal(workflow.StateComplete))
 }
 
+// A team has two jobs of priority 0 and a guarantee that covers one. Guards against a
+// takeover after which the guarantee covers the other job, because records are listed by
+// id: the job that was covered would wait longer than ReclaimTimeout.
+func TestTakeoverKeepsTheGuaranteedJobs(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(17, 3, 0)
+	w.advance(2500 * time.Millisecond)
+	later := w.addJob("urgent", "b", step(1, 8, 20_000)) // its id is the lower one
+	w.jobs[later].AcceptedMS += 500
+	w.takeover()
+	earlier := w.addJob("urgent", "b", step(1, 8, 20_000))
+	for range 2 {
+		covered := w.planner.guaranteedJobs()
+		g.Expect(covered).To(HaveLen(1))
+		g.Expect(covered[w.planner.jobs[earlier]]).To(BeTrue())
+		w.advance(200 * time.Millisecond)
+		w.takeover()
+	}
+}
+
+// A worker is cut off from the planner for less, just less and more than its lease. Guards
+// against a second run of what goes on there, and against giving it up: only when the lease
+// has certainly expired may it start elsewhere.
+func TestSilentWorkerKeepsItsRunsUntilItsLeaseExpires(t *testing.T) {
+	for silence, runs := range map[time.Duration]int{1500 * time.Millisecond: 1, 4 * time.Second: 1, 5600 * time.Millisecond: 1, 9 * time.Second: 2} {
+		t.Run(silence.String(), func(t *testing.T) {
+			g := NewWithT(t)
+			w := newWorld(18, 2, 0)
+			w.noRandomFailures, w.runTimes = true, make(map[string]time.Duration)
+			w.advance(2500 * time.Millisecond)
+			id := w.addJob("large", "a", step(1, 8, 12_000))
+			w.runTimes[workflow.ItemRef{Job: id}.String()] = 12 * time.Second
+			w.advance(time.Second)
+			g.Expect(w.runs(id, 0)).To(HaveLen(1))
+			w.runs(id, 0)[0].worker.unreachableUntil = w.now.Add(silence)
+			w.advance(40 * time.Second)
+			g.Expect(w.violations).To(BeEmpty())
+			g.Expect(w.runs(id, 0)).To(HaveLen(runs))
+			g.Expect(w.progress[id].State).To(Equal(workflow.StateComplete))
+		})
+	}
+}
+
 // Filling items run beside serving ones, whose latency they would raise. Guards
 // against both on one worker, and against filling items that hold processors.
 func TestFillingAndServingItemsNeverShareAWorker(t *testing.T) {
--- a/internal/workflow/engine/progress.go
+++ b/internal/workflow/engine/progress.go
@@ -65,7 +65,7 @@
 func (e *Engine) ReopenJob(id string) {
 	if j := e.jobs[id]; j != nil && j.state == workflow.StateComplete {
 		j.state, j.endedMS = workflow.StateActive, 0
-		e.openJobs = append(e.openJobs, j)
+		e.addOpenJob(j)
 	}
 }
 
