Guard the whole term of the planner, and give its lease back at once

Cause, read: loading the records and the stop orders ran outside the guard, and an entry whose engine had failed held its lease while it waited. Change: the guard surrounds the term; the lease is revoked before the wait, which ends with the process.

--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -37,7 +37,8 @@
 	// an error.
 	electionRetryDelay = 200 * time.Millisecond
 	// panicRetryDelay is the delay before this entry becomes planner again after its
-	// engine has failed. It is longer than the lease, so that another entry may try.
+	// engine has failed. The cause may be in the records and fail it again at once, so
+	// another entry gets the time to try.
 	panicRetryDelay = 3 * time.Second
 )
 
@@ -160,15 +161,20 @@
 			h.waitForWake(ctx, electionRetryDelay)
 			continue
 		}
+		var ended error
 		if epoch > 0 {
-			if errors.Is(h.runTerm(ctx, lease, epoch), errPanicked) {
-				// Whatever caused it may be in the records, and happen again at once.
-				kernel.Sleep(ctx, panicRetryDelay)
-			}
+			ended = h.runTerm(ctx, lease, epoch)
 			// The store deletes the key with the lease; tell the mirror now.
 			h.options.Records.Apply([]store.Event{{Record: store.Record{Key: workflow.PlannerKey, Revision: epoch + 1}, Deleted: true}})
 		}
 		h.revokeLease(ctx, lease)
+		if errors.Is(ended, errPanicked) {
+			select {
+			case <-time.After(panicRetryDelay):
+			case <-h.stopping:
+			case <-ctx.Done():
+			}
+		}
 	}
 }
 
@@ -277,7 +283,7 @@
 		case <-ended:
 		}
 	}()
-	t.run(ctx)
+	t.guard("planner term", func() { t.run(ctx) })
 	close(ended)
 	h.mu.Lock()
 	h.term, h.pending = nil, nil
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -91,9 +91,7 @@
 	go t.sendStopOrders(ctx)
 	lastCleanup := time.Now()
 	for ctx.Err() == nil {
-		if !t.guard("planner pass", func() { t.runPass(ctx) }) {
-			return
-		}
+		t.runPass(ctx)
 		if time.Since(lastCleanup) > cleanupInterval {
 			t.removeOutdatedJobs(ctx)
 			lastCleanup = time.Now()
@@ -289,10 +287,17 @@
 	return t.engine.StartOrders(time.Now())
 }
 
+// stopOrders returns the stop orders that are due.
+func (t *term) stopOrders() []*engine.Order {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.engine.StopOrders(time.Now())
+}
+
 // guard calls f and ends the term if f panics: the engine's state may be inconsistent
-// then, and the next term builds it anew from the records. It reports whether f
-// returned.
-func (t *term) guard(scope string, f func()) (ok bool) {
+// then, and the next term builds it anew from the records. The function f must release
+// its locks by defer.
+func (t *term) guard(scope string, f func()) {
 	defer func() {
 		if r := recover(); r != nil {
 			kernel.LogPanic(scope, r, log.Fields{"epoch": t.epoch})
@@ -300,7 +305,6 @@
 		}
 	}()
 	f()
-	return true
 }
 
 // processedEnds returns, by node, how far the engine has processed the ends of each
@@ -318,12 +322,11 @@
 // not be stored first, so they are sent even while the store cannot be reached.
 func (t *term) sendStopOrders(ctx context.Context) {
 	for ctx.Err() == nil {
-		t.mu.Lock()
-		orders := t.engine.StopOrders(time.Now())
-		t.mu.Unlock()
-		for _, o := range orders {
-			go t.sendOrder(ctx, o)
-		}
+		t.guard("stop orders", func() {
+			for _, o := range t.stopOrders() {
+				go t.sendOrder(ctx, o)
+			}
+		})
 		kernel.Sleep(ctx, 2*minPassInterval)
 	}
 }
