--- a/internal/jobs/page.go
+++ b/internal/jobs/page.go
@@ -101,10 +101,13 @@
 
 // page is the planner's copy of a page. The goroutine of the term owns it.
 type page struct {
-	index        int
-	key          string
-	jobs         map[string]*job
-	encodedBytes int // total size of the jobs when they were last encoded
+	index int
+	key   string
+	jobs  map[string]*job
+	// damaged holds the records that cannot be decoded, as they were read. Every write
+	// keeps them, so that an operator or a later version can still read them.
+	damaged      []json.RawMessage
+	encodedBytes int // total size of the damaged records, and of the jobs when they were last encoded
 
 	rev      uint64 // revision of the page in the store; valid if revKnown is set
 	revKnown bool
@@ -135,7 +138,7 @@
 }
 
 // snapshot returns the page as the next write stores it, with the jobs in order
-// of their ids.
+// of their ids and the damaged records behind them.
 func (p *page) snapshot(epoch uint64) *pageDoc {
 	ids := make([]string, 0, len(p.jobs))
 	for id := range p.jobs {
@@ -146,6 +149,7 @@
 	for _, id := range ids {
 		doc.Jobs = append(doc.Jobs, p.encodeJob(p.jobs[id]))
 	}
+	doc.Jobs = append(doc.Jobs, p.damaged...)
 	return doc
 }
 
--- a/internal/jobs/takeover.go
+++ b/internal/jobs/takeover.go
@@ -118,7 +118,9 @@
 func (t *term) addRecord(p *page, raw json.RawMessage) {
 	j := &job{page: p, encoded: raw, encodedSize: len(raw) + 1, recorded: true, answered: true}
 	if err := json.Unmarshal(raw, &j.rec); err != nil || j.id() == "" {
-		logEvent("record_damaged", log.Fields{"page": p.key}).Error("job record cannot be decoded; the next write of its page drops it")
+		p.damaged = append(p.damaged, raw)
+		p.encodedBytes += j.encodedSize
+		logEvent("record_damaged", log.Fields{"page": p.key, "bytes": len(raw)}).Error("job record cannot be decoded; it is kept as it is and not planned")
 		return
 	}
 	p.jobs[j.id()] = j
--- a/internal/jobs/takeover_test.go
+++ b/internal/jobs/takeover_test.go
@@ -201,6 +201,33 @@
 	})
 })
 
+var _ = Describe("a damaged job record", func() {
+	// Guards against a record that the next write of its page drops, so that nobody can
+	// read it any more, and against one that keeps the other jobs from being planned.
+	It("stays on its page beside the other jobs", func() {
+		good, err := json.Marshal(Record{Status: model.JobStatus{Job: model.Job{ID: "a1", Team: "t"}}})
+		Expect(err).NotTo(HaveOccurred())
+		damaged := []json.RawMessage{json.RawMessage(`{"status":3}`), json.RawMessage(`"x"`), json.RawMessage(`{}`)}
+		stored, err := decodePage((&pageDoc{Epoch: 4, Seq: 2, Jobs: append([]json.RawMessage{good}, damaged...)}).encode())
+		Expect(err).NotTo(HaveOccurred())
+		t := &term{jobs: make(map[string]*job), active: make(map[string]int)}
+		p := newPage("r", 0)
+		for _, raw := range stored.Jobs {
+			t.addRecord(p, raw)
+		}
+		Expect(t.jobs).To(HaveLen(1))
+		written, err := decodePage(p.snapshot(5).encode())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(written.Jobs).To(HaveLen(4))
+		Expect(written.Jobs[1:]).To(Equal(damaged))
+		size := 0
+		for _, raw := range written.Jobs {
+			size += len(raw) + 1
+		}
+		Expect(p.encodedBytes).To(Equal(size))
+	})
+})
+
 var _ = Describe("the job index", func() {
 	It("answers a repeated submission with the same job and refuses another one", func() {
 		withRegion(1, 3*time.Millisecond, 50*time.Millisecond, func(ctx context.Context, r *region) {
--- a/internal/jobs/term.go
+++ b/internal/jobs/term.go
@@ -417,17 +417,17 @@
 	for _, j := range t.jobs {
 		states[j.rec.Status.State]++
 	}
-	bytes := 0
-	failing := 0
+	bytes, failing, damaged := 0, 0, 0
 	for _, p := range t.pages {
 		bytes += p.encodedBytes
+		damaged += len(p.damaged)
 		if p.failing {
 			failing++
 		}
 	}
 	return map[string]any{
 		"epoch": t.epoch, "settled": t.settled, "suspended": t.suspended(),
-		"jobs": states, "page_bytes": bytes, "failing_pages": failing,
+		"jobs": states, "page_bytes": bytes, "failing_pages": failing, "damaged_records": damaged,
 		"workers": len(t.workers), "unpacked": t.sched.UnpackedTeams(),
 	}
 }
