Log runs that the planner does not hold, and the incarnation that an order is meant for

The logs did not show which incarnation of the worker the planner meant with an order, nor that a worker goes on with a run that the planner has recorded as lost. Change: item_start and item_stop lines carry born (the incarnation that was meant) and known_born (the latest one that the agent knows). A run that a worker lists and the planner does not hold is logged once (run_unexpected) and counted. The hypotheses differ in these lines: an order that reaches the next incarnation shows born < known_born and is followed by run_unexpected; two planners show two epochs; an end concluded too early shows run_unexpected with one born. No decision changes. Cost: a few bytes a line.

--- a/internal/workflow/engine/notes.go
+++ b/internal/workflow/engine/notes.go
@@ -6,11 +6,20 @@
 	"snipegw/internal/workflow"
 )
 
-// EndEvent is the end of a run or of a job, for logs and metrics. Exactly one of
-// its fields is set.
+// EndEvent is the end of a run or of a job, or a run that should have ended, for logs
+// and metrics. Exactly one of its fields is set.
 type EndEvent struct {
-	Run *RunEnd
-	Job *JobEnd
+	Run        *RunEnd
+	Job        *JobEnd
+	Unexpected *UnexpectedRun
+}
+
+// UnexpectedRun is a run that a worker lists although the planner has no record of it,
+// or has recorded its end.
+type UnexpectedRun struct {
+	Item   workflow.ItemRef
+	Run    int
+	Worker string // key of the worker's incarnation
 }
 
 // RunEnd describes the end of one item's run.
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -23,6 +23,7 @@
 	lastEndNumber   uint64                 // highest number of an end that was processed
 	hasLeft         bool                   // the agent has reported that the worker left
 	members         []*member              // that may be running, in order of their starts
+	unexpected      map[runKey]bool        // runs in the latest report that no member stands for
 	health          health
 }
 
@@ -106,13 +107,24 @@
 		known[runKey{m.unit.itemRef(m.index), m.run}] = m
 	}
 	listed := make(map[*member]bool, len(report.Running))
+	var unexpected map[runKey]bool
 	for i := range report.Running {
 		r := &report.Running[i]
 		if m := known[runKey{r.Ref, r.Run}]; m != nil {
 			listed[m] = true
 			e.updateProgress(m, r, now)
+			continue
+		}
+		key := runKey{r.Ref, r.Run}
+		if unexpected == nil {
+			unexpected = make(map[runKey]bool)
+		}
+		unexpected[key] = true
+		if !w.unexpected[key] {
+			e.endEvents = append(e.endEvents, EndEvent{Unexpected: &UnexpectedRun{Item: r.Ref, Run: r.Run, Worker: w.incarnation}})
 		}
 	}
+	w.unexpected = unexpected
 	for i := range report.Ended {
 		end := &report.Ended[i]
 		w.lastEndNumber = max(w.lastEndNumber, end.Seq)
--- a/internal/workflow/planner/log.go
+++ b/internal/workflow/planner/log.go
@@ -26,9 +26,16 @@
 	}
 }
 
-// logEndEvents writes log entries and metrics for runs and jobs that have ended.
+// logEndEvents writes log entries and metrics for runs and jobs that have ended, and for
+// runs that should have.
 func logEndEvents(epoch uint64, endEvents []engine.EndEvent) {
 	for _, end := range endEvents {
+		if u := end.Unexpected; u != nil {
+			kernel.Metrics.Count("snipegw_runs_unexpected_total")
+			log.WithFields(log.Fields{
+				"event": "run_unexpected", "job": u.Item.Job, "item": u.Item.String(), "run": u.Run, "epoch": epoch, "worker": u.Worker,
+			}).Warn("a worker lists a run that the planner does not hold")
+		}
 		if r := end.Run; r != nil {
 			kernel.Metrics.Count("snipegw_runs_ended_total", "how", string(r.How))
 			log.WithFields(log.Fields{
--- a/internal/workflow/runner/order.go
+++ b/internal/workflow/runner/order.go
@@ -54,20 +54,20 @@
 			reply.Stops[i] = r.attemptUntilResponse(ctx, func(ctx context.Context) (workflow.OrderOutcome, error) {
 				return r.api.Stop(ctx, req.Instance, req.Epoch, o)
 			})
-			logOrder("stop", req, o.Ref, o.Run, reply.Stops[i])
+			r.logOrder("stop", req, o.Ref, o.Run, reply.Stops[i])
 		})
 	}
 	for i, o := range req.Starts {
 		if draining {
 			reply.Starts[i] = workflow.OrderOutcome{Verdict: workflow.VerdictRefused, Reason: workflow.ReasonDraining}
-			logOrder("start", req, o.Ref, o.Run, reply.Starts[i])
+			r.logOrder("start", req, o.Ref, o.Run, reply.Starts[i])
 			continue
 		}
 		goLimited(func() {
 			reply.Starts[i] = r.attemptUntilResponse(ctx, func(ctx context.Context) (workflow.OrderOutcome, error) {
 				return r.api.Start(ctx, req.Instance, req.Epoch, o)
 			})
-			logOrder("start", req, o.Ref, o.Run, reply.Starts[i])
+			r.logOrder("start", req, o.Ref, o.Run, reply.Starts[i])
 		})
 	}
 	wg.Wait()
@@ -106,9 +106,17 @@
 	}
 }
 
-func logOrder(operation string, req *workflow.OrderRequest, ref workflow.ItemRef, run int, out workflow.OrderOutcome) {
+// logOrder logs the outcome of an order, with the birth of the incarnation that the planner
+// meant ("born") and of the latest one that the agent knows ("known_born").
+func (r *Runner) logOrder(operation string, req *workflow.OrderRequest, ref workflow.ItemRef, run int, out workflow.OrderOutcome) {
+	r.mu.Lock()
+	knownBorn := r.startedMS
+	if r.announced != nil {
+		knownBorn = max(knownBorn, r.announced.StartedMS)
+	}
+	r.mu.Unlock()
 	log.WithFields(log.Fields{
 		"event": "item_" + operation, "job": ref.Job, "item": ref.String(), "run": run, "epoch": req.Epoch, "worker": req.Instance,
-		"verdict": out.Verdict, "reason": out.Reason, "worker_clock_ms": out.ClockMS,
+		"born": req.StartedMS, "known_born": knownBorn, "verdict": out.Verdict, "reason": out.Reason, "worker_clock_ms": out.ClockMS,
 	}).Info("order to the worker has finished")
 }
