Add tests of orders that reach the next incarnation of a worker, which fail

Cause, as far as the tests show: a start order names the worker's id only. The agent passes an order for the former incarnation on to the next one, also after that one has announced itself, and repeats attempts over a restart. The planner then ends the run as lost when it hears of the next incarnation, although that one lists it, and starts the item again. The agent's first poll of the next incarnation carries the former one's lease and acknowledgements, too.

--- a/internal/workflow/runner/runner_test.go
+++ b/internal/workflow/runner/runner_test.go
@@ -20,12 +20,13 @@
 	starts      []func(context.Context) (workflow.OrderOutcome, error)
 	stops       []func(context.Context) (workflow.OrderOutcome, error)
 	report      workflow.WorkerReport
-	leaseLimits []int64 // lease limits received
+	leaseLimits []int64  // lease limits received
+	acked       []uint64 // acknowledgements received
 	epochs      []uint64
 	err         error
 }
 
-func (f *fakeWorker) Hold(ctx context.Context, _ string, epoch, _ uint64, leaseUntilMS int64, wait time.Duration) (*workflow.WorkerReport, error) {
+func (f *fakeWorker) Hold(ctx context.Context, _ string, epoch, acked uint64, leaseUntilMS int64, wait time.Duration) (*workflow.WorkerReport, error) {
 	if wait > 0 {
 		select {
 		case <-ctx.Done():
@@ -38,7 +39,7 @@
 	if f.err != nil {
 		return nil, f.err
 	}
-	f.leaseLimits, f.epochs = append(f.leaseLimits, leaseUntilMS), append(f.epochs, epoch)
+	f.leaseLimits, f.epochs, f.acked = append(f.leaseLimits, leaseUntilMS), append(f.epochs, epoch), append(f.acked, acked)
 	f.report.ClockMS++
 	reply := f.report
 	return &reply, nil
@@ -178,3 +179,82 @@
 		g.Expect(w.leaseLimits[len(w.leaseLimits)-1]).To(BeEquivalentTo(0))
 	})
 }
+
+// Guards against a start that was meant for one incarnation of a worker and takes effect on
+// the next, which has the same id: the planner counts the run as lost with the former
+// incarnation and starts the item a second time.
+func TestStartForAFormerIncarnationIsNotPassedOn(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(context.Context, *Runner, *fakeWorker) // what happens to the worker after its first poll
+	}{
+		{"the next one has announced itself", func(_ context.Context, r *Runner, _ *fakeWorker) {
+			r.Announce(&workflow.Announcement{Instance: "w", StartedMS: 6, Seq: 1})
+		}},
+		{"the next one has answered a poll", func(ctx context.Context, r *Runner, w *fakeWorker) {
+			w.report.StartedMS = 6
+			r.poll(ctx, 0)
+		}},
+		{"the worker does not answer polls", func(ctx context.Context, r *Runner, w *fakeWorker) {
+			w.err = ErrNoListener
+			r.poll(ctx, 0)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				w := &fakeWorker{report: workflow.WorkerReport{Instance: "w", StartedMS: 5}, starts: attempts{respondWith(workflow.VerdictDone, "")}}
+				r := New(w)
+				_, err := r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 1})
+				g.Expect(err).NotTo(HaveOccurred())
+				c.change(t.Context(), r, w)
+				reply, err := r.Order(t.Context(), &workflow.OrderRequest{Epoch: 1, Instance: "w", StartedMS: 5, Starts: []workflow.StartOrder{{Run: 1}}})
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(reply.Starts[0]).To(Equal(workflow.OrderOutcome{Verdict: workflow.VerdictRefused, Reason: workflow.ReasonInstance}))
+				g.Expect(w.starts).To(HaveLen(1), "calls that the worker did not get")
+			})
+		})
+	}
+}
+
+// Guards against a repeated attempt of a start that reaches the next incarnation of the worker.
+func TestStartIsNotRepeatedAfterARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := &fakeWorker{report: workflow.WorkerReport{Instance: "w", StartedMS: 5}}
+		r := New(w)
+		_, err := r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 1})
+		g.Expect(err).NotTo(HaveOccurred())
+		w.starts = attempts{func(context.Context) (workflow.OrderOutcome, error) {
+			r.Announce(&workflow.Announcement{Instance: "w", StartedMS: 6, Seq: 1})
+			return workflow.OrderOutcome{}, errors.New("connection reset")
+		}, respondWith(workflow.VerdictDone, "")}
+		reply, err := r.Order(t.Context(), &workflow.OrderRequest{Epoch: 1, Instance: "w", StartedMS: 5, Starts: []workflow.StartOrder{{Run: 1}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.Starts[0].Verdict).To(Equal(workflow.VerdictUnknown))
+		g.Expect(w.starts).To(HaveLen(1), "attempts that were not made")
+	})
+}
+
+// Guards against an acknowledgement or a lease for one incarnation that takes effect on the next:
+// the worker forgets ends that nobody has read, and the items run again.
+func TestPollAfterAFailureAcknowledgesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := &fakeWorker{report: workflow.WorkerReport{Instance: "w", StartedMS: 5}}
+		r := New(w)
+		_, err := r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 3})
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 3, Instance: "w", StartedMS: 5, LeaseUntilMS: 900, AckedEnds: 7})
+		g.Expect(err).NotTo(HaveOccurred())
+		r.poll(t.Context(), 0)
+		g.Expect(w.acked[len(w.acked)-1]).To(BeEquivalentTo(7))
+		w.err = errors.New("connection reset")
+		r.poll(t.Context(), 0)
+		w.err, w.report.StartedMS = nil, 6
+		r.poll(t.Context(), 0)
+		g.Expect(w.acked[len(w.acked)-1]).To(BeZero())
+		g.Expect(w.leaseLimits[len(w.leaseLimits)-1]).To(BeZero())
+	})
+}
