Keep orders for one incarnation of a worker from the next one with the same id

Cause: a worker may restart under its id, and an order names the worker by the id alone. Class: an identity that is used again while references to it are still in flight. Ruled out by the record: two planners (one epoch), and an end concluded before the next incarnation was known. Change, in two layers: - The agent passes a start on only while the incarnation that it was meant for has answered the latest poll and no later one has announced itself, and checks that before each attempt. The model of the property test let workers refuse orders by their start time, which the platform cannot; now they keep their id, and the agent notices a crash up to 0.5 s late. In a test that scripts starts, the agent now polls first. Cost: no further calls, except one poll where the last answer is older than 0.9 s.

--- a/internal/workflow/engine/orders.go
+++ b/internal/workflow/engine/orders.go
@@ -87,6 +87,11 @@
 	o.starts = append(o.starts, m)
 }
 
+// isFor reports whether the order was meant for an incarnation.
+func (o *Order) isFor(incarnation string) bool {
+	return workflow.WorkerKey(o.Node, o.Request.Instance, o.Request.StartedMS) == incarnation
+}
+
 // HandleOrderReply processes an agent's reply to an order. A nil reply means that
 // none came; then later reports tell whether a start took effect.
 func (e *Engine) HandleOrderReply(o *Order, reply *workflow.OrderReply, now time.Time) {
@@ -95,10 +100,13 @@
 		if reply != nil && i < len(reply.Starts) {
 			outcome = reply.Starts[i]
 		}
+		if outcome.Verdict == workflow.VerdictDone && !o.isFor(m.incarnation) {
+			continue // the time of the confirmation is on the clock of either incarnation
+		}
 		e.handleStartOutcome(m, outcome, now)
 	}
 	for i, m := range o.stops {
-		if reply != nil && i < len(reply.Stops) && reply.Stops[i].Verdict == workflow.VerdictDone {
+		if reply != nil && i < len(reply.Stops) && reply.Stops[i].Verdict == workflow.VerdictDone && o.isFor(m.incarnation) {
 			m.stopConfirmedMS = reply.Stops[i].ClockMS
 		}
 	}
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -73,19 +74,44 @@
 	e.reconcileRuns(w, reply.Report, now)
 }
 
-// startIncarnation resets a worker to a new incarnation and ends the runs of the
-// former one as lost.
+// startIncarnation resets a worker to a new incarnation. It ends the runs of the former
+// one as lost, except those that the new one lists or may still carry out: a worker may
+// restart under its id, and then an order for the former incarnation reaches the new one.
 func (e *Engine) startIncarnation(w *worker, incarnation string, report *workflow.WorkerReport, now time.Time) {
+	sameID := w.instance == "" || report.Instance == "" || w.instance == report.Instance
 	w.incarnation, w.instance, w.startedMS = incarnation, report.Instance, report.StartedMS
 	w.announcement, w.clockMS, w.maxLeaseUntilMS, w.lastEndNumber, w.hasLeft = nil, 0, 0, 0, false
 	w.health = health{}
+	listed := listedRuns(report)
 	for _, m := range slices.Clone(w.members) {
-		if m.incarnation != incarnation {
+		switch {
+		case m.incarnation == incarnation:
+		case listed[runKey{m.unit.itemRef(m.index), m.run}]:
+			e.moveToIncarnation(m, report)
+		case !m.startSent && !m.inherited:
+			e.endMember(m, workflow.EndNever, "", now)
+		case sameID && m.startSent && !m.listed:
+			e.moveToIncarnation(m, report)
+			// Once the worker has confirmed the stop, it rejects the run if it has not
+			// begun there.
+			m.unit.stop("worker restarted")
+		default:
 			e.endMember(m, workflow.EndLost, "", now)
 		}
 	}
 }
 
+// moveToIncarnation assigns a member to the present incarnation of its worker. What is
+// known of the start in terms of the former one's clock no longer holds.
+func (e *Engine) moveToIncarnation(m *member, report *workflow.WorkerReport) {
+	w := m.worker
+	m.incarnation, m.moved = w.incarnation, true
+	m.startDeadlineMS, m.startConfirmedMS, m.stopConfirmedMS, m.lastStopSent = math.MaxInt64, 0, 0, time.Time{}
+	// The order has extended the lease by an amount that is not known on the new clock.
+	w.maxLeaseUntilMS = report.ClockMS + e.settings.LeaseDuration.Milliseconds()
+	e.markDirty(m.unit.job)
+}
+
 // endAllRuns ends all members on a worker that has left as lost.
 func (e *Engine) endAllRuns(w *worker, now time.Time) {
 	for _, m := range slices.Clone(w.members) {
@@ -99,6 +125,18 @@
 	run int
 }
 
+// listedRuns returns the runs and ends that a worker reports.
+func listedRuns(report *workflow.WorkerReport) map[runKey]bool {
+	listed := make(map[runKey]bool, len(report.Running)+len(report.Ended))
+	for i := range report.Running {
+		listed[runKey{report.Running[i].Ref, report.Running[i].Run}] = true
+	}
+	for i := range report.Ended {
+		listed[runKey{report.Ended[i].Ref, report.Ended[i].Run}] = true
+	}
+	return listed
+}
+
 // reconcileRuns updates the members on w from the runs and ends that the worker
 // reports, and ends the members that it neither reports nor can still run.
 func (e *Engine) reconcileRuns(w *worker, report *workflow.WorkerReport, now time.Time) {
@@ -136,7 +174,7 @@
 	for _, m := range slices.Clone(w.members) {
 		if !listed[m] && m.cannotRun(report.ClockMS) {
 			how := workflow.EndNever
-			if m.listed || m.startConfirmedMS > 0 {
+			if m.listed || m.startConfirmedMS > 0 || m.moved {
 				how = workflow.EndLost
 			}
 			e.endMember(m, how, "", now)
--- a/internal/workflow/engine/world_test.go
+++ b/internal/workflow/engine/world_test.go
@@ -40,6 +40,7 @@
 
 // delayedOrder is an order on its way to a worker.
 type delayedOrder struct {
+	sentAt    time.Time
 	deliverAt time.Time
 	order     *Order
 	sender    *Engine
@@ -134,14 +135,14 @@
 		// be in flight.
 		for _, o := range p.StartOrders(w.now) {
 			if w.chance(0.5) {
-				w.ordersInFlight = append(w.ordersInFlight, delayedOrder{deliverAt: w.now.Add(w.randomDuration(3 * time.Second)), order: o, sender: p})
+				w.ordersInFlight = append(w.ordersInFlight, delayedOrder{sentAt: w.now, deliverAt: w.now.Add(w.randomDuration(3 * time.Second)), order: o, sender: p})
 			}
 		}
 		w.takeover()
 		return
 	}
 	for _, o := range append(p.StartOrders(w.now), p.StopOrders(w.now)...) {
-		w.ordersInFlight = append(w.ordersInFlight, delayedOrder{deliverAt: w.now.Add(w.randomDuration(10 * time.Millisecond)), order: o, sender: p})
+		w.ordersInFlight = append(w.ordersInFlight, delayedOrder{sentAt: w.now, deliverAt: w.now.Add(w.randomDuration(10 * time.Millisecond)), order: o, sender: p})
 	}
 	for _, m := range w.workers {
 		if w.chance(w.faultRate * 0.2) {
@@ -186,7 +187,7 @@
 	}
 	if !d.timedOut && w.chance(w.faultRate*0.3) {
 		// The sender sees a timeout; the worker gets the order up to 12 s later.
-		w.ordersInFlight = append(w.ordersInFlight, delayedOrder{deliverAt: w.now.Add(w.randomDuration(12 * time.Second)), order: d.order, sender: d.sender, timedOut: true})
+		w.ordersInFlight = append(w.ordersInFlight, delayedOrder{sentAt: d.sentAt, deliverAt: w.now.Add(w.randomDuration(12 * time.Second)), order: d.order, sender: d.sender, timedOut: true})
 		d.sender.HandleOrderReply(d.order, nil, w.now)
 		return
 	}
@@ -196,19 +197,22 @@
 	}
 	reply := &workflow.OrderReply{}
 	request := &d.order.Request
+	if request.Epoch < m.agentEpoch {
+		d.sender.HandleOrderReply(d.order, nil, w.now)
+		return
+	}
+	if w.now.Sub(d.sentAt) > agentAnswerAge {
+		m.knownStartedMS = m.startedMS
+	}
 	for _, o := range request.Starts {
-		if request.StartedMS != m.startedMS {
+		if request.StartedMS != m.knownStartedMS {
 			reply.Starts = append(reply.Starts, workflow.OrderOutcome{Verdict: workflow.VerdictRefused, Reason: workflow.ReasonInstance})
 			continue
 		}
 		reply.Starts = append(reply.Starts, m.start(request.Epoch, o))
 	}
 	for _, o := range request.Stops {
-		if request.StartedMS == m.startedMS {
-			reply.Stops = append(reply.Stops, m.stop(request.Epoch, o))
-		} else {
-			reply.Stops = append(reply.Stops, workflow.OrderOutcome{Verdict: workflow.VerdictRefused, Reason: workflow.ReasonInstance})
-		}
+		reply.Stops = append(reply.Stops, m.stop(request.Epoch, o))
 	}
 	if d.timedOut || w.chance(w.faultRate*0.2) {
 		reply = nil
@@ -223,7 +227,7 @@
 	for _, m := range w.workers {
 		switch {
 		case w.chance(w.faultRate * 0.002):
-			m.restart()
+			m.crash()
 		case w.chance(w.faultRate * 0.003):
 			m.unreachableUntil = w.now.Add(w.randomDuration(9 * time.Second))
 		case w.chance(w.faultRate * 0.002):
@@ -276,6 +280,10 @@
 
 const tickInterval = 20 * time.Millisecond
 
+// agentAnswerAge is the age of the worker's latest answer from which on an agent asks the
+// worker again before it passes a start on.
+const agentAnswerAge = 900 * time.Millisecond
+
 // simulate runs the world with faults, submissions and cancellations for d, and then
 // without them until all jobs have ended, but at most for calm.
 func (w *world) simulate(d, calm time.Duration) {
--- a/internal/workflow/engine/world_worker_test.go
+++ b/internal/workflow/engine/world_worker_test.go
@@ -22,12 +22,16 @@
 	waiting   bool // a gang member that waits for the others
 }
 
-// modelWorker is a simulated worker with its agent.
+// modelWorker is a simulated worker with its agent. The worker keeps its id over restarts, so
+// an order for a former incarnation takes effect if the agent passes it on.
 type modelWorker struct {
 	env              *world
 	node             string
 	rack             string
 	startedMS        int64
+	knownStartedMS   int64     // incarnation that the agent knows
+	noticedAt        time.Time // when the agent notices the latest crash
+	agentEpoch       uint64    // the agent refuses calls of earlier epochs, also after a restart of the worker
 	clockOrigin      time.Time // start of the worker's clock
 	clockRate        float64   // rate of the worker's clock; 1 is that of true time
 	highestEpoch     uint64    // orders of earlier epochs are refused
@@ -55,6 +59,12 @@
 	m.highestRun, m.draining, m.seq = make(map[string]int), false, 0
 }
 
+// crash restarts the worker. Its agent notices that some time later.
+func (m *modelWorker) crash() {
+	m.restart()
+	m.noticedAt = m.env.now.Add(m.env.randomDuration(500 * time.Millisecond))
+}
+
 func (m *modelWorker) clockMS() int64 {
 	return 1000 + int64(float64(m.env.now.Sub(m.clockOrigin).Milliseconds())*m.clockRate)
 }
@@ -264,12 +274,12 @@
 }
 
 // sync handles a sync request like the worker's agent. It returns nil if the worker
-// is unreachable or refuses the epoch.
+// is unreachable, the agent has not noticed a restart yet, or it refuses the epoch.
 func (m *modelWorker) sync(req workflow.SyncRequest) *workflow.SyncReply {
-	if req.Epoch < m.highestEpoch || m.isUnreachable() {
+	if req.Epoch < m.agentEpoch || m.isUnreachable() || m.env.now.Before(m.noticedAt) {
 		return nil
 	}
-	m.highestEpoch = req.Epoch
+	m.highestEpoch, m.agentEpoch, m.knownStartedMS = req.Epoch, req.Epoch, m.startedMS
 	if req.StartedMS == m.startedMS {
 		m.leaseUntilMS = max(m.leaseUntilMS, req.LeaseUntilMS)
 		m.acknowledge(req.AckedEnds)
--- a/internal/workflow/runner/order.go
+++ b/internal/workflow/runner/order.go
@@ -39,6 +39,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	addressee := func() bool { return r.isPresentIncarnation(ctx, req.Instance, req.StartedMS) }
+	always := func() bool { return true }
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, maxParallelOrders)
 	goLimited := func(f func()) {
@@ -51,7 +53,7 @@
 	}
 	for i, o := range req.Stops {
 		goLimited(func() {
-			reply.Stops[i] = r.attemptUntilResponse(ctx, func(ctx context.Context) (workflow.OrderOutcome, error) {
+			reply.Stops[i] = r.attemptUntilResponse(ctx, always, func(ctx context.Context) (workflow.OrderOutcome, error) {
 				return r.api.Stop(ctx, req.Instance, req.Epoch, o)
 			})
 			r.logOrder("stop", req, o.Ref, o.Run, reply.Stops[i])
@@ -64,7 +66,7 @@
 			continue
 		}
 		goLimited(func() {
-			reply.Starts[i] = r.attemptUntilResponse(ctx, func(ctx context.Context) (workflow.OrderOutcome, error) {
+			reply.Starts[i] = r.attemptUntilResponse(ctx, addressee, func(ctx context.Context) (workflow.OrderOutcome, error) {
 				return r.api.Start(ctx, req.Instance, req.Epoch, o)
 			})
 			r.logOrder("start", req, o.Ref, o.Run, reply.Starts[i])
@@ -74,15 +76,36 @@
 	return reply, nil
 }
 
+// isPresentIncarnation reports whether the given incarnation is the latest one that the agent
+// knows, and has answered the latest poll. A worker may restart under its id, so the id in a
+// call does not keep an order from the next incarnation.
+func (r *Runner) isPresentIncarnation(ctx context.Context, instance string, startedMS int64) bool {
+	r.mu.Lock()
+	outdated := r.isConfirmed() && time.Since(r.answeredAt) > maxAnswerAge
+	r.mu.Unlock()
+	if outdated {
+		r.poll(ctx, 0)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isConfirmed() && startedMS == r.startedMS && (startedMS != 0 || instance == r.instance)
+}
+
 // attemptUntilResponse repeats an order until an attempt gets a response or ctx
-// ends. A refusal that follows an attempt without a response leaves the outcome
-// unknown: the earlier attempt may have taken effect, or may still do so. Only
-// a response from another incarnation of the worker rules that out. If no process
-// listens at the worker's address, an order that was not attempted before is
-// refused.
-func (r *Runner) attemptUntilResponse(ctx context.Context, attempt func(context.Context) (workflow.OrderOutcome, error)) workflow.OrderOutcome {
+// ends, as long as mayAttempt returns true. A refusal that follows an attempt without
+// a response leaves the outcome unknown: the earlier attempt may have taken effect, or
+// may still do so. Only a response from another incarnation of the worker rules that
+// out. If no process listens at the worker's address, or mayAttempt returns false, an
+// order that was not attempted before is refused.
+func (r *Runner) attemptUntilResponse(ctx context.Context, mayAttempt func() bool, attempt func(context.Context) (workflow.OrderOutcome, error)) workflow.OrderOutcome {
 	outcomeUnknown := false
 	for {
+		if !mayAttempt() {
+			if outcomeUnknown {
+				return workflow.OrderOutcome{}
+			}
+			return workflow.OrderOutcome{Verdict: workflow.VerdictRefused, Reason: workflow.ReasonInstance}
+		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		out, err := attempt(callCtx)
 		cancel()
--- a/internal/workflow/runner/runner.go
+++ b/internal/workflow/runner/runner.go
@@ -65,6 +65,10 @@
 	pollRetryDelay = 40 * time.Millisecond
 	// failureDelay is the delay after a poll that failed for another reason.
 	failureDelay = 200 * time.Millisecond
+	// maxAnswerAge is the age of the latest answer to a poll from which on a start waits
+	// for a further answer. A healthy worker answers more often, but the agent itself may
+	// have been stopped for a while, and the worker have restarted meanwhile.
+	maxAnswerAge = pollWait + callTimeout
 	// maxSyncWait limits the wait of a planner's call for a new report.
 	maxSyncWait = time.Second
 )
@@ -77,6 +81,7 @@
 	epoch             uint64 // highest epoch of a planner that has called; 0: none
 	instance          string // instance and startedMS identify the incarnation that responded last
 	startedMS         int64
+	answeredAt        time.Time // of the latest poll, zero if it was not answered
 	leaseUntilMS      int64
 	ackedEnds         uint64
 	announced         *workflow.Announcement
@@ -87,11 +92,12 @@
 	version           uint64        // version of the state that Sync returns
 	changed           chan struct{} // closed when version changes
 	epochKnown        chan struct{} // signals a new epoch to Run
+	incarnationKnown  chan struct{} // signals the announcement of a new incarnation to Run
 }
 
 // New returns a Runner for a worker.
 func New(api WorkerAPI) *Runner {
-	return &Runner{api: api, changed: make(chan struct{}), epochKnown: make(chan struct{}, 1), version: 1}
+	return &Runner{api: api, changed: make(chan struct{}), epochKnown: make(chan struct{}, 1), incarnationKnown: make(chan struct{}, 1), version: 1}
 }
 
 // Register registers the handlers of the planner's calls on mux.
@@ -108,6 +114,12 @@
 	r.changed = make(chan struct{})
 }
 
+// isConfirmed reports whether the incarnation in r.startedMS has answered the latest poll
+// and no later one has announced itself. The caller holds r.mu.
+func (r *Runner) isConfirmed() bool {
+	return !r.answeredAt.IsZero() && (r.announced == nil || r.announced.StartedMS <= r.startedMS)
+}
+
 // Announce records an announcement of the worker, unless it is older than the
 // recorded one.
 func (r *Runner) Announce(a *workflow.Announcement) {
@@ -126,6 +138,12 @@
 	changed := r.announced == nil || r.announced.Draining != a.Draining || r.announced.Instance != a.Instance ||
 		r.announced.StartedMS != a.StartedMS || r.announced.Capacity != a.Capacity
 	r.announced = a
+	if a.StartedMS > r.startedMS {
+		select {
+		case r.incarnationKnown <- struct{}{}:
+		default:
+		}
+	}
 	if changed {
 		r.publish()
 	}
@@ -155,18 +173,33 @@
 // Run polls the worker until ctx ends.
 func (r *Runner) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := r.poll(ctx, pollWait)
-		if pause > 0 {
-			kernel.Sleep(ctx, pause)
+		if pause := r.poll(ctx, pollWait); pause > 0 {
+			r.pause(ctx, pause)
 		}
 	}
 }
 
+// pause waits for d, until a new incarnation announces itself, or until ctx ends.
+func (r *Runner) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.incarnationKnown:
+	case <-ctx.Done():
+	}
+}
+
 // poll calls the worker once, renews its lease and records its report. The worker
 // waits up to wait for a run to end. The result is the delay before the next poll.
+// The first poll after one that failed waits for nothing, and renews and acknowledges
+// nothing: another incarnation may answer it.
 func (r *Runner) poll(ctx context.Context, wait time.Duration) time.Duration {
 	r.mu.Lock()
 	epoch, instance, ackedEnds, leaseUntil := r.epoch, r.instance, r.ackedEnds, r.leaseUntilMS
+	if !r.isConfirmed() {
+		wait, ackedEnds, leaseUntil = 0, 0, 0
+	}
 	r.mu.Unlock()
 	if epoch == 0 {
 		// Before the first call of a planner there is no lease to renew and nothing
@@ -183,6 +216,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil {
+		if ctx.Err() == nil { // a caller that gave up says nothing about the worker
+			r.answeredAt = time.Time{}
+		}
 		return r.handlePollError(instance, err)
 	}
 	if r.workerReport != nil && (report.StartedMS < r.workerReport.StartedMS || report.StartedMS == r.workerReport.StartedMS && report.ClockMS < r.workerReport.ClockMS) {
@@ -195,7 +231,7 @@
 		log.WithFields(log.Fields{"event": "worker_incarnation", "worker": report.Instance, "born": report.StartedMS, "former": r.instance}).Info("a new incarnation of the worker has responded")
 		r.startedMS, r.leaseUntilMS, r.ackedEnds = report.StartedMS, 0, 0
 	}
-	r.instance = report.Instance
+	r.instance, r.answeredAt = report.Instance, time.Now()
 	reportChanged := r.workerReport == nil || len(report.Ended) > 0 || r.workerReportEpoch != epoch || len(report.Running) != len(r.workerReport.Running)
 	r.workerReport, r.workerReportEpoch, r.hasLeft = report, epoch, false
 	if reportChanged {
--- a/internal/workflow/runner/runner_test.go
+++ b/internal/workflow/runner/runner_test.go
@@ -103,6 +103,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				r := New(&fakeWorker{starts: c.starts})
+				r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 1})
 				reply, err := r.Order(t.Context(), &workflow.OrderRequest{Epoch: 1, Starts: []workflow.StartOrder{{Run: 1}}})
 				g.Expect(err).NotTo(HaveOccurred())
 				g.Expect(reply.Starts[0].Verdict).To(Equal(c.want))
@@ -195,6 +196,10 @@
 			w.report.StartedMS = 6
 			r.poll(ctx, 0)
 		}},
+		{"the next one has started while the agent was stopped", func(_ context.Context, _ *Runner, w *fakeWorker) {
+			time.Sleep(5 * time.Second)
+			w.report.StartedMS = 6
+		}},
 		{"the worker does not answer polls", func(ctx context.Context, r *Runner, w *fakeWorker) {
 			w.err = ErrNoListener
 			r.poll(ctx, 0)
