Do not take a repeated report of an agent for a sign of life of its worker

Cause: an agent answers the planner with its last report while the worker is silent, and the planner took each answer for a new report. Change: a report with a clock that is not later than the last one only brings its announcement.

--- a/internal/workflow/engine/restart_test.go
+++ b/internal/workflow/engine/restart_test.go
@@ -141,3 +141,31 @@
 		b.Expect(b.decide()).NotTo(BeNil(), "the run ended with its incarnation")
 	})
 }
+
+// An agent repeats its last report while the worker does not answer it. Guards against a worker
+// that is taken for alive for as long as its agent is: nothing may start on it, its runs are over
+// when the lease has expired, and a run that the repeated report does not list may have begun.
+func TestRepeatedReportSaysNothingNew(t *testing.T) {
+	t.Run("the run begins on the next incarnation", func(t *testing.T) {
+		b := newRestartBench(t)
+		b.reply(workflow.OrderOutcome{Verdict: workflow.VerdictDone, ClockMS: 1_200})
+		b.report("n0", bornBefore, 500_000)
+		b.Expect(b.decide()).To(BeNil())
+	})
+	t.Run("the worker is gone", func(t *testing.T) {
+		b := newRestartBench(t)
+		b.reply(workflow.OrderOutcome{Verdict: workflow.VerdictDone, ClockMS: 500_100})
+		b.report("n0", bornBefore, 500_200, 1)
+		b.engine.NextSyncRequest("n0", 0)
+		leaseEnd := b.now.Add(withClockDrift(5*time.Second) + expiryMargin)
+		for b.now.Before(leaseEnd) {
+			b.report("n0", bornBefore, 500_200, 1)
+			b.engine.NextSyncRequest("n0", 0)
+			b.Expect(b.decide()).To(BeNil())
+		}
+		b.report("n1", bornBefore, 510_000)
+		order := b.decide()
+		b.Expect(order).NotTo(BeNil(), "the lease has expired")
+		b.Expect(order.Node).To(Equal("n1"))
+	})
+}
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -41,7 +41,7 @@
 }
 
 // HandleReport processes a report from the agent of node that arrived at now. It
-// ignores reports of an earlier incarnation and reports that are out of order.
+// ignores reports of an earlier incarnation and reports that are out of order or repeated.
 func (e *Engine) HandleReport(node string, reply *workflow.SyncReply, now time.Time) {
 	e.AddWorker(node)
 	w := e.workers[node]
@@ -58,10 +58,6 @@
 	if incarnation := workflow.WorkerKey(node, reply.Report.Instance, reply.Report.StartedMS); incarnation != w.incarnation {
 		e.startIncarnation(w, incarnation, reply.Report, now)
 	}
-	if reply.Report.ClockMS < w.clockMS {
-		return // overtaken by a newer report
-	}
-	w.clockMS, w.reportedAt, w.hasLeft = reply.Report.ClockMS, now, false
 	if reply.Report.Instance != "" {
 		w.instance = reply.Report.Instance
 	}
@@ -71,6 +67,12 @@
 			w.announcement = a
 		}
 	}
+	if reply.Report.ClockMS <= w.clockMS {
+		// Overtaken by a newer report, or repeated by the agent while the worker does not
+		// answer. It does not show that the worker is alive.
+		return
+	}
+	w.clockMS, w.reportedAt, w.hasLeft = reply.Report.ClockMS, now, false
 	e.reconcileRuns(w, reply.Report, now)
 }
 
