Start nothing on a worker whose agent refuses orders, until its next report

Cause: a refusal for want of the incarnation ended the run, and left the worker as usable as before. Change: after such a refusal the worker is not used until it has reported again. The test fails before: the second placement goes to the same worker.

--- a/internal/workflow/engine/orders.go
+++ b/internal/workflow/engine/orders.go
@@ -103,6 +103,9 @@
 		if outcome.Verdict == workflow.VerdictDone && !o.isFor(m.incarnation) {
 			continue // the time of the confirmation is on the clock of either incarnation
 		}
+		if outcome.Reason == workflow.ReasonInstance && o.isFor(m.worker.incarnation) {
+			m.worker.unconfirmed = true
+		}
 		e.handleStartOutcome(m, outcome, now)
 	}
 	for i, m := range o.stops {
--- a/internal/workflow/engine/restart_test.go
+++ b/internal/workflow/engine/restart_test.go
@@ -169,3 +169,21 @@
 		b.Expect(order.Node).To(Equal("n1"))
 	})
 }
+
+// An agent refuses a start because its worker does not answer or has restarted. Guards against
+// repeated starts in vain on that worker while another one is free.
+func TestNothingStartsOnAnUnconfirmedWorker(t *testing.T) {
+	b := newRestartBench(t)
+	b.reply(workflow.OrderOutcome{Verdict: workflow.VerdictRefused, Reason: workflow.ReasonInstance})
+	order := b.decide()
+	b.Expect(order).NotTo(BeNil())
+	b.Expect(order.Node).To(Equal("n1"))
+	b.order = order
+	b.reply(workflow.OrderOutcome{Verdict: workflow.VerdictRefused, Reason: workflow.ReasonInstance})
+	b.report("n0", bornBefore, 500_000)
+	b.Expect(b.decide()).To(BeNil())
+	b.report("n0", bornAfter, 1_000)
+	order = b.decide()
+	b.Expect(order).NotTo(BeNil())
+	b.Expect(order.Node).To(Equal("n0"))
+}
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -23,6 +23,7 @@
 	maxLeaseUntilMS int64                  // latest lease expiry that was sent, on the worker's clock
 	lastEndNumber   uint64                 // highest number of an end that was processed
 	hasLeft         bool                   // the agent has reported that the worker left
+	unconfirmed     bool                   // the agent has refused a start for the incarnation since the latest report
 	members         []*member              // that may be running, in order of their starts
 	unexpected      map[runKey]bool        // runs in the latest report that no member stands for
 	health          health
@@ -72,7 +73,7 @@
 		// answer. It does not show that the worker is alive.
 		return
 	}
-	w.clockMS, w.reportedAt, w.hasLeft = reply.Report.ClockMS, now, false
+	w.clockMS, w.reportedAt, w.hasLeft, w.unconfirmed = reply.Report.ClockMS, now, false, false
 	e.reconcileRuns(w, reply.Report, now)
 }
 
@@ -270,7 +271,7 @@
 
 // usable reports whether new items may start on w.
 func (e *Engine) usable(w *worker, now time.Time) bool {
-	return w.incarnation != "" && !w.hasLeft && w.announcement != nil && !w.announcement.Draining &&
+	return w.incarnation != "" && !w.hasLeft && !w.unconfirmed && w.announcement != nil && !w.announcement.Draining &&
 		now.Sub(w.reportedAt) < reportTimeout && !w.health.excluded(now)
 }
 
