Tell the birth of a stand-in worker only in its announcements and in responses to holds

Cause: the stand-in of the platform's worker put "born" into the responses to starts and stops. Workers of the platform put only timestampMs and, in a refusal, reason there, so a system that read "born" from them would pass our tests and fail on the platform. Change: only the response to a hold carries it.

--- a/internal/standin/platformworker/worker.go
+++ b/internal/standin/platformworker/worker.go
@@ -235,7 +235,7 @@
 			w.responsesToLose--
 		}
 		status, body := f(&o)
-		body["timestampMs"], body["born"] = w.clockMS(), w.incarnationStart.UnixMilli()
+		body["timestampMs"] = w.clockMS()
 		w.pool.mu.Unlock()
 		if lose {
 			<-r.Context().Done()
@@ -352,7 +352,9 @@
 	for _, r := range w.running {
 		running = append(running, []any{r.item, r.number, "", r.progressPercent(), 0})
 	}
-	return http.StatusOK, map[string]any{"running": running, "endedRuns": append([][]any{}, w.unacknowledgedEnds...)}
+	return http.StatusOK, map[string]any{
+		"born": w.incarnationStart.UnixMilli(), "running": running, "endedRuns": append([][]any{}, w.unacknowledgedEnds...),
+	}
 }
 
 // recordAcknowledgement records that the system has acknowledged the end of r. If r was
--- a/internal/standin/platformworker/worker_test.go
+++ b/internal/standin/platformworker/worker_test.go
@@ -10,15 +10,27 @@
 	. "github.com/onsi/gomega"
 )
 
-func postStart(g *GomegaWithT, w *Worker, run int, leaseMS int64) {
-	payload, err := json.Marshal(Payload{MS: 60_000})
-	g.Expect(err).NotTo(HaveOccurred())
-	body, err := json.Marshal(map[string]any{"task": "j.0.0.0", "runId": run, "spec": string(payload), "deadlineMs": 1000 + leaseMS, "fencingToken": 1})
+// post calls a worker as its agent does and returns the status and the response.
+func post(g *GomegaWithT, w *Worker, path string, body map[string]any) (int, map[string]any) {
+	data, err := json.Marshal(body)
 	g.Expect(err).NotTo(HaveOccurred())
-	resp, err := http.Post("http://"+w.Addr()+"/api/run-start", "application/json", bytes.NewReader(body))
+	resp, err := http.Post("http://"+w.Addr()+path, "application/json", bytes.NewReader(data))
 	g.Expect(err).NotTo(HaveOccurred())
 	defer resp.Body.Close()
-	g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	var reply map[string]any
+	g.Expect(json.NewDecoder(resp.Body).Decode(&reply)).To(Succeed())
+	return resp.StatusCode, reply
+}
+
+func startBody(g *GomegaWithT, p Payload, run int, leaseMS int64) map[string]any {
+	payload, err := json.Marshal(p)
+	g.Expect(err).NotTo(HaveOccurred())
+	return map[string]any{"task": "j.0.0.0", "runId": run, "spec": string(payload), "deadlineMs": 1000 + leaseMS, "fencingToken": 1}
+}
+
+func postStart(g *GomegaWithT, w *Worker, run int, leaseMS int64) {
+	status, _ := post(g, w, "/api/run-start", startBody(g, Payload{MS: 60_000}, run, leaseMS))
+	g.Expect(status).To(Equal(http.StatusOK))
 }
 
 // Guards against a check for simultaneous runs of an item that misses a run on a worker
@@ -43,3 +55,26 @@
 		g.Expect(p.Violations()).To(HaveLen(c.violations), "after %v", c.wait)
 	}
 }
+
+// Guards against a system that tells incarnations apart by a field that workers of the
+// platform do not send: only the response to a hold says when the incarnation started.
+func TestOnlyHoldsTellTheBirth(t *testing.T) {
+	g := NewWithT(t)
+	w, err := NewPool().Add("a", "r", "s")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = w.Close() })
+	start := startBody(g, Payload{MS: 60_000}, 2, 60_000)
+	for _, path := range []string{"/api/run-start", "/api/run-stop", "/api/hold"} {
+		status, reply := post(g, w, path, start)
+		g.Expect(status).To(Equal(http.StatusOK), path)
+		g.Expect(reply).To(HaveKey("timestampMs"), path)
+		if path == "/api/hold" {
+			g.Expect(reply).To(HaveKeyWithValue("born", BeNumerically("==", w.incarnationStart.UnixMilli())))
+		} else {
+			g.Expect(reply).To(HaveLen(1), path)
+		}
+	}
+	status, reply := post(g, w, "/api/run-start", start)
+	g.Expect(status).To(Equal(http.StatusConflict))
+	g.Expect(reply).To(And(HaveLen(2), HaveKeyWithValue("reason", "old"), HaveKey("timestampMs")))
+}
