Let a stand-in worker start again under the instance id that it had

Cause: PROTOCOL, Service discovery: "A worker may start again under the `id` that it had. It then holds and knows nothing of before, and its counts start anew (`seq`, the numbers of ends, its clock)." The stand-in could only crash and take a new id, so the header Expected-Instance told the incarnations apart in every test, which the platform's workers do not guarantee. Change: Worker.Restart(downtime) ends all runs as gone, refuses connections and sends no announcements for the downtime, and then starts an incarnation under the same id. Its birth, clock, fencing token, numbers of ends and seq start anew, and it announces itself at once. A call that is in progress at a crash, also one by Crash, gets no response: before, a waiting hold returned the lists of the next incarnation to a caller that had named the former one. Crash counts instance ids apart from seq.

--- a/internal/standin/platformworker/worker.go
+++ b/internal/standin/platformworker/worker.go
@@ -102,7 +102,7 @@
 	node               string
 	rack               string
 	service            string
-	instanceID         string
+	instances          int // number of former instance ids
 	incarnationStart   time.Time
 	fencingToken       uint64
 	leaseEndMS         int64 // on the worker's clock, 0 without a lease
@@ -112,14 +112,16 @@
 	leaseExpiredAt     time.Time    // when an expired lease was last noticed
 	lastEndNumber      int
 	highestRun         map[string]int
-	seq                int // number of the last announcement or crash; part of the next instance id
+	seq                int // number of the last announcement
 	draining           bool
-	responsesToLose    int // number of next starts and stops whose response is lost
+	down               bool          // between a restart under the same id and its new incarnation
+	cameBack           chan struct{} // signals the end of a downtime to Announce
+	responsesToLose    int           // number of next starts and stops whose response is lost
 }
 
 // Add starts a worker that listens on a free loopback port.
 func (p *Pool) Add(node, rack, service string) (*Worker, error) {
-	w := &Worker{pool: p, node: node, rack: rack, service: service}
+	w := &Worker{pool: p, node: node, rack: rack, service: service, cameBack: make(chan struct{}, 1)}
 	w.startIncarnation()
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/run-start", w.orderHandler(w.handleStart))
@@ -136,24 +138,8 @@
 	return w, nil
 }
 
-// startIncarnation gives the worker a new identity without runs, leases or
-// unacknowledged ends.
-func (w *Worker) startIncarnation() {
-	w.instanceID, w.incarnationStart = fmt.Sprintf("i-%s-%d", w.node, w.seq), time.Now()
-	w.fencingToken, w.leaseEndMS, w.running, w.unacknowledgedEnds, w.lastEndNumber, w.draining = 0, 0, nil, nil, 0, false
-	w.highestRun, w.runByEndNumber, w.leaseExpiredAt = make(map[string]int), make(map[int]*run), time.Time{}
-}
-
-// Crash ends all runs without a report and starts a new incarnation of the worker.
-func (w *Worker) Crash() {
-	w.pool.mu.Lock()
-	defer w.pool.mu.Unlock()
-	for _, r := range w.running {
-		r.outcome = "gone"
-	}
-	w.seq++
-	w.startIncarnation()
-}
+// instanceID returns the id of the current instance.
+func (w *Worker) instanceID() string { return fmt.Sprintf("i-%s-%d", w.node, w.instances) }
 
 // LoseResponses makes the responses to the next n starts and stops get lost. The orders
 // take effect.
@@ -178,32 +164,44 @@
 // a longer one.
 const announceInterval = 100 * time.Millisecond
 
-// Announce sends announcements to the control address of an agent until ctx ends.
+// Announce sends announcements to the control address of an agent until ctx ends, except while the
+// worker is down.
 func (w *Worker) Announce(ctx context.Context, control string) {
 	client := &http.Client{Timeout: time.Second}
 	for ctx.Err() == nil {
-		w.pool.mu.Lock()
-		w.seq++
-		state := "ready"
-		if w.draining {
-			state = "draining"
-		}
-		body, _ := json.Marshal(map[string]any{
-			"backend": w.service, "address": w.Addr(), "state": state, "seq": w.seq, "born": w.incarnationStart.UnixMilli(), "remainingMs": 0,
-			"labels": []string{"a", w.rack}, "capacity": map[string]int{"cpu": 64000, "memMb": 256 << 10, "gpus": gpusPerWorker},
-		})
-		url := "http://" + control + "/api/Instances.Heartbeat/" + w.instanceID
-		w.pool.mu.Unlock()
-		if resp, err := client.Post(url, "application/json", bytes.NewReader(body)); err == nil {
-			_ = resp.Body.Close()
+		if instance, body := w.nextAnnouncement(); body != nil {
+			if resp, err := client.Post("http://"+control+"/api/Instances.Heartbeat/"+instance, "application/json", bytes.NewReader(body)); err == nil {
+				_ = resp.Body.Close()
+			}
 		}
 		select {
 		case <-ctx.Done():
+		case <-w.cameBack:
 		case <-time.After(announceInterval):
 		}
 	}
 }
 
+// nextAnnouncement returns the instance id and the body of the next announcement. The body is nil
+// while the worker is down.
+func (w *Worker) nextAnnouncement() (instance string, body []byte) {
+	w.pool.mu.Lock()
+	defer w.pool.mu.Unlock()
+	if w.down {
+		return "", nil
+	}
+	w.seq++
+	state := "ready"
+	if w.draining {
+		state = "draining"
+	}
+	body, _ = json.Marshal(map[string]any{
+		"backend": w.service, "address": w.Addr(), "state": state, "seq": w.seq, "born": w.incarnationStart.UnixMilli(), "remainingMs": 0,
+		"labels": []string{"a", w.rack}, "capacity": map[string]int{"cpu": 64000, "memMb": 256 << 10, "gpus": gpusPerWorker},
+	})
+	return w.instanceID(), body
+}
+
 // order is the request body of a start, a stop or a hold.
 type order struct {
 	Task         string `json:"task"`
@@ -216,7 +214,8 @@
 }
 
 // orderHandler returns a handler that decodes an order, rejects one for another
-// incarnation, and calls f with the pool's lock held.
+// incarnation, and calls f with the pool's lock held. An order that arrives while the worker is
+// down, or is in progress when it crashes, gets no response.
 func (w *Worker) orderHandler(f func(*order) (int, map[string]any)) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		var o order
@@ -225,7 +224,11 @@
 			return
 		}
 		w.pool.mu.Lock()
-		if want := r.Header.Get("Expected-Instance"); want != "" && want != w.instanceID {
+		if w.down {
+			w.pool.mu.Unlock()
+			standin.Abort()
+		}
+		if want := r.Header.Get("Expected-Instance"); want != "" && want != w.instanceID() {
 			w.pool.mu.Unlock()
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
@@ -234,9 +237,14 @@
 		if lose {
 			w.responsesToLose--
 		}
+		incarnationStart := w.incarnationStart
 		status, body := f(&o)
 		body["timestampMs"] = w.clockMS()
+		crashed := w.down || w.incarnationStart != incarnationStart
 		w.pool.mu.Unlock()
+		if crashed {
+			standin.Abort()
+		}
 		if lose {
 			<-r.Context().Done()
 			return
--- a/internal/standin/platformworker/worker_test.go
+++ b/internal/standin/platformworker/worker_test.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net"
 	"net/http"
+	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
@@ -78,3 +81,52 @@
 	g.Expect(status).To(Equal(http.StatusConflict))
 	g.Expect(reply).To(And(HaveLen(2), HaveKeyWithValue("reason", "old"), HaveKey("timestampMs")))
 }
+
+// Guards against tests in which the instance id alone tells a worker's incarnations apart: after a
+// restart under its id, a worker must accept orders that were meant for the former incarnation.
+func TestRestartKeepsTheID(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool()
+	w, err := p.Add("a", "r", "s")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = w.Close() })
+	type announcement struct {
+		path string
+		Born int64
+		Seq  int
+	}
+	announced := make(chan announcement, 100)
+	agent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		a := announcement{path: r.URL.Path}
+		_ = json.NewDecoder(r.Body).Decode(&a)
+		announced <- a
+	}))
+	t.Cleanup(agent.Close)
+	go w.Announce(t.Context(), agent.Listener.Addr().String())
+	var before announcement
+	g.Eventually(announced).Should(Receive(&before))
+	start := startBody(g, Payload{MS: 1}, 5, 60_000)
+	start["fencingToken"] = 9
+	status, _ := post(g, w, "/api/run-start", start)
+	g.Expect(status).To(Equal(http.StatusOK))
+	hold := map[string]any{"fencingToken": 9, "waitMs": 2000}
+	_, first := post(g, w, "/api/hold", hold)
+	start["runId"], start["spec"] = 6, `{"ms":60000}`
+	status, _ = post(g, w, "/api/run-start", start)
+	g.Expect(status).To(Equal(http.StatusOK))
+
+	w.Restart(50 * time.Millisecond)
+	_, err = net.Dial("tcp", w.Addr())
+	g.Expect(err).To(MatchError(syscall.ECONNREFUSED))
+	g.Expect(p.RunOutcomes("j.0.0.0")).To(Equal([]string{"done", "gone"}))
+	after := before
+	for after.Born == before.Born {
+		g.Eventually(announced).Should(Receive(&after))
+	}
+	g.Expect(after).To(Equal(announcement{before.path, after.Born, 1}))
+	status, _ = post(g, w, "/api/run-start", startBody(g, Payload{MS: 1}, 3, 60_000))
+	g.Expect(status).To(Equal(http.StatusOK), "a lower run and fencing token are accepted")
+	_, second := post(g, w, "/api/hold", map[string]any{"fencingToken": 1, "waitMs": 2000})
+	g.Expect(second["born"]).To(BeNumerically(">", first["born"]))
+	g.Expect(second["endedRuns"]).To(Equal([]any{[]any{1.0, "j.0.0.0", 3.0, "done", ""}}))
+}
