--- a/internal/standin/platformworker/worker.go
+++ b/internal/standin/platformworker/worker.go
@@ -65,6 +65,17 @@
 	return last
 }
 
+// Starts returns the number of runs that have started.
+func (p *Pool) Starts() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, runs := range p.runs {
+		n += len(runs)
+	}
+	return n
+}
+
 // RunOutcomes returns the outcomes of all runs of an item in the order of their starts. The
 // outcome of a run that has not ended is empty.
 func (p *Pool) RunOutcomes(item string) []string {
