Count the first confirmation of a stop, not its repetitions

Cause: a run that the worker does not list is over once a report is later than its confirmed stop. Each repeated stop, 0.4 s apart, moved that time past the next report, which an idle agent sends once a second and which may be 0.5 s old. Ruled out: the agent, which repeats what it is told, and the worker, which confirmed each stop. Change: the first confirmation by an incarnation counts.

--- a/internal/workflow/engine/orders.go
+++ b/internal/workflow/engine/orders.go
@@ -109,7 +109,8 @@
 		e.handleStartOutcome(m, outcome, now)
 	}
 	for i, m := range o.stops {
-		if reply != nil && i < len(reply.Stops) && reply.Stops[i].Verdict == workflow.VerdictDone && o.isFor(m.incarnation) {
+		// The first confirmation counts: repeated stops would move it past each next report.
+		if m.stopConfirmedMS == 0 && reply != nil && i < len(reply.Stops) && reply.Stops[i].Verdict == workflow.VerdictDone && o.isFor(m.incarnation) {
 			m.stopConfirmedMS = reply.Stops[i].ClockMS
 		}
 	}
--- a/internal/workflow/engine/restart_test.go
+++ b/internal/workflow/engine/restart_test.go
@@ -187,3 +187,21 @@
 	b.Expect(order).NotTo(BeNil())
 	b.Expect(order.Node).To(Equal("n0"))
 }
+
+// A run may still begin on the next incarnation, and the reports that follow its stop are older than
+// the stop's repetitions. Guards against an item that waits for ever, because each repeated stop
+// moves the time of the confirmation.
+func TestRepeatedStopsDoNotDelayTheEnd(t *testing.T) {
+	b := newRestartBench(t)
+	b.reply(workflow.OrderOutcome{})
+	b.report("n0", bornAfter, 1_100)
+	b.Expect(b.decide()).To(BeNil())
+	clock := int64(1_200)
+	for range 5 {
+		b.Expect(b.confirmStops(clock)).To(Equal(1))
+		b.now = b.now.Add(stopRetryInterval)
+		clock += stopRetryInterval.Milliseconds()
+	}
+	b.report("n0", bornAfter, clock-500)
+	b.Expect(b.decide()).NotTo(BeNil())
+}
