Give up items that crash the workers on which they start

Cause: a run that ends with its worker is lost, and only runs reported as failed count as attempts. So nothing bounded the repetitions, and each went to a worker with other runs. Change: the planner counts, in the progress record, the crashes of workers under each item. A crash soon after the item's start puts it under suspicion; then it starts only on a worker without a recent start, that with the fewest runs, nothing else starts there, and the other items of its job wait until a run has lasted 1 s. A second crash at its start gives it up, and the job fails; so does the fourth crash of any kind, unless the item lasts. Runs of another planner are of unknown age: they come under suspicion, unless half of the workers have restarted. A worker that is silent until its lease expires is counted when it is back. Weighed: giving up every item after two crashes (fails other jobs that were beside it: seen in the system test when crashes of inherited runs did not separate the items, an innocent job failed after four), and three crashes at the start (a third worker lost). Cost at the target size: five numbers in the record of an item that has met a crash, nothing else. The record format stays readable by earlier versions: the counts are a new optional field.

--- /dev/null
+++ b/internal/workflow/engine/crash.go
@@ -0,0 +1,191 @@
+package engine
+
+import (
+	"time"
+
+	"snipegw/internal/workflow"
+)
+
+const (
+	// crashProbation is the time from the first report of a run after which a crash of
+	// its worker is no longer attributed to its start.
+	crashProbation = time.Second
+	// maxStartCrashes is the number of crashes soon after its start, with no run between
+	// them that outlived crashProbation, after which an item is given up. The second run
+	// has no other recent start beside it, so nothing else can be the reason.
+	maxStartCrashes = 2
+	// maxCrashes is the number of crashes of any kind after which an item is given up. The
+	// platform allows two starts after the third crash.
+	maxCrashes = 4
+)
+
+// crashCount counts the crashes of workers under one item.
+type crashCount struct {
+	atStart int // soon after the item's start, since a run last outlived crashProbation
+	total   int
+}
+
+// startedRecently reports whether, at the given time, the run of m may still be starting.
+// It is false for runs that another planner has started, whose start time is not known.
+func (m *member) startedRecently(at time.Time) bool {
+	return !m.inherited && (!m.listed || at.Sub(m.startedAt) < crashProbation)
+}
+
+// recordCrash counts a crash of the worker under m, whose last report arrived at lastReport,
+// and gives the job up if the item has crashed too many workers.
+func (e *Engine) recordCrash(m *member, lastReport time.Time) {
+	u := m.unit
+	if u.done || u.job.state.Terminal() {
+		return
+	}
+	if u.crashes == nil {
+		u.crashes = make(map[int]crashCount)
+	}
+	c := u.crashes[m.index]
+	c.total++
+	if m.startedRecently(lastReport) {
+		c.atStart++
+	}
+	u.crashes[m.index] = c
+	u.lostInherited = u.lostInherited || m.inherited
+	u.job.hasCrashes = true
+	u.job.givenUp = u.job.givenUp || u.crashesExhausted()
+	e.markDirty(u.job)
+}
+
+// recordSurvival clears the suspicion against an item whose run has outlived crashProbation
+// or has ended by itself.
+func (e *Engine) recordSurvival(m *member) {
+	m.unit.lostInherited = false
+	if c := m.unit.crashes[m.index]; c.atStart > 0 {
+		c.atStart = 0
+		m.unit.crashes[m.index] = c
+		e.markDirty(m.unit.job)
+	}
+}
+
+// crashesExhausted reports whether an item of u is to be given up. Items that run until
+// they are cancelled meet any number of unrelated crashes.
+func (u *unit) crashesExhausted() bool {
+	for _, c := range u.crashes {
+		if c.atStart >= maxStartCrashes || c.total >= maxCrashes && !u.spec().LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// isSuspect reports whether an item of u may crash each worker that starts it. When a crash
+// ends a run that another planner started, the age of the run is not known: then the unit
+// is under suspicion, unless so many workers have restarted that it cannot be the reason.
+func (e *Engine) isSuspect(u *unit) bool {
+	if u.done {
+		return false
+	}
+	if u.lostInherited && !e.massRestart {
+		return true
+	}
+	for _, c := range u.crashes {
+		if c.atStart > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// limitSuspects returns which of the ready units of j may start. The items of a job are
+// alike, so while one is under suspicion only that one starts, and the others wait until
+// its run has outlived crashProbation.
+func (e *Engine) limitSuspects(j *job, ready []*unit) []*unit {
+	if !j.hasCrashes {
+		return ready
+	}
+	var suspect *unit
+	for _, u := range j.units {
+		if e.isSuspect(u) {
+			if u.isActive() {
+				return nil
+			}
+			if suspect == nil {
+				suspect = u
+			}
+		}
+	}
+	if suspect == nil {
+		return ready
+	}
+	for _, u := range ready {
+		if u == suspect {
+			return []*unit{u}
+		}
+	}
+	return nil
+}
+
+// hostsSuspect reports whether a suspect unit may be running on w. Nothing else starts there
+// then: it would be lost with the worker, and come under suspicion itself.
+func (e *Engine) hostsSuspect(w *worker) bool {
+	for _, m := range w.members {
+		if e.isSuspect(m.unit) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasRecentStart reports whether a run on w may still be starting.
+func (w *worker) hasRecentStart(now time.Time) bool {
+	for _, m := range w.members {
+		if m.startedRecently(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// updateMassRestart notes whether half of the workers with runs of an earlier planner, and
+// two at least, have restarted since its term.
+func (e *Engine) updateMassRestart() {
+	inherited, restarted := 0, 0
+	for _, w := range e.sortedWorkers {
+		if w.inheritedRuns {
+			inherited++
+		}
+		if w.lostInheritedRuns {
+			restarted++
+		}
+	}
+	e.massRestart = restarted >= 2 && 2*restarted >= inherited
+}
+
+// crashRecords returns the counts of crashes for the progress record.
+func (j *job) crashRecords() []workflow.ItemCrashes {
+	if !j.hasCrashes {
+		return nil
+	}
+	var out []workflow.ItemCrashes
+	for _, u := range j.units {
+		for index := u.first; index < u.first+u.count; index++ {
+			if c, ok := u.crashes[index]; ok {
+				out = append(out, workflow.ItemCrashes{Occurrence: u.occurrence, Step: u.step, Index: index, AtStart: c.atStart, Total: c.total})
+			}
+		}
+	}
+	return out
+}
+
+// restoreCrashes restores the counts that an earlier planner stored.
+func (j *job) restoreCrashes(records []workflow.ItemCrashes) {
+	for _, r := range records {
+		for _, u := range j.units {
+			if u.occurrence == r.Occurrence && u.step == r.Step && u.first <= r.Index && r.Index < u.first+u.count {
+				if u.crashes == nil {
+					u.crashes = make(map[int]crashCount)
+				}
+				u.crashes[r.Index] = crashCount{atStart: r.AtStart, total: r.Total}
+				j.hasCrashes = true
+				j.givenUp = j.givenUp || !u.done && u.crashesExhausted()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/workflow/engine/crash_test.go
@@ -0,0 +1,100 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"snipegw/internal/workflow"
+)
+
+// deadlyWorld returns a world without random faults in which the items of a job crash each worker
+// that starts them, after delay.
+func deadlyWorld(seed uint64, workers int, delay time.Duration) *world {
+	w := newWorld(seed, workers, 0)
+	w.noRandomFailures, w.crashDelay, w.crashDowntime = true, delay, 3*time.Second
+	w.advance(2500 * time.Millisecond)
+	return w
+}
+
+// addDeadlyJob adds a job of which each item crashes its worker.
+func (w *world) addDeadlyJob(queue string, s workflow.Step) string {
+	id := w.addJob(queue, "a", s)
+	w.jobs[id].Payload = "deadly"
+	return id
+}
+
+// Guards against an item that crashes one worker after the other for ever, and against other jobs
+// that are given up because they were on those workers. A single crash that comes late must not
+// hide the item either.
+func TestItemThatCrashesWorkersIsGivenUp(t *testing.T) {
+	for _, delay := range []time.Duration{0, 100 * time.Millisecond, 700 * time.Millisecond, 3 * time.Second} {
+		for _, gang := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%v, gang %v", delay, gang), func(t *testing.T) {
+				g := NewWithT(t)
+				w := deadlyWorld(21, 4, delay)
+				s := step(2, 2, 8000)
+				s.Gang = gang
+				deadly := w.addDeadlyJob("large", s)
+				for range 6 {
+					w.addJob("small", "b", step(2, 1, 900))
+					w.advance(500 * time.Millisecond)
+				}
+				w.advance(80 * time.Second)
+				g.Expect(w.violations).To(BeEmpty())
+				for _, id := range sortedKeys(w.jobs) {
+					want := workflow.StateComplete
+					if id == deadly {
+						want = workflow.StateFailed
+					}
+					g.Expect(w.progress[id].State).To(Equal(want), id)
+				}
+				for i := range 2 {
+					g.Expect(len(w.runs(deadly, i))).To(BeNumerically("<=", maxCrashes))
+				}
+			})
+		}
+	}
+}
+
+// The planner changes after each crash. Guards against counts that end with the term.
+func TestCrashesAreCountedAcrossTerms(t *testing.T) {
+	g := NewWithT(t)
+	w := deadlyWorld(22, 3, 100*time.Millisecond)
+	deadly := w.addDeadlyJob("large", step(1, 2, 8000))
+	for range 12 {
+		before := len(w.runs(deadly, 0))
+		for end := w.now.Add(20 * time.Second); w.now.Before(end) && len(w.runs(deadly, 0)) == before; {
+			w.tick()
+		}
+		w.advance(200 * time.Millisecond)
+		w.takeover()
+	}
+	w.advance(20 * time.Second)
+	g.Expect(w.violations).To(BeEmpty())
+	g.Expect(w.progress[deadly].State).To(Equal(workflow.StateFailed))
+}
+
+// All workers restart at once while jobs run, as after a loss of power, and a new planner takes over.
+// Guards against jobs that come under suspicion for it: they must all start again at once.
+func TestMassRestartPutsNoJobUnderSuspicion(t *testing.T) {
+	g := NewWithT(t)
+	w := deadlyWorld(23, 4, 0)
+	var ids []string
+	for range 8 {
+		ids = append(ids, w.addJob("large", "b", step(2, 1, 6000)))
+	}
+	w.advance(2 * time.Second)
+	for _, m := range w.workers {
+		m.restart()
+	}
+	w.takeover()
+	w.advance(500 * time.Millisecond)
+	for _, id := range ids {
+		for i := range 2 {
+			g.Expect(w.runs(id, i)).To(HaveLen(2))
+		}
+	}
+}
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -72,7 +72,7 @@
 			}
 			if placement != nil {
 				starts = append(starts, e.startRun(u, placement, c, now))
-				r.allocate(u, placement)
+				r.allocate(u, placement, e.isSuspect(u))
 				continue
 			}
 			if c.class == classOther && reserved >= maxReservations {
@@ -83,7 +83,7 @@
 				break
 			}
 			stops = append(stops, moreStops...)
-			r.allocate(u, placement)
+			r.allocate(u, placement, e.isSuspect(u))
 			if c.class == classOther {
 				reserved++
 			}
@@ -214,7 +214,7 @@
 			}
 		}
 	}
-	return out
+	return e.limitSuspects(j, out)
 }
 
 // dueMS returns the Unix time in milliseconds at which an occurrence is due, 0
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -68,6 +68,7 @@
 	dirty         map[string]*job // jobs whose progress differs from the stored record
 	estimates     durationEstimates
 	endEvents     []EndEvent
+	massRestart   bool // see updateMassRestart
 }
 
 // policy switches off parts of the scheduling policy, or replaces the order of
@@ -105,6 +106,8 @@
 	stages        [][]stage // by occurrence and step
 	unitsLeft     int       // units that are not done
 	maxFailedRuns int       // highest failedRuns of any unit that is not long-running
+	hasCrashes    bool      // some unit has crash counts
+	givenUp       bool      // an item has crashed too many workers
 }
 
 // stage is one step of one occurrence of a job.
@@ -127,8 +130,12 @@
 	members    []*member // of the latest run; nil once all have ended
 	stopping   bool      // the latest run is to be stopped
 	stopReason string
-	notBefore  time.Time       // earliest start of the next run
-	failedOn   map[string]bool // worker incarnations on which a run failed
+	notBefore  time.Time          // earliest start of the next run
+	failedOn   map[string]bool    // worker incarnations on which a run failed
+	crashes    map[int]crashCount // by item index, nil if there were none
+	// lostInherited reports that a crash has ended a run of another planner, and no run has
+	// outlived crashProbation since.
+	lostInherited bool
 }
 
 // member is one item of a run of a unit, on the worker that it is assigned to.
@@ -284,10 +291,10 @@
 	}
 }
 
-// attemptsExhausted reports whether a unit of the job has used all its attempts.
-// Long-running units have no limit.
+// attemptsExhausted reports whether a unit of the job has used all its attempts or has
+// crashed too many workers. Long-running units have no limit of attempts.
 func (e *Engine) attemptsExhausted(j *job) bool {
-	return j.maxFailedRuns >= e.config.MaxAttemptsOf(j.rec)
+	return j.givenUp || j.maxFailedRuns >= e.config.MaxAttemptsOf(j.rec)
 }
 
 // endMember records how a member ended. If one member of a gang ends otherwise
@@ -352,12 +359,20 @@
 	case anyFailed && u.spec().LongRunning:
 		u.notBefore = now.Add(failureRestartDelay)
 	}
-	if !u.done && e.attemptsExhausted(u.job) {
-		for _, o := range u.job.units {
-			if o.isActive() {
-				o.stop("job failed")
-			}
-		}
+	if !u.done {
+		e.stopIfExhausted(u.job)
 	}
 	e.endJobIfFinished(u.job, now)
 }
+
+// stopIfExhausted stops the active units of a job that has used all its attempts.
+func (e *Engine) stopIfExhausted(j *job) {
+	if !e.attemptsExhausted(j) {
+		return
+	}
+	for _, u := range j.units {
+		if u.isActive() {
+			u.stop("job failed")
+		}
+	}
+}
--- a/internal/workflow/engine/explain.go
+++ b/internal/workflow/engine/explain.go
@@ -13,6 +13,9 @@
 	if j.cancelled {
 		return "the job is cancelled; its runs are being stopped"
 	}
+	if j.givenUp {
+		return "workers have crashed under an item, which is given up; the other runs are being stopped"
+	}
 	if e.attemptsExhausted(j) {
 		return "an item has used all its attempts; the other runs are being stopped"
 	}
--- a/internal/workflow/engine/health.go
+++ b/internal/workflow/engine/health.go
@@ -50,6 +50,9 @@
 // estimates.
 func (e *Engine) observeEnd(m *member, how workflow.End, now time.Time) {
 	u := m.unit
+	if how == workflow.EndDone || how == workflow.EndFailed {
+		e.recordSurvival(m)
+	}
 	switch how {
 	case workflow.EndDone:
 		m.worker.health.recordSuccess()
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -18,6 +19,10 @@
 	doNotFit map[shape]bool
 	// fits holds the shapes that could be placed. It is cleared by each allocation.
 	fits map[shape]bool
+	now  time.Time
+	// started holds the workers on which units start in this decision, and closed those on
+	// which no further ones may, because of a suspect unit.
+	started, closed map[*worker]bool
 	// cachedTotals caches the result of totals, nil after an allocation.
 	cachedTotals *[2]workflow.Resources
 }
@@ -34,11 +39,17 @@
 
 // freeResources returns the free resources of the workers that are usable at now.
 func (e *Engine) freeResources(now time.Time) *freeResources {
-	r := &freeResources{free: make([]workflow.Resources, len(e.sortedWorkers)), doNotFit: make(map[shape]bool), fits: make(map[shape]bool)}
+	r := &freeResources{
+		free: make([]workflow.Resources, len(e.sortedWorkers)), doNotFit: make(map[shape]bool), fits: make(map[shape]bool),
+		now: now, started: make(map[*worker]bool), closed: make(map[*worker]bool),
+	}
 	for _, w := range e.sortedWorkers {
 		if e.usable(w, now) {
 			r.workers = append(r.workers, w)
 			r.free[w.index] = w.free()
+			if e.hostsSuspect(w) {
+				r.closed[w] = true
+			}
 		}
 	}
 	return r
@@ -47,7 +58,7 @@
 // placeCached is like place, but searches only once for units of one shape. Use it
 // only on free resources to which nothing is released.
 func (e *Engine) placeCached(u *unit, r *freeResources) []*worker {
-	if e.cacheDisabled || u.spec().MaxPerWorker > 0 {
+	if e.cacheDisabled || u.spec().MaxPerWorker > 0 || e.isSuspect(u) {
 		return e.place(u, r) // a spread limit depends on where the step's other items run
 	}
 	s := e.shape(u)
@@ -88,15 +99,19 @@
 
 // clone returns a copy, without the caches, for trial releases.
 func (r *freeResources) clone() *freeResources {
-	return &freeResources{workers: r.workers, free: slices.Clone(r.free)}
+	return &freeResources{workers: r.workers, free: slices.Clone(r.free), now: r.now, started: maps.Clone(r.started), closed: maps.Clone(r.closed)}
 }
 
 // allocate subtracts the needs of u's items from the free resources of their
-// workers.
-func (r *freeResources) allocate(u *unit, placement []*worker) {
+// workers. No further units may start there if u is under suspicion (suspect).
+func (r *freeResources) allocate(u *unit, placement []*worker, suspect bool) {
 	for _, w := range placement {
 		r.free[w.index] = r.free[w.index].Add(u.spec().Needs(), -1)
 		r.cachedTotals = nil
+		r.started[w] = true
+		if suspect {
+			r.closed[w] = true
+		}
 		clear(r.fits)
 	}
 }
@@ -149,10 +164,13 @@
 func (e *Engine) place(u *unit, r *freeResources) []*worker {
 	var fitting []*worker
 	for _, w := range r.workers {
-		if itemsThatFit(u, w, r.free[w.index]) > 0 && e.isEligible(u, w) {
+		if !r.closed[w] && itemsThatFit(u, w, r.free[w.index]) > 0 && e.isEligible(u, w) {
 			fitting = append(fitting, w)
 		}
 	}
+	if e.isSuspect(u) {
+		fitting = r.workersForSuspect(fitting)
+	}
 	if len(fitting) == 0 {
 		return nil
 	}
@@ -162,6 +180,27 @@
 	return pack(u, r, e.sortByPreference(u, r, fitting))
 }
 
+// workersForSuspect returns the workers among fitting without a recent start, so that a crash
+// can be attributed. If there are none, it closes the one with the fewest runs to other units
+// until its last start is no longer recent.
+func (r *freeResources) workersForSuspect(fitting []*worker) []*worker {
+	var out []*worker
+	var fewest *worker
+	for _, w := range fitting {
+		if !r.started[w] && !w.hasRecentStart(r.now) {
+			out = append(out, w)
+		}
+		if fewest == nil || len(w.members) < len(fewest.members) {
+			fewest = w
+		}
+	}
+	if len(out) == 0 && fewest != nil {
+		r.closed[fewest] = true
+		clear(r.fits)
+	}
+	return out
+}
+
 // placeInRack places a gang in one rack: in the preferred one, or else in the
 // fitting one with the fewest free accelerators. It spreads the gang over racks
 // only if no rack could hold it even when empty.
@@ -217,7 +256,8 @@
 // sortByPreference returns the workers in the order in which u should fill them:
 // first those on which it has not failed, then those in its preferred rack, where
 // its data is, then those with the least free resources (best fit), so that whole
-// workers stay free for large items.
+// workers stay free for large items. A suspect unit prefers those with the fewest runs,
+// which a crash would end.
 func (e *Engine) sortByPreference(u *unit, r *freeResources, workers []*worker) []*worker {
 	penalty := func(w *worker) int {
 		n := 0
@@ -229,9 +269,17 @@
 		}
 		return n
 	}
+	suspect := e.isSuspect(u)
+	runsAtRisk := func(w *worker) int {
+		if suspect {
+			return len(w.members)
+		}
+		return 0
+	}
 	sorted := slices.Clone(workers)
 	slices.SortStableFunc(sorted, func(a, b *worker) int {
 		return cmp.Or(
+			cmp.Compare(runsAtRisk(a), runsAtRisk(b)),
 			cmp.Compare(penalty(a), penalty(b)),
 			cmp.Compare(r.free[a.index].Accelerators, r.free[b.index].Accelerators),
 			cmp.Compare(r.free[a.index].MilliCPU, r.free[b.index].MilliCPU),
--- a/internal/workflow/engine/progress.go
+++ b/internal/workflow/engine/progress.go
@@ -104,7 +104,7 @@
 
 // progressRecord returns the progress of a job as it is to be stored.
 func (j *job) progressRecord() *workflow.Progress {
-	p := &workflow.Progress{State: j.state, EndedMS: j.endedMS, Seq: j.seq}
+	p := &workflow.Progress{State: j.state, EndedMS: j.endedMS, Seq: j.seq, Crashes: j.crashRecords()}
 	if p.State == workflow.StatePending && j.hasStarted {
 		p.State = workflow.StateActive
 	}
@@ -147,6 +147,7 @@
 		}
 		e.restoreMembers(u, up.Members)
 	}
+	j.restoreCrashes(p.Crashes)
 }
 
 // restoreMembers restores the members of a unit's latest run. Those that have not
@@ -162,6 +163,7 @@
 		if m.end == "" {
 			open = true
 			m.worker.members = append(m.worker.members, m)
+			m.worker.inheritedRuns = true
 		} else if !u.done && u.count > 1 {
 			u.stop("gang broken")
 		}
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -25,8 +25,12 @@
 	hasLeft         bool                   // the agent has reported that the worker left
 	unconfirmed     bool                   // the agent has refused a start for the incarnation since the latest report
 	members         []*member              // that may be running, in order of their starts
-	unexpected      map[runKey]bool        // runs in the latest report that no member stands for
-	health          health
+	lapsed          []*member              // of the incarnation, ended with its lease; the worker may have crashed under them
+	// inheritedRuns reports that the term began with runs of an earlier planner here, and
+	// lostInheritedRuns that a crash has ended them.
+	inheritedRuns, lostInheritedRuns bool
+	unexpected                       map[runKey]bool // runs in the latest report that no member stands for
+	health                           health
 }
 
 // AddWorker adds the worker of a node, if it is new. Nothing starts on it before its
@@ -74,6 +78,7 @@
 		return
 	}
 	w.clockMS, w.reportedAt, w.hasLeft, w.unconfirmed = reply.Report.ClockMS, now, false, false
+	w.lapsed = nil
 	e.reconcileRuns(w, reply.Report, now)
 }
 
@@ -85,6 +90,7 @@
 	w.incarnation, w.instance, w.startedMS = incarnation, report.Instance, report.StartedMS
 	w.announcement, w.clockMS, w.maxLeaseUntilMS, w.lastEndNumber, w.hasLeft = nil, 0, 0, 0, false
 	w.health = health{}
+	e.recordCrashesOfLapsedRuns(w, now)
 	listed := listedRuns(report)
 	for _, m := range slices.Clone(w.members) {
 		switch {
@@ -99,9 +105,27 @@
 			// begun there.
 			m.unit.stop("worker restarted")
 		default:
+			w.lostInheritedRuns = w.lostInheritedRuns || m.inherited
+			e.recordCrash(m, w.reportedAt)
 			e.endMember(m, workflow.EndLost, "", now)
 		}
 	}
+	if w.lostInheritedRuns {
+		e.updateMassRestart()
+	}
+}
+
+// recordCrashesOfLapsedRuns counts the crash of a worker that was silent until its lease had
+// expired, and is back as a new incarnation.
+func (e *Engine) recordCrashesOfLapsedRuns(w *worker, now time.Time) {
+	for _, m := range w.lapsed {
+		e.recordCrash(m, w.reportedAt)
+		if !m.unit.done {
+			e.stopIfExhausted(m.unit.job)
+			e.endJobIfFinished(m.unit.job, now)
+		}
+	}
+	w.lapsed = nil
 }
 
 // moveToIncarnation assigns a member to the present incarnation of its worker. What is
@@ -180,6 +204,9 @@
 			if m.listed || m.startConfirmedMS > 0 || m.moved {
 				how = workflow.EndLost
 			}
+			if m.moved && !m.listed {
+				e.recordCrash(m, now) // the start took effect on the former incarnation, if at all
+			}
 			e.endMember(m, how, "", now)
 		}
 	}
@@ -207,6 +234,9 @@
 	if !m.listed {
 		m.listed, m.startedAt, m.percentChangedAt, m.firstPercent, m.percent = true, now, now, r.Percent, r.Percent
 	}
+	if !m.startedRecently(now) {
+		e.recordSurvival(m)
+	}
 	if r.Percent != m.percent {
 		m.percent, m.percentChangedAt = r.Percent, now
 	}
@@ -220,6 +250,7 @@
 	for _, w := range e.sortedWorkers {
 		if len(w.members) > 0 && now.After(e.leaseExpiry(w)) {
 			for _, m := range slices.Clone(w.members) {
+				w.lapsed = append(w.lapsed, m)
 				e.endMember(m, workflow.EndLapsed, "", now)
 			}
 		}
--- a/internal/workflow/engine/world_test.go
+++ b/internal/workflow/engine/world_test.go
@@ -36,6 +36,8 @@
 	hideCancels      bool                     // keeps cancellations from the planner, to test the check
 	noRandomFailures bool                     // runs do not fail at random
 	runTimes         map[string]time.Duration // true run times by item; random if absent
+	crashDelay       time.Duration            // time after which an item with payload "deadly" crashes its worker
+	crashDowntime    time.Duration            // time until such a worker starts again
 }
 
 // delayedOrder is an order on its way to a worker.
--- a/internal/workflow/engine/world_worker_test.go
+++ b/internal/workflow/engine/world_worker_test.go
@@ -20,6 +20,7 @@
 	how       workflow.End
 	worker    *modelWorker
 	waiting   bool // a gang member that waits for the others
+	crashed   bool // the run has crashed its worker
 }
 
 // modelWorker is a simulated worker with its agent. The worker keeps its id over restarts, so
@@ -31,6 +32,7 @@
 	startedMS        int64
 	knownStartedMS   int64     // incarnation that the agent knows
 	noticedAt        time.Time // when the agent notices the latest crash
+	downUntil        time.Time // when a crashed worker starts again; zero if it is up
 	agentEpoch       uint64    // the agent refuses calls of earlier epochs, also after a restart of the worker
 	clockOrigin      time.Time // start of the worker's clock
 	clockRate        float64   // rate of the worker's clock; 1 is that of true time
@@ -87,12 +89,23 @@
 
 // tick ends the runs that are due at the present time.
 func (m *modelWorker) tick() {
+	if !m.downUntil.IsZero() && !m.env.now.Before(m.downUntil) {
+		m.downUntil = time.Time{}
+		m.crash()
+	}
 	for _, r := range append([]*modelRun(nil), m.running...) {
 		if r.ended {
 			continue // ended together with another member of its gang
 		}
 		step := &m.env.jobs[r.ref.Job].Steps[r.ref.Step]
 		switch {
+		case m.env.jobs[r.ref.Job].Payload == "deadly" && !r.waiting && m.env.now.Sub(r.startedAt) >= m.env.crashDelay:
+			r.crashed = true
+			for _, o := range m.running {
+				o.ended = true
+			}
+			m.running, m.downUntil, m.unreachableUntil = nil, m.env.now.Add(m.env.crashDowntime), m.env.now.Add(m.env.crashDowntime)
+			return
 		case m.clockMS() > m.leaseUntilMS:
 			m.finish(r, workflow.EndLapsed)
 		case !r.stopAt.IsZero() && !m.env.now.Before(r.stopAt):
@@ -254,6 +267,18 @@
 	if w.acknowledgedFailures[name] >= 3 {
 		w.recordViolation("BUDGET: %s starts after %d acknowledged failures", name, w.acknowledgedFailures[name])
 	}
+	crashes, startsAfterThird := 0, 0
+	for _, other := range w.runsByItem[name] {
+		if crashes >= 3 {
+			startsAfterThird++
+		}
+		if other.crashed {
+			crashes++
+		}
+	}
+	if crashes >= 3 && startsAfterThird >= 2 {
+		w.recordViolation("BUDGET: %s starts three times more after three crashes", name)
+	}
 	w.runsByItem[name] = append(w.runsByItem[name], r)
 	m.running = append(m.running, r)
 }
--- a/internal/workflow/records.go
+++ b/internal/workflow/records.go
@@ -48,6 +48,19 @@
 	Units   []UnitProgress `cbor:"3,keyasint,omitempty"`
 	// Seq differs between any two versions of the record.
 	Seq uint64 `cbor:"4,keyasint"`
+	// Crashes counts the crashes of workers under the items that have met any.
+	Crashes []ItemCrashes `cbor:"5,keyasint,omitempty"`
+}
+
+// ItemCrashes counts the crashes of workers under one item. It is encoded as an array: the
+// order of its fields must not change.
+type ItemCrashes struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Index      int // of the item within the step
+	AtStart    int // crashes soon after the item's start, since a run last survived it
+	Total      int
 }
 
 // UnitProgress is the progress of a unit, which is a gang or a single item. It
