Let an item crash the stand-in worker that runs it, and check how often it starts

Cause: new rules of the platform: "A work item may crash each worker that starts it; the worker is back after some seconds", and "A work item that crashes the workers that start it must not be started three times more after three workers have crashed under it". The stand-in could show neither the fault nor a break of the rule. Change: the payload's crashMs and downMs crash the worker that long after the run began and bring it back under its id. The pool records a violation for each start of such an item from the third one after three crashes on. Each incarnation of a worker counts as a worker, and each crash during a run of the item counts, whatever caused it. Other items that ran there are not checked.

--- a/internal/standin/platformworker/restart.go
+++ b/internal/standin/platformworker/restart.go
@@ -1,6 +1,9 @@
 package platformworker
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // portRetryInterval is the interval between attempts to listen on a worker's port again.
 // An outgoing connection of another process may hold that port for a while.
@@ -70,3 +73,49 @@
 	w.fencingToken, w.leaseEndMS, w.running, w.unacknowledgedEnds, w.lastEndNumber, w.draining = 0, 0, nil, nil, 0, false
 	w.highestRun, w.runByEndNumber, w.leaseExpiredAt = make(map[string]int), make(map[int]*run), time.Time{}
 }
+
+// begin starts the run time of r.
+func (r *run) begin() {
+	r.beganAt = time.Now()
+	if r.payload.CrashMS > 0 {
+		time.AfterFunc(time.Duration(r.payload.CrashMS)*time.Millisecond, r.crashWorker)
+	}
+}
+
+// crashWorker crashes the worker of r unless r has ended.
+func (r *run) crashWorker() {
+	r.worker.pool.mu.Lock()
+	defer r.worker.pool.mu.Unlock()
+	r.worker.advance()
+	if r.outcome == "" {
+		r.worker.goDown(time.Duration(r.payload.DownMS) * time.Millisecond)
+	}
+}
+
+// The platform's rule: an item that crashes the workers that start it must not be started
+// forbiddenStarts times more after crashesToGiveUp workers have crashed under it.
+const (
+	crashesToGiveUp = 3
+	forbiddenStarts = 3
+)
+
+// checkCrashes records a violation if the start o, which is not yet in p.runs, breaks that rule. Each
+// incarnation counts as a worker, and each crash during a run of the item counts, since the system
+// cannot know its cause.
+func (p *Pool) checkCrashes(o *order, payload Payload) {
+	if payload.CrashMS == 0 {
+		return
+	}
+	crashes, starts := 0, 1 // starts counts those after the crashes, including o
+	for _, r := range p.runs[o.Task] {
+		if crashes >= crashesToGiveUp {
+			starts++
+		}
+		if r.outcome == "gone" {
+			crashes++
+		}
+	}
+	if crashes >= crashesToGiveUp && starts >= forbiddenStarts {
+		p.violations = append(p.violations, fmt.Sprintf("%s: run %d is start %d after %d workers had crashed under the item (%d crashes in all)", o.Task, o.RunID, starts, crashesToGiveUp, crashes))
+	}
+}
--- a/internal/standin/platformworker/worker.go
+++ b/internal/standin/platformworker/worker.go
@@ -23,6 +23,10 @@
 	Gang int   `json:"gang"` // size of the gang; 0 and 1 mean no gang
 	Fail bool  `json:"fail"` // the run ends as failed
 	GPUs int   `json:"gpus"` // accelerators in use during the run
+	// CrashMS is the time in milliseconds after which the run crashes its worker; 0 means never. The
+	// worker is back under the same id DownMS milliseconds later.
+	CrashMS int64 `json:"crashMs,omitempty"`
+	DownMS  int64 `json:"downMs,omitempty"`
 }
 
 // Pool is a set of workers and the record of all runs on them.
@@ -40,7 +44,8 @@
 // Violations returns the violations so far. A violation is one of these: two runs of an
 // item at the same time; a start of an item after a run of it was done, if the system
 // acknowledged that end before the worker's lease expired; more accelerators in use than
-// the worker has.
+// the worker has; the third start or a later one of an item that crashes workers, after three
+// had crashed under it.
 func (p *Pool) Violations() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -311,6 +316,7 @@
 			w.pool.violations = append(w.pool.violations, fmt.Sprintf("%s: run %d starts after the item was done", o.Task, o.RunID))
 		}
 	}
+	w.pool.checkCrashes(o, p)
 	usedGPUs := p.GPUs
 	for _, r := range w.running {
 		usedGPUs += r.payload.GPUs
@@ -320,7 +326,7 @@
 	}
 	r := &run{item: o.Task, number: o.RunID, payload: p, worker: w, arrivedAt: time.Now()}
 	if p.Gang <= 1 {
-		r.beganAt = r.arrivedAt
+		r.begin()
 	}
 	w.running = append(w.running, r)
 	w.pool.runs[o.Task] = append(w.pool.runs[o.Task], r)
@@ -459,7 +465,7 @@
 	}
 	if len(members) == r.payload.Gang {
 		for _, o := range members {
-			o.beganAt = time.Now()
+			o.begin()
 		}
 	}
 }
--- a/internal/standin/platformworker/worker_test.go
+++ b/internal/standin/platformworker/worker_test.go
@@ -130,3 +130,30 @@
 	g.Expect(second["born"]).To(BeNumerically(">", first["born"]))
 	g.Expect(second["endedRuns"]).To(Equal([]any{[]any{1.0, "j.0.0.0", 3.0, "done", ""}}))
 }
+
+// Guards against a check that counts the crashes of an item wrongly: a start is a violation from the
+// third one after three crashes on. Items that only run on a crashing worker do not count.
+func TestStartsOfAnItemThatCrashesWorkers(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool()
+	w, err := p.Add("a", "r", "s")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = w.Close() })
+	for run := 1; run <= 7; run++ {
+		innocent := startBody(g, Payload{MS: 60_000}, run, 60_000)
+		innocent["task"] = "k.0.0.0"
+		g.Eventually(func() error {
+			c, err := net.Dial("tcp", w.Addr())
+			if err == nil {
+				_ = c.Close()
+			}
+			return err
+		}).Should(Succeed())
+		for _, start := range []map[string]any{innocent, startBody(g, Payload{MS: 60_000, CrashMS: 20, DownMS: 20}, run, 60_000)} {
+			status, _ := post(g, w, "/api/run-start", start)
+			g.Expect(status).To(Equal(http.StatusOK))
+		}
+		g.Expect(p.Violations()).To(HaveLen(max(0, run-5)), "after start %d", run)
+		g.Eventually(func() []string { return p.RunOutcomes("j.0.0.0") }).Should(HaveEach("gone"))
+	}
+}
