Restart workers under their ids in the soak

Cause: the soak's workers took a new id after each crash, so it could not show what a restart under the same id does. Change: fault 12 restarts a worker under its id, with a downtime of 0.2 to 2 s, beside one in twelve of the other faults.

--- a/internal/proof/soak.go
+++ b/internal/proof/soak.go
@@ -36,7 +36,8 @@
 // soak is one run of load and random faults on a cluster.
 type soak struct {
 	cluster        *WorkflowCluster
-	faultRand      *rand.Rand    // random choices of the faults
+	faultRand      *rand.Rand    // random choices of the faults of kinds 0 to 11
+	crashRand      *rand.Rand    // random choices of the faults of later kinds, which crash workers
 	submitInterval time.Duration // mean time between two submissions
 	trace          io.Writer     // receives a line for each random fault
 	// stopLoad stops the submission of jobs and waits until all callers have their responses.
@@ -58,7 +59,9 @@
 // Soak runs load and random faults for duration, then waits until all jobs have ended. It returns
 // an error with all violations that callers or workers observed.
 func Soak(ctx context.Context, e Env, duration time.Duration) error {
-	s := &soak{faultRand: rand.New(rand.NewPCG(e.Seed, 2)), submitInterval: soakSubmitInterval, trace: e.Trace}
+	s := &soak{
+		faultRand: rand.New(rand.NewPCG(e.Seed, 2)), crashRand: rand.New(rand.NewPCG(e.Seed, 6)), submitInterval: soakSubmitInterval, trace: e.Trace,
+	}
 	err := s.runScenario(ctx, e, rand.New(rand.NewPCG(e.Seed, 3)), func(ctx context.Context) error {
 		ctx, stop := context.WithTimeout(ctx, duration)
 		defer stop()
@@ -169,16 +172,25 @@
 func (s *soak) injectFaults(ctx context.Context, wg *sync.WaitGroup) {
 	for ctx.Err() == nil {
 		kernel.Sleep(ctx, time.Duration(s.faultRand.Int64N(int64(2*soakFaultInterval))))
-		nodes := s.cluster.nodes()
-		n := nodes[s.faultRand.IntN(len(nodes))]
-		w := s.cluster.Workers[s.faultRand.IntN(len(s.cluster.Workers))]
-		duration := time.Duration(s.faultRand.Int64N(int64(4 * time.Second)))
-		kind := s.faultRand.IntN(12)
-		fmt.Fprintf(s.trace, "fault %d on %s, worker %s, %v\n", kind, n.Name, w.Addr(), duration)
-		wg.Go(func() { s.applyFault(kind, n, w, duration) })
+		s.injectFault(wg, s.faultRand, 0, 12)
+		// Drawn apart, so that a seed keeps its faults of the kinds before.
+		if s.crashRand.IntN(12) == 0 {
+			s.injectFault(wg, s.crashRand, 12, 1)
+		}
 	}
 }
 
+// injectFault injects a random fault of one of the given number of kinds from first on.
+func (s *soak) injectFault(wg *sync.WaitGroup, rng *rand.Rand, first, kinds int) {
+	nodes := s.cluster.nodes()
+	n := nodes[rng.IntN(len(nodes))]
+	w := s.cluster.Workers[rng.IntN(len(s.cluster.Workers))]
+	duration := time.Duration(rng.Int64N(int64(4 * time.Second)))
+	kind := first + rng.IntN(kinds)
+	fmt.Fprintf(s.trace, "fault %d on %s, worker %s, %v\n", kind, n.Name, w.Addr(), duration)
+	wg.Go(func() { s.applyFault(kind, n, w, duration) })
+}
+
 // applyFault injects a fault of the given kind and returns when it has ended. The kinds are:
 //
 //   - 0 and 1: kill n and start it again
@@ -192,6 +204,7 @@
 //   - 9: cut n off from the other processes
 //   - 10: drop the history of the store and lose the next responses of w to starts and stops
 //   - 11: w announces that it is draining, then crashes
+//   - 12: w crashes and starts again under its id, 0.2 to 2 s later
 //
 // The choice of a way in 6 to 8 follows from duration.
 func (s *soak) applyFault(kind int, n *WorkflowNode, w *platformworker.Worker, duration time.Duration) {
@@ -241,9 +254,15 @@
 		w.Drain()
 		time.Sleep(duration)
 		w.Crash()
+	case 12:
+		w.Restart(soakDowntime(duration))
+		time.Sleep(soakDowntime(duration))
 	}
 }
 
+// soakDowntime returns the downtime of a worker for a fault of the given duration, which is below 4 s.
+func soakDowntime(duration time.Duration) time.Duration { return 200*time.Millisecond + duration*9/20 }
+
 // setStoreFaults sets the faults of the store for all processes of the cluster.
 func (s *soak) setStoreFaults(f platformstore.Faults) {
 	for _, n := range s.cluster.nodes() {
