Submit jobs to the soak that crash their workers

Change: fault 13 submits a job whose item crashes each worker up to 0.5 s after its start; the worker is back under its id after 0.2 to 2 s. All other jobs have to end as before. Faults 12 and 13 together come beside one in six of the other faults. The present code fails each soak with such a job: lost runs do not count as attempts, so the job starts again for ever.

--- a/internal/proof/soak.go
+++ b/internal/proof/soak.go
@@ -116,6 +116,12 @@
 	s.violations = append(s.violations, fmt.Sprintf(format, args...))
 }
 
+func (s *soak) addJob(j *soakJob) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.jobs = append(s.jobs, j)
+}
+
 // submitJobs submits jobs until ctx ends, each from a caller of its own, and waits for the callers.
 func (s *soak) submitJobs(ctx context.Context, rng *rand.Rand) {
 	var wg sync.WaitGroup
@@ -130,9 +136,7 @@
 		j.path = queuePrefix + j.id
 		body := WorkflowSteps(j.payload, count)
 		cancel, firstEntry := rng.IntN(8) == 0, rng.IntN(soakEntries)
-		s.mu.Lock()
-		s.jobs = append(s.jobs, j)
-		s.mu.Unlock()
+		s.addJob(j)
 		wg.Go(func() { s.submit(j, body, firstEntry, cancel) })
 	}
 	wg.Wait()
@@ -174,8 +178,8 @@
 		kernel.Sleep(ctx, time.Duration(s.faultRand.Int64N(int64(2*soakFaultInterval))))
 		s.injectFault(wg, s.faultRand, 0, 12)
 		// Drawn apart, so that a seed keeps its faults of the kinds before.
-		if s.crashRand.IntN(12) == 0 {
-			s.injectFault(wg, s.crashRand, 12, 1)
+		if s.crashRand.IntN(6) == 0 {
+			s.injectFault(wg, s.crashRand, 12, 2)
 		}
 	}
 }
@@ -205,6 +209,7 @@
 //   - 10: drop the history of the store and lose the next responses of w to starts and stops
 //   - 11: w announces that it is draining, then crashes
 //   - 12: w crashes and starts again under its id, 0.2 to 2 s later
+//   - 13: submit a job that crashes each worker that starts it, and has to fail
 //
 // The choice of a way in 6 to 8 follows from duration.
 func (s *soak) applyFault(kind int, n *WorkflowNode, w *platformworker.Worker, duration time.Duration) {
@@ -257,6 +262,12 @@
 	case 12:
 		w.Restart(soakDowntime(duration))
 		time.Sleep(soakDowntime(duration))
+	case 13:
+		p := platformworker.Payload{MS: 60_000, GPUs: 1, CrashMS: 1 + duration.Milliseconds()/8, DownMS: soakDowntime(duration).Milliseconds()}
+		j := &soakJob{id: fmt.Sprintf("d%015x", int64(duration)), payload: p} // the ids of the load begin with 0
+		j.path = "/batch/" + j.id
+		s.addJob(j)
+		s.submit(j, WorkflowSteps(p, 1), int(duration)%soakEntries, false)
 	}
 }
 
@@ -318,7 +329,7 @@
 // expects, or an empty text if it doesn't differ.
 func (s *soak) jobProblem(j *soakJob) string {
 	status, state := s.cluster.State(s.cluster.Entries[0], j.path)
-	begun := !s.cluster.Pool.LastStart(j.id).IsZero()
+	begun, mustFail := !s.cluster.Pool.LastStart(j.id).IsZero(), j.payload.Fail || j.payload.CrashMS > 0
 	switch {
 	case j.allRefused && begun:
 		return "the job was refused, but ran"
@@ -327,10 +338,10 @@
 	case status != http.StatusOK:
 		return fmt.Sprintf("status %d", status)
 	case !j.cancelled.IsZero():
-		if state == "canceled" || state == "complete" || state == "failed" && j.payload.Fail {
+		if state == "canceled" || state == "complete" || state == "failed" && mustFail {
 			return ""
 		}
-	case state == "complete" && !j.payload.Fail, state == "failed" && j.payload.Fail:
+	case state == "complete" && !mustFail, state == "failed" && mustFail:
 		return ""
 	}
 	return fmt.Sprintf("state %q", state)
