Record a start after the end of an item once

Cause: the stand-in recorded such a start once for each earlier run of the item, so one fault filled the list of violations. Change: the check stands after the loop over the earlier runs. An item whose end was acknowledged has at least one, so no start is missed.

--- a/internal/standin/platformworker/worker.go
+++ b/internal/standin/platformworker/worker.go
@@ -312,9 +312,9 @@
 		if other.outcome == "" {
 			w.pool.violations = append(w.pool.violations, fmt.Sprintf("%s: run %d starts while run %d has not ended", o.Task, o.RunID, other.number))
 		}
-		if w.pool.acked[o.Task] {
-			w.pool.violations = append(w.pool.violations, fmt.Sprintf("%s: run %d starts after the item was done", o.Task, o.RunID))
-		}
+	}
+	if w.pool.acked[o.Task] {
+		w.pool.violations = append(w.pool.violations, fmt.Sprintf("%s: run %d starts after the item was done", o.Task, o.RunID))
 	}
 	w.pool.checkCrashes(o, p)
 	usedGPUs := p.GPUs
