Shorten the leases of stand-in workers as the platform does

Cause: PROTOCOL: a lease lasts at most maxHoldMs, a longer one is shortened. The stand-in took any deadline. After a restart under the same id, a deadline of the former incarnation's clock is far ahead on the new clock, which starts anew, so runs could outlive every lease of the platform. Change: a lease ends at most 6 s (the platform's maxHoldMs) after the call that extends it.

--- a/internal/standin/platformworker/worker.go
+++ b/internal/standin/platformworker/worker.go
@@ -284,7 +284,7 @@
 	case o.DeadlineMs <= w.clockMS():
 		return conflict("late")
 	}
-	w.fencingToken, w.leaseEndMS = o.FencingToken, max(w.leaseEndMS, o.DeadlineMs)
+	w.extendLease(o)
 	for _, r := range w.running {
 		if r.item == o.Task && r.number == o.RunID {
 			return http.StatusOK, map[string]any{}
@@ -332,6 +332,14 @@
 	w.pool.runs[o.Task] = append(w.pool.runs[o.Task], r)
 }
 
+// maxHoldMS is the longest lease in milliseconds, maxHoldMs of the platform.
+const maxHoldMS = 6000
+
+// extendLease takes the fencing token and the deadline of an order.
+func (w *Worker) extendLease(o *order) {
+	w.fencingToken, w.leaseEndMS = o.FencingToken, max(w.leaseEndMS, min(o.DeadlineMs, w.clockMS()+maxHoldMS))
+}
+
 func (w *Worker) handleStop(o *order) (int, map[string]any) {
 	w.advance()
 	if o.FencingToken < w.fencingToken {
@@ -353,7 +361,7 @@
 // releases the pool's lock while it waits.
 func (w *Worker) handleHold(o *order) (int, map[string]any) {
 	if o.FencingToken >= w.fencingToken {
-		w.fencingToken, w.leaseEndMS = o.FencingToken, max(w.leaseEndMS, o.DeadlineMs)
+		w.extendLease(o)
 		unacknowledged := w.unacknowledgedEnds[:0]
 		for _, end := range w.unacknowledgedEnds {
 			if n := end[0].(int); n > o.AckCursor {
--- a/internal/standin/platformworker/worker_test.go
+++ b/internal/standin/platformworker/worker_test.go
@@ -157,3 +157,18 @@
 		g.Eventually(func() []string { return p.RunOutcomes("j.0.0.0") }).Should(HaveEach("gone"))
 	}
 }
+
+// Guards against tests in which runs outlive the longest lease that the platform grants: a deadline
+// of the former incarnation's clock may be far ahead on the clock of the next one.
+func TestLongLeasesAreShortened(t *testing.T) {
+	g := NewWithT(t)
+	p := NewPool()
+	w, err := p.Add("a", "r", "s")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = w.Close() })
+	postStart(g, w, 1, 600_000)
+	_, _ = post(g, w, "/api/hold", map[string]any{"fencingToken": 1, "deadlineMs": 600_000})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g.Expect(w.leaseEndMS).To(And(BeNumerically(">", 1000), BeNumerically("<=", w.clockMS()+maxHoldMS)))
+}
