--- a/internal/standin/platformworker/restart.go
+++ b/internal/standin/platformworker/restart.go
@@ -88,27 +88,30 @@
 	defer r.worker.pool.mu.Unlock()
 	r.worker.advance()
 	if r.outcome == "" {
-		r.crashedWorker = true
 		r.worker.goDown(time.Duration(r.payload.DownMS) * time.Millisecond)
 	}
 }
 
 // The platform's rule: an item that crashes the workers that start it must not be started
-// forbiddenStarts times more after crashesToGiveUp workers have crashed under it. Each incarnation
-// counts as a worker.
+// forbiddenStarts times more after crashesToGiveUp workers have crashed under it.
 const (
 	crashesToGiveUp = 3
 	forbiddenStarts = 3
 )
 
-// checkCrashes records a violation if the start o, which is not yet in p.runs, breaks that rule.
-func (p *Pool) checkCrashes(o *order) {
+// checkCrashes records a violation if the start o, which is not yet in p.runs, breaks that rule. Each
+// incarnation counts as a worker, and each crash during a run of the item counts, since the system
+// cannot know its cause.
+func (p *Pool) checkCrashes(o *order, payload Payload) {
+	if payload.CrashMS == 0 {
+		return
+	}
 	crashes, starts := 0, 1 // starts counts those after the crashes, including o
 	for _, r := range p.runs[o.Task] {
 		if crashes >= crashesToGiveUp {
 			starts++
 		}
-		if r.crashedWorker {
+		if r.outcome == "gone" {
 			crashes++
 		}
 	}
--- a/internal/standin/platformworker/worker.go
+++ b/internal/standin/platformworker/worker.go
@@ -44,8 +44,8 @@
 // Violations returns the violations so far. A violation is one of these: two runs of an
 // item at the same time; a start of an item after a run of it was done, if the system
 // acknowledged that end before the worker's lease expired; more accelerators in use than
-// the worker has; the third start or a later one of an item under which three workers had
-// crashed by its own fault.
+// the worker has; the third start or a later one of an item that crashes workers, after three
+// had crashed under it.
 func (p *Pool) Violations() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -105,8 +105,7 @@
 	// outcome is empty until the run ends, and then done, failed, stopped, lapsed (the
 	// lease expired), alone (the gang was not complete in time) or gone (the worker
 	// crashed).
-	outcome       string
-	crashedWorker bool // the run has crashed its worker
+	outcome string
 }
 
 // gpusPerWorker is the number of accelerators of a worker.
@@ -285,7 +284,7 @@
 	case o.DeadlineMs <= w.clockMS():
 		return conflict("late")
 	}
-	w.fencingToken, w.leaseEndMS = o.FencingToken, max(w.leaseEndMS, o.DeadlineMs)
+	w.extendLease(o)
 	for _, r := range w.running {
 		if r.item == o.Task && r.number == o.RunID {
 			return http.StatusOK, map[string]any{}
@@ -313,11 +312,11 @@
 		if other.outcome == "" {
 			w.pool.violations = append(w.pool.violations, fmt.Sprintf("%s: run %d starts while run %d has not ended", o.Task, o.RunID, other.number))
 		}
-		if w.pool.acked[o.Task] {
-			w.pool.violations = append(w.pool.violations, fmt.Sprintf("%s: run %d starts after the item was done", o.Task, o.RunID))
-		}
 	}
-	w.pool.checkCrashes(o)
+	if w.pool.acked[o.Task] {
+		w.pool.violations = append(w.pool.violations, fmt.Sprintf("%s: run %d starts after the item was done", o.Task, o.RunID))
+	}
+	w.pool.checkCrashes(o, p)
 	usedGPUs := p.GPUs
 	for _, r := range w.running {
 		usedGPUs += r.payload.GPUs
@@ -333,6 +332,14 @@
 	w.pool.runs[o.Task] = append(w.pool.runs[o.Task], r)
 }
 
+// maxHoldMS is the longest lease in milliseconds, maxHoldMs of the platform.
+const maxHoldMS = 6000
+
+// extendLease takes the fencing token and the deadline of an order.
+func (w *Worker) extendLease(o *order) {
+	w.fencingToken, w.leaseEndMS = o.FencingToken, max(w.leaseEndMS, min(o.DeadlineMs, w.clockMS()+maxHoldMS))
+}
+
 func (w *Worker) handleStop(o *order) (int, map[string]any) {
 	w.advance()
 	if o.FencingToken < w.fencingToken {
@@ -354,7 +361,7 @@
 // releases the pool's lock while it waits.
 func (w *Worker) handleHold(o *order) (int, map[string]any) {
 	if o.FencingToken >= w.fencingToken {
-		w.fencingToken, w.leaseEndMS = o.FencingToken, max(w.leaseEndMS, o.DeadlineMs)
+		w.extendLease(o)
 		unacknowledged := w.unacknowledgedEnds[:0]
 		for _, end := range w.unacknowledgedEnds {
 			if n := end[0].(int); n > o.AckCursor {
