Do not take the confirmation of a next incarnation for one of the former

A report of the former one that arrives later has a higher clock and does not list the run, so the planner ends it as lost and starts it again. Change: a confirmation with a clock below that of the last report proves another incarnation. The outcome is unknown then, and no start passes until the worker has answered another poll. The test fails before.

--- a/internal/workflow/runner/order.go
+++ b/internal/workflow/runner/order.go
@@ -91,6 +91,23 @@
 	return r.isConfirmed() && startedMS == r.startedMS && (startedMS != 0 || instance == r.instance)
 }
 
+// reportedClockMS returns the worker's clock in its latest report, 0 if there is none.
+func (r *Runner) reportedClockMS() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.workerReport == nil {
+		return 0
+	}
+	return r.workerReport.ClockMS
+}
+
+// doubtIncarnation lets no start pass until the worker has answered another poll.
+func (r *Runner) doubtIncarnation() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answeredAt = time.Time{}
+}
+
 // attemptUntilResponse repeats an order until an attempt gets a response or ctx
 // ends, as long as mayAttempt returns true. A refusal that follows an attempt without
 // a response leaves the outcome unknown: the earlier attempt may have taken effect, or
@@ -100,6 +117,7 @@
 func (r *Runner) attemptUntilResponse(ctx context.Context, mayAttempt func() bool, attempt func(context.Context) (workflow.OrderOutcome, error)) workflow.OrderOutcome {
 	outcomeUnknown := false
 	for {
+		clockBefore := r.reportedClockMS()
 		if !mayAttempt() {
 			if outcomeUnknown {
 				return workflow.OrderOutcome{}
@@ -112,6 +130,10 @@
 		switch {
 		case err == nil && out.Verdict == workflow.VerdictRefused && outcomeUnknown && out.Reason != workflow.ReasonInstance:
 			return workflow.OrderOutcome{Reason: out.Reason}
+		case err == nil && out.ClockMS < clockBefore && out.Verdict == workflow.VerdictDone:
+			// The clock starts anew with each incarnation, so another one has carried this out.
+			r.doubtIncarnation()
+			return workflow.OrderOutcome{}
 		case err == nil:
 			return out
 		case errors.Is(err, ErrNoListener):
--- a/internal/workflow/runner/runner_test.go
+++ b/internal/workflow/runner/runner_test.go
@@ -263,3 +263,22 @@
 		g.Expect(w.leaseLimits[len(w.leaseLimits)-1]).To(BeZero())
 	})
 }
+
+// Guards against a start that the next incarnation has carried out and that counts as confirmed by
+// the former one: its clock is compared with that of reports, and the run would seem to be missing.
+func TestConfirmationOfANextIncarnationIsNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := &fakeWorker{report: workflow.WorkerReport{Instance: "w", StartedMS: 5, ClockMS: 500}, starts: attempts{respondWith(workflow.VerdictDone, "")}}
+		r := New(w)
+		_, err := r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 1})
+		g.Expect(err).NotTo(HaveOccurred())
+		order := &workflow.OrderRequest{Epoch: 1, Instance: "w", StartedMS: 5, Starts: []workflow.StartOrder{{Run: 1}}}
+		reply, err := r.Order(t.Context(), order)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.Starts[0]).To(Equal(workflow.OrderOutcome{}))
+		reply, err = r.Order(t.Context(), order)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.Starts[0].Verdict).To(Equal(workflow.VerdictRefused), "before the next poll")
+	})
+}
