Count the age of a worker's answer from its request

Found by the review: an agent that was stopped while an answer waited to be read took that answer for a new one, although the worker might have restarted under its id meanwhile, and passed starts for the former incarnation on. Change: an answer that is read later than its call may last does not confirm the incarnation, and a confirmation that a cancelled poll could not renew is too old. The new case of the test fails before.

--- a/internal/workflow/runner/order.go
+++ b/internal/workflow/runner/order.go
@@ -88,7 +88,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.isConfirmed() && startedMS == r.startedMS && (startedMS != 0 || instance == r.instance)
+	return r.isConfirmed() && time.Since(r.answeredAt) <= maxAnswerAge && startedMS == r.startedMS && (startedMS != 0 || instance == r.instance)
 }
 
 // reportedClockMS returns the worker's clock in its latest report, 0 if there is none.
--- a/internal/workflow/runner/runner.go
+++ b/internal/workflow/runner/runner.go
@@ -210,6 +210,7 @@
 		}
 		return 0
 	}
+	sentAt := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	report, err := r.api.Hold(callCtx, instance, epoch, ackedEnds, leaseUntil, wait)
@@ -231,7 +232,10 @@
 		log.WithFields(log.Fields{"event": "worker_incarnation", "worker": report.Instance, "born": report.StartedMS, "former": r.instance}).Info("a new incarnation of the worker has responded")
 		r.startedMS, r.leaseUntilMS, r.ackedEnds = report.StartedMS, 0, 0
 	}
-	r.instance, r.answeredAt = report.Instance, time.Now()
+	r.instance, r.answeredAt = report.Instance, time.Time{}
+	if time.Since(sentAt) <= wait+callTimeout {
+		r.answeredAt = time.Now()
+	} // else the agent was stopped, and the worker may have restarted after it had answered
 	reportChanged := r.workerReport == nil || len(report.Ended) > 0 || r.workerReportEpoch != epoch || len(report.Running) != len(r.workerReport.Running)
 	r.workerReport, r.workerReportEpoch, r.hasLeft = report, epoch, false
 	if reportChanged {
--- a/internal/workflow/runner/runner_test.go
+++ b/internal/workflow/runner/runner_test.go
@@ -24,6 +24,7 @@
 	acked       []uint64 // acknowledgements received
 	epochs      []uint64
 	err         error
+	delay       time.Duration // of the next answer, after it was made
 }
 
 func (f *fakeWorker) Hold(ctx context.Context, _ string, epoch, acked uint64, leaseUntilMS int64, wait time.Duration) (*workflow.WorkerReport, error) {
@@ -36,6 +37,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	defer func() { time.Sleep(f.delay); f.delay = 0 }()
 	if f.err != nil {
 		return nil, f.err
 	}
@@ -200,6 +202,11 @@
 			time.Sleep(5 * time.Second)
 			w.report.StartedMS = 6
 		}},
+		{"the next one has started while the agent was stopped, before it read an answer", func(ctx context.Context, r *Runner, w *fakeWorker) {
+			w.delay = 6 * time.Second
+			r.poll(ctx, 0)
+			w.report.StartedMS, w.report.ClockMS = 6, 0
+		}},
 		{"the worker does not answer polls", func(ctx context.Context, r *Runner, w *fakeWorker) {
 			w.err = ErrNoListener
 			r.poll(ctx, 0)
