Attribute draining and deregistration to one incarnation of a worker

Found by the review: a deregistration, which names only the id, and a draining announcement of a former incarnation that arrived late made the agent treat the next incarnation as draining or as gone. Its runs were stopped, its starts refused, and a later crash counted as an orderly departure, which ends runs at once. Change: a deregistration counts only for an incarnation that has announced that it drains; draining and departure are compared by the time of birth. The three cases of the test fail before.

--- a/internal/workflow/runner/order.go
+++ b/internal/workflow/runner/order.go
@@ -28,7 +28,7 @@
 // is in the reply.
 func (r *Runner) Order(ctx context.Context, req *workflow.OrderRequest) (*workflow.OrderReply, error) {
 	r.mu.Lock()
-	epoch, draining := r.epoch, r.announced != nil && r.announced.Instance == req.Instance && r.announced.Draining
+	epoch, draining := r.epoch, r.announced != nil && r.announced.Instance == req.Instance && r.announced.StartedMS == req.StartedMS && r.announced.Draining
 	r.mu.Unlock()
 	if req.Epoch < epoch {
 		return nil, result.Errorf(result.Fenced, "epoch %d is older than %d", req.Epoch, epoch)
--- a/internal/workflow/runner/runner.go
+++ b/internal/workflow/runner/runner.go
@@ -85,7 +85,7 @@
 	leaseUntilMS      int64
 	ackedEnds         uint64
 	announced         *workflow.Announcement
-	deregistered      string // instance that has deregistered last
+	deregistered      *workflow.Announcement // latest one of the incarnation that has deregistered last, nil for none
 	workerReport      *workflow.WorkerReport
 	workerReportEpoch uint64        // epoch of the poll that returned workerReport
 	hasLeft           bool          // the deregistered instance no longer listens
@@ -156,17 +156,17 @@
 	}).Info("the worker has announced a new state")
 }
 
-// Deregister records that an instance terminates now, and treats it as draining.
+// Deregister records that an instance terminates now. The message does not name the
+// incarnation and may be late, so it counts only for one that has announced that it drains.
 func (r *Runner) Deregister(instance string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.deregistered = instance
-	if r.announced != nil && r.announced.Instance == instance && !r.announced.Draining {
-		updated := *r.announced
-		updated.Draining, updated.RemainingMS = true, 0
-		r.announced = &updated
+	if r.announced == nil || r.announced.Instance != instance || !r.announced.Draining {
+		log.WithFields(log.Fields{"event": "worker_goodbye_ignored", "worker": instance}).Info("the worker has deregistered without announcing that it drains")
+		return
 	}
-	log.WithFields(log.Fields{"event": "worker_goodbye", "worker": instance}).Info("the worker has deregistered and is treated as draining")
+	r.deregistered = r.announced
+	log.WithFields(log.Fields{"event": "worker_goodbye", "worker": instance, "born": r.announced.StartedMS}).Info("the worker has deregistered")
 	r.publish()
 }
 
@@ -256,7 +256,7 @@
 		}
 		return pollRetryDelay
 	}
-	if errors.Is(err, ErrNoListener) && r.deregistered != "" && r.deregistered == instance && !r.hasLeft {
+	if d := r.deregistered; errors.Is(err, ErrNoListener) && d != nil && d.Instance == instance && d.StartedMS == r.startedMS && !r.hasLeft {
 		log.WithFields(log.Fields{"event": "worker_left", "worker": instance}).Info("the deregistered worker no longer listens and has left")
 		r.hasLeft = true
 		r.publish()
--- a/internal/workflow/runner/runner_test.go
+++ b/internal/workflow/runner/runner_test.go
@@ -289,3 +289,45 @@
 		g.Expect(reply.Starts[0].Verdict).To(Equal(workflow.VerdictRefused), "before the next poll")
 	})
 }
+
+// A worker drains, deregisters and starts again under its id. Guards against messages of the former
+// incarnation that come late and make the agent treat the next one as draining.
+func TestDrainingIsOfOneIncarnation(t *testing.T) {
+	t.Run("late deregistration", func(t *testing.T) {
+		g := NewWithT(t)
+		r := New(&fakeWorker{})
+		r.Announce(&workflow.Announcement{Instance: "w", StartedMS: 5, Draining: true, Seq: 9})
+		r.Announce(&workflow.Announcement{Instance: "w", StartedMS: 6, Seq: 1})
+		r.Deregister("w")
+		g.Expect(r.announced.Draining).To(BeFalse())
+	})
+	t.Run("late announcement", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			w := &fakeWorker{report: workflow.WorkerReport{Instance: "w", StartedMS: 6}, starts: attempts{respondWith(workflow.VerdictDone, "")}}
+			r := New(w)
+			_, err := r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 1})
+			g.Expect(err).NotTo(HaveOccurred())
+			r.Announce(&workflow.Announcement{Instance: "w", StartedMS: 5, Draining: true, Seq: 9})
+			reply, err := r.Order(t.Context(), &workflow.OrderRequest{Epoch: 1, Instance: "w", StartedMS: 6, Starts: []workflow.StartOrder{{Run: 1}}})
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(reply.Starts[0].Verdict).To(Equal(workflow.VerdictDone))
+		})
+	})
+	t.Run("crash of the next one", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			w := &fakeWorker{report: workflow.WorkerReport{Instance: "w", StartedMS: 5}}
+			r := New(w)
+			_, err := r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 1})
+			g.Expect(err).NotTo(HaveOccurred())
+			r.Announce(&workflow.Announcement{Instance: "w", StartedMS: 5, Draining: true, Seq: 9})
+			r.Deregister("w")
+			w.report.StartedMS = 6
+			r.poll(t.Context(), 0)
+			w.err = ErrNoListener
+			r.poll(t.Context(), 0)
+			g.Expect(r.hasLeft).To(BeFalse())
+		})
+	})
+}
