Pause between polls whose answers are ignored

Found by the review: since the first poll after a failure does not wait, answers of a worker whose time of birth is before the former one's (the time of day was set back over its restart) were polled in a loop without a pause, and charged to the agent's processor. Change: an ignored answer is followed by the usual short delay. That the agent ignores such a worker is open; its items start again elsewhere when the lease has expired. The test fails before.

--- a/internal/workflow/runner/runner.go
+++ b/internal/workflow/runner/runner.go
@@ -223,7 +223,9 @@
 		return r.handlePollError(instance, err)
 	}
 	if r.workerReport != nil && (report.StartedMS < r.workerReport.StartedMS || report.StartedMS == r.workerReport.StartedMS && report.ClockMS < r.workerReport.ClockMS) {
-		return 0 // a newer response has already arrived
+		// A newer response has already arrived, or the clock by which the worker states its
+		// birth was set back over a restart.
+		return pollRetryDelay
 	}
 	if report.Instance == "" && r.announced != nil && r.announced.StartedMS == report.StartedMS {
 		report.Instance = r.announced.Instance
--- a/internal/workflow/runner/runner_test.go
+++ b/internal/workflow/runner/runner_test.go
@@ -331,3 +331,19 @@
 		})
 	})
 }
+
+// The time of day is set back over a restart of the worker. Guards against polls without a pause
+// while the agent ignores the answers.
+func TestIgnoredAnswersAreNotPolledInALoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := &fakeWorker{report: workflow.WorkerReport{Instance: "w", StartedMS: 5_000}}
+		r := New(w)
+		_, err := r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 1})
+		g.Expect(err).NotTo(HaveOccurred())
+		w.err = ErrNoListener
+		r.poll(t.Context(), 0)
+		w.err, w.report.StartedMS = nil, 4_000
+		g.Expect(r.poll(t.Context(), pollWait)).To(BeNumerically(">", 0))
+	})
+}
