Fence the orders for a former incarnation by the worker's token

The planner covered only starts that no report had listed, by a stop; a run that was listed, or had a second attempt, could begin once more beside its successor. A moved run that vanished from the reports stayed open (for ever, if it lasts), and so did the member of a gang that was done before the stop was sent. Change: the planner counts the incarnations of each worker in its term, and agents call the worker under a token that holds this generation below the epoch. From the first report under a new generation on, the worker refuses everything for its former incarnation; the planner keeps the former runs open until that report and then ends those that it does not list. This replaces the stop. Open: a call that the next incarnation carries out before the planner has learned of it, for a run that had ended on the former one by its deadline or departure. Cost: one more exchange with the agent for each restart of a worker, no state in the store.

--- a/internal/workflow/engine/crash.go
+++ b/internal/workflow/engine/crash.go
@@ -31,9 +31,9 @@
 	return !m.inherited && (!m.listed || at.Sub(m.startedAt) < crashProbation)
 }
 
-// recordCrash counts a crash of the worker under m, whose last report arrived at lastReport,
-// and gives the job up if the item has crashed too many workers.
-func (e *Engine) recordCrash(m *member, lastReport time.Time) {
+// recordCrash counts a crash of the worker under m, and gives the job up if the item has
+// crashed too many workers.
+func (e *Engine) recordCrash(m *member, startedRecently bool) {
 	u := m.unit
 	if u.done || u.job.state.Terminal() {
 		return
@@ -43,7 +43,7 @@
 	}
 	c := u.crashes[m.index]
 	c.total++
-	if m.startedRecently(lastReport) {
+	if startedRecently {
 		c.atStart++
 	}
 	u.crashes[m.index] = c
--- a/internal/workflow/engine/orders.go
+++ b/internal/workflow/engine/orders.go
@@ -67,7 +67,7 @@
 func (e *Engine) orderFor(byNode map[string]*Order, w *worker) *Order {
 	o := byNode[w.node]
 	if o == nil {
-		o = &Order{Node: w.node, Request: workflow.OrderRequest{Epoch: e.epoch, Instance: w.instance, StartedMS: w.startedMS}}
+		o = &Order{Node: w.node, Request: workflow.OrderRequest{Epoch: e.epoch, Instance: w.instance, StartedMS: w.startedMS, Generation: w.generation}}
 		byNode[w.node] = o
 	}
 	return o
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -17,6 +16,7 @@
 	// instance and startedMS identify the incarnation in requests to the agent.
 	instance        string
 	startedMS       int64
+	generation      uint64                 // number of incarnations since the first of this term
 	announcement    *workflow.Announcement // latest one, nil before the first
 	clockMS         int64                  // worker's clock in the latest report
 	reportedAt      time.Time              // arrival of the latest report; zero before the first of this term
@@ -79,47 +79,50 @@
 	}
 	w.clockMS, w.reportedAt, w.hasLeft, w.unconfirmed = reply.Report.ClockMS, now, false, false
 	w.lapsed = nil
-	e.reconcileRuns(w, reply.Report, now)
+	e.reconcileRuns(w, reply.Report, reply.Generation == w.generation, now)
 }
 
-// startIncarnation resets a worker to a new incarnation. It ends the runs of the former
-// one as lost, except those that the new one lists or may still carry out: a worker may
-// restart under its id, and then an order for the former incarnation reaches the new one.
+// startIncarnation resets a worker to a new incarnation. A worker may restart under its id,
+// and then an order for the former incarnation reaches the new one. So the runs of the former
+// one are open until a report under the new generation, from which on the worker refuses
+// such orders. They end as lost at once if the new incarnation has another id.
 func (e *Engine) startIncarnation(w *worker, incarnation string, report *workflow.WorkerReport, now time.Time) {
-	sameID := w.instance == "" || report.Instance == "" || w.instance == report.Instance
+	otherID := w.instance != "" && report.Instance != "" && w.instance != report.Instance
+	if w.incarnation != "" {
+		w.generation++
+	}
 	w.incarnation, w.instance, w.startedMS = incarnation, report.Instance, report.StartedMS
 	w.announcement, w.clockMS, w.maxLeaseUntilMS, w.lastEndNumber, w.hasLeft = nil, 0, 0, 0, false
 	w.health = health{}
 	e.recordCrashesOfLapsedRuns(w, now)
-	listed := listedRuns(report)
 	for _, m := range slices.Clone(w.members) {
 		switch {
 		case m.incarnation == incarnation:
-		case listed[runKey{m.unit.itemRef(m.index), m.run}]:
-			e.moveToIncarnation(m, report)
 		case !m.startSent && !m.inherited:
 			e.endMember(m, workflow.EndNever, "", now)
-		case sameID && m.startSent && !m.listed:
-			e.moveToIncarnation(m, report)
-			// Once the worker has confirmed the stop, it rejects the run if it has not
-			// begun there.
-			m.unit.stop("worker restarted")
+		case otherID:
+			e.loseMember(m, m.startedRecently(w.reportedAt), now)
 		default:
-			w.lostInheritedRuns = w.lostInheritedRuns || m.inherited
-			e.recordCrash(m, w.reportedAt)
-			e.endMember(m, workflow.EndLost, "", now)
+			e.moveToIncarnation(m, report)
 		}
 	}
-	if w.lostInheritedRuns {
+}
+
+// loseMember ends the run of a member with a crash of its worker.
+func (e *Engine) loseMember(m *member, startedRecently bool, now time.Time) {
+	if m.inherited {
+		m.worker.lostInheritedRuns = true
 		e.updateMassRestart()
 	}
+	e.recordCrash(m, startedRecently)
+	e.endMember(m, workflow.EndLost, "", now)
 }
 
 // recordCrashesOfLapsedRuns counts the crash of a worker that was silent until its lease had
 // expired, and is back as a new incarnation.
 func (e *Engine) recordCrashesOfLapsedRuns(w *worker, now time.Time) {
 	for _, m := range w.lapsed {
-		e.recordCrash(m, w.reportedAt)
+		e.recordCrash(m, m.startedRecently(w.reportedAt))
 		if !m.unit.done {
 			e.stopIfExhausted(m.unit.job)
 			e.endJobIfFinished(m.unit.job, now)
@@ -128,12 +131,15 @@
 	w.lapsed = nil
 }
 
-// moveToIncarnation assigns a member to the present incarnation of its worker. What is
-// known of the start in terms of the former one's clock no longer holds.
+// moveToIncarnation assigns a member to the present incarnation of its worker, which may
+// carry the order out. What is known of the start in terms of the former clock no longer holds.
 func (e *Engine) moveToIncarnation(m *member, report *workflow.WorkerReport) {
 	w := m.worker
-	m.incarnation, m.moved = w.incarnation, true
-	m.startDeadlineMS, m.startConfirmedMS, m.stopConfirmedMS, m.lastStopSent = math.MaxInt64, 0, 0, time.Time{}
+	if !m.moved || m.listed {
+		m.crashedAtStart = m.startedRecently(w.reportedAt)
+	}
+	m.incarnation, m.moved, m.listed = w.incarnation, true, false
+	m.startConfirmedMS, m.stopConfirmedMS, m.lastStopSent = 0, 0, time.Time{}
 	// The order has extended the lease by an amount that is not known on the new clock.
 	w.maxLeaseUntilMS = report.ClockMS + e.settings.LeaseDuration.Milliseconds()
 	e.markDirty(m.unit.job)
@@ -152,21 +158,10 @@
 	run int
 }
 
-// listedRuns returns the runs and ends that a worker reports.
-func listedRuns(report *workflow.WorkerReport) map[runKey]bool {
-	listed := make(map[runKey]bool, len(report.Running)+len(report.Ended))
-	for i := range report.Running {
-		listed[runKey{report.Running[i].Ref, report.Running[i].Run}] = true
-	}
-	for i := range report.Ended {
-		listed[runKey{report.Ended[i].Ref, report.Ended[i].Run}] = true
-	}
-	return listed
-}
-
 // reconcileRuns updates the members on w from the runs and ends that the worker
-// reports, and ends the members that it neither reports nor can still run.
-func (e *Engine) reconcileRuns(w *worker, report *workflow.WorkerReport, now time.Time) {
+// reports, and ends the members that it neither reports nor can still run. If the report is
+// fenced, it was made under the worker's generation.
+func (e *Engine) reconcileRuns(w *worker, report *workflow.WorkerReport, fenced bool, now time.Time) {
 	known := make(map[runKey]*member, len(w.members))
 	for _, m := range w.members {
 		known[runKey{m.unit.itemRef(m.index), m.run}] = m
@@ -199,14 +194,15 @@
 		}
 	}
 	for _, m := range slices.Clone(w.members) {
-		if !listed[m] && m.cannotRun(report.ClockMS) {
+		switch {
+		case listed[m]:
+		case m.moved && fenced && !m.listed:
+			e.loseMember(m, m.crashedAtStart, now)
+		case m.moved && fenced, !m.moved && m.cannotRun(report.ClockMS):
 			how := workflow.EndNever
-			if m.listed || m.startConfirmedMS > 0 || m.moved {
+			if m.listed || m.startConfirmedMS > 0 {
 				how = workflow.EndLost
 			}
-			if m.moved && !m.listed {
-				e.recordCrash(m, now) // the start took effect on the former incarnation, if at all
-			}
 			e.endMember(m, how, "", now)
 		}
 	}
@@ -283,6 +279,7 @@
 	if w == nil || w.incarnation == "" {
 		return req
 	}
+	req.Generation = w.generation
 	req.Instance, req.StartedMS, req.AckedEnds = w.instance, w.startedMS, acked
 	req.LeaseUntilMS = w.clockMS + e.settings.LeaseDuration.Milliseconds()
 	w.maxLeaseUntilMS = max(w.maxLeaseUntilMS, req.LeaseUntilMS)
--- a/internal/workflow/messages.go
+++ b/internal/workflow/messages.go
@@ -92,6 +92,20 @@
 	// up to WaitMS for a different one before it replies.
 	Version uint64 `cbor:"6,keyasint,omitempty"`
 	WaitMS  int64  `cbor:"7,keyasint,omitempty"`
+	// Generation counts the incarnations of the worker that the planner knows of in its
+	// term, see FencingToken.
+	Generation uint64 `cbor:"8,keyasint,omitempty"`
+}
+
+// generationBits is the number of low bits of a fencing token that hold the generation.
+const generationBits = 16
+
+// FencingToken returns the token under which an agent calls its worker: the epoch of the
+// planner, and below it the generation of the worker in that epoch. A worker may restart
+// under its id and has seen no token then; once it has been called under the token of the
+// new generation, it refuses calls that were made for a former incarnation and arrive late.
+func FencingToken(epoch, generation uint64) uint64 {
+	return epoch<<generationBits | min(generation, 1<<generationBits-1)
 }
 
 // SyncReply is an agent's report.
@@ -105,6 +119,8 @@
 	// Left reports that the worker has deregistered and that no process listens at
 	// its address any more.
 	Left bool `cbor:"4,keyasint,omitempty"`
+	// Generation is that of the request. Report was made by a poll under its token.
+	Generation uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // StartOrder is the order to start a run of one item.
@@ -131,6 +147,8 @@
 	StartedMS int64        `cbor:"3,keyasint"`
 	Starts    []StartOrder `cbor:"4,keyasint,omitempty"`
 	Stops     []StopOrder  `cbor:"5,keyasint,omitempty"`
+	// Generation is that of the incarnation, see FencingToken.
+	Generation uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Verdict is the outcome of an order.
--- a/internal/workflow/runner/order.go
+++ b/internal/workflow/runner/order.go
@@ -27,7 +27,11 @@
 // Fenced if a planner with a higher epoch has called. The outcome of each order
 // is in the reply.
 func (r *Runner) Order(ctx context.Context, req *workflow.OrderRequest) (*workflow.OrderReply, error) {
+	token := workflow.FencingToken(req.Epoch, req.Generation)
 	r.mu.Lock()
+	if req.Epoch >= r.epoch {
+		r.token = max(r.token, token)
+	}
 	epoch, draining := r.epoch, r.announced != nil && r.announced.Instance == req.Instance && r.announced.StartedMS == req.StartedMS && r.announced.Draining
 	r.mu.Unlock()
 	if req.Epoch < epoch {
@@ -54,7 +58,7 @@
 	for i, o := range req.Stops {
 		goLimited(func() {
 			reply.Stops[i] = r.attemptUntilResponse(ctx, always, func(ctx context.Context) (workflow.OrderOutcome, error) {
-				return r.api.Stop(ctx, req.Instance, req.Epoch, o)
+				return r.api.Stop(ctx, req.Instance, token, o)
 			})
 			r.logOrder("stop", req, o.Ref, o.Run, reply.Stops[i])
 		})
@@ -67,7 +71,7 @@
 		}
 		goLimited(func() {
 			reply.Starts[i] = r.attemptUntilResponse(ctx, addressee, func(ctx context.Context) (workflow.OrderOutcome, error) {
-				return r.api.Start(ctx, req.Instance, req.Epoch, o)
+				return r.api.Start(ctx, req.Instance, token, o)
 			})
 			r.logOrder("start", req, o.Ref, o.Run, reply.Starts[i])
 		})
--- a/internal/workflow/runner/runner.go
+++ b/internal/workflow/runner/runner.go
@@ -21,7 +21,8 @@
 
 // WorkerAPI calls the worker on this host. A call whose instance is not empty is
 // for that incarnation only: at another one Hold fails with ErrOtherIncarnation,
-// and Start and Stop are refused with workflow.ReasonInstance. Implementations are
+// and Start and Stop are refused with workflow.ReasonInstance. The worker does nothing
+// for a call whose token is below the highest one that it has seen. Implementations are
 // safe for concurrent use.
 type WorkerAPI interface {
 	// Hold extends the worker's lease to leaseUntilMS on the worker's monotonic
@@ -29,11 +30,11 @@
 	// and returns the runs in progress and the ended runs that are not
 	// acknowledged. If there are none of the latter, it waits up to wait for a run
 	// to end.
-	Hold(ctx context.Context, instance string, epoch, acked uint64, leaseUntilMS int64, wait time.Duration) (*workflow.WorkerReport, error)
+	Hold(ctx context.Context, instance string, token, acked uint64, leaseUntilMS int64, wait time.Duration) (*workflow.WorkerReport, error)
 	// Start starts a run of an item.
-	Start(ctx context.Context, instance string, epoch uint64, o workflow.StartOrder) (workflow.OrderOutcome, error)
+	Start(ctx context.Context, instance string, token uint64, o workflow.StartOrder) (workflow.OrderOutcome, error)
 	// Stop stops a run, or prevents it if it has not started.
-	Stop(ctx context.Context, instance string, epoch uint64, o workflow.StopOrder) (workflow.OrderOutcome, error)
+	Stop(ctx context.Context, instance string, token uint64, o workflow.StopOrder) (workflow.OrderOutcome, error)
 }
 
 // ErrOtherIncarnation is returned by a WorkerAPI when the worker at the address
@@ -79,6 +80,7 @@
 
 	mu                sync.Mutex
 	epoch             uint64 // highest epoch of a planner that has called; 0: none
+	token             uint64 // highest fencing token of a call, see workflow.FencingToken
 	instance          string // instance and startedMS identify the incarnation that responded last
 	startedMS         int64
 	answeredAt        time.Time // of the latest poll, zero if it was not answered
@@ -87,7 +89,7 @@
 	announced         *workflow.Announcement
 	deregistered      *workflow.Announcement // latest one of the incarnation that has deregistered last, nil for none
 	workerReport      *workflow.WorkerReport
-	workerReportEpoch uint64        // epoch of the poll that returned workerReport
+	workerReportToken uint64        // token of the poll that returned workerReport
 	hasLeft           bool          // the deregistered instance no longer listens
 	version           uint64        // version of the state that Sync returns
 	changed           chan struct{} // closed when version changes
@@ -196,7 +198,7 @@
 // nothing: another incarnation may answer it.
 func (r *Runner) poll(ctx context.Context, wait time.Duration) time.Duration {
 	r.mu.Lock()
-	epoch, instance, ackedEnds, leaseUntil := r.epoch, r.instance, r.ackedEnds, r.leaseUntilMS
+	epoch, token, instance, ackedEnds, leaseUntil := r.epoch, r.token, r.instance, r.ackedEnds, r.leaseUntilMS
 	if !r.isConfirmed() {
 		wait, ackedEnds, leaseUntil = 0, 0, 0
 	}
@@ -213,7 +215,7 @@
 	sentAt := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	report, err := r.api.Hold(callCtx, instance, epoch, ackedEnds, leaseUntil, wait)
+	report, err := r.api.Hold(callCtx, instance, token, ackedEnds, leaseUntil, wait)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err != nil {
@@ -238,8 +240,8 @@
 	if time.Since(sentAt) <= wait+callTimeout {
 		r.answeredAt = time.Now()
 	} // else the agent was stopped, and the worker may have restarted after it had answered
-	reportChanged := r.workerReport == nil || len(report.Ended) > 0 || r.workerReportEpoch != epoch || len(report.Running) != len(r.workerReport.Running)
-	r.workerReport, r.workerReportEpoch, r.hasLeft = report, epoch, false
+	reportChanged := r.workerReport == nil || len(report.Ended) > 0 || r.workerReportToken != token || len(report.Running) != len(r.workerReport.Running)
+	r.workerReport, r.workerReportToken, r.hasLeft = report, token, false
 	if reportChanged {
 		r.publish()
 	}
@@ -282,14 +284,16 @@
 		default:
 		}
 	}
+	token := workflow.FencingToken(req.Epoch, req.Generation)
+	r.token = max(r.token, token)
 	if req.StartedMS == r.startedMS && (req.StartedMS != 0 || req.Instance == r.instance) {
 		r.leaseUntilMS, r.ackedEnds = max(r.leaseUntilMS, req.LeaseUntilMS), max(r.ackedEnds, req.AckedEnds)
 	}
-	reportOutdated := r.workerReportEpoch != req.Epoch
+	reportOutdated := r.workerReportToken < token
 	r.mu.Unlock()
 	if reportOutdated {
-		// The report must come from a poll under this epoch, since the worker then
-		// refuses orders of earlier planners that arrive later.
+		// The report must come from a poll under this token, since the worker then refuses
+		// calls of earlier planners, or for former incarnations, that arrive later.
 		r.poll(ctx, 0)
 	}
 	return r.awaitReport(ctx, req)
@@ -302,8 +306,8 @@
 	defer timer.Stop()
 	for {
 		r.mu.Lock()
-		reply := &workflow.SyncReply{Version: r.version, Announced: r.announced, Left: r.hasLeft}
-		if r.workerReportEpoch == req.Epoch && !r.hasLeft {
+		reply := &workflow.SyncReply{Version: r.version, Announced: r.announced, Left: r.hasLeft, Generation: req.Generation}
+		if r.workerReportToken == workflow.FencingToken(req.Epoch, req.Generation) && !r.hasLeft {
 			reply.Report = r.workerReport
 		}
 		changed, epoch := r.changed, r.epoch
