Give items up for crashes at their start only after the third, and spare those that had begun

Cause: two crashes that hit an item at its start are common where workers crash for other reasons, and runs that had reported progress counted as starting, too. Change: a run with 10% progress no longer counts as starting. The limit is three crashes at the start, and four within 10 s of the crash of a worker on which nothing had started recently; the fifth crash of any kind gives up, the last that the platform allows. A run that ends with its lease soon after its start counts at once, and that a job is given up is recorded.

--- a/internal/standin/platformworker/worker.go
+++ b/internal/standin/platformworker/worker.go
@@ -81,6 +81,25 @@
 	return n
 }
 
+// Crashes returns the largest number of runs of one item of a job that ended with their worker.
+func (p *Pool) Crashes(job string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	most := 0
+	for item, runs := range p.runs {
+		n := 0
+		for _, r := range runs {
+			if r.outcome == "gone" {
+				n++
+			}
+		}
+		if strings.HasPrefix(item, job+".") {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
 // RunOutcomes returns the outcomes of all runs of an item in the order of their starts. The
 // outcome of a run that has not ended is empty.
 func (p *Pool) RunOutcomes(item string) []string {
--- a/internal/workflow/engine/crash.go
+++ b/internal/workflow/engine/crash.go
@@ -7,16 +7,22 @@
 )
 
 const (
-	// crashProbation is the time from the first report of a run after which a crash of
-	// its worker is no longer attributed to its start.
+	// crashProbation is the time from the first report of a run, and startPercent its progress,
+	// after which a crash of its worker is no longer attributed to its start.
 	crashProbation = time.Second
-	// maxStartCrashes is the number of crashes soon after its start, with no run between
-	// them that outlived crashProbation, after which an item is given up. The second run
-	// has no other recent start beside it, so nothing else can be the reason.
-	maxStartCrashes = 2
+	startPercent   = 10
+	// maxStartCrashes is the number of crashes at its start, with no run between them that
+	// outlived it, after which an item is given up. The platform allows two; the third spares
+	// items that were hit by two unrelated crashes. After the first, no other run starts beside
+	// the item.
+	maxStartCrashes = 3
+	// maxUnexplainedStartCrashes replaces maxStartCrashes for unexplainedCrashPeriod after a
+	// worker has crashed on which nothing had started recently.
+	maxUnexplainedStartCrashes = 4
+	unexplainedCrashPeriod     = 10 * time.Second
 	// maxCrashes is the number of crashes of any kind after which an item is given up. The
 	// platform allows two starts after the third crash.
-	maxCrashes = 4
+	maxCrashes = 5
 )
 
 // crashCount counts the crashes of workers under one item.
@@ -28,12 +34,12 @@
 // startedRecently reports whether, at the given time, the run of m may still be starting.
 // It is false for runs that another planner has started, whose start time is not known.
 func (m *member) startedRecently(at time.Time) bool {
-	return !m.inherited && (!m.listed || at.Sub(m.startedAt) < crashProbation)
+	return !m.inherited && (!m.listed || at.Sub(m.startedAt) < crashProbation && m.percent < startPercent)
 }
 
 // recordCrash counts a crash of the worker under m, and gives the job up if the item has
 // crashed too many workers.
-func (e *Engine) recordCrash(m *member, startedRecently bool) {
+func (e *Engine) recordCrash(m *member, startedRecently bool, now time.Time) {
 	u := m.unit
 	if u.done || u.job.state.Terminal() {
 		return
@@ -49,7 +55,12 @@
 	u.crashes[m.index] = c
 	u.lostInherited = u.lostInherited || m.inherited
 	u.job.hasCrashes = true
-	u.job.givenUp = u.job.givenUp || u.crashesExhausted()
+	limit := maxStartCrashes
+	if now.Sub(e.unexplainedCrashAt) < unexplainedCrashPeriod {
+		limit = maxUnexplainedStartCrashes
+	}
+	// Items that run until they are cancelled meet any number of unrelated crashes.
+	u.job.givenUp = u.job.givenUp || c.atStart >= limit || c.total >= maxCrashes && !u.spec().LongRunning
 	e.markDirty(u.job)
 }
 
@@ -64,17 +75,6 @@
 	}
 }
 
-// crashesExhausted reports whether an item of u is to be given up. Items that run until
-// they are cancelled meet any number of unrelated crashes.
-func (u *unit) crashesExhausted() bool {
-	for _, c := range u.crashes {
-		if c.atStart >= maxStartCrashes || c.total >= maxCrashes && !u.spec().LongRunning {
-			return true
-		}
-	}
-	return false
-}
-
 // isSuspect reports whether an item of u may crash each worker that starts it. When a crash
 // ends a run that another planner started, the age of the run is not known: then the unit
 // is under suspicion, unless so many workers have restarted that it cannot be the reason.
@@ -184,7 +184,6 @@
 				}
 				u.crashes[r.Index] = crashCount{atStart: r.AtStart, total: r.Total}
 				j.hasCrashes = true
-				j.givenUp = j.givenUp || !u.done && u.crashesExhausted()
 			}
 		}
 	}
--- a/internal/workflow/engine/crash_test.go
+++ b/internal/workflow/engine/crash_test.go
@@ -98,3 +98,26 @@
 		}
 	}
 }
+
+// Workers crash under an item at its start. Guards against an item that is given up for crashes of
+// workers that happen without a recent start, too, and against one that is never given up for them.
+func TestUnexplainedCrashesRaiseTheLimit(t *testing.T) {
+	for _, unexplained := range []bool{false, true} {
+		b := newRestartBench(t)
+		limit, born := maxStartCrashes, int64(bornAfter)
+		if unexplained {
+			b.report("n1", born, 300)
+			limit = maxUnexplainedStartCrashes
+		}
+		order := b.order
+		for crashes := 1; crashes <= limit; crashes++ {
+			b.Expect(order).NotTo(BeNil(), "before crash %d", crashes)
+			born++
+			b.report(order.Node, born, 300)
+			b.report(order.Node, born, 600)
+			order = b.decide()
+		}
+		b.Expect(order).To(BeNil())
+		b.Expect(b.engine.jobs["j"].state).To(Equal(workflow.StateFailed))
+	}
+}
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -69,6 +69,8 @@
 	estimates     durationEstimates
 	endEvents     []EndEvent
 	massRestart   bool // see updateMassRestart
+	// unexplainedCrashAt is the time of the latest crash of a worker without a recent start.
+	unexplainedCrashAt time.Time
 }
 
 // policy switches off parts of the scheduling policy, or replaces the order of
--- a/internal/workflow/engine/progress.go
+++ b/internal/workflow/engine/progress.go
@@ -104,7 +104,7 @@
 
 // progressRecord returns the progress of a job as it is to be stored.
 func (j *job) progressRecord() *workflow.Progress {
-	p := &workflow.Progress{State: j.state, EndedMS: j.endedMS, Seq: j.seq, Crashes: j.crashRecords()}
+	p := &workflow.Progress{State: j.state, EndedMS: j.endedMS, Seq: j.seq, Crashes: j.crashRecords(), GivenUp: j.givenUp}
 	if p.State == workflow.StatePending && j.hasStarted {
 		p.State = workflow.StateActive
 	}
@@ -148,6 +148,7 @@
 		e.restoreMembers(u, up.Members)
 	}
 	j.restoreCrashes(p.Crashes)
+	j.givenUp = p.GivenUp
 }
 
 // restoreMembers restores the members of a unit's latest run. Those that have not
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -26,6 +26,7 @@
 	unconfirmed     bool                   // the agent has refused a start for the incarnation since the latest report
 	members         []*member              // that may be running, in order of their starts
 	lapsed          []*member              // of the incarnation, ended with its lease; the worker may have crashed under them
+	lapsedAtStart   bool                   // a run that had started recently ended with the lease, too
 	// inheritedRuns reports that the term began with runs of an earlier planner here, and
 	// lostInheritedRuns that a crash has ended them.
 	inheritedRuns, lostInheritedRuns bool
@@ -78,7 +79,7 @@
 		return
 	}
 	w.clockMS, w.reportedAt, w.hasLeft, w.unconfirmed = reply.Report.ClockMS, now, false, false
-	w.lapsed = nil
+	w.lapsed, w.lapsedAtStart = nil, false
 	e.reconcileRuns(w, reply.Report, reply.Generation == w.generation, now)
 }
 
@@ -90,6 +91,9 @@
 	otherID := w.instance != "" && report.Instance != "" && w.instance != report.Instance
 	if w.incarnation != "" {
 		w.generation++
+		if !w.hasLeft && !w.lapsedAtStart && !w.hasRecentStart(w.reportedAt) && (w.announcement == nil || !w.announcement.Draining) {
+			e.unexplainedCrashAt = now
+		}
 	}
 	w.incarnation, w.instance, w.startedMS = incarnation, report.Instance, report.StartedMS
 	w.announcement, w.clockMS, w.maxLeaseUntilMS, w.lastEndNumber, w.hasLeft = nil, 0, 0, 0, false
@@ -114,7 +118,7 @@
 		m.worker.lostInheritedRuns = true
 		e.updateMassRestart()
 	}
-	e.recordCrash(m, startedRecently)
+	e.recordCrash(m, startedRecently, now)
 	e.endMember(m, workflow.EndLost, "", now)
 }
 
@@ -122,7 +126,7 @@
 // expired, and is back as a new incarnation.
 func (e *Engine) recordCrashesOfLapsedRuns(w *worker, now time.Time) {
 	for _, m := range w.lapsed {
-		e.recordCrash(m, m.startedRecently(w.reportedAt))
+		e.recordCrash(m, false, now)
 		if !m.unit.done {
 			e.stopIfExhausted(m.unit.job)
 			e.endJobIfFinished(m.unit.job, now)
@@ -246,7 +250,12 @@
 	for _, w := range e.sortedWorkers {
 		if len(w.members) > 0 && now.After(e.leaseExpiry(w)) {
 			for _, m := range slices.Clone(w.members) {
-				w.lapsed = append(w.lapsed, m)
+				if m.startedRecently(w.reportedAt) {
+					e.recordCrash(m, true, now) // not to start the item elsewhere beside other runs
+					w.lapsedAtStart = true
+				} else {
+					w.lapsed = append(w.lapsed, m)
+				}
 				e.endMember(m, workflow.EndLapsed, "", now)
 			}
 		}
--- a/internal/workflow/records.go
+++ b/internal/workflow/records.go
@@ -50,6 +50,8 @@
 	Seq uint64 `cbor:"4,keyasint"`
 	// Crashes counts the crashes of workers under the items that have met any.
 	Crashes []ItemCrashes `cbor:"5,keyasint,omitempty"`
+	// GivenUp reports that an item has crashed too many workers.
+	GivenUp bool `cbor:"6,keyasint,omitempty"`
 }
 
 // ItemCrashes counts the crashes of workers under one item. It is encoded as an array: the
