Honour lapsed leases in the model's check of acknowledged ends

The published rule excepts an end if the worker's lease lapsed before it was acknowledged; the stand-in worker's check does, too, and the model did not.

--- a/internal/workflow/engine/world_worker_test.go
+++ b/internal/workflow/engine/world_worker_test.go
@@ -30,14 +30,16 @@
 	node             string
 	rack             string
 	startedMS        int64
-	knownStartedMS   int64     // incarnation that the agent knows
-	noticedAt        time.Time // when the agent notices the latest crash
-	downUntil        time.Time // when a crashed worker starts again; zero if it is up
-	agentEpoch       uint64    // the agent refuses calls of earlier epochs, also after a restart of the worker
-	clockOrigin      time.Time // start of the worker's clock
-	clockRate        float64   // rate of the worker's clock; 1 is that of true time
-	highestToken     uint64    // calls with a lower fencing token are refused
-	leaseUntilMS     int64     // on the worker's clock
+	knownStartedMS   int64                // incarnation that the agent knows
+	noticedAt        time.Time            // when the agent notices the latest crash
+	downUntil        time.Time            // when a crashed worker starts again; zero if it is up
+	agentEpoch       uint64               // the agent refuses calls of earlier epochs, also after a restart of the worker
+	clockOrigin      time.Time            // start of the worker's clock
+	clockRate        float64              // rate of the worker's clock; 1 is that of true time
+	highestToken     uint64               // calls with a lower fencing token are refused
+	leaseUntilMS     int64                // on the worker's clock
+	lapsedAt         time.Time            // when an expired lease was last noticed
+	endedAt          map[uint64]time.Time // by number of the end
 	running          []*modelRun
 	ended            []workflow.EndedItem
 	lastEndNumber    uint64
@@ -59,6 +61,7 @@
 	m.clockOrigin, m.clockRate = m.env.now, 1-0.02*m.env.rng.Float64()
 	m.highestToken, m.leaseUntilMS, m.running, m.ended, m.lastEndNumber = 0, 0, nil, nil, 0
 	m.highestRun, m.draining, m.seq = make(map[string]int), false, 0
+	m.lapsedAt, m.endedAt = time.Time{}, make(map[uint64]time.Time)
 }
 
 // crash restarts the worker. Its agent notices that some time later.
@@ -83,6 +86,7 @@
 		}
 	}
 	m.lastEndNumber++
+	m.endedAt[m.lastEndNumber] = m.env.now
 	m.ended = append(m.ended, workflow.EndedItem{Seq: m.lastEndNumber, Ref: r.ref, Run: r.run, End: how})
 	m.highestRun[r.ref.String()] = max(m.highestRun[r.ref.String()], r.run)
 }
@@ -93,6 +97,9 @@
 		m.downUntil = time.Time{}
 		m.crash()
 	}
+	if m.clockMS() > m.leaseUntilMS {
+		m.lapsedAt = m.env.now
+	}
 	for _, r := range append([]*modelRun(nil), m.running...) {
 		if r.ended {
 			continue // ended together with another member of its gang
@@ -321,7 +328,8 @@
 	}}
 }
 
-// acknowledge drops the ends up to number n from the list of ends.
+// acknowledge drops the ends up to number n from the list of ends. An end counts as
+// acknowledged only if the lease has not expired since it.
 func (m *modelWorker) acknowledge(n uint64) {
 	kept := m.ended[:0]
 	for _, e := range m.ended {
@@ -329,6 +337,9 @@
 			kept = append(kept, e)
 			continue
 		}
+		if m.lapsedAt.After(m.endedAt[e.Seq]) {
+			continue
+		}
 		switch e.End {
 		case workflow.EndDone:
 			m.env.acknowledgedDone[e.Ref.String()] = true
