Count runs that lapse until it is known whether their worker has crashed

And a run that lapsed soon after its start counted as a crash, although its worker went on: after three silences a job was failed without cause. Change: a lapsed run is counted apart, in the record, until its worker reports as another incarnation (a crash), reports as the same one or leaves (none), or 30 s have passed. An item does not start while its crashes and lapsed runs together reach the limit of five. A new planner takes the lapsed runs of its predecessor for crashes, since it cannot know better.

--- a/internal/workflow/engine/crash.go
+++ b/internal/workflow/engine/crash.go
@@ -29,6 +29,79 @@
 type crashCount struct {
 	atStart int // soon after the item's start, since a run last outlived crashProbation
 	total   int
+	// lapsed counts the runs that ended with the lease of a silent worker, until it is known
+	// whether the worker has crashed; lapsedAtStart those of them that had started recently.
+	lapsed, lapsedAtStart int
+}
+
+// lapsedRun is a run that ended with the lease of its worker.
+type lapsedRun struct {
+	member  *member
+	atStart bool
+	at      time.Time
+}
+
+// lapseTimeout is the time after which a silent worker is taken for gone for good. Whether it
+// has crashed remains unknown then.
+const lapseTimeout = 30 * time.Second
+
+// recordLapse notes that the run of m has ended with its worker's lease.
+func (e *Engine) recordLapse(m *member, now time.Time) {
+	u, w := m.unit, m.worker
+	l := lapsedRun{member: m, atStart: m.startedRecently(w.reportedAt), at: now}
+	w.lapsed = append(w.lapsed, l)
+	u.changeCrashes(m.index, func(c *crashCount) {
+		c.lapsed++
+		if l.atStart {
+			c.lapsedAtStart++
+		}
+	})
+	u.lostInherited = u.lostInherited || m.inherited
+	e.markDirty(u.job)
+}
+
+// resolveLapses settles the lapsed runs of a worker: it has crashed, or it has not, or it is
+// not known in time.
+func (e *Engine) resolveLapses(w *worker, crashed bool, now time.Time) {
+	for _, l := range w.lapsed {
+		u := l.member.unit
+		u.changeCrashes(l.member.index, func(c *crashCount) {
+			c.lapsed = max(c.lapsed-1, 0)
+			if l.atStart {
+				c.lapsedAtStart = max(c.lapsedAtStart-1, 0)
+			}
+		})
+		e.markDirty(u.job)
+		if !crashed || u.done {
+			continue
+		}
+		e.recordCrash(l.member, l.atStart, now)
+		e.stopIfExhausted(u.job)
+		e.endJobIfFinished(u.job, now)
+	}
+	w.lapsed = nil
+}
+
+// changeCrashes applies a change to the counts of an item.
+func (u *unit) changeCrashes(index int, change func(*crashCount)) {
+	if u.crashes == nil {
+		u.crashes = make(map[int]crashCount)
+	}
+	c := u.crashes[index]
+	change(&c)
+	u.crashes[index] = c
+	u.job.hasCrashes = true
+}
+
+// awaitsLapses reports whether u must not start before it is known which of its lapsed runs
+// were crashes, because all of them together reach maxCrashes.
+func (u *unit) awaitsLapses() bool {
+	for _, c := range u.crashes {
+		if c.lapsed > 0 && c.total+c.lapsed >= maxCrashes {
+			return true
+		}
+	}
+	return false
 }
 
 // startedRecently reports whether, at the given time, the run of m may still be starting.
@@ -44,17 +117,14 @@
 	if u.done || u.job.state.Terminal() {
 		return
 	}
-	if u.crashes == nil {
-		u.crashes = make(map[int]crashCount)
-	}
+	u.changeCrashes(m.index, func(c *crashCount) {
+		c.total++
+		if startedRecently {
+			c.atStart++
+		}
+	})
 	c := u.crashes[m.index]
-	c.total++
-	if startedRecently {
-		c.atStart++
-	}
-	u.crashes[m.index] = c
 	u.lostInherited = u.lostInherited || m.inherited
-	u.job.hasCrashes = true
 	limit := maxStartCrashes
 	if now.Sub(e.unexplainedCrashAt) < unexplainedCrashPeriod {
 		limit = maxUnexplainedStartCrashes
@@ -68,8 +138,8 @@
 // or has ended by itself.
 func (e *Engine) recordSurvival(m *member) {
 	m.unit.lostInherited = false
-	if c := m.unit.crashes[m.index]; c.atStart > 0 {
-		c.atStart = 0
+	if c := m.unit.crashes[m.index]; c.atStart > 0 || c.lapsedAtStart > 0 {
+		c.atStart, c.lapsedAtStart = 0, 0
 		m.unit.crashes[m.index] = c
 		e.markDirty(m.unit.job)
 	}
@@ -86,7 +156,7 @@
 		return true
 	}
 	for _, c := range u.crashes {
-		if c.atStart > 0 {
+		if c.atStart > 0 || c.lapsedAtStart > 0 {
 			return true
 		}
 	}
@@ -140,6 +210,11 @@
 			return true
 		}
 	}
+	for _, l := range w.lapsed {
+		if l.atStart {
+			return true
+		}
+	}
 	return false
 }
 
@@ -167,7 +242,7 @@
 	for _, u := range j.units {
 		for index := u.first; index < u.first+u.count; index++ {
 			if c, ok := u.crashes[index]; ok {
-				out = append(out, workflow.ItemCrashes{Occurrence: u.occurrence, Step: u.step, Index: index, AtStart: c.atStart, Total: c.total})
+				out = append(out, workflow.ItemCrashes{Occurrence: u.occurrence, Step: u.step, Index: index, AtStart: c.atStart, Total: c.total, Lapsed: c.lapsed})
 			}
 		}
 	}
@@ -179,11 +254,8 @@
 	for _, r := range records {
 		for _, u := range j.units {
 			if u.occurrence == r.Occurrence && u.step == r.Step && u.first <= r.Index && r.Index < u.first+u.count {
-				if u.crashes == nil {
-					u.crashes = make(map[int]crashCount)
-				}
-				u.crashes[r.Index] = crashCount{atStart: r.AtStart, total: r.Total}
-				j.hasCrashes = true
+				// Whether the earlier planner's lapsed runs were crashes is no longer found out.
+				u.changeCrashes(r.Index, func(c *crashCount) { c.atStart, c.total = r.AtStart, r.Total+r.Lapsed })
 			}
 		}
 	}
--- a/internal/workflow/engine/crash_test.go
+++ b/internal/workflow/engine/crash_test.go
@@ -121,3 +121,49 @@
 		b.Expect(b.engine.jobs["j"].state).To(Equal(workflow.StateFailed))
 	}
 }
+
+// Workers that an item crashes stay away for longer than their leases. Guards against crashes that
+// are counted only when the worker is back, while the item goes on starting elsewhere.
+func TestCrashesBeyondTheLeaseAreCounted(t *testing.T) {
+	for _, downtime := range []time.Duration{3, 7, 10, 15, 25} {
+		for _, delay := range []time.Duration{100, 1500, 3000} {
+			for _, takeovers := range []int{0, 10} {
+				t.Run(fmt.Sprintf("%d s after %d ms, %d takeovers", downtime, delay, takeovers), func(t *testing.T) {
+					g := NewWithT(t)
+					w := deadlyWorld(21, 8, delay*time.Millisecond)
+					w.crashDowntime = downtime * time.Second
+					deadly := w.addDeadlyJob("large", step(1, 2, 30_000))
+					for range takeovers {
+						before := len(w.runs(deadly, 0))
+						for end := w.now.Add(30 * time.Second); w.now.Before(end) && len(w.runs(deadly, 0)) == before; {
+							w.tick()
+						}
+						w.advance(200 * time.Millisecond)
+						w.takeover()
+					}
+					w.advance(200 * time.Second)
+					g.Expect(w.violations).To(BeEmpty())
+					g.Expect(w.progress[deadly].State).To(Equal(workflow.StateFailed))
+				})
+			}
+		}
+	}
+}
+
+// A worker is silent for longer than its lease each time the item starts there, and goes on as the
+// same incarnation. Guards against an item that is given up although no worker has crashed.
+func TestLapsedLeaseIsNoCrash(t *testing.T) {
+	b := newRestartBench(t)
+	order, clock := b.order, int64(500_000)
+	for range 2 * maxCrashes {
+		b.Expect(order).NotTo(BeNil())
+		for end := b.now.Add(8 * time.Second); b.now.Before(end); b.now = b.now.Add(200 * time.Millisecond) {
+			b.engine.ExpireLeases(b.now)
+		}
+		clock += 8000
+		b.report("n0", bornBefore, clock)
+		b.report("n1", bornBefore, clock)
+		order = b.decide()
+	}
+	b.Expect(b.engine.jobs["j"].units[0].crashes[0]).To(Equal(crashCount{}))
+}
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -208,7 +208,7 @@
 				continue
 			}
 			for _, u := range stages[s].units {
-				if !u.done && !u.isActive() && !now.Before(u.notBefore) {
+				if !u.done && !u.isActive() && !now.Before(u.notBefore) && !u.awaitsLapses() {
 					out = append(out, u)
 				}
 			}
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -25,8 +25,7 @@
 	hasLeft         bool                   // the agent has reported that the worker left
 	unconfirmed     bool                   // the agent has refused a start for the incarnation since the latest report
 	members         []*member              // that may be running, in order of their starts
-	lapsed          []*member              // of the incarnation, ended with its lease; the worker may have crashed under them
-	lapsedAtStart   bool                   // a run that had started recently ended with the lease, too
+	lapsed          []lapsedRun            // of the incarnation, since its latest report
 	// inheritedRuns reports that the term began with runs of an earlier planner here, and
 	// lostInheritedRuns that a crash has ended them.
 	inheritedRuns, lostInheritedRuns bool
@@ -53,6 +52,7 @@
 	w := e.workers[node]
 	if reply.Report == nil {
 		if reply.Left {
+			e.resolveLapses(w, false, now)
 			e.endAllRuns(w, now)
 			w.hasLeft = true
 		}
@@ -79,7 +79,7 @@
 		return
 	}
 	w.clockMS, w.reportedAt, w.hasLeft, w.unconfirmed = reply.Report.ClockMS, now, false, false
-	w.lapsed, w.lapsedAtStart = nil, false
+	e.resolveLapses(w, false, now)
 	e.reconcileRuns(w, reply.Report, reply.Generation == w.generation, now)
 }
 
@@ -91,14 +91,14 @@
 	otherID := w.instance != "" && report.Instance != "" && w.instance != report.Instance
 	if w.incarnation != "" {
 		w.generation++
-		if !w.hasLeft && !w.lapsedAtStart && !w.hasRecentStart(w.reportedAt) && (w.announcement == nil || !w.announcement.Draining) {
+		if !w.hasLeft && !w.hasRecentStart(w.reportedAt) && (w.announcement == nil || !w.announcement.Draining) {
 			e.unexplainedCrashAt = now
 		}
 	}
 	w.incarnation, w.instance, w.startedMS = incarnation, report.Instance, report.StartedMS
 	w.announcement, w.clockMS, w.maxLeaseUntilMS, w.lastEndNumber, w.hasLeft = nil, 0, 0, 0, false
 	w.health = health{}
-	e.recordCrashesOfLapsedRuns(w, now)
+	e.resolveLapses(w, true, now)
 	for _, m := range slices.Clone(w.members) {
 		switch {
 		case m.incarnation == incarnation:
@@ -122,19 +122,6 @@
 	e.endMember(m, workflow.EndLost, "", now)
 }
 
-// recordCrashesOfLapsedRuns counts the crash of a worker that was silent until its lease had
-// expired, and is back as a new incarnation.
-func (e *Engine) recordCrashesOfLapsedRuns(w *worker, now time.Time) {
-	for _, m := range w.lapsed {
-		e.recordCrash(m, false, now)
-		if !m.unit.done {
-			e.stopIfExhausted(m.unit.job)
-			e.endJobIfFinished(m.unit.job, now)
-		}
-	}
-	w.lapsed = nil
-}
-
 // moveToIncarnation assigns a member to the present incarnation of its worker, which may
 // carry the order out. What is known of the start in terms of the former clock no longer holds.
 func (e *Engine) moveToIncarnation(m *member, report *workflow.WorkerReport) {
@@ -248,14 +235,12 @@
 // ExpireLeases ends the runs on workers whose lease has expired for certain.
 func (e *Engine) ExpireLeases(now time.Time) {
 	for _, w := range e.sortedWorkers {
+		if len(w.lapsed) > 0 && now.Sub(w.lapsed[0].at) > lapseTimeout {
+			e.resolveLapses(w, false, now)
+		}
 		if len(w.members) > 0 && now.After(e.leaseExpiry(w)) {
 			for _, m := range slices.Clone(w.members) {
-				if m.startedRecently(w.reportedAt) {
-					e.recordCrash(m, true, now) // not to start the item elsewhere beside other runs
-					w.lapsedAtStart = true
-				} else {
-					w.lapsed = append(w.lapsed, m)
-				}
+				e.recordLapse(m, now)
 				e.endMember(m, workflow.EndLapsed, "", now)
 			}
 		}
--- a/internal/workflow/records.go
+++ b/internal/workflow/records.go
@@ -63,6 +63,7 @@
 	Index      int // of the item within the step
 	AtStart    int // crashes soon after the item's start, since a run last survived it
 	Total      int
+	Lapsed     int // runs that ended with the lease of a worker of which no more is known
 }
 
 // UnitProgress is the progress of a unit, which is a gang or a single item. It
