Bound the wait of a suspect item for a worker without a recent start

Cause: a worker was closed for the suspect only when its turn came, after the jobs before it had started there. The test, with single items and a gang, fails without the bound.

--- a/internal/workflow/engine/crash.go
+++ b/internal/workflow/engine/crash.go
@@ -20,6 +20,9 @@
 	// worker has crashed on which nothing had started recently.
 	maxUnexplainedStartCrashes = 4
 	unexplainedCrashPeriod     = 10 * time.Second
+	// maxSuspectWait is how long a suspect unit waits, after its last run, for a worker without
+	// a recent start. On a busy pool there may never be one.
+	maxSuspectWait = 2 * time.Second
 	// maxCrashes is the number of crashes of any kind after which an item is given up. The
 	// platform allows two starts after the third crash.
 	maxCrashes = 5
--- a/internal/workflow/engine/crash_test.go
+++ b/internal/workflow/engine/crash_test.go
@@ -167,3 +167,30 @@
 	}
 	b.Expect(b.engine.jobs["j"].units[0].crashes[0]).To(Equal(crashCount{}))
 }
+
+// Short items of another job start on every worker, over and over. Guards against a suspect item, or
+// gang, that waits for ever for a worker without a recent start.
+func TestSuspectStartsOnABusyPool(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		g := NewWithT(t)
+		w := deadlyWorld(24, 4, 0)
+		w.noProgress = true
+		s := step(4, 1, 3000)
+		s.Gang, s.MaxPerWorker = gang, 1
+		suspect := w.addJob("small", "b", s)
+		j := w.planner.jobs[suspect]
+		for _, u := range j.units {
+			u.idleSince = w.now
+			u.changeCrashes(u.first, func(c *crashCount) { c.atStart, c.total = 1, 1 })
+		}
+		for range 60 {
+			short := step(4, 1, 800)
+			short.MaxPerWorker = 1
+			w.addJob("urgent", "a", short)
+			w.advance(600 * time.Millisecond)
+		}
+		for i := range 4 {
+			g.Expect(w.runs(suspect, i)).NotTo(BeEmpty(), "gang %v", gang)
+		}
+	}
+}
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -133,6 +133,7 @@
 	stopping   bool      // the latest run is to be stopped
 	stopReason string
 	notBefore  time.Time          // earliest start of the next run
+	idleSince  time.Time          // end of the latest run of this term, zero if there was none
 	failedOn   map[string]bool    // worker incarnations on which a run failed
 	crashes    map[int]crashCount // by item index, nil if there were none
 	// lostInherited reports that a crash has ended a run of another planner, and no run has
@@ -349,7 +350,7 @@
 		anyFailed = anyFailed || m.end == workflow.EndFailed
 		noneStarted = noneStarted && m.end == workflow.EndNever
 	}
-	u.members, u.stopping, u.stopReason = nil, false, ""
+	u.members, u.stopping, u.stopReason, u.idleSince = nil, false, "", now
 	if anyFailed && !u.done {
 		u.failedRuns++
 		if !u.spec().LongRunning {
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -169,7 +169,7 @@
 		}
 	}
 	if e.isSuspect(u) {
-		fitting = r.workersForSuspect(fitting)
+		fitting = r.workersForSuspect(u, fitting)
 	}
 	if len(fitting) == 0 {
 		return nil
@@ -182,8 +182,11 @@
 
 // workersForSuspect returns the workers among fitting without a recent start, so that a crash
 // can be attributed. If there are none, it closes the one with the fewest runs to other units
-// until its last start is no longer recent.
-func (r *freeResources) workersForSuspect(fitting []*worker) []*worker {
+// until its last start is no longer recent. After maxSuspectWait any worker will do.
+func (r *freeResources) workersForSuspect(u *unit, fitting []*worker) []*worker {
+	if r.now.Sub(u.idleSince) > maxSuspectWait {
+		return fitting
+	}
 	var out []*worker
 	var fewest *worker
 	for _, w := range fitting {
--- a/internal/workflow/engine/world_test.go
+++ b/internal/workflow/engine/world_test.go
@@ -35,6 +35,7 @@
 
 	hideCancels      bool                     // keeps cancellations from the planner, to test the check
 	noRandomFailures bool                     // runs do not fail at random
+	noProgress       bool                     // workers report no progress of runs
 	runTimes         map[string]time.Duration // true run times by item; random if absent
 	crashDelay       time.Duration            // time after which an item with payload "deadly" crashes its worker
 	crashDowntime    time.Duration            // time until such a worker starts again
--- a/internal/workflow/engine/world_worker_test.go
+++ b/internal/workflow/engine/world_worker_test.go
@@ -137,7 +137,7 @@
 
 // percent returns the progress that the worker reports, in whole percent.
 func (r *modelRun) percent() float64 {
-	if r.waiting {
+	if r.waiting || r.worker.env.noProgress {
 		return 0
 	}
 	whole := r.doneAt.Sub(r.startedAt).Seconds()
