Hold back only the items of a suspect item's step

Found by the review: while an item of one step was under suspicion and found no worker, independent steps of its job waited, too. Change: the others of the same step wait, and the first suspect that is ready starts. The test fails before.

--- a/internal/workflow/engine/crash.go
+++ b/internal/workflow/engine/crash.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"snipegw/internal/workflow"
@@ -166,33 +167,36 @@
 	return false
 }
 
-// limitSuspects returns which of the ready units of j may start. The items of a job are
-// alike, so while one is under suspicion only that one starts, and the others wait until
-// its run has outlived crashProbation.
+// limitSuspects returns which of the ready units of j may start. The items of a step are
+// alike, so while one is under suspicion only that one starts, and the others of the step
+// wait until its run has outlived crashProbation.
 func (e *Engine) limitSuspects(j *job, ready []*unit) []*unit {
 	if !j.hasCrashes {
 		return ready
 	}
-	var suspect *unit
+	type suspects struct {
+		running bool
+		first   *unit // that is ready
+	}
+	byStep := make(map[int]*suspects)
 	for _, u := range j.units {
-		if e.isSuspect(u) {
-			if u.isActive() {
-				return nil
-			}
-			if suspect == nil {
-				suspect = u
-			}
+		if !e.isSuspect(u) {
+			continue
 		}
-	}
-	if suspect == nil {
-		return ready
-	}
-	for _, u := range ready {
-		if u == suspect {
-			return []*unit{u}
+		step := byStep[u.step]
+		if step == nil {
+			step = &suspects{}
+			byStep[u.step] = step
+		}
+		step.running = step.running || u.isActive()
+		if step.first == nil && slices.Contains(ready, u) {
+			step.first = u
 		}
 	}
-	return nil
+	return slices.DeleteFunc(ready, func(u *unit) bool {
+		step := byStep[u.step]
+		return step != nil && (step.running || u != step.first)
+	})
 }
 
 // hostsSuspect reports whether a suspect unit may be running on w. Nothing else starts there
--- a/internal/workflow/engine/crash_test.go
+++ b/internal/workflow/engine/crash_test.go
@@ -194,3 +194,16 @@
 		}
 	}
 }
+
+// An item of one step is under suspicion and finds no worker. Guards against other steps of the job
+// that wait for it although they do not depend on it.
+func TestSuspicionIsOfOneStep(t *testing.T) {
+	b := newRestartBench(t)
+	b.engine.AddJob("k", &workflow.JobRecord{Job: workflow.Job{Steps: []workflow.Step{
+		{Count: 1, Accelerators: 1, EstimateMS: 5000}, {Count: 1, Accelerators: 1, EstimateMS: 5000, Label: "x"},
+	}}, Queue: "q", Service: "s", MaxAttempts: 3, AcceptedMS: b.now.UnixMilli()}, nil, 0)
+	b.engine.jobs["k"].units[1].changeCrashes(0, func(c *crashCount) { c.atStart, c.total = 1, 1 })
+	order := b.decide()
+	b.Expect(order).NotTo(BeNil())
+	b.Expect(order.Request.Starts[0].Ref).To(Equal(workflow.ItemRef{Job: "k"}))
+}
