Store the end of a job whose cancellation was stored before its failure

Found by the review: such a job returned its change in every pass, each time refused by the store for the cancellation, and its caller saw it as active until the planner changed. Only jobs that were complete were reopened. The test fails before.

--- a/internal/workflow/engine/crash_test.go
+++ b/internal/workflow/engine/crash_test.go
@@ -207,3 +207,21 @@
 	b.Expect(order).NotTo(BeNil())
 	b.Expect(order.Request.Starts[0].Ref).To(Equal(workflow.ItemRef{Job: "k"}))
 }
+
+// A job has failed, and its cancellation was stored before the failure. Guards against a change that is
+// refused and returned again in every pass, so that the end is never stored.
+func TestFailureAfterAStoredCancellation(t *testing.T) {
+	b := newRestartBench(t)
+	b.engine.jobs["j"].givenUp = true
+	b.reply(workflow.OrderOutcome{Verdict: workflow.VerdictRefused, Reason: workflow.ReasonNoCapacity})
+	changes := b.engine.TakeChanges()
+	b.Expect(changes).To(HaveLen(1))
+	b.Expect(changes[0].Progress.State).To(Equal(workflow.StateFailed))
+	b.engine.ReopenJob("j")
+	b.engine.CancelJob("j", b.now)
+	b.engine.RetractStarts("j", b.now)
+	changes = b.engine.TakeChanges()
+	b.Expect(changes).To(HaveLen(1))
+	b.Expect(changes[0].Cancelled).To(BeTrue())
+	b.Expect(changes[0].Progress.State).To(Equal(workflow.StateCanceled))
+}
--- a/internal/workflow/engine/progress.go
+++ b/internal/workflow/engine/progress.go
@@ -60,10 +60,10 @@
 	}
 }
 
-// ReopenJob reverts the completion of a job if the change that records it was not
-// stored, because a cancellation had been stored before.
+// ReopenJob reverts the end of a job if the change that records it was not stored,
+// because a cancellation had been stored before.
 func (e *Engine) ReopenJob(id string) {
-	if j := e.jobs[id]; j != nil && j.state == workflow.StateComplete {
+	if j := e.jobs[id]; j != nil && (j.state == workflow.StateComplete || j.state == workflow.StateFailed) {
 		j.state, j.endedMS = workflow.StateActive, 0
 		e.addOpenJob(j)
 	}
