--- a/internal/workflow/engine/crash.go
+++ b/internal/workflow/engine/crash.go
@@ -12,6 +12,9 @@
 	// after which a crash of its worker is no longer attributed to its start.
 	crashProbation = time.Second
 	startPercent   = 10
+	// lastingProbation is the time after which the crashes under an item that runs until it
+	// is cancelled are forgotten.
+	lastingProbation = 30 * time.Second
 	// maxStartCrashes is the number of crashes at its start, with no run between them that
 	// outlived it, after which an item is given up. The platform allows two; the third spares
 	// items that were hit by two unrelated crashes. After the first, no other run starts beside
@@ -111,7 +114,14 @@
 // startedRecently reports whether, at the given time, the run of m may still be starting.
 // It is false for runs that another planner has started, whose start time is not known.
 func (m *member) startedRecently(at time.Time) bool {
-	return !m.inherited && (!m.listed || at.Sub(m.startedAt) < crashProbation && m.percent < startPercent)
+	return !m.inherited && (!m.listed || !m.hasOutlivedStart(at))
+}
+
+// hasOutlivedStart reports whether the run of m has lasted for crashProbation since its first
+// report in this term or has made progress. Progress of an item that lasts says nothing, nor
+// does that of a run that another planner has started.
+func (m *member) hasOutlivedStart(at time.Time) bool {
+	return at.Sub(m.startedAt) >= crashProbation || m.percent >= startPercent && !m.inherited && !m.unit.spec().LongRunning
 }
 
 // recordCrash counts a crash of the worker under m, and gives the job up if the item has
@@ -133,11 +143,19 @@
 	if now.Sub(e.unexplainedCrashAt) < unexplainedCrashPeriod {
 		limit = maxUnexplainedStartCrashes
 	}
-	// Items that run until they are cancelled meet any number of unrelated crashes.
-	u.job.givenUp = u.job.givenUp || c.atStart >= limit || c.total >= maxCrashes && !u.spec().LongRunning
+	u.job.givenUp = u.job.givenUp || c.atStart >= limit || c.total >= maxCrashes
 	e.markDirty(u.job)
 }
 
+// forgetCrashes drops the counts of an item that lasts, once its run has lasted for
+// lastingProbation: over its life it meets any number of unrelated crashes.
+func (e *Engine) forgetCrashes(m *member, now time.Time) {
+	if _, ok := m.unit.crashes[m.index]; ok && m.unit.spec().LongRunning && now.Sub(m.startedAt) >= lastingProbation {
+		delete(m.unit.crashes, m.index)
+		e.markDirty(m.unit.job)
+	}
+}
+
 // recordSurvival clears the suspicion against an item whose run has outlived crashProbation
 // or has ended by itself.
 func (e *Engine) recordSurvival(m *member) {
--- a/internal/workflow/engine/crash_test.go
+++ b/internal/workflow/engine/crash_test.go
@@ -225,3 +225,59 @@
 	b.Expect(changes[0].Cancelled).To(BeTrue())
 	b.Expect(changes[0].Progress.State).To(Equal(workflow.StateCanceled))
 }
+
+// Guards against an item that runs until it is cancelled and crashes one worker after the other.
+func TestLastingItemThatCrashesWorkersIsGivenUp(t *testing.T) {
+	for _, delay := range []time.Duration{100 * time.Millisecond, 1500 * time.Millisecond, 5 * time.Second} {
+		g := NewWithT(t)
+		w := deadlyWorld(21, 8, delay)
+		s := step(1, 2, 30_000)
+		s.LongRunning = true
+		deadly := w.addDeadlyJob("large", s)
+		w.advance(100 * time.Second)
+		g.Expect(w.violations).To(BeEmpty())
+		g.Expect(w.progress[deadly].State).To(Equal(workflow.StateFailed))
+	}
+}
+
+// A draining worker restarts under the item's start, again and again. Guards against counting that as
+// a crash.
+func TestRestartAfterDrainingIsNoCrash(t *testing.T) {
+	b := newRestartBench(t)
+	order, born, clock := b.order, int64(bornAfter), int64(600_000)
+	for range 2 * maxCrashes {
+		b.Expect(order).NotTo(BeNil())
+		clock += 1000
+		b.engine.workers[order.Node].announcement.Draining = true
+		born++
+		b.report(order.Node, born, clock)
+		b.report(order.Node, born, clock+100)
+		order = b.decide()
+	}
+	b.Expect(b.engine.jobs["j"].hasCrashes).To(BeFalse())
+}
+
+// The next incarnation carries an order out, and crashes too. Guards against counting the two crashes
+// as one.
+func TestCrashOfTheNextIncarnationCounts(t *testing.T) {
+	b := newRestartBench(t)
+	b.report("n0", bornAfter, 300, 1)
+	b.report("n0", bornAfter+1, 300)
+	b.report("n0", bornAfter+1, 600)
+	b.Expect(b.engine.jobs["j"].units[0].crashes[0].total).To(Equal(2))
+}
+
+// The planner changes while an item under suspicion has just started. Guards against suspicion that
+// ends with the first report to the new planner.
+func TestSuspicionOutlivesATakeover(t *testing.T) {
+	g := NewWithT(t)
+	w := deadlyWorld(25, 3, 700*time.Millisecond)
+	deadly := w.addDeadlyJob("large", step(1, 2, 8000))
+	for end := w.now.Add(20 * time.Second); w.now.Before(end) && len(w.runs(deadly, 0)) < 2; {
+		w.tick()
+	}
+	w.advance(100 * time.Millisecond)
+	w.takeover()
+	w.advance(300 * time.Millisecond)
+	g.Expect(w.planner.isSuspect(w.planner.jobs[deadly].units[0])).To(BeTrue())
+}
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -157,6 +157,7 @@
 	stopConfirmedMS  int64     // worker's clock when a stop was confirmed, 0 before that
 	listed           bool      // the worker has reported the run
 	moved            bool      // the worker restarted under its id after the order, see startIncarnation
+	crashed          bool      // that restart was a crash
 	crashedAtStart   bool      // the run may still have been starting at that restart
 	startedAt        time.Time // first report of the run; before that, the decision or the order, or the term's start if inherited
 	firstPercent     float64   // progress in the first report of the run
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -89,45 +89,52 @@
 // such orders. They end as lost at once if the new incarnation has another id.
 func (e *Engine) startIncarnation(w *worker, incarnation string, report *workflow.WorkerReport, now time.Time) {
 	otherID := w.instance != "" && report.Instance != "" && w.instance != report.Instance
+	crashed := !w.hasLeft && (w.announcement == nil || !w.announcement.Draining)
 	if w.incarnation != "" {
 		w.generation++
-		if !w.hasLeft && !w.hasRecentStart(w.reportedAt) && (w.announcement == nil || !w.announcement.Draining) {
+		if crashed && !w.hasRecentStart(w.reportedAt) {
 			e.unexplainedCrashAt = now
 		}
 	}
 	w.incarnation, w.instance, w.startedMS = incarnation, report.Instance, report.StartedMS
 	w.announcement, w.clockMS, w.maxLeaseUntilMS, w.lastEndNumber, w.hasLeft = nil, 0, 0, 0, false
 	w.health = health{}
-	e.resolveLapses(w, true, now)
+	e.resolveLapses(w, crashed, now)
 	for _, m := range slices.Clone(w.members) {
 		switch {
 		case m.incarnation == incarnation:
 		case !m.startSent && !m.inherited:
 			e.endMember(m, workflow.EndNever, "", now)
 		case otherID:
-			e.loseMember(m, m.startedRecently(w.reportedAt), now)
+			e.loseMember(m, crashed, m.startedRecently(w.reportedAt), now)
 		default:
-			e.moveToIncarnation(m, report)
+			if m.moved && m.listed && crashed {
+				e.recordCrash(m, m.startedRecently(w.reportedAt), now)
+			}
+			e.moveToIncarnation(m, crashed, report)
 		}
 	}
 }
 
-// loseMember ends the run of a member with a crash of its worker.
-func (e *Engine) loseMember(m *member, startedRecently bool, now time.Time) {
+// loseMember ends the run of a member whose worker has restarted, by a crash or after it
+// had drained.
+func (e *Engine) loseMember(m *member, crashed, startedRecently bool, now time.Time) {
 	if m.inherited {
 		m.worker.lostInheritedRuns = true
 		e.updateMassRestart()
 	}
-	e.recordCrash(m, startedRecently, now)
+	if crashed {
+		e.recordCrash(m, startedRecently, now)
+	}
 	e.endMember(m, workflow.EndLost, "", now)
 }
 
 // moveToIncarnation assigns a member to the present incarnation of its worker, which may
 // carry the order out. What is known of the start in terms of the former clock no longer holds.
-func (e *Engine) moveToIncarnation(m *member, report *workflow.WorkerReport) {
+func (e *Engine) moveToIncarnation(m *member, crashed bool, report *workflow.WorkerReport) {
 	w := m.worker
 	if !m.moved || m.listed {
-		m.crashedAtStart = m.startedRecently(w.reportedAt)
+		m.crashed, m.crashedAtStart = crashed, m.startedRecently(w.reportedAt)
 	}
 	m.incarnation, m.moved, m.listed = w.incarnation, true, false
 	m.startConfirmedMS, m.stopConfirmedMS, m.lastStopSent = 0, 0, time.Time{}
@@ -188,7 +195,7 @@
 		switch {
 		case listed[m]:
 		case m.moved && fenced && !m.listed:
-			e.loseMember(m, m.crashedAtStart, now)
+			e.loseMember(m, m.crashed, m.crashedAtStart, now)
 		case m.moved && fenced, !m.moved && m.cannotRun(report.ClockMS):
 			how := workflow.EndNever
 			if m.listed || m.startConfirmedMS > 0 {
@@ -221,9 +228,10 @@
 	if !m.listed {
 		m.listed, m.startedAt, m.percentChangedAt, m.firstPercent, m.percent = true, now, now, r.Percent, r.Percent
 	}
-	if !m.startedRecently(now) {
+	if m.hasOutlivedStart(now) {
 		e.recordSurvival(m)
 	}
+	e.forgetCrashes(m, now)
 	if r.Percent != m.percent {
 		m.percent, m.percentChangedAt = r.Percent, now
 	}
