--- a/internal/ctl/workflow_test.go
+++ b/internal/ctl/workflow_test.go
@@ -85,6 +85,15 @@
 		Expect(errs.String()).To(ContainSubstring("job_gone"))
 	})
 
+	// Guards against a limit of failures that is named as the reason where workers have crashed.
+	It("explains that a job was given up for crashes of workers", func() {
+		put(workflow.ProgressPrefix+"00000000000000a3", workflow.Progress{
+			State: workflow.StateFailed, GivenUp: true, Crashes: []workflow.ItemCrashes{{AtStart: 2, Total: 2}, {Index: 1, AtStart: 3, Total: 4}},
+		})
+		Expect(run("workflow", "explain", "00000000000000a3")).To(Equal(ExitOK), errs.String())
+		Expect(out.String()).To(ContainSubstring("Workers crashed under an item 4 times, so the job was given up"))
+	})
+
 	// Guards against an explanation that reads as if the planner had no reason, when
 	// in fact the planner was not reachable.
 	It("says that the planner's reason is not available", func() {
--- a/internal/workflow/inspect/inspect.go
+++ b/internal/workflow/inspect/inspect.go
@@ -241,6 +241,13 @@
 	case workflow.StateCanceled:
 		return fmt.Sprintf("A caller cancelled the job; %d of %d items were done.", counts.Done, counts.Items)
 	case workflow.StateFailed:
+		if j.Progress.GivenUp {
+			most := 0
+			for _, c := range j.Progress.Crashes {
+				most = max(most, c.Total)
+			}
+			return fmt.Sprintf("Workers crashed under an item %d times, so the job was given up; %d of %d items were done.", most, counts.Done, counts.Items)
+		}
 		return fmt.Sprintf("An item failed %d times, and its queue allows %d attempts; %d of %d items were done.", counts.Failed, attempts, counts.Done, counts.Items)
 	}
 	text := fmt.Sprintf("%d of %d items are done", counts.Done, counts.Items)
