--- a/internal/workflow/engine/crash_test.go
+++ b/internal/workflow/engine/crash_test.go
@@ -19,6 +19,14 @@
 	return w
 }
 
+// advanceUntilIdle advances the world until all jobs have ended, at most by d.
+func (w *world) advanceUntilIdle(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end) && !w.isIdle(); {
+		w.tick()
+	}
+	w.tick() // stores the end of the last job
+}
+
 // addDeadlyJob adds a job of which each item crashes its worker.
 func (w *world) addDeadlyJob(queue string, s workflow.Step) string {
 	id := w.addJob(queue, "a", s)
@@ -42,7 +50,7 @@
 					w.addJob("small", "b", step(2, 1, 900))
 					w.advance(500 * time.Millisecond)
 				}
-				w.advance(80 * time.Second)
+				w.advanceUntilIdle(80 * time.Second)
 				g.Expect(w.violations).To(BeEmpty())
 				for _, id := range sortedKeys(w.jobs) {
 					want := workflow.StateComplete
@@ -133,7 +141,7 @@
 					w := deadlyWorld(21, 8, delay*time.Millisecond)
 					w.crashDowntime = downtime * time.Second
 					deadly := w.addDeadlyJob("large", step(1, 2, 30_000))
-					for range takeovers {
+					for i := 0; i < takeovers && !w.isIdle(); i++ {
 						before := len(w.runs(deadly, 0))
 						for end := w.now.Add(30 * time.Second); w.now.Before(end) && len(w.runs(deadly, 0)) == before; {
 							w.tick()
@@ -141,7 +149,7 @@
 						w.advance(200 * time.Millisecond)
 						w.takeover()
 					}
-					w.advance(200 * time.Second)
+					w.advanceUntilIdle(200 * time.Second)
 					g.Expect(w.violations).To(BeEmpty())
 					g.Expect(w.progress[deadly].State).To(Equal(workflow.StateFailed))
 				})
