--- a/internal/workflow/engine/crash.go
+++ b/internal/workflow/engine/crash.go
@@ -67,8 +67,8 @@
 	e.markDirty(u.job)
 }
 
-// resolveLapses settles the lapsed runs of a worker: it has crashed, or it has not, or it is
-// not known in time.
+// resolveLapses settles the lapsed runs of a worker. The argument crashed is false also if it
+// did not become known in time whether the worker has crashed.
 func (e *Engine) resolveLapses(w *worker, crashed bool, now time.Time) {
 	for _, l := range w.lapsed {
 		u := l.member.unit
