--- a/internal/proof/soak.go
+++ b/internal/proof/soak.go
@@ -330,6 +330,8 @@
 func (s *soak) jobProblem(j *soakJob) string {
 	status, state := s.cluster.State(s.cluster.Entries[0], j.path)
 	begun, mustFail := !s.cluster.Pool.LastStart(j.id).IsZero(), j.payload.Fail || j.payload.CrashMS > 0
+	// The platform allows a failure after such crashes, whatever their reason was.
+	mayFail := mustFail || s.cluster.Pool.Crashes(j.id) >= platformworker.CrashesToGiveUp
 	switch {
 	case j.allRefused && begun:
 		return "the job was refused, but ran"
@@ -338,13 +340,11 @@
 	case status != http.StatusOK:
 		return fmt.Sprintf("status %d", status)
 	case !j.cancelled.IsZero():
-		if state == "canceled" || state == "complete" || state == "failed" && (mustFail || s.cluster.Pool.Crashes(j.id) >= platformworker.CrashesToGiveUp) {
+		if state == "canceled" || state == "complete" || state == "failed" && mayFail {
 			return ""
 		}
-	case state == "complete" && !mustFail, state == "failed" && mustFail:
+	case state == "complete" && !mustFail, state == "failed" && mayFail:
 		return ""
-	case state == "failed" && s.cluster.Pool.Crashes(j.id) >= platformworker.CrashesToGiveUp:
-		return "" // the platform allows it, whatever the reason of the crashes was
 	}
 	return fmt.Sprintf("state %q", state)
 }
