Share the set-up of the tests of the runner and of crashes

Seven tests of the runner repeated the first call of a planner (one of them without looking at its error), and three tests of crashes the loop that waits for a further run.

--- a/internal/workflow/engine/crash_test.go
+++ b/internal/workflow/engine/crash_test.go
@@ -27,6 +27,13 @@
 	w.tick() // stores the end of the last job
 }
 
+// advanceUntilRuns advances the world until the first item of a job has n runs, at most by d.
+func (w *world) advanceUntilRuns(id string, n int, d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end) && len(w.runs(id, 0)) < n; {
+		w.tick()
+	}
+}
+
 // addDeadlyJob adds a job of which each item crashes its worker.
 func (w *world) addDeadlyJob(queue string, s workflow.Step) string {
 	id := w.addJob(queue, "a", s)
@@ -73,10 +80,7 @@
 	w := deadlyWorld(22, 3, 100*time.Millisecond)
 	deadly := w.addDeadlyJob("large", step(1, 2, 8000))
 	for range 12 {
-		before := len(w.runs(deadly, 0))
-		for end := w.now.Add(20 * time.Second); w.now.Before(end) && len(w.runs(deadly, 0)) == before; {
-			w.tick()
-		}
+		w.advanceUntilRuns(deadly, len(w.runs(deadly, 0))+1, 20*time.Second)
 		w.advance(200 * time.Millisecond)
 		w.takeover()
 	}
@@ -142,10 +146,7 @@
 					w.crashDowntime = downtime * time.Second
 					deadly := w.addDeadlyJob("large", step(1, 2, 30_000))
 					for i := 0; i < takeovers && !w.isIdle(); i++ {
-						before := len(w.runs(deadly, 0))
-						for end := w.now.Add(30 * time.Second); w.now.Before(end) && len(w.runs(deadly, 0)) == before; {
-							w.tick()
-						}
+						w.advanceUntilRuns(deadly, len(w.runs(deadly, 0))+1, 30*time.Second)
 						w.advance(200 * time.Millisecond)
 						w.takeover()
 					}
@@ -281,9 +282,7 @@
 	g := NewWithT(t)
 	w := deadlyWorld(25, 3, 700*time.Millisecond)
 	deadly := w.addDeadlyJob("large", step(1, 2, 8000))
-	for end := w.now.Add(20 * time.Second); w.now.Before(end) && len(w.runs(deadly, 0)) < 2; {
-		w.tick()
-	}
+	w.advanceUntilRuns(deadly, 2, 20*time.Second)
 	w.advance(100 * time.Millisecond)
 	w.takeover()
 	w.advance(300 * time.Millisecond)
--- a/internal/workflow/runner/runner_test.go
+++ b/internal/workflow/runner/runner_test.go
@@ -63,6 +63,14 @@
 	return answer(ctx)
 }
 
+// newSynced returns a Runner that a planner of epoch 1 has called once.
+func newSynced(t *testing.T, g *GomegaWithT, w WorkerAPI) *Runner {
+	r := New(w)
+	_, err := r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 1})
+	g.Expect(err).NotTo(HaveOccurred())
+	return r
+}
+
 func loseResponse(ctx context.Context) (workflow.OrderOutcome, error) {
 	<-ctx.Done()
 	return workflow.OrderOutcome{}, ctx.Err()
@@ -104,8 +112,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
-				r := New(&fakeWorker{starts: c.starts})
-				r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 1})
+				r := newSynced(t, g, &fakeWorker{starts: c.starts})
 				reply, err := r.Order(t.Context(), &workflow.OrderRequest{Epoch: 1, Starts: []workflow.StartOrder{{Run: 1}}})
 				g.Expect(err).NotTo(HaveOccurred())
 				g.Expect(reply.Starts[0].Verdict).To(Equal(c.want))
@@ -222,9 +229,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
 				w := &fakeWorker{report: workflow.WorkerReport{Instance: "w", StartedMS: 5}, starts: attempts{respondWith(workflow.VerdictDone, "")}}
-				r := New(w)
-				_, err := r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 1})
-				g.Expect(err).NotTo(HaveOccurred())
+				r := newSynced(t, g, w)
 				c.change(t.Context(), r, w)
 				reply, err := r.Order(t.Context(), &workflow.OrderRequest{Epoch: 1, Instance: "w", StartedMS: 5, Starts: []workflow.StartOrder{{Run: 1}}})
 				g.Expect(err).NotTo(HaveOccurred())
@@ -240,9 +245,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		w := &fakeWorker{report: workflow.WorkerReport{Instance: "w", StartedMS: 5}}
-		r := New(w)
-		_, err := r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 1})
-		g.Expect(err).NotTo(HaveOccurred())
+		r := newSynced(t, g, w)
 		w.starts = attempts{func(context.Context) (workflow.OrderOutcome, error) {
 			r.Announce(&workflow.Announcement{Instance: "w", StartedMS: 6, Seq: 1})
 			return workflow.OrderOutcome{}, errors.New("connection reset")
@@ -282,9 +285,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		w := &fakeWorker{report: workflow.WorkerReport{Instance: "w", StartedMS: 5, ClockMS: 500}, starts: attempts{respondWith(workflow.VerdictDone, "")}}
-		r := New(w)
-		_, err := r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 1})
-		g.Expect(err).NotTo(HaveOccurred())
+		r := newSynced(t, g, w)
 		order := &workflow.OrderRequest{Epoch: 1, Instance: "w", StartedMS: 5, Starts: []workflow.StartOrder{{Run: 1}}}
 		reply, err := r.Order(t.Context(), order)
 		g.Expect(err).NotTo(HaveOccurred())
@@ -310,9 +311,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
 			w := &fakeWorker{report: workflow.WorkerReport{Instance: "w", StartedMS: 6}, starts: attempts{respondWith(workflow.VerdictDone, "")}}
-			r := New(w)
-			_, err := r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 1})
-			g.Expect(err).NotTo(HaveOccurred())
+			r := newSynced(t, g, w)
 			r.Announce(&workflow.Announcement{Instance: "w", StartedMS: 5, Draining: true, Seq: 9})
 			reply, err := r.Order(t.Context(), &workflow.OrderRequest{Epoch: 1, Instance: "w", StartedMS: 6, Starts: []workflow.StartOrder{{Run: 1}}})
 			g.Expect(err).NotTo(HaveOccurred())
@@ -323,9 +322,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
 			w := &fakeWorker{report: workflow.WorkerReport{Instance: "w", StartedMS: 5}}
-			r := New(w)
-			_, err := r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 1})
-			g.Expect(err).NotTo(HaveOccurred())
+			r := newSynced(t, g, w)
 			r.Announce(&workflow.Announcement{Instance: "w", StartedMS: 5, Draining: true, Seq: 9})
 			r.Deregister("w")
 			w.report.StartedMS = 6
@@ -343,9 +340,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		w := &fakeWorker{report: workflow.WorkerReport{Instance: "w", StartedMS: 5_000}}
-		r := New(w)
-		_, err := r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 1})
-		g.Expect(err).NotTo(HaveOccurred())
+		r := newSynced(t, g, w)
 		w.err = ErrNoListener
 		r.poll(t.Context(), 0)
 		w.err, w.report.StartedMS = nil, 4_000
