Define the interfaces of scheduling plug-ins, switched on by settings

Cause: the two new customers need decisions that depend on the load (uneven workers, urgent jobs that come in waves, too little room), and the engine has one fixed rule for each. Ruled out: further branches in the engine, which every deployment would get and no test could look at alone. Change: package framework has the interfaces SpeedModel, HeadroomPolicy and CostModel, a registry, and the section workflow.plugins of the settings; a term makes its own plug-ins, and the dump of the planner shows their state. No plug-in is registered yet, so decisions are unchanged.

--- a/internal/kernel/settings.go
+++ b/internal/kernel/settings.go
@@ -83,6 +83,18 @@
 	return nil
 }
 
+// DecodeSection decodes a part of a settings file, such as the settings of a plug-in,
+// into s like ParseSettings. It appends the faults with paths below path.
+func DecodeSection(data json.RawMessage, path string, s Settings, faults *ValidationErrors) {
+	var found ValidationErrors
+	if err, ok := ParseSettings(data, s).(ValidationErrors); ok {
+		found = err
+	}
+	for _, fault := range found {
+		*faults = append(*faults, ValidationError{Path: path + "." + fault.Path, Reason: fault.Reason})
+	}
+}
+
 // decodeFault returns the fault that a JSON decoding error stands for.
 func decodeFault(err error) ValidationError {
 	if typeErr, ok := err.(*json.UnmarshalTypeError); ok {
--- a/internal/workflow/daemon/settings.go
+++ b/internal/workflow/daemon/settings.go
@@ -10,6 +10,7 @@
 	"snipegw/internal/kernel"
 	"snipegw/internal/store"
 	"snipegw/internal/workflow/engine"
+	"snipegw/internal/workflow/framework"
 	"snipegw/internal/workflow/intake"
 	"snipegw/internal/workflow/runner"
 )
@@ -52,6 +53,9 @@
 	MinStoreLeaseMS int64 `json:"min_store_lease_ms"`
 	// KeepEndedMS is the retention period of the records of ended jobs.
 	KeepEndedMS int64 `json:"keep_ended_ms"`
+	// Plugins holds the settings of the scheduling plug-ins that are switched on, by
+	// name.
+	Plugins framework.Settings `json:"plugins"`
 }
 
 // setDefault sets field to value if it is zero.
@@ -90,12 +94,14 @@
 			faults.Add(path+"."+name, "must not be negative")
 		}
 	}
+	s.Plugins.Validate(path+".plugins", faults)
 }
 
 func (s *EntrySettings) engineSettings() engine.Settings {
 	ms := func(v int64) time.Duration { return time.Duration(v) * time.Millisecond }
 	return engine.Settings{
 		LeaseDuration: ms(s.MaxLeaseMS - leaseReserveMS), StopTimeout: ms(s.StopTimeoutMS), ReclaimTimeout: ms(s.ReclaimMS),
+		NewPlugins: s.Plugins.Constructor(),
 	}
 }
 
--- a/internal/workflow/engine/dump.go
+++ b/internal/workflow/engine/dump.go
@@ -40,6 +40,8 @@
 type State struct {
 	Jobs    []JobState    `json:"jobs"`
 	Workers []WorkerState `json:"workers"`
+	// Plugins holds the states of the scheduling plug-ins, by name.
+	Plugins map[string]any `json:"plugins,omitempty"`
 }
 
 // Dump returns the state of the engine at now.
@@ -70,5 +72,11 @@
 		}
 		s.Workers = append(s.Workers, ws)
 	}
+	for name, p := range e.plugins.set {
+		if s.Plugins == nil {
+			s.Plugins = make(map[string]any)
+		}
+		s.Plugins[name] = p.State(now)
+	}
 	return s
 }
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"snipegw/internal/workflow"
+	"snipegw/internal/workflow/framework"
 )
 
 // Settings are the properties of the platform that decisions depend on.
@@ -24,6 +25,8 @@
 	// ReclaimTimeout is the start deadline of a job within its team's guarantee, counted
 	// from its acceptance.
 	ReclaimTimeout time.Duration
+	// NewPlugins makes the scheduling plug-ins of a term; nil for none.
+	NewPlugins func() framework.Set
 }
 
 const (
@@ -71,6 +74,7 @@
 	massRestart   bool // see updateMassRestart
 	// unexplainedCrashAt is the time of the latest crash of a worker without a recent start.
 	unexplainedCrashAt time.Time
+	plugins            plugins
 }
 
 // policy switches off parts of the scheduling policy, or replaces the order of
@@ -90,7 +94,7 @@
 	return &Engine{
 		settings: s, epoch: epoch, termStart: now, config: &workflow.Config{},
 		jobs: make(map[string]*job), workers: make(map[string]*worker), dirty: make(map[string]*job),
-		estimates: make(durationEstimates),
+		estimates: make(durationEstimates), plugins: newPlugins(s.NewPlugins),
 	}
 }
 
