Do not take a gang member that waits for slower ones for hung

Cause: members of a gang progress each at the speed of its worker and end together, so a fast one stands at 100 percent until the slowest is there. After 3 s the engine stopped it, and with it the gang, as "no progress", and excluded its worker. Ruled out: a longer timeout, which finds real hangs later and depends on how slow a worker may be. Change: a member at 100 percent counts as hung only if no other member is below 100. One that stands still below is found as before.

--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -354,7 +354,7 @@
 		}
 		for _, m := range w.members {
 			u := m.unit
-			if u.stopping || u.done || !m.listed || u.spec().LongRunning || w.reportedAt.Sub(m.percentChangedAt) < e.hangTimeout(u) {
+			if u.stopping || u.done || !m.listed || u.spec().LongRunning || m.awaitsGang() || w.reportedAt.Sub(m.percentChangedAt) < e.hangTimeout(u) {
 				continue
 			}
 			u.stop("no progress")
@@ -367,6 +367,13 @@
 	return stops
 }
 
+// awaitsGang reports whether m has done its part of a gang and another member has not.
+// Members of a gang end together, so the fast ones stand at 100 percent until the
+// slowest is there.
+func (m *member) awaitsGang() bool {
+	return m.percent >= 100 && slices.ContainsFunc(m.unit.members, func(o *member) bool { return o.end == "" && o.percent < 100 })
+}
+
 // hangTimeout returns the time without progress after which a run of u counts as
 // hung. A slow but sound run does not reach it: one that takes fifty times its
 // estimate still gains one percent in half the estimate.
