Learn the speed of workers and use it for placement, expected ends and hangs

Cause: workers differ in speed and turn slow for seconds; a run's expected time, the place of an urgent job, a gang's slowest member and the hang timeout took all for equal. Ruled out: levels alone, by comparing items of a step: items of a step differ by a factor of 1.45 on the same worker, which hides a slowdown for many items. Change: plug-in worker_speed (framework.SpeedModel). Faster workers come first, an urgent unit leaves workers on which it would miss its objective, expected ends and the hang timeout follow the speed, learned run times are normalised by it. Equal workers have a slowness of exactly 1. Workers without a run that goes on over the change are seen late.

--- /dev/null
+++ b/internal/workflow/daemon/plugins.go
@@ -0,0 +1,6 @@
+package daemon
+
+// The scheduling plug-ins, which register themselves.
+import (
+	_ "snipegw/internal/workflow/workerspeed"
+)
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -56,6 +56,7 @@
 // orders (StartOrders).
 func (e *Engine) Decide(now time.Time) ([]Placement, []StopDecision) {
 	var stops []StopDecision
+	e.updateSlowness(now)
 	stops = e.stopRunsOnDrainingWorkers(now, stops)
 	stops = e.stopHungRuns(now, stops)
 	var starts []Placement
@@ -67,6 +68,9 @@
 				break // fits like an equal unit before it, but has to leave the headroom
 			}
 			placement := e.placeCached(u, r)
+			if fast, some := e.avoidSlow(u, c, r, now); some && placement != nil {
+				placement = e.place(u, fast)
+			}
 			if placement != nil && e.mustLeaveHeadroom(u, c, r, now) {
 				break // the next units of the job are as large, so they have to wait too
 			}
@@ -96,7 +100,8 @@
 // now, so that units after it do not take their resources; nil for none. It stops
 // other runs if the unit may preempt them and would otherwise start too late.
 func (e *Engine) reserveOrPreempt(u *unit, c *candidate, r *freeResources, now time.Time) ([]*worker, []StopDecision) {
-	placement, delay := e.soonestPlacement(u, r, now)
+	fast, _ := e.avoidSlow(u, c, r, now)
+	placement, delay := e.soonestPlacement(u, fast, now)
 	if c.class == classOther || placement != nil && now.Add(delay).Before(e.latestStart(c)) {
 		if u.count == 1 && u.spec().Accelerators <= 1 {
 			return nil, nil // small enough to start as soon as any run ends
@@ -335,7 +340,7 @@
 			if u.stopping || u.done || !m.listed {
 				continue
 			}
-			if u.spec().LongRunning || e.estimates.remaining(u, now) > timeLeft {
+			if u.spec().LongRunning || e.remaining(u, now) > timeLeft {
 				u.stop("worker drains")
 				stops = append(stops, StopDecision{Unit: u.itemRef(m.index), Run: m.run, Reason: u.stopReason})
 			}
@@ -354,7 +359,7 @@
 		}
 		for _, m := range w.members {
 			u := m.unit
-			if u.stopping || u.done || !m.listed || u.spec().LongRunning || m.awaitsGang() || w.reportedAt.Sub(m.percentChangedAt) < e.hangTimeout(u) {
+			if u.stopping || u.done || !m.listed || u.spec().LongRunning || m.awaitsGang() || w.reportedAt.Sub(m.percentChangedAt) < e.hangTimeoutOf(m) {
 				continue
 			}
 			u.stop("no progress")
--- a/internal/workflow/engine/dump.go
+++ b/internal/workflow/engine/dump.go
@@ -30,6 +30,8 @@
 	ReportAgeMS int64  `json:"report_age_ms"`
 	Items       int    `json:"items"`
 	Excluded    bool   `json:"excluded"`
+	// Slowness is the learned factor of run times, 1 for a typical worker.
+	Slowness float64 `json:"slowness"`
 	// Rack and Accelerators are as announced; empty and 0 before an announcement.
 	Rack             string `json:"rack,omitempty"`
 	Accelerators     int64  `json:"accelerators"`
@@ -65,7 +67,7 @@
 		ws := WorkerState{
 			Node: w.node, Incarnation: w.incarnation, Usable: e.usable(w, now), Draining: w.announcement != nil && w.announcement.Draining,
 			ReportAgeMS: now.Sub(w.reportedAt).Milliseconds(), Items: len(w.members), Excluded: w.health.excluded(now),
-			FreeAccelerators: w.free().Accelerators,
+			FreeAccelerators: w.free().Accelerators, Slowness: w.relativeSlowness(),
 		}
 		if w.announcement != nil {
 			ws.Rack, ws.Accelerators = w.announcement.Rack, w.announcement.Capacity.Accelerators
--- a/internal/workflow/engine/estimate.go
+++ b/internal/workflow/engine/estimate.go
@@ -95,21 +95,25 @@
 func (est durationEstimates) remaining(u *unit, now time.Time) time.Duration {
 	total, longest := est.duration(u), time.Duration(0)
 	for _, m := range u.members {
-		if m.end != "" {
-			continue
+		if m.end == "" {
+			longest = max(longest, m.remaining(total, now), minRemaining)
 		}
-		timeLeft := total
-		switch done := m.percent - m.firstPercent; {
-		case m.listed && done >= minProgressPercent:
-			whole := time.Duration(float64(m.percentChangedAt.Sub(m.startedAt)) * (100 - m.firstPercent) / done)
-			timeLeft = whole - now.Sub(m.startedAt)
-		case m.listed:
-			timeLeft = time.Duration(float64(total)*(100-m.percent)/100) - now.Sub(m.percentChangedAt)
-		}
-		longest = max(longest, timeLeft, minRemaining)
 	}
 	return longest
 }
 
+// remaining returns the expected time until m has made all its progress. If it has made
+// little yet, it is expected to take total for the whole.
+func (m *member) remaining(total time.Duration, now time.Time) time.Duration {
+	switch done := m.percent - m.firstPercent; {
+	case m.listed && done >= minProgressPercent:
+		whole := time.Duration(float64(m.percentChangedAt.Sub(m.startedAt)) * (100 - m.firstPercent) / done)
+		return whole - now.Sub(m.startedAt)
+	case m.listed:
+		return time.Duration(float64(total)*(100-m.percent)/100) - now.Sub(m.percentChangedAt)
+	}
+	return total
+}
+
 // minRemaining is the least expected remaining time of a run that has not ended.
 const minRemaining = 50 * time.Millisecond
--- a/internal/workflow/engine/explain.go
+++ b/internal/workflow/engine/explain.go
@@ -45,6 +45,9 @@
 	c := &candidate{job: j, units: []*unit{u}, class: e.classOf(j)}
 	e.computeUrgency(c, now)
 	if e.place(u, r) != nil {
+		if fast, some := e.avoidSlow(u, c, r, now); some && e.place(u, fast) == nil {
+			return "fits, but only on workers that are too slow for its objective"
+		}
 		if e.mustLeaveHeadroom(u, c, r, now) {
 			return "fits, but can wait and would use the headroom that is kept for jobs of priority 0"
 		}
--- a/internal/workflow/engine/health.go
+++ b/internal/workflow/engine/health.go
@@ -50,6 +50,9 @@
 // estimates.
 func (e *Engine) observeEnd(m *member, how workflow.End, now time.Time) {
 	u := m.unit
+	if e.plugins.speed != nil {
+		e.plugins.speed.ObserveEnd(m.worker.node, m.runID())
+	}
 	if how == workflow.EndDone || how == workflow.EndFailed {
 		e.recordSurvival(m)
 	}
@@ -57,7 +60,7 @@
 	case workflow.EndDone:
 		m.worker.health.recordSuccess()
 		if m.startConfirmedMS > 0 && !m.resumed {
-			e.estimates.observe(u, time.Duration(m.worker.clockMS-m.startConfirmedMS)*time.Millisecond)
+			e.estimates.observe(u, scale(time.Duration(m.worker.clockMS-m.startConfirmedMS)*time.Millisecond, 1/u.slowness()))
 		}
 	case workflow.EndFailed:
 		m.worker.health.recordFailure(u.job.id, now)
--- a/internal/workflow/engine/notes.go
+++ b/internal/workflow/engine/notes.go
@@ -6,12 +6,13 @@
 	"snipegw/internal/workflow"
 )
 
-// EndEvent is the end of a run or of a job, or a run that should have ended, for logs
-// and metrics. Exactly one of its fields is set.
+// EndEvent is the end of a run or of a job, a run that should have ended, or a change of
+// the speed of a worker, for logs and metrics. Exactly one of its fields is set.
 type EndEvent struct {
 	Run        *RunEnd
 	Job        *JobEnd
 	Unexpected *UnexpectedRun
+	Speed      *SpeedChange
 }
 
 // UnexpectedRun is a run that a worker lists although the planner has no record of it,
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -205,7 +205,7 @@
 }
 
 // placeInRack places a gang in one rack: in the preferred one, or else in the
-// fitting one with the fewest free accelerators. It spreads the gang over racks
+// fitting one that is fastest and then has the fewest free accelerators. It spreads the gang over racks
 // only if no rack could hold it even when empty.
 func (e *Engine) placeInRack(u *unit, r *freeResources, fitting []*worker) []*worker {
 	racks := make(map[string][]*worker)
@@ -213,7 +213,7 @@
 		racks[w.announcement.Rack] = append(racks[w.announcement.Rack], w)
 	}
 	var best []*worker
-	bestFree := int64(-1)
+	bestFree, bestSlowness := int64(-1), 0.0
 	for _, rack := range sortedKeys(racks) {
 		placement := pack(u, r, e.sortByPreference(u, r, racks[rack]))
 		if placement == nil {
@@ -226,8 +226,9 @@
 		if rack == u.spec().PreferredRack {
 			return placement
 		}
-		if bestFree < 0 || freeInRack < bestFree {
-			best, bestFree = placement, freeInRack
+		slowness := slowest(placement)
+		if bestFree < 0 || cmp.Or(cmp.Compare(slowness, bestSlowness), cmp.Compare(freeInRack, bestFree)) < 0 {
+			best, bestFree, bestSlowness = placement, freeInRack, slowness
 		}
 	}
 	if best != nil || e.rackCouldHold(u) {
@@ -258,7 +259,7 @@
 
 // sortByPreference returns the workers in the order in which u should fill them:
 // first those on which it has not failed, then those in its preferred rack, where
-// its data is, then those with the least free resources (best fit), so that whole
+// its data is, then the fast ones, then those with the least free resources (best fit), so that whole
 // workers stay free for large items. A suspect unit prefers those with the fewest runs,
 // which a crash would end.
 func (e *Engine) sortByPreference(u *unit, r *freeResources, workers []*worker) []*worker {
@@ -284,6 +285,7 @@
 		return cmp.Or(
 			cmp.Compare(runsAtRisk(a), runsAtRisk(b)),
 			cmp.Compare(penalty(a), penalty(b)),
+			cmp.Compare(a.relativeSlowness(), b.relativeSlowness()),
 			cmp.Compare(r.free[a.index].Accelerators, r.free[b.index].Accelerators),
 			cmp.Compare(r.free[a.index].MilliCPU, r.free[b.index].MilliCPU),
 		)
--- a/internal/workflow/engine/policy_test.go
+++ b/internal/workflow/engine/policy_test.go
@@ -113,6 +113,12 @@
 // replayLoad simulates a load under a policy, until all jobs have ended or three
 // minutes have passed since the last one arrived.
 func replayLoad(l *load, p policy) loadOutcome {
+	w := newLoadWorld(l)
+	return w.measureOutcome(l, w.replay(l, p))
+}
+
+// newLoadWorld returns a world with the pool, the queues and the teams of a load.
+func newLoadWorld(l *load) *world {
 	w := newWorld(1, l.Workers, 0)
 	w.noRandomFailures = true
 	w.config = &workflow.Config{Version: 2, Queues: l.Queues, Teams: l.Teams}
@@ -123,6 +129,12 @@
 			m.slowness = l.Slowness[i%len(l.Slowness)]
 		}
 	}
+	return w
+}
+
+// replay submits the jobs of a load and runs the world until they have ended. It returns
+// their ids.
+func (w *world) replay(l *load, p policy) []string {
 	w.planner.SetConfig(w.config)
 	w.advance(2500 * time.Millisecond)
 	w.runTimes = make(map[string]time.Duration)
@@ -145,7 +157,7 @@
 			break
 		}
 	}
-	return w.measureOutcome(l, ids)
+	return ids
 }
 
 // addLoadJob submits a recorded job with its true run times and returns its id.
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -26,7 +26,8 @@
 	if e.policy.preemptForGuaranteesOnly && c.class != classGuaranteed {
 		return nil, nil
 	}
-	best := e.cheapestPreemption(u, r, func(v *unit) bool {
+	fast, _ := e.avoidSlow(u, c, r, now)
+	best := e.cheapestPreemption(u, fast, func(v *unit) bool {
 		return e.mayPreempt(c, v) && (v.stopping || v.done || e.classOf(v.job) == classOther)
 	}, now)
 	if best == nil && c.class < classUrgent {
@@ -290,7 +291,7 @@
 	}
 	remaining := make(map[*unit]time.Duration, len(active))
 	for _, v := range active {
-		remaining[v] = e.estimates.remaining(v, now)
+		remaining[v] = e.remaining(v, now)
 	}
 	slices.SortFunc(active, func(a, b *unit) int {
 		return cmp.Or(cmp.Compare(remaining[a], remaining[b]), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.first, b.first))
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -31,6 +31,7 @@
 	inheritedRuns, lostInheritedRuns bool
 	unexpected                       map[runKey]bool // runs in the latest report that no member stands for
 	health                           health
+	slowness                         float64 // learned from run times, see relativeSlowness; 0 is 1
 }
 
 // AddWorker adds the worker of a node, if it is new. Nothing starts on it before its
@@ -238,6 +239,7 @@
 	if r.Checkpoint != "" {
 		m.unit.checkpoint = r.Checkpoint
 	}
+	e.observeProgress(m, now)
 }
 
 // ExpireLeases ends the runs on workers whose lease has expired for certain.
--- a/internal/workflow/engine/world_test.go
+++ b/internal/workflow/engine/world_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"snipegw/internal/workflow"
+	"snipegw/internal/workflow/framework"
 )
 
 // world simulates workers, a store and successive planners. Orders may be lost or
@@ -33,6 +34,7 @@
 	runsByItem           map[string][]*modelRun
 	violations           []string // of the rules, with the time and the rule's name
 
+	newPlugins       func() framework.Set     // makes the scheduling plug-ins of a term
 	hideCancels      bool                     // keeps cancellations from the planner, to test the check
 	noRandomFailures bool                     // runs do not fail at random
 	noProgress       bool                     // workers report no progress of runs
@@ -87,7 +89,7 @@
 func (w *world) takeover() {
 	w.storeRevision++
 	w.epoch = w.storeRevision
-	w.planner = New(Settings{LeaseDuration: 5900 * time.Millisecond, MaxStoreOutage: 2 * time.Second, ReclaimTimeout: 2700 * time.Millisecond}, w.epoch, w.now)
+	w.planner = New(Settings{LeaseDuration: 5900 * time.Millisecond, MaxStoreOutage: 2 * time.Second, ReclaimTimeout: 2700 * time.Millisecond, NewPlugins: w.newPlugins}, w.epoch, w.now)
 	w.planner.SetConfig(w.config)
 	for _, id := range sortedKeys(w.jobs) {
 		var p *workflow.Progress
--- a/internal/workflow/framework/framework_test.go
+++ b/internal/workflow/framework/framework_test.go
@@ -15,8 +15,12 @@
 
 func (p *testPlugin) State(time.Time) any                { return p.limit }
 func (p *testPlugin) ObserveProgress(Progress)           {}
+func (p *testPlugin) ObserveEnd(string, Run)             {}
 func (p *testPlugin) Slowness(string, time.Time) float64 { return 1 }
-func (s *testSettings) Provision()                       {}
+func (p *testPlugin) RunTime(string, Run) (time.Duration, bool) {
+	return 0, false
+}
+func (s *testSettings) Provision() {}
 func (s *testSettings) Validate(faults *kernel.ValidationErrors) {
 	if s.Limit < 1 {
 		faults.Add("limit", "must be positive")
--- a/internal/workflow/planner/log.go
+++ b/internal/workflow/planner/log.go
@@ -36,6 +36,12 @@
 				"event": "run_unexpected", "job": u.Item.Job, "item": u.Item.String(), "run": u.Run, "epoch": epoch, "worker": u.Worker,
 			}).Warn("a worker lists a run that the planner does not hold")
 		}
+		if s := end.Speed; s != nil {
+			kernel.Metrics.Count("snipegw_worker_speed_changes_total", "to", s.To)
+			log.WithFields(log.Fields{
+				"event": "worker_speed_changed", "node": s.Node, "from": s.From, "to": s.To, "slowness": s.Slowness, "epoch": epoch,
+			}).Info("the learned speed of a worker has changed")
+		}
 		if r := end.Run; r != nil {
 			kernel.Metrics.Count("snipegw_runs_ended_total", "how", string(r.How))
 			log.WithFields(log.Fields{
