Start nothing in a failure domain that an operator wants evacuated

Ruled out: a lease on the right to start (a call of the store per second, and a gap while it fails); agents that watch the requests (one watch for each worker); holding all starts while a mirror is old (a slow watch would stop everything); stopping or moving what runs in the failure domain (work is lost, and the request asks only that nothing more be sent). Change: the key of the request is its only state. Intake passes the requests on with their revisions; the engine does not use workers of an evacuated failure domain; each transaction that records starts has the condition that the requests for their failure domains do not exist. A conflict teaches the planner, which retracts these starts and stores the rest of the change. Runs stored before a request and not yet ordered are retracted, also when too much time has passed between record and order. Workers announce their failure domain and whether they are cold; among equal places cold ones go to items that can wait. Setting workflow.evacuate_ms, log events, metrics, explain, dump, status and workers of snipegwctl.

--- a/internal/ctl/workflow.go
+++ b/internal/ctl/workflow.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -256,8 +257,8 @@
 	}
 	var rows [][]string
 	for _, w := range d.Workers {
-		flags := trueKeys(map[string]bool{"usable": w.Usable, "draining": w.Draining, "excluded": w.Excluded})
-		rows = append(rows, []string{w.Node, s.Agents[w.Node].Zone, w.Rack, flags, fmt.Sprintf("%d/%d", w.FreeAccelerators, w.Accelerators),
+		flags := trueKeys(map[string]bool{"usable": w.Usable, "draining": w.Draining, "excluded": w.Excluded, "evacuated": w.Evacuated, "cold": w.Cold})
+		rows = append(rows, []string{w.Node, cmp.Or(w.FailureDomain, s.Agents[w.Node].Zone), w.Rack, flags, fmt.Sprintf("%d/%d", w.FreeAccelerators, w.Accelerators),
 			strconv.Itoa(w.Items), formatDuration(time.Duration(w.ReportAgeMS) * time.Millisecond)})
 	}
 	return c.printTable("worker failure_domain rack use accelerators_free items silent", rows)
@@ -341,7 +342,7 @@
 	teams := s.Teams()
 	if c.JSON {
 		return c.printJSON(map[string]any{"planner": s.Planner, "epoch": s.Epoch, "config_version": s.Config.Version,
-			"entries": len(s.Entries), "agents": len(s.Agents), "jobs": states, "teams": teams, "unreadable_records": s.Unreadable})
+			"entries": len(s.Entries), "agents": len(s.Agents), "jobs": states, "teams": teams, "evacuations": s.Evacuations, "unreadable_records": s.Unreadable})
 	}
 	out := c.env.Stdout
 	if s.Planner == nil {
@@ -353,6 +354,7 @@
 	fmt.Fprintf(out, "known    %d entries, %d agents\n", len(s.Entries), len(s.Agents))
 	fmt.Fprintf(out, "jobs     %d pending, %d active, %d complete, %d failed, %d canceled\n", states[workflow.StatePending], states[workflow.StateActive],
 		states[workflow.StateComplete], states[workflow.StateFailed], states[workflow.StateCanceled])
+	c.printEvacuations(s)
 	if len(s.Unreadable) > 0 {
 		fmt.Fprintf(out, "UNREADABLE RECORDS  %s\n", strings.Join(s.Unreadable, ", "))
 	}
@@ -363,3 +365,25 @@
 	}
 	return c.printTable("team guaranteed urgent other borrows lends", rows)
 }
+
+// printEvacuations prints a line for each failure domain that an operator wants to be evacuated,
+// with the planner's counts if it observes the request.
+func (c *workflowStatus) printEvacuations(s *inspect.System) {
+	if len(s.Evacuations) == 0 {
+		return
+	}
+	observed := make(map[string]engine.EvacuationState)
+	if d, err := c.plannerState(s); err == nil {
+		for _, v := range d.Evacuations {
+			observed[v.FailureDomain] = v
+		}
+	}
+	for _, domain := range s.Evacuations {
+		v, ok := observed[domain]
+		if !ok {
+			fmt.Fprintf(c.env.Stdout, "evacuated  %s, NOT OBSERVED by the planner\n", domain)
+			continue
+		}
+		fmt.Fprintf(c.env.Stdout, "evacuated  %s, asked %s ago: %d workers closed, %d items left\n", domain, formatDuration(time.Duration(v.AgeMS)*time.Millisecond), v.Workers, v.Items)
+	}
+}
--- a/internal/standin/platformworker/pool.go
+++ b/internal/standin/platformworker/pool.go
@@ -47,6 +47,22 @@
 	return last
 }
 
+// LastStartIn returns the time of the latest start of a run on the workers of a zone, zero if there
+// was none.
+func (p *Pool) LastStartIn(zone string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var last time.Time
+	for _, runs := range p.runs {
+		for _, r := range runs {
+			if r.worker.zone == zone && r.arrivedAt.After(last) {
+				last = r.arrivedAt
+			}
+		}
+	}
+	return last
+}
+
 // Starts returns the number of runs that have started.
 func (p *Pool) Starts() int {
 	p.mu.Lock()
--- a/internal/standin/platformworker/worker.go
+++ b/internal/standin/platformworker/worker.go
@@ -51,6 +51,7 @@
 	pool               *Pool
 	node               string
 	rack               string
+	zone               string // of the announcements; empty if they name none
 	service            string
 	instances          int // number of former instance ids
 	incarnationStart   time.Time
@@ -106,6 +107,13 @@
 	w.draining = true
 }
 
+// SetZone sets the zone that the worker announces.
+func (w *Worker) SetZone(zone string) {
+	w.pool.mu.Lock()
+	defer w.pool.mu.Unlock()
+	w.zone = zone
+}
+
 // clockMS returns the worker's own clock, which starts at 1000 ms with each
 // incarnation.
 func (w *Worker) clockMS() int64 { return time.Since(w.incarnationStart).Milliseconds() + 1000 }
@@ -146,7 +154,7 @@
 		state = "draining"
 	}
 	body, _ = json.Marshal(map[string]any{
-		"backend": w.service, "address": w.Addr(), "state": state, "seq": w.seq, "born": w.incarnationStart.UnixMilli(), "remainingMs": 0,
+		"zone": w.zone, "backend": w.service, "address": w.Addr(), "state": state, "seq": w.seq, "born": w.incarnationStart.UnixMilli(), "remainingMs": 0,
 		"labels": []string{"a", w.rack}, "capacity": map[string]int{"cpu": 64000, "memMb": 256 << 10, "gpus": gpusPerWorker},
 	})
 	return w.instanceID(), body
--- a/internal/workflow/daemon/daemon.go
+++ b/internal/workflow/daemon/daemon.go
@@ -59,8 +59,13 @@
 	}
 	recordMirror, configMirror := mirror.New(table, workflow.Prefix), mirror.New(table, format.Prefix)
 	in := intake.New(table, recordMirror, configMirror, format)
+	evacuations, err := evacuationOptions(s, format, in)
+	if err != nil {
+		return nil, err
+	}
 	plannerHost := planner.New(planner.Options{
-		Entry: p.ID, Address: p.Address, Table: table, Records: recordMirror, Pool: network.Pool,
+		Evacuations: evacuations,
+		Entry:       p.ID, Address: p.Address, Table: table, Records: recordMirror, Pool: network.Pool,
 		Engine: s.engineSettings(), LeaseDuration: max(planner.DefaultLeaseDuration, time.Duration(s.MinStoreLeaseMS)*time.Millisecond), EndedJobRetention: time.Duration(s.KeepEndedMS) * time.Millisecond,
 	})
 	entries := &knownEntries{process: p, table: table, recordMirror: recordMirror}
@@ -69,6 +74,9 @@
 	registration := &registration{table: table, key: workflow.EntryPrefix + p.ID,
 		record: workflow.ProcessRecord{Address: p.Address, Zone: p.FailureDomain, Debug: p.DebugAddress}}
 	in.OnConfig(plannerHost.SetConfig)
+	if evacuations != nil {
+		in.OnEvacuations(plannerHost.SetEvacuations)
+	}
 	in.Subscribe()
 	dumper := kernel.NewDumper()
 	dumper.Add("planner", plannerHost.State)
@@ -87,6 +95,22 @@
 	}, nil
 }
 
+// evacuationOptions returns what the planner needs to carry out requests to evacuate failure
+// domains; nil if the settings switch them off. It fails if the configuration format has no such
+// requests.
+func evacuationOptions(s EntrySettings, format intake.ConfigFormat, in *intake.Intake) (*planner.EvacuationOptions, error) {
+	if s.EvacuateMS == 0 {
+		return nil, nil
+	}
+	if format.Evacuation.Key == nil || format.Evacuation.Decode == nil {
+		return nil, fmt.Errorf("evacuate_ms is set, but configuration format %s has no requests to evacuate", s.ConfigFormat)
+	}
+	if storeTimeout := time.Duration(s.Store.TimeoutMS) * time.Millisecond; s.maxOrderAge() < storeTimeout {
+		log.WithFields(log.Fields{"event": "evacuation_bound_short", "limit_ms": s.maxOrderAge().Milliseconds(), "store_timeout_ms": s.Store.TimeoutMS}).Warn("runs whose record takes nearly as long as a call of the store may are retracted")
+	}
+	return &planner.EvacuationOptions{Key: format.Evacuation.Key, Learn: in.LearnRequests, MaxOrderAge: s.maxOrderAge()}, nil
+}
+
 // AssembleAgent returns the components of an agent in the order in which they
 // must start.
 func AssembleAgent(p Process, s AgentSettings) ([]kernel.Component, error) {
--- a/internal/workflow/daemon/settings.go
+++ b/internal/workflow/daemon/settings.go
@@ -27,6 +27,9 @@
 	leaseReserveMS = 100
 	// minLeaseMS is the smallest permitted MaxLeaseMS.
 	minLeaseMS = 2000
+	// minOrderAgeMS is the shortest permitted time between the record of a run and its order when
+	// evacuations are supported. A store with lost responses needs more than one attempt.
+	minOrderAgeMS = 200
 )
 
 // EntrySettings are the settings for workflows in an entry.
@@ -53,6 +56,9 @@
 	MinStoreLeaseMS int64 `json:"min_store_lease_ms"`
 	// KeepEndedMS is the retention period of the records of ended jobs.
 	KeepEndedMS int64 `json:"keep_ended_ms"`
+	// EvacuateMS is the time, counted from the acknowledgement of a request to evacuate a failure
+	// domain, within which starts there must have ceased. With 0 such requests are unsupported.
+	EvacuateMS int64 `json:"evacuate_ms"`
 	// Plugins holds the settings of the scheduling plug-ins that are switched on, by
 	// name.
 	Plugins framework.Settings `json:"plugins"`
@@ -94,9 +100,18 @@
 			faults.Add(path+"."+name, "must not be negative")
 		}
 	}
+	if s.EvacuateMS < 0 || s.EvacuateMS > 0 && s.maxOrderAge() < minOrderAgeMS*time.Millisecond {
+		faults.Add(path+".evacuate_ms", "must be 0, or at least %d: orders that are under way expire within %v", minOrderAgeMS+engine.StartExpiry().Milliseconds(), engine.StartExpiry())
+	}
 	s.Plugins.Validate(path+".plugins", faults)
 }
 
+// maxOrderAge returns the longest time between the record of a run and its orders with which the
+// orders have expired when an evacuation must be in force.
+func (s *EntrySettings) maxOrderAge() time.Duration {
+	return time.Duration(s.EvacuateMS)*time.Millisecond - engine.StartExpiry()
+}
+
 func (s *EntrySettings) engineSettings() engine.Settings {
 	ms := func(v int64) time.Duration { return time.Duration(v) * time.Millisecond }
 	return engine.Settings{
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -313,7 +313,7 @@
 	}
 	u.members = nil
 	for i, w := range placement {
-		m := &member{unit: u, run: u.run, index: u.first + i, worker: w, incarnation: w.incarnation, startedAt: now, percentChangedAt: now}
+		m := &member{unit: u, run: u.run, index: u.first + i, worker: w, failureDomain: w.failureDomain(), incarnation: w.incarnation, startedAt: now, percentChangedAt: now}
 		u.members = append(u.members, m)
 		w.members = append(w.members, m)
 		p.Workers = append(p.Workers, w.node)
--- a/internal/workflow/engine/dump.go
+++ b/internal/workflow/engine/dump.go
@@ -34,12 +34,18 @@
 	Rack             string `json:"rack,omitempty"`
 	Accelerators     int64  `json:"accelerators"`
 	FreeAccelerators int64  `json:"accelerators_free"`
+	FailureDomain    string `json:"failure_domain,omitempty"`
+	// Evacuated reports that the failure domain is evacuated, so that nothing starts here.
+	Evacuated bool `json:"evacuated,omitempty"`
+	Cold      bool `json:"cold,omitempty"` // runs items slowly after its start
 }
 
 // State is the state of the engine in the debug dump: its open jobs and all workers.
 type State struct {
 	Jobs    []JobState    `json:"jobs"`
 	Workers []WorkerState `json:"workers"`
+	// Evacuations are the requests to evacuate failure domains that are in force.
+	Evacuations []EvacuationState `json:"evacuations,omitempty"`
 	// Plugins holds the states of the scheduling plug-ins, by name.
 	Plugins map[string]any `json:"plugins,omitempty"`
 }
@@ -65,13 +71,14 @@
 		ws := WorkerState{
 			Node: w.node, Incarnation: w.incarnation, Usable: e.usable(w, now), Draining: w.announcement != nil && w.announcement.Draining,
 			ReportAgeMS: now.Sub(w.reportedAt).Milliseconds(), Items: len(w.members), Excluded: w.health.excluded(now),
-			FreeAccelerators: w.free().Accelerators,
+			FreeAccelerators: w.free().Accelerators, FailureDomain: w.failureDomain(), Evacuated: e.isEvacuated(w), Cold: w.isCold(now),
 		}
 		if w.announcement != nil {
 			ws.Rack, ws.Accelerators = w.announcement.Rack, w.announcement.Capacity.Accelerators
 		}
 		s.Workers = append(s.Workers, ws)
 	}
+	s.Evacuations = e.Evacuations(now)
 	for name, p := range e.plugins.set {
 		if s.Plugins == nil {
 			s.Plugins = make(map[string]any)
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -75,6 +75,7 @@
 	// unexplainedCrashAt is the time of the latest crash of a worker without a recent start.
 	unexplainedCrashAt time.Time
 	plugins            plugins
+	evacuations        map[string]workflow.Evacuation // by failure domain
 }
 
 // policy switches off parts of the scheduling policy, or replaces the order of
@@ -94,7 +95,7 @@
 	return &Engine{
 		settings: s, epoch: epoch, termStart: now, config: &workflow.Config{},
 		jobs: make(map[string]*job), workers: make(map[string]*worker), dirty: make(map[string]*job),
-		estimates: make(durationEstimates), plugins: newPlugins(s.NewPlugins),
+		estimates: make(durationEstimates), plugins: newPlugins(s.NewPlugins), evacuations: make(map[string]workflow.Evacuation),
 	}
 }
 
@@ -147,12 +148,14 @@
 
 // member is one item of a run of a unit, on the worker that it is assigned to.
 type member struct {
-	unit        *unit
-	run         int
-	index       int // of the item within its step
-	worker      *worker
-	incarnation string       // key of the worker's incarnation, see workflow.WorkerKey
-	end         workflow.End // empty until the member has ended
+	unit   *unit
+	run    int
+	index  int // of the item within its step
+	worker *worker
+	// failureDomain is that of the worker when the run was decided.
+	failureDomain string
+	incarnation   string       // key of the worker's incarnation, see workflow.WorkerKey
+	end           workflow.End // empty until the member has ended
 
 	inherited        bool      // recorded by an earlier planner
 	startSent        bool      // a start order has been handed out and may have been sent
--- a/internal/workflow/engine/explain.go
+++ b/internal/workflow/engine/explain.go
@@ -57,7 +57,7 @@
 // workers.
 func (e *Engine) describeShortage(u *unit, r *freeResources) string {
 	needs := u.spec().Needs()
-	var suitable, withSpace int
+	var suitable, withSpace, evacuated int
 	var totalFree, mostFree int64
 	for _, w := range r.workers {
 		if !e.isEligible(u, w) {
@@ -70,6 +70,11 @@
 			withSpace++
 		}
 	}
+	for _, w := range e.sortedWorkers {
+		if w.announcement != nil && e.isEvacuated(w) && e.isEligible(u, w) {
+			evacuated++
+		}
+	}
 	var limits []string
 	if s := u.spec(); s.Label != "" {
 		limits = append(limits, "label "+s.Label)
@@ -81,8 +86,12 @@
 	if len(limits) > 0 {
 		text += " with " + strings.Join(limits, " and ")
 	}
-	return text + fmt.Sprintf("; of %d workers %d are usable and suit it, with %d accelerators free, at most %d on one, and %d have room for an item",
+	text += fmt.Sprintf("; of %d workers %d are usable and suit it, with %d accelerators free, at most %d on one, and %d have room for an item",
 		len(e.workers), suitable, totalFree, mostFree, withSpace)
+	if evacuated > 0 {
+		text += fmt.Sprintf("; %d that suit it are in evacuated failure domains (%s)", evacuated, strings.Join(sortedKeys(e.evacuations), ", "))
+	}
+	return text
 }
 
 // activeNodes returns the sorted nodes on which items of j may be running.
--- a/internal/workflow/engine/headroom.go
+++ b/internal/workflow/engine/headroom.go
@@ -39,6 +39,16 @@
 	return false
 }
 
+// canUnitWait is canWait for a unit whose job is not at hand as a candidate.
+func (e *Engine) canUnitWait(u *unit, now time.Time) bool {
+	c := &candidate{job: u.job, units: []*unit{u}, class: e.classOf(u.job)}
+	if c.class != classOther {
+		return false
+	}
+	e.computeUrgency(c, now)
+	return e.canWait(u, c, now)
+}
+
 // canWait reports whether a unit has time to wait without missing its objective,
 // or is so late that its completion is of no more use.
 func (e *Engine) canWait(u *unit, c *candidate, now time.Time) bool {
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -23,6 +23,7 @@
 	// started holds the workers on which units start in this decision, and closed those on
 	// which no further ones may, because of a suspect unit.
 	started, closed map[*worker]bool
+	anyCold         bool // some usable worker is cold
 	// cachedTotals caches the result of totals, nil after an allocation.
 	cachedTotals *[2]workflow.Resources
 }
@@ -47,6 +48,7 @@
 		if e.usable(w, now) {
 			r.workers = append(r.workers, w)
 			r.free[w.index] = w.free()
+			r.anyCold = r.anyCold || w.isCold(now)
 			if e.hostsSuspect(w) {
 				r.closed[w] = true
 			}
@@ -99,7 +101,7 @@
 
 // clone returns a copy, without the caches, for trial releases.
 func (r *freeResources) clone() *freeResources {
-	return &freeResources{workers: r.workers, free: slices.Clone(r.free), now: r.now, started: maps.Clone(r.started), closed: maps.Clone(r.closed)}
+	return &freeResources{workers: r.workers, free: slices.Clone(r.free), now: r.now, anyCold: r.anyCold, started: maps.Clone(r.started), closed: maps.Clone(r.closed)}
 }
 
 // allocate subtracts the needs of u's items from the free resources of their
@@ -240,7 +242,7 @@
 func (e *Engine) rackCouldHold(u *unit) bool {
 	itemsByRack := make(map[string]int)
 	for _, w := range e.workers {
-		if w.announcement != nil && !w.announcement.Draining && e.isEligible(u, w) {
+		if w.announcement != nil && !w.announcement.Draining && !e.isEvacuated(w) && e.isEligible(u, w) {
 			n := itemsThatFit(u, w, w.announcement.Capacity)
 			if limit := u.spec().MaxPerWorker; limit > 0 {
 				n = min(n, limit)
@@ -258,8 +260,8 @@
 
 // sortByPreference returns the workers in the order in which u should fill them:
 // first those on which it has not failed, then those in its preferred rack, where
-// its data is, then those with the least free resources (best fit), so that whole
-// workers stay free for large items. A suspect unit prefers those with the fewest runs,
+// its data is, then warm ones (or cold ones if it can wait), then those with the least
+// free resources (best fit), so that whole workers stay free for large items. A suspect unit prefers those with the fewest runs,
 // which a crash would end.
 func (e *Engine) sortByPreference(u *unit, r *freeResources, workers []*worker) []*worker {
 	penalty := func(w *worker) int {
@@ -279,11 +281,17 @@
 		}
 		return 0
 	}
+	coldRank := func(*worker) int { return 0 }
+	if r.anyCold {
+		canWait := e.canUnitWait(u, r.now)
+		coldRank = func(w *worker) int { return coldPreference(w, canWait, r.now) }
+	}
 	sorted := slices.Clone(workers)
 	slices.SortStableFunc(sorted, func(a, b *worker) int {
 		return cmp.Or(
 			cmp.Compare(runsAtRisk(a), runsAtRisk(b)),
 			cmp.Compare(penalty(a), penalty(b)),
+			cmp.Compare(coldRank(a), coldRank(b)),
 			cmp.Compare(r.free[a.index].Accelerators, r.free[b.index].Accelerators),
 			cmp.Compare(r.free[a.index].MilliCPU, r.free[b.index].MilliCPU),
 		)
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -68,7 +68,7 @@
 	for _, w := range r.workers {
 		rack := racks[w.announcement.Rack]
 		if rack == nil {
-			rack = &freeResources{free: r.free, now: r.now, started: r.started, closed: r.closed}
+			rack = &freeResources{free: r.free, now: r.now, anyCold: r.anyCold, started: r.started, closed: r.closed}
 			racks[w.announcement.Rack] = rack
 		}
 		rack.workers = append(rack.workers, w)
--- a/internal/workflow/engine/progress.go
+++ b/internal/workflow/engine/progress.go
@@ -19,6 +19,9 @@
 	// HasNewRuns reports whether the change records runs whose start orders have not
 	// been handed out yet.
 	HasNewRuns bool
+	// StartDomains are the failure domains in which these runs start items, sorted. The change must
+	// not be stored while one of them is evacuated.
+	StartDomains []string
 }
 
 // TakeChanges returns the changes since the last call, in order of the job ids, and
@@ -26,16 +29,29 @@
 func (e *Engine) TakeChanges() []Change {
 	changes := make([]Change, 0, len(e.dirty))
 	for _, id := range slices.Sorted(maps.Keys(e.dirty)) {
-		j := e.dirty[id]
-		j.seq++
-		changes = append(changes, Change{
-			ID: id, Revision: j.revision, Progress: j.progressRecord(), Cancelled: j.cancelled, HasNewRuns: j.hasUnsentStarts(),
-		})
+		changes = append(changes, e.takeChange(e.dirty[id]))
 	}
-	clear(e.dirty)
 	return changes
 }
 
+func (e *Engine) takeChange(j *job) Change {
+	delete(e.dirty, j.id)
+	j.seq++
+	return Change{
+		ID: j.id, Revision: j.revision, Progress: j.progressRecord(), Cancelled: j.cancelled,
+		HasNewRuns: j.hasUnsentStarts(), StartDomains: j.startDomains(),
+	}
+}
+
+// TakeChange returns the change of one job, and false if there is none.
+func (e *Engine) TakeChange(id string) (Change, bool) {
+	j := e.dirty[id]
+	if j == nil {
+		return Change{}, false
+	}
+	return e.takeChange(j), true
+}
+
 // MarkStored sets the revision at which a job's change was stored.
 func (e *Engine) MarkStored(id string, revision uint64) {
 	if j := e.jobs[id]; j != nil {
@@ -94,7 +110,7 @@
 func (j *job) hasUnsentStarts() bool {
 	for _, u := range j.units {
 		for _, m := range u.members {
-			if !m.startSent && !m.inherited && m.end == "" {
+			if m.isUnsent() {
 				return true
 			}
 		}
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -18,6 +18,8 @@
 	startedMS       int64
 	generation      uint64                 // number of incarnations since the first of this term
 	announcement    *workflow.Announcement // latest one, nil before the first
+	agentDomain     string                 // failure domain of the agent
+	coldUntil       time.Time              // the worker runs items slowly until then
 	clockMS         int64                  // worker's clock in the latest report
 	reportedAt      time.Time              // arrival of the latest report; zero before the first of this term
 	maxLeaseUntilMS int64                  // latest lease expiry that was sent, on the worker's clock
@@ -69,6 +71,9 @@
 	}
 	if a := reply.Announced; a != nil && workflow.WorkerKey(node, a.Instance, a.StartedMS) == w.incarnation {
 		w.instance = a.Instance
+		if w.announcement == nil || a.Seq > w.announcement.Seq {
+			w.coldUntil = now.Add(time.Duration(a.ColdMS) * time.Millisecond)
+		}
 		if w.announcement == nil || a.Seq >= w.announcement.Seq {
 			w.announcement = a
 		}
@@ -97,7 +102,7 @@
 		}
 	}
 	w.incarnation, w.instance, w.startedMS = incarnation, report.Instance, report.StartedMS
-	w.announcement, w.clockMS, w.maxLeaseUntilMS, w.lastEndNumber, w.hasLeft = nil, 0, 0, 0, false
+	w.announcement, w.coldUntil, w.clockMS, w.maxLeaseUntilMS, w.lastEndNumber, w.hasLeft = nil, time.Time{}, 0, 0, 0, false
 	w.health = health{}
 	e.resolveLapses(w, crashed, now)
 	for _, m := range slices.Clone(w.members) {
@@ -302,7 +307,7 @@
 // usable reports whether new items may start on w.
 func (e *Engine) usable(w *worker, now time.Time) bool {
 	return w.incarnation != "" && !w.hasLeft && !w.unconfirmed && w.announcement != nil && !w.announcement.Draining &&
-		now.Sub(w.reportedAt) < reportTimeout && !w.health.excluded(now)
+		now.Sub(w.reportedAt) < reportTimeout && !w.health.excluded(now) && !e.isEvacuated(w)
 }
 
 // free returns the capacity of w that no member holds. It may be negative if the
--- a/internal/workflow/inspect/inspect.go
+++ b/internal/workflow/inspect/inspect.go
@@ -23,6 +23,8 @@
 	Entries map[string]workflow.ProcessRecord
 	Agents  map[string]workflow.ProcessRecord
 	Jobs    []*Job // in order of acceptance
+	// Evacuations are the failure domains that operators want to be evacuated, sorted.
+	Evacuations []string
 	// Unreadable holds the keys of records that cannot be decoded.
 	Unreadable []string
 }
@@ -60,18 +62,32 @@
 	slices.SortFunc(s.Jobs, func(a, b *Job) int {
 		return cmp.Or(cmp.Compare(a.Record.AcceptedMS, b.Record.AcceptedMS), cmp.Compare(a.ID, b.ID))
 	})
-	r, found, err := table.Lookup(ctx, format.Key)
+	return s, s.readOperators(ctx, table, format)
+}
+
+// readOperators reads the configuration and the requests of the operators.
+func (s *System) readOperators(ctx context.Context, table store.Table, format intake.ConfigFormat) error {
+	records, _, err := table.List(ctx, format.Prefix)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	if !found {
-		return nil, result.Errorf(result.ConfigVersionUnknown, "the store has no configuration at key %s", format.Key)
+	for _, r := range records {
+		if r.Key == format.Key {
+			if s.Config, err = format.Decode(r.Value); err != nil {
+				return result.Errorf(result.Internal, "%s: %w", format.Key, err)
+			}
+			s.Config.Provision()
+		} else if format.Evacuation.Decode != nil {
+			if domain, ok, _ := format.Evacuation.Decode(r.Key, r.Value); ok && domain != "" {
+				s.Evacuations = append(s.Evacuations, domain)
+			}
+		}
 	}
-	if s.Config, err = format.Decode(r.Value); err != nil {
-		return nil, result.Errorf(result.Internal, "%s: %w", format.Key, err)
+	slices.Sort(s.Evacuations)
+	if s.Config == nil {
+		return result.Errorf(result.ConfigVersionUnknown, "the store has no configuration at key %s", format.Key)
 	}
-	s.Config.Provision()
-	return s, nil
+	return nil
 }
 
 func (s *System) addRecord(r store.Record, jobs map[string]*Job) {
--- a/internal/workflow/intake/intake.go
+++ b/internal/workflow/intake/intake.go
@@ -50,6 +50,8 @@
 	Prefix string // key prefix to watch
 	Key    string // key of the configuration document
 	Decode func([]byte) (*workflow.Config, error)
+	// Evacuation describes the requests to evacuate failure domains.
+	Evacuation EvacuationFormat
 }
 
 // ConfigFormats holds the registered configuration formats.
@@ -68,6 +70,8 @@
 	progress        sync.Map     // id -> *workflow.Progress
 	draining        atomic.Bool
 	onConfig        []func(*workflow.Config)
+	evacuations     map[string]trackedEvacuation // by failure domain; used by listeners of configMirror only
+	onEvacuations   []func([]workflow.Evacuation)
 }
 
 // New returns an Intake. The recordMirror covers the records of snipegw, the
@@ -103,12 +107,11 @@
 
 func (in *Intake) applyConfig(events []store.Event) {
 	for _, e := range events {
-		if e.Deleted {
+		if e.Key != in.format.Key {
+			in.applyRequest(e)
 			continue
 		}
-		if e.Key != in.format.Key {
-			kernel.Metrics.Count("snipegw_operator_requests_total", "code", result.Unsupported.String())
-			log.WithFields(log.Fields{"event": "operator_request_unsupported", "key": e.Key, "revision": e.Revision, "code": int(result.Unsupported)}).Error("operator request is not supported: it is ignored and no status is written")
+		if e.Deleted {
 			continue
 		}
 		c, err := in.format.Decode(e.Value)
--- a/internal/workflow/messages.go
+++ b/internal/workflow/messages.go
@@ -46,6 +46,10 @@
 	RemainingMS int64 `cbor:"8,keyasint,omitempty"`
 	// Seq orders the announcements of an incarnation.
 	Seq int64 `cbor:"9,keyasint,omitempty"`
+	// FailureDomain is empty if the worker does not name one.
+	FailureDomain string `cbor:"10,keyasint,omitempty"`
+	// ColdMS is how much longer the worker runs items slowly.
+	ColdMS int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // RunningItem is a run that a worker reports as running.
--- a/internal/workflow/planner/commit.go
+++ b/internal/workflow/planner/commit.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -57,8 +58,11 @@
 // commitChanges stores the changes. It returns false if the term has ended, so
 // that some may not be stored.
 func (t *term) commitChanges(ctx context.Context, changes []engine.Change) bool {
+	for i := range changes {
+		changes[i] = t.limitStartDomains(changes[i])
+	}
 	for len(changes) > 0 {
-		n := min(len(changes), changesPerTxn)
+		n := t.chunkSize(changes)
 		if !t.commitChunk(ctx, changes[:n]) {
 			return false
 		}
@@ -77,19 +81,21 @@
 		values[c.ID] = workflow.Encode(c.Progress)
 	}
 	for len(changes) > 0 && ctx.Err() == nil {
+		sentAt := time.Now()
 		outcome, err := t.host.options.Table.Commit(ctx, t.buildTransaction(changes, values))
 		switch {
 		case err != nil:
 			log.WithFields(log.Fields{"event": "records_unconfirmed", "epoch": t.epoch, "jobs": len(changes), "code": int(result.CodeOf(err)), "error": err.Error()}).Warn("outcome of a transaction is unknown; repeating it")
 			kernel.Sleep(ctx, retryDelay)
 		case outcome.Committed:
+			t.noteStoredStarts(changes, sentAt)
 			t.markStored(changes, values, outcome.Revision)
 			return true
 		case outcome.Current[workflow.PlannerKey].Revision != t.epoch:
 			t.endTerm(errReplaced)
 			return false
 		default:
-			remaining, ok := t.resolveConflicts(changes, values, outcome.Current)
+			remaining, ok := t.resolveConflicts(changes, values, outcome.Current, sentAt)
 			if !ok {
 				t.endTerm(errReplaced)
 				return false
@@ -102,8 +108,8 @@
 
 // buildTransaction returns the transaction that stores the changes, on the
 // conditions that this term still holds the planner's key, that the progress
-// records are unchanged, and that no job was cancelled without the engine's
-// knowledge.
+// records are unchanged, that no job was cancelled without the engine's knowledge,
+// and that no failure domain is evacuated in which the changes start items.
 func (t *term) buildTransaction(changes []engine.Change, values map[string][]byte) store.Txn {
 	txn := store.Txn{Conditions: []store.Condition{{Key: workflow.PlannerKey, Revision: t.epoch}}}
 	for _, c := range changes {
@@ -113,6 +119,9 @@
 		}
 		txn.Puts = append(txn.Puts, store.Put{Key: workflow.ProgressPrefix + c.ID, Value: values[c.ID]})
 	}
+	for _, key := range t.guardKeys(changes) {
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: key})
+	}
 	return txn
 }
 
@@ -135,16 +144,18 @@
 }
 
 // resolveConflicts handles a transaction whose conditions did not hold, given the
-// current records, and returns the changes to try again. It returns false if another
-// writer has changed a progress record.
-func (t *term) resolveConflicts(changes []engine.Change, values map[string][]byte, current map[string]store.Record) ([]engine.Change, bool) {
+// current records of a transaction that was sent at sentAt, and returns the changes to
+// try again. It returns false if another writer has changed a progress record.
+func (t *term) resolveConflicts(changes []engine.Change, values map[string][]byte, current map[string]store.Record, sentAt time.Time) ([]engine.Change, bool) {
 	var remaining []engine.Change
+	evacuated := t.learnEvacuations(changes, current)
 	for _, c := range changes {
 		progress := current[workflow.ProgressPrefix+c.ID]
 		_, cancelled := current[workflow.CancelPrefix+c.ID]
 		switch {
 		case progress.Revision != c.Revision && bytes.Equal(progress.Value, values[c.ID]):
 			// An earlier attempt whose reply was lost has taken effect.
+			t.noteStoredStarts([]engine.Change{c}, sentAt)
 			t.mu.Lock()
 			t.engine.MarkStored(c.ID, progress.Revision)
 			t.mu.Unlock()
@@ -160,6 +171,13 @@
 			t.engine.RetractStarts(c.ID, time.Now())
 			t.mu.Unlock()
 		default:
+			if domains := t.evacuatedDomains(c, evacuated); len(domains) > 0 {
+				log.WithFields(log.Fields{"event": "evacuated_before_record", "job": c.ID, "failure_domains": strings.Join(domains, ",")}).Info("a failure domain was evacuated before runs in it were stored; they are retracted")
+				// The change is kept without these runs: it may record ends that are acknowledged
+				// after this pass.
+				c = t.retractStarts(c, domains)
+				values[c.ID] = workflow.Encode(c.Progress)
+			}
 			remaining = append(remaining, c)
 		}
 	}
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -55,6 +55,8 @@
 	LeaseDuration time.Duration
 	// EndedJobRetention is how long the records of ended jobs are kept.
 	EndedJobRetention time.Duration
+	// Evacuations is nil if requests to evacuate failure domains are not supported.
+	Evacuations *EvacuationOptions
 }
 
 // Host takes part in the election and runs the engine while this entry is planner.
@@ -65,11 +67,14 @@
 	done     chan struct{} // closed when run has returned
 	stopping chan struct{} // closed by Stop
 
-	mu      sync.Mutex
-	config  *workflow.Config
-	term    *term         // nil while this entry is not planner
-	pending []store.Event // changes of records that the term has not processed
-	wakeUp  chan struct{} // signals news to run and to the term; holds one signal
+	mu     sync.Mutex
+	config *workflow.Config
+	// evacuations are the requests in force, also while this entry is not planner.
+	evacuations        []workflow.Evacuation
+	evacuationsVersion uint64        // number of changes of evacuations
+	term               *term         // nil while this entry is not planner
+	pending            []store.Event // changes of records that the term has not processed
+	wakeUp             chan struct{} // signals news to run and to the term; holds one signal
 }
 
 // New returns a Host that is not started.
@@ -285,6 +290,7 @@
 	}()
 	t.guard("planner term", func() { t.run(ctx) })
 	close(ended)
+	t.clearEvacuationMetrics()
 	h.mu.Lock()
 	h.term, h.pending = nil, nil
 	h.mu.Unlock()
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -62,6 +62,15 @@
 	agentAddresses map[string]string      // by node
 	storedEnds     map[string]endPosition // by node; ends that may be acknowledged
 	renewedAt      time.Time              // start of the latest successful renewal; used by renewLease only
+
+	// The following fields are used by runPass only.
+
+	// startsStoredAt is the earliest time of the transactions that have stored starts in this pass,
+	// zero if there is none.
+	startsStoredAt        time.Time
+	evacuationsReportedAt time.Time
+	evacuationsVersion    uint64            // of those that were reported
+	reportedEvacuations   map[string]uint64 // revision of the request that was logged, by failure domain
 }
 
 // endPosition says how far the ends that an incarnation of a worker reports have
@@ -78,6 +87,7 @@
 	return &term{
 		host: h, lease: lease, epoch: epoch, endTerm: endTerm, engine: engine.New(s, epoch, now),
 		agentAddresses: make(map[string]string), storedEnds: make(map[string]endPosition), renewedAt: now,
+		reportedEvacuations: make(map[string]uint64),
 	}
 }
 
@@ -227,6 +237,7 @@
 		t.engine.AddWorker(node)
 		go t.followAgent(node)
 	}
+	t.engine.SetAgentDomain(node, a.Zone)
 	t.agentAddresses[node] = a.Address
 }
 
@@ -235,10 +246,12 @@
 func (t *term) runPass(ctx context.Context) {
 	t.host.mu.Lock()
 	events, config := t.host.pending, t.host.config
+	evacuations, version := t.host.evacuations, t.host.evacuationsVersion
 	t.host.pending = nil
 	t.host.mu.Unlock()
 
-	d := t.decide(events, config)
+	d := t.decide(events, config, evacuations)
+	t.reportEvacuations(version, time.Now())
 	logEndEvents(t.epoch, d.endEvents)
 	logDecisions(t.epoch, d.starts, d.stops)
 	if !t.commitChanges(ctx, d.changes) {
@@ -258,15 +271,16 @@
 	ends      map[string]endPosition // by node; to be acknowledged once the changes are stored
 }
 
-// decide passes the events and the configuration, nil for none, to the engine and
-// returns what it decides.
-func (t *term) decide(events []store.Event, config *workflow.Config) decisions {
+// decide passes the events, the configuration, nil for none, and the evacuations to the
+// engine and returns what it decides.
+func (t *term) decide(events []store.Event, config *workflow.Config, evacuations []workflow.Evacuation) decisions {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if config != nil {
 		t.engine.SetConfig(config)
 	}
+	t.engine.SetEvacuations(evacuations)
 	t.applyEvents(events)
 	t.engine.ExpireLeases(now)
 	starts, stops := t.engine.Decide(now)
@@ -284,7 +298,9 @@
 	for node, end := range ends {
 		t.storedEnds[node] = end
 	}
-	return t.engine.StartOrders(time.Now())
+	now := time.Now()
+	t.retractOldStarts(now)
+	return t.engine.StartOrders(now)
 }
 
 // stopOrders returns the stop orders that are due.
