--- a/internal/workflow/engine/property_test.go
+++ b/internal/workflow/engine/property_test.go
@@ -71,6 +71,7 @@
 			}
 		}},
 		{"UNASKED", func(w *world) { w.hideCancels = true }},
+		{"EVAC", func(w *world) { w.evacuations.hide = true }},
 	}
 	for _, c := range cases {
 		t.Run(c.rule, func(t *testing.T) {
@@ -86,6 +87,7 @@
 						w.cancelRandomJob()
 					}
 					w.injectFaults()
+					w.changeEvacuations()
 					c.disableSafeguard(w)
 					w.tick()
 				}
--- a/internal/workflow/engine/world_test.go
+++ b/internal/workflow/engine/world_test.go
@@ -33,6 +33,7 @@
 	runsByItem           map[string][]*modelRun
 	violations           []string // of the rules, with the time and the rule's name
 
+	evacuations      worldEvacuations
 	hideCancels      bool                     // keeps cancellations from the planner, to test the check
 	noRandomFailures bool                     // runs do not fail at random
 	noProgress       bool                     // workers report no progress of runs
@@ -56,6 +57,7 @@
 		jobs: make(map[string]*workflow.JobRecord), progress: make(map[string]*workflow.Progress),
 		revision: make(map[string]uint64), cancels: make(map[string]time.Time),
 		acknowledgedDone: make(map[string]bool), acknowledgedFailures: make(map[string]int), runsByItem: make(map[string][]*modelRun), storeRevision: 1,
+		evacuations: worldEvacuations{rng: rand.New(rand.NewPCG(seed, 2)), requestedAt: make(map[string]time.Time)},
 	}
 	w.config = &workflow.Config{
 		Version: 1,
@@ -129,6 +131,7 @@
 			p.RetractStarts(c.ID, w.now)
 			continue
 		}
+		c = w.checkedStarts(c)
 		w.storeRevision++
 		w.progress[c.ID], w.revision[c.ID] = c.Progress, w.storeRevision
 		p.MarkStored(c.ID, w.storeRevision)
@@ -300,9 +303,12 @@
 			w.cancelRandomJob()
 		}
 		w.injectFaults()
+		w.changeEvacuations()
 		w.tick()
 	}
 	w.faultRate = 0
+	clear(w.evacuations.requestedAt)
+	w.showEvacuations()
 	for _, m := range w.workers {
 		m.unreachableUntil, m.faultyUntil = w.now, w.now
 		if m.draining {
--- a/internal/workflow/engine/world_worker_test.go
+++ b/internal/workflow/engine/world_worker_test.go
@@ -222,7 +222,8 @@
 // startRun starts a run and records violations of the rules, each under its name:
 // an item with two runs at once or a run after it was done (TWICE), a worker over its
 // capacity (LIMIT), a step before its dependencies (ORDER), a start long after the
-// job was cancelled (UNASKED) or after the last attempt failed (BUDGET).
+// job was cancelled (UNASKED) or after the last attempt failed (BUDGET), a start in a failure
+// domain long after the request to evacuate it (EVAC).
 func (m *modelWorker) startRun(o workflow.StartOrder) {
 	w, name := m.env, o.Ref.String()
 	job := w.jobs[o.Ref.Job]
@@ -246,6 +247,7 @@
 			w.recordViolation("TWICE: %s run %d starts on %s beside run %d on %s", name, o.Run, m.node, other.run, other.worker.node)
 		}
 	}
+	w.checkEvacuation(m, o.Ref)
 	if w.acknowledgedDone[name] {
 		w.recordViolation("TWICE: %s run %d starts after its end was acknowledged", name, o.Run)
 	}
@@ -324,7 +326,7 @@
 	}
 	return &workflow.SyncReply{Version: uint64(m.seq), Report: report, Generation: req.Generation, Announced: &workflow.Announcement{
 		Instance: m.node, StartedMS: m.startedMS, Service: "s", Labels: []string{"a", m.rack}, Rack: m.rack, Capacity: m.capacity,
-		Draining: m.draining, Seq: m.seq,
+		Draining: m.draining, Seq: m.seq, FailureDomain: m.env.domainOf(m),
 	}}
 }
 
