Keep headroom for urgent jobs by a forecast of their arrivals

Cause: the planner keeps a constant 12% of the pool free for jobs of priority 0, whatever arrives and however soon room falls free, and counts single accelerators that an urgent item of a whole worker cannot use.

Change: the plug-in urgent_forecast forecasts the demand until room falls free by itself, from the jobs' own records, and the engine counts only room that could hold the usual urgent item. Metrics may be gauges; the check of the page of metrics covers these too. In the replay of loads a job is now added once, whole.

--- a/docs/commands_test.go
+++ b/docs/commands_test.go
@@ -45,7 +45,7 @@
 	sort.Strings(rows)
 	published := metricsIn(code, `expvar\.(?:NewMap|NewInt|NewFloat|NewString|Publish)\("(\w+)"`)
 	published = append(published, metricsIn(code, `"(\w+)": +func\(\) any`)...)
-	published = append(published, metricsIn(code, `Metrics\.(?:Count|Observe)\((?:[^"]*, )?"(\w+)"`)...)
+	published = append(published, metricsIn(code, `Metrics\.(?:Count|Observe|Set)\((?:[^"]*, )?"(\w+)"`)...)
 	sort.Strings(published)
 	g.Expect(rows).To(Equal(published))
 	g.Expect(counters["jobs"]).To(Equal(metricsIn(code, `metrics\.Add\("(\w+)"( *\+)?`)))
--- a/internal/kernel/metrics.go
+++ b/internal/kernel/metrics.go
@@ -26,11 +26,12 @@
 // Metrics holds the counters and latency histograms of the process.
 var Metrics MetricSet
 
-// MetricSet holds counters and histograms by name and labels. The zero value is
+// MetricSet holds counters, gauges and histograms by name and labels. The zero value is
 // ready for use.
 type MetricSet struct {
 	mu         sync.Mutex
 	counters   map[string]uint64
+	gauges     map[string]float64
 	histograms map[string]*hdrhistogram.Histogram
 }
 
@@ -59,6 +60,16 @@
 	m.counters[seriesKey(name, labels)]++
 }
 
+// Set sets a gauge. labels is as for Count.
+func (m *MetricSet) Set(name string, value float64, labels ...string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.gauges == nil {
+		m.gauges = make(map[string]float64)
+	}
+	m.gauges[seriesKey(name, labels)] = value
+}
+
 // Observe records the duration d in a histogram. labels is as for Count.
 func (m *MetricSet) Observe(d time.Duration, name string, labels ...string) {
 	m.mu.Lock()
@@ -75,7 +86,7 @@
 	_ = h.RecordValue(min(max(d.Microseconds(), 1), maxDurationUS)) // fails only for a value out of range
 }
 
-// WriteText writes a line for each counter, and for each histogram a line per
+// WriteText writes a line for each counter and gauge, and for each histogram a line per
 // quantile, in seconds, and a line with its count.
 func (m *MetricSet) WriteText(w io.Writer) {
 	m.mu.Lock()
@@ -83,6 +94,9 @@
 	for _, key := range slices.Sorted(maps.Keys(m.counters)) {
 		fmt.Fprintf(w, "%s %d\n", key, m.counters[key])
 	}
+	for _, key := range slices.Sorted(maps.Keys(m.gauges)) {
+		fmt.Fprintf(w, "%s %g\n", key, m.gauges[key])
+	}
 	for _, key := range slices.Sorted(maps.Keys(m.histograms)) {
 		h := m.histograms[key]
 		name, labels, _ := strings.Cut(strings.TrimSuffix(key, "}"), "{")
--- a/internal/kernel/metrics_test.go
+++ b/internal/kernel/metrics_test.go
@@ -11,16 +11,19 @@
 )
 
 var _ = Describe("metrics", func() {
-	It("writes counters and quantiles by series", func() {
+	It("writes counters, gauges and quantiles by series", func() {
 		var m MetricSet
 		m.Count("calls_total", "kind", "get", "code", "100")
 		m.Count("calls_total", "kind", "get", "code", "100")
 		for i := 1; i <= 100; i++ {
 			m.Observe(time.Duration(i)*time.Millisecond, "call_seconds", "kind", "get")
 		}
+		m.Set("kept", 3, "kind", "get")
+		m.Set("kept", 1.5, "kind", "get")
 		var out bytes.Buffer
 		m.WriteText(&out)
 		Expect(out.String()).To(ContainSubstring(`calls_total{kind="get",code="100"} 2`))
+		Expect(out.String()).To(ContainSubstring(`kept{kind="get"} 1.5`))
 		Expect(out.String()).To(MatchRegexp(`call_seconds\{kind="get",quantile="0.5"\} 0\.050`))
 		Expect(out.String()).To(ContainSubstring(`call_seconds_count{kind="get"} 100`))
 	})
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -63,11 +63,11 @@
 	reserved := 0 // units of class other that hold a reservation
 	for _, c := range e.candidates(now) {
 		for _, u := range c.units {
-			if r.fits[e.shape(u)] && e.mustLeaveHeadroom(u, c, r, now) {
+			if p := r.fits[e.shape(u)]; p != nil && e.mustLeaveHeadroom(u, c, p, r, now) {
 				break // fits like an equal unit before it, but has to leave the headroom
 			}
 			placement := e.placeCached(u, r)
-			if placement != nil && e.mustLeaveHeadroom(u, c, r, now) {
+			if placement != nil && e.mustLeaveHeadroom(u, c, placement, r, now) {
 				break // the next units of the job are as large, so they have to wait too
 			}
 			if placement != nil {
@@ -89,6 +89,7 @@
 			}
 		}
 	}
+	e.recordHeadroomUse(r, starts)
 	return starts, stops
 }
 
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -75,6 +75,7 @@
 	// unexplainedCrashAt is the time of the latest crash of a worker without a recent start.
 	unexplainedCrashAt time.Time
 	plugins            plugins
+	headroomUse        HeadroomUse // in the latest decision
 }
 
 // policy switches off parts of the scheduling policy, or replaces the order of
@@ -194,6 +195,7 @@
 	j := &job{id: id, rec: rec, state: workflow.StatePending, revision: revision}
 	e.jobs[id] = j
 	j.buildUnits()
+	e.observeArrival(j)
 	if p != nil {
 		e.restoreProgress(j, p)
 	}
--- a/internal/workflow/engine/explain.go
+++ b/internal/workflow/engine/explain.go
@@ -44,9 +44,9 @@
 	}
 	c := &candidate{job: j, units: []*unit{u}, class: e.classOf(j)}
 	e.computeUrgency(c, now)
-	if e.place(u, r) != nil {
-		if e.mustLeaveHeadroom(u, c, r, now) {
-			return "fits, but can wait and would use the headroom that is kept for jobs of priority 0"
+	if placement := e.place(u, r); placement != nil {
+		if e.mustLeaveHeadroom(u, c, placement, r, now) {
+			return fmt.Sprintf("fits, but can wait and would use the headroom that is kept for jobs of priority 0 (%v)", e.keptHeadroom(r, now))
 		}
 		return "fits, but the resources are reserved for units before it, or it starts with the next decision"
 	}
--- a/internal/workflow/engine/headroom.go
+++ b/internal/workflow/engine/headroom.go
@@ -1,6 +1,14 @@
 package engine
 
-import "time"
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"snipegw/internal/workflow"
+	"snipegw/internal/workflow/framework"
+)
 
 const (
 	// headroomShare is the share of the usable accelerators and processors that is
@@ -20,25 +28,172 @@
 	headroomDurationDivisor = 2
 )
 
-// mustLeaveHeadroom reports whether a unit that could start has to wait, because it
-// can wait and its start would leave too little free for jobs of priority 0.
-func (e *Engine) mustLeaveHeadroom(u *unit, c *candidate, r *freeResources, now time.Time) bool {
+// mustLeaveHeadroom reports whether a unit that could start with the given placement, or
+// with that of an equal unit, has to wait, because it can wait and its start would leave
+// too little free for jobs of priority 0.
+func (e *Engine) mustLeaveHeadroom(u *unit, c *candidate, placement []*worker, r *freeResources, now time.Time) bool {
 	if e.policy.noHeadroom || c.class != classOther || u.spec().LongRunning || !e.canWait(u, c, now) {
 		return false
 	}
 	freeSum, totalSum := r.totals()
+	h := e.keptHeadroom(r, now)
+	leftSum := freeSum.Add(u.spec().Needs(), -int64(u.count))
+	if h.forecast {
+		freeSum, leftSum = r.roomLeft(h.item, u, nil), r.roomLeft(h.item, u, placement)
+	}
+	kept := [2]float64{h.accelerators, h.milliCPU}
 	free, total := [2]int64{freeSum.Accelerators, freeSum.MilliCPU}, [2]int64{totalSum.Accelerators, totalSum.MilliCPU}
-	needs := u.spec().Needs()
-	requested := [2]int64{int64(u.count) * needs.Accelerators, int64(u.count) * needs.MilliCPU}
-	for i := range requested {
+	left := [2]int64{leftSum.Accelerators, leftSum.MilliCPU}
+	for i := range left {
 		used := float64(total[i] - free[i])
-		if used >= headroomMinUsage*float64(total[i]) && float64(free[i]-requested[i]) < headroomShare*float64(total[i]) {
+		if used >= headroomMinUsage*float64(total[i]) && float64(left[i]) < kept[i] {
+			r.held = true
 			return true
 		}
 	}
 	return false
 }
 
+// headroom is what is kept free for jobs of priority 0 during one decision.
+type headroom struct {
+	accelerators, milliCPU float64
+	forecast               bool                // by the plug-in, not the fixed share
+	item                   workflow.Resources  // see framework.Headroom; only with forecast
+	room                   *workflow.Resources // caches roomLeft of no unit, nil after an allocation
+}
+
+// String describes the headroom for explanations.
+func (h *headroom) String() string {
+	text := fmt.Sprintf("%.0f accelerators and %.0f millicores", h.accelerators, h.milliCPU)
+	if h.forecast {
+		return text + fmt.Sprintf(", by forecast, on workers with room for %d accelerators and %d millicores", h.item.Accelerators, h.item.MilliCPU)
+	}
+	return text
+}
+
+// keptHeadroom returns what is to be kept free in a decision. It asks the plug-in once.
+func (e *Engine) keptHeadroom(r *freeResources, now time.Time) *headroom {
+	if r.headroom != nil {
+		return r.headroom
+	}
+	_, total := r.totals()
+	r.headroom = &headroom{accelerators: headroomShare * float64(total.Accelerators), milliCPU: headroomShare * float64(total.MilliCPU)}
+	if e.plugins.headroom != nil {
+		if h, known := e.plugins.headroom.Headroom(now, framework.Pool{Total: total, Releases: e.releases(r, now)}); known {
+			*r.headroom = headroom{accelerators: float64(h.Amount.Accelerators), milliCPU: float64(h.Amount.MilliCPU), forecast: true, item: h.Item}
+		}
+	}
+	return r.headroom
+}
+
+// roomLeft returns what is left for items of the given needs once u has started with a
+// placement: the resources of workers with room for one, with the accelerators rounded
+// down to whole items.
+func (r *freeResources) roomLeft(item workflow.Resources, u *unit, placement []*worker) workflow.Resources {
+	if r.headroom.room == nil {
+		r.headroom.room = new(workflow.Resources)
+		for _, w := range r.workers {
+			*r.headroom.room = r.headroom.room.Add(roomFor(item, r.free[w.index]), 1)
+		}
+	}
+	room := *r.headroom.room
+	items := make(map[*worker]int64)
+	for _, w := range placement {
+		items[w]++
+	}
+	for w, n := range items {
+		free := r.free[w.index]
+		room = room.Add(roomFor(item, free), -1).Add(roomFor(item, free.Add(u.spec().Needs(), -n)), 1)
+	}
+	return room
+}
+
+// roomFor returns the part of a worker's free resources that items of the given needs
+// could use.
+func roomFor(item, free workflow.Resources) workflow.Resources {
+	if free.Accelerators < item.Accelerators || free.MilliCPU < item.MilliCPU {
+		return workflow.Resources{}
+	}
+	return workflow.Resources{
+		MilliCPU:     max(free.MilliCPU, 0),
+		Accelerators: max(free.Accelerators-free.Accelerators%max(item.Accelerators, 1), 0),
+	}
+}
+
+// HeadroomUse tells of the headroom in the latest decision, for metrics.
+type HeadroomUse struct {
+	// Asked reports that a unit that can wait could have started, so that the headroom
+	// mattered, and Held that one had to wait.
+	Asked, Held bool
+	Forecast    bool // the plug-in had a figure
+	// Accelerators and MilliCPU are what was to be kept when it last mattered.
+	Accelerators, MilliCPU int64
+	// Used counts starts of jobs of priority 0 after which less than that was free.
+	Used int
+}
+
+// HeadroomUse returns the use of the headroom in the latest decision.
+func (e *Engine) HeadroomUse() HeadroomUse { return e.headroomUse }
+
+// recordHeadroomUse updates e.headroomUse after a decision.
+func (e *Engine) recordHeadroomUse(r *freeResources, starts []Placement) {
+	use := HeadroomUse{Accelerators: e.headroomUse.Accelerators, MilliCPU: e.headroomUse.MilliCPU, Held: r.held}
+	if h := r.headroom; h != nil {
+		use.Asked, use.Forecast = true, h.forecast
+		use.Accelerators, use.MilliCPU = int64(h.accelerators), int64(h.milliCPU)
+	}
+	if free, _ := r.totals(); free.Accelerators < use.Accelerators || free.MilliCPU < use.MilliCPU {
+		for _, s := range starts {
+			if s.Class != classNames[classOther] {
+				use.Used++
+			}
+		}
+	}
+	e.headroomUse = use
+}
+
+// releases returns the expected ends of the active runs on usable workers, by time.
+// Long-running ones are not expected to end.
+func (e *Engine) releases(r *freeResources, now time.Time) []framework.Release {
+	var out []framework.Release
+	seen := make(map[*unit]bool)
+	for _, w := range r.workers {
+		for _, m := range w.members {
+			u := m.unit
+			if seen[u] || u.spec().LongRunning {
+				continue
+			}
+			seen[u] = true
+			release := framework.Release{After: e.estimates.remaining(u, now)}
+			for _, o := range u.members {
+				if o.end == "" {
+					release.Needs = release.Needs.Add(u.spec().Needs(), 1)
+				}
+			}
+			out = append(out, release)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b framework.Release) int { return cmp.Compare(a.After, b.After) })
+	return out
+}
+
+// observeArrival tells the plug-in of a job of priority 0. A scheduled job is none that
+// arrives without notice.
+func (e *Engine) observeArrival(j *job) {
+	if e.plugins.headroom == nil || j.rec.Occurrences > 0 || j.rec.LongRunning() || e.config.PriorityOf(j.rec) != 0 {
+		return
+	}
+	a := framework.Arrival{Queue: j.rec.Queue, At: time.UnixMilli(j.rec.AcceptedMS)}
+	for s := range j.rec.Steps {
+		step := &j.rec.Steps[s]
+		needs := workflow.Resources{}.Add(step.Needs(), int64(step.Count))
+		if weightedMilliCores(needs) > weightedMilliCores(a.Needs) {
+			a.Needs, a.Item = needs, step.Needs()
+		}
+	}
+	e.plugins.headroom.ObserveArrival(a)
+}
+
 // canWait reports whether a unit has time to wait without missing its objective,
 // or is so late that its completion is of no more use.
 func (e *Engine) canWait(u *unit, c *candidate, now time.Time) bool {
--- a/internal/workflow/engine/load_test.go
+++ b/internal/workflow/engine/load_test.go
@@ -11,12 +11,12 @@
 	"snipegw/internal/workflow"
 )
 
-// addJob submits a job of one step and returns its id.
-func (w *world) addJob(queue, team string, step workflow.Step) string {
+// addJob submits a job and returns its id.
+func (w *world) addJob(queue, team string, steps ...workflow.Step) string {
 	id := fmt.Sprintf("%016x", len(w.jobs)+1)
 	q := w.config.Queue(queue)
 	w.jobs[id] = &workflow.JobRecord{
-		Job: workflow.Job{Steps: []workflow.Step{step}}, Queue: queue, Team: team, AcceptedMS: w.now.UnixMilli(), Service: q.Service,
+		Job: workflow.Job{Steps: steps}, Queue: queue, Team: team, AcceptedMS: w.now.UnixMilli(), Service: q.Service,
 		Priority: q.Priority, MaxAttempts: q.MaxAttempts, SlackFactor: q.SlackFactor, TargetMS: q.TargetMS,
 	}
 	w.planner.AddJob(id, w.jobs[id], nil, 0)
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -17,14 +17,17 @@
 	// doNotFit holds the shapes that could not be placed. Free resources only
 	// shrink within a decision, so further units of such a shape need no search.
 	doNotFit map[shape]bool
-	// fits holds the shapes that could be placed. It is cleared by each allocation.
-	fits map[shape]bool
+	// fits holds a placement for each shape that could be placed. It is cleared by each
+	// allocation.
+	fits map[shape][]*worker
 	now  time.Time
 	// started holds the workers on which units start in this decision, and closed those on
 	// which no further ones may, because of a suspect unit.
 	started, closed map[*worker]bool
 	// cachedTotals caches the result of totals, nil after an allocation.
 	cachedTotals *[2]workflow.Resources
+	headroom     *headroom // see keptHeadroom, nil until it is asked for
+	held         bool      // a unit has to wait for the headroom
 }
 
 // shape holds all properties of a unit without a spread limit that decide whether
@@ -40,7 +43,7 @@
 // freeResources returns the free resources of the workers that are usable at now.
 func (e *Engine) freeResources(now time.Time) *freeResources {
 	r := &freeResources{
-		free: make([]workflow.Resources, len(e.sortedWorkers)), doNotFit: make(map[shape]bool), fits: make(map[shape]bool),
+		free: make([]workflow.Resources, len(e.sortedWorkers)), doNotFit: make(map[shape]bool), fits: make(map[shape][]*worker),
 		now: now, started: make(map[*worker]bool), closed: make(map[*worker]bool),
 	}
 	for _, w := range e.sortedWorkers {
@@ -69,7 +72,7 @@
 	if placement == nil {
 		r.doNotFit[s] = true
 	} else {
-		r.fits[s] = true
+		r.fits[s] = placement
 	}
 	return placement
 }
@@ -108,6 +111,9 @@
 	for _, w := range placement {
 		r.free[w.index] = r.free[w.index].Add(u.spec().Needs(), -1)
 		r.cachedTotals = nil
+		if r.headroom != nil {
+			r.headroom.room = nil
+		}
 		r.started[w] = true
 		if suspect {
 			r.closed[w] = true
--- a/internal/workflow/engine/policy_test.go
+++ b/internal/workflow/engine/policy_test.go
@@ -19,6 +19,8 @@
 	. "github.com/onsi/gomega"
 
 	"snipegw/internal/workflow"
+	"snipegw/internal/workflow/forecast"
+	"snipegw/internal/workflow/framework"
 )
 
 var (
@@ -55,14 +57,21 @@
 var policies = []struct {
 	name    string
 	variant policy
+	plugins func() framework.Set
 }{
-	{"present", policy{}},
-	{"without headroom", policy{noHeadroom: true}},
-	{"stops for guarantees only", policy{preemptForGuaranteesOnly: true}},
-	{"no bound on work lost", policy{ignoreLostWork: true}},
-	{"first come", policy{compare: compareByArrival}},
-	{"largest first", policy{compare: compareBySize}},
-	{"value for the time left", policy{compare: compareByValueDensity}},
+	{"present", policy{}, nil},
+	{"without headroom", policy{noHeadroom: true}, nil},
+	{"urgent forecast", policy{}, forecastPlugin},
+	{"stops for guarantees only", policy{preemptForGuaranteesOnly: true}, nil},
+	{"no bound on work lost", policy{ignoreLostWork: true}, nil},
+	{"first come", policy{compare: compareByArrival}, nil},
+	{"largest first", policy{compare: compareBySize}, nil},
+	{"value for the time left", policy{compare: compareByValueDensity}, nil},
+}
+
+// forecastPlugin returns headroom by forecast, with its default settings.
+func forecastPlugin() framework.Set {
+	return framework.Set{forecast.Name: forecast.New(forecast.Settings{})}
 }
 
 func compareByArrival(_ *Engine, _ time.Time, a, b *candidate) int {
@@ -112,8 +121,10 @@
 
 // replayLoad simulates a load under a policy, until all jobs have ended or three
 // minutes have passed since the last one arrived.
-func replayLoad(l *load, p policy) loadOutcome {
+func replayLoad(l *load, p policy, plugins func() framework.Set) loadOutcome {
 	w := newWorld(1, l.Workers, 0)
+	w.newPlugins = plugins
+	w.planner.plugins = newPlugins(plugins)
 	w.noRandomFailures = true
 	w.config = &workflow.Config{Version: 2, Queues: l.Queues, Teams: l.Teams}
 	w.config.Provision()
@@ -150,12 +161,7 @@
 
 // addLoadJob submits a recorded job with its true run times and returns its id.
 func (w *world) addLoadJob(j *loadJob) string {
-	id := w.addJob(j.Queue, j.Team, j.Steps[0])
-	w.jobs[id].Steps = j.Steps
-	// addJob gave the planner the first step only; replace it by the whole job.
-	w.planner.RemoveJob(id)
-	w.planner.openJobs = slices.DeleteFunc(w.planner.openJobs, func(o *job) bool { return o.id == id })
-	w.planner.AddJob(id, w.jobs[id], nil, 0)
+	id := w.addJob(j.Queue, j.Team, j.Steps...)
 	for s := range j.TookMS {
 		for i, ms := range j.TookMS[s] {
 			w.runTimes[workflow.ItemRef{Job: id, Step: s, Index: i}.String()] = time.Duration(ms) * time.Millisecond
@@ -281,7 +287,7 @@
 			if !*printTable && p.variant.compare == nil && p.name != "present" {
 				continue
 			}
-			o := replayLoad(l, p.variant)
+			o := replayLoad(l, p.variant, p.plugins)
 			worth[p.name] += o.worth
 			urgentLate[p.name] += o.urgentLate
 			if *printTable {
--- a/internal/workflow/planner/log.go
+++ b/internal/workflow/planner/log.go
@@ -54,3 +54,22 @@
 		}
 	}
 }
+
+// countHeadroom updates the metrics of the headroom after a pass.
+func countHeadroom(use engine.HeadroomUse) {
+	if use.Asked {
+		source := "fixed"
+		if use.Forecast {
+			source = "forecast"
+		}
+		kernel.Metrics.Count("snipegw_headroom_decisions_total", "source", source)
+		kernel.Metrics.Set("snipegw_headroom_kept_accelerators", float64(use.Accelerators))
+		kernel.Metrics.Set("snipegw_headroom_kept_cores", float64(use.MilliCPU)/1000)
+	}
+	if use.Held {
+		kernel.Metrics.Count("snipegw_headroom_held_total")
+	}
+	for range use.Used {
+		kernel.Metrics.Count("snipegw_headroom_used_total")
+	}
+}
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -241,6 +241,7 @@
 	d := t.decide(events, config)
 	logEndEvents(t.epoch, d.endEvents)
 	logDecisions(t.epoch, d.starts, d.stops)
+	countHeadroom(d.headroom)
 	if !t.commitChanges(ctx, d.changes) {
 		return
 	}
@@ -256,6 +257,7 @@
 	changes   []engine.Change
 	endEvents []engine.EndEvent
 	ends      map[string]endPosition // by node; to be acknowledged once the changes are stored
+	headroom  engine.HeadroomUse
 }
 
 // decide passes the events and the configuration, nil for none, to the engine and
@@ -272,7 +274,7 @@
 	starts, stops := t.engine.Decide(now)
 	return decisions{
 		starts: starts, stops: stops, ends: t.processedEnds(),
-		changes: t.engine.TakeChanges(), endEvents: t.engine.TakeEndEvents(),
+		changes: t.engine.TakeChanges(), endEvents: t.engine.TakeEndEvents(), headroom: t.engine.HeadroomUse(),
 	}
 }
 
