--- a/internal/workflow/daemon/plugins.go
+++ b/internal/workflow/daemon/plugins.go
@@ -2,5 +2,6 @@
 
 // The scheduling plug-ins, which register themselves.
 import (
+	_ "snipegw/internal/workflow/forecast"
 	_ "snipegw/internal/workflow/workerspeed"
 )
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -76,6 +76,7 @@
 	unexplainedCrashAt time.Time
 	plugins            plugins
 	evacuations        map[string]workflow.Evacuation // by failure domain
+	headroomUse        HeadroomUse                    // in the latest decision
 }
 
 // policy switches off parts of the scheduling policy, or replaces the order of
@@ -197,6 +198,7 @@
 	j := &job{id: id, rec: rec, state: workflow.StatePending, revision: revision}
 	e.jobs[id] = j
 	j.buildUnits()
+	e.observeArrival(j)
 	if p != nil {
 		e.restoreProgress(j, p)
 	}
--- a/internal/workflow/engine/world_test.go
+++ b/internal/workflow/engine/world_test.go
@@ -34,10 +34,10 @@
 	runsByItem           map[string][]*modelRun
 	violations           []string // of the rules, with the time and the rule's name
 
-	newPlugins       func() framework.Set // makes the scheduling plug-ins of a term
 	evacuations      worldEvacuations
 	hideCancels      bool                     // keeps cancellations from the planner, to test the check
 	noRandomFailures bool                     // runs do not fail at random
+	newPlugins       func() framework.Set     // scheduling plug-ins of each term, nil for none
 	noProgress       bool                     // workers report no progress of runs
 	runTimes         map[string]time.Duration // true run times by item; random if absent
 	crashDelay       time.Duration            // time after which an item with payload "deadly" crashes its worker
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -254,6 +254,7 @@
 	t.reportEvacuations(version, time.Now())
 	logEndEvents(t.epoch, d.endEvents)
 	logDecisions(t.epoch, d.starts, d.stops)
+	countHeadroom(d.headroom)
 	if !t.commitChanges(ctx, d.changes) {
 		return
 	}
@@ -269,6 +270,7 @@
 	changes   []engine.Change
 	endEvents []engine.EndEvent
 	ends      map[string]endPosition // by node; to be acknowledged once the changes are stored
+	headroom  engine.HeadroomUse
 }
 
 // decide passes the events, the configuration, nil for none, and the evacuations to the
@@ -286,7 +288,7 @@
 	starts, stops := t.engine.Decide(now)
 	return decisions{
 		starts: starts, stops: stops, ends: t.processedEnds(),
-		changes: t.engine.TakeChanges(), endEvents: t.engine.TakeEndEvents(),
+		changes: t.engine.TakeChanges(), endEvents: t.engine.TakeEndEvents(), headroom: t.engine.HeadroomUse(),
 	}
 }
 
