Refuse jobs at acceptance that cannot be served in useful time

Cause: an entry accepts every valid job, also one that its pool cannot hold or that cannot end within three times its objective, and its caller learns of it only when the job is of no more use.

Change: while room is short, the planner states the ready work and the pool in a record under its lease, at most once in 2 s. Entries decide by it in package admission, a pure function, and answer 303, 313 or 314 with a Retry-After that is spread by the job's id. A job within its team's guarantee is not refused for load.

Ruled out: counting all work before a job in the planner's order. The rule now counts only work that fits wherever the job does, and within the job's class only until the job's own latest start.

--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 )
 
 // Code identifies one outcome. Numbers are stable: a released number is never
@@ -60,6 +61,8 @@
 	BackendUnavailable   Code = 310
 	TicketUnavailable    Code = 311
 	EntryUnreachable     Code = 312
+	NotInTime            Code = 313
+	ExceedsPool          Code = 314
 
 	Fenced              Code = 400
 	StaleIncarnation    Code = 401
@@ -132,6 +135,8 @@
 	{BackendUnavailable, "backend_unavailable", http.StatusServiceUnavailable, RanNo, "Retry; another worker will take the request."},
 	{TicketUnavailable, "ticket_unavailable", http.StatusServiceUnavailable, RanNo, "Request a new ticket."},
 	{EntryUnreachable, "entry_unreachable", http.StatusServiceUnavailable, RanNo, "Check the address, or use another entry."},
+	{NotInTime, "not_in_time", http.StatusServiceUnavailable, RanNo, "Retry after the time in Retry-After; the waiting work leaves no room for the job within three times its objective."},
+	{ExceedsPool, "exceeds_pool", http.StatusServiceUnavailable, RanNo, "Divide the job, or retry once the service has larger workers; a step needs more than the present ones have."},
 
 	{Fenced, "fenced", http.StatusConflict, RanNo, "None; a newer planner has taken over."},
 	{StaleIncarnation, "stale_incarnation", http.StatusConflict, RanNo, "None; the agent has since restarted."},
@@ -190,6 +195,8 @@
 	Code    Code
 	Message string
 	Err     error
+	// RetryAfter is when the caller should try again; 0 leaves it to the protocol.
+	RetryAfter time.Duration
 }
 
 // Errorf returns an *Error with a message formatted as by fmt.Errorf; a wrapped
@@ -231,3 +238,12 @@
 	}
 	return err.Error()
 }
+
+// RetryAfterOf returns when the caller that gets err should try again; 0 if err does not say.
+func RetryAfterOf(err error) time.Duration {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.RetryAfter
+	}
+	return 0
+}
--- a/internal/workflow/daemon/daemon.go
+++ b/internal/workflow/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"snipegw/internal/store"
 	"snipegw/internal/transport"
 	"snipegw/internal/workflow"
+	"snipegw/internal/workflow/framework"
 	"snipegw/internal/workflow/intake"
 	"snipegw/internal/workflow/mirror"
 	"snipegw/internal/workflow/planner"
@@ -62,6 +63,7 @@
 	plannerHost := planner.New(planner.Options{
 		Entry: p.ID, Address: p.Address, Table: table, Records: recordMirror, Pool: network.Pool,
 		Engine: s.engineSettings(), LeaseDuration: max(planner.DefaultLeaseDuration, time.Duration(s.MinStoreLeaseMS)*time.Millisecond), EndedJobRetention: time.Duration(s.KeepEndedMS) * time.Millisecond,
+		PublishBacklog: s.Admission != nil,
 	})
 	entries := &knownEntries{process: p, table: table, recordMirror: recordMirror}
 	entries.setSeeds(s)
@@ -69,10 +71,15 @@
 	registration := &registration{table: table, key: workflow.EntryPrefix + p.ID,
 		record: workflow.ProcessRecord{Address: p.Address, Zone: p.FailureDomain, Debug: p.DebugAddress}}
 	in.OnConfig(plannerHost.SetConfig)
+	if s.Admission != nil {
+		cost, _ := framework.Find[framework.CostModel](s.Plugins.Constructor()())
+		in.SetAdmission(&intake.Admission{Settings: *s.Admission, Cost: cost})
+	}
 	in.Subscribe()
 	dumper := kernel.NewDumper()
 	dumper.Add("planner", plannerHost.State)
 	dumper.Add("peers", func() any { return table.Peers() })
+	dumper.Add("admission", in.AdmissionState)
 	dumper.Add("config", func() any { return in.Config() })
 	debug := http.NewServeMux()
 	dumper.Handle(debug, in.Ready)
--- a/internal/workflow/daemon/settings.go
+++ b/internal/workflow/daemon/settings.go
@@ -9,6 +9,7 @@
 
 	"snipegw/internal/kernel"
 	"snipegw/internal/store"
+	"snipegw/internal/workflow/admission"
 	"snipegw/internal/workflow/engine"
 	"snipegw/internal/workflow/framework"
 	"snipegw/internal/workflow/intake"
@@ -56,6 +57,8 @@
 	// Plugins holds the settings of the scheduling plug-ins that are switched on, by
 	// name.
 	Plugins framework.Settings `json:"plugins"`
+	// Admission switches refusals at acceptance on; nil accepts every job.
+	Admission *admission.Settings `json:"admission"`
 }
 
 // setDefault sets field to value if it is zero.
@@ -73,6 +76,9 @@
 	setDefault(&s.StopTimeoutMS, defaultStopTimeoutMS)
 	setDefault(&s.ReclaimMS, defaultReclaimMS)
 	setDefault(&s.KeepEndedMS, defaultKeepEndedMS)
+	if s.Admission != nil {
+		s.Admission.Provision()
+	}
 }
 
 // Validate appends the faults of s to faults; path is the path of s in the
@@ -95,6 +101,9 @@
 		}
 	}
 	s.Plugins.Validate(path+".plugins", faults)
+	if s.Admission != nil {
+		s.Admission.Validate(path+".admission", faults)
+	}
 }
 
 func (s *EntrySettings) engineSettings() engine.Settings {
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -21,7 +21,7 @@
 	maxReservations = 2
 	// maxLatenessFactor times a job's objective is the time after which its
 	// completion is of no more use to the caller.
-	maxLatenessFactor = 3
+	maxLatenessFactor = workflow.MaxLatenessFactor
 	// preemptionOverhead is the time from the decision to stop a run until another
 	// one runs in its place, without the worker's own stop timeout.
 	preemptionOverhead = 200 * time.Millisecond
@@ -143,17 +143,15 @@
 	return latest
 }
 
-// Classes of candidates, in the order in which they are served. A class may
-// preempt the classes after it.
+// Classes of candidates, in the order in which they are served.
 const (
-	classGuaranteed = iota // priority 0 within the team's guarantee
-	classUrgent            // priority 0 beyond the guarantee
-	classOther             // any other priority
+	classGuaranteed = workflow.ClassGuaranteed
+	classUrgent     = workflow.ClassUrgent
+	classOther      = workflow.ClassOther
 )
 
-// classNames holds the name of each class in logs, metrics and the dump. There,
-// classUrgent is called "first".
-var classNames = []string{"guaranteed", "first", "other"}
+// classNames holds the name of each class in logs, metrics and the dump.
+var classNames = workflow.ClassNames
 
 // candidate is an open job with units that are ready to start.
 type candidate struct {
@@ -240,18 +238,12 @@
 // criticalPath returns the expected duration of the longest chain of dependent
 // steps in an occurrence. Steps that are done count only if includeDone is set.
 func (e *Engine) criticalPath(j *job, occurrence int, includeDone bool) time.Duration {
-	longest := time.Duration(0)
-	ends := make([]time.Duration, len(j.rec.Steps))
-	for s := range j.rec.Steps {
-		for _, dep := range j.rec.Steps[s].After {
-			ends[s] = max(ends[s], ends[dep])
+	return workflow.CriticalPath(j.rec.Steps, func(s int) time.Duration {
+		if !includeDone && j.stages[occurrence][s].unitsLeft == 0 {
+			return 0
 		}
-		if includeDone || j.stages[occurrence][s].unitsLeft > 0 {
-			ends[s] += e.estimates.stepDuration(j.rec.Queue, &j.rec.Steps[s])
-		}
-		longest = max(longest, ends[s])
-	}
-	return longest
+		return e.estimates.stepDuration(j.rec.Queue, &j.rec.Steps[s])
+	})
 }
 
 // objective returns the completion-time objective of an occurrence of j, counted
@@ -290,10 +282,7 @@
 		if e.config.PriorityOf(j.rec) != 0 || j.cancelled {
 			continue
 		}
-		need := int64(0)
-		for s := range j.rec.Steps {
-			need = max(need, j.rec.Steps[s].Accelerators*int64(j.rec.Steps[s].Count))
-		}
+		need := j.rec.GuaranteeNeed()
 		if used[j.rec.Team]+need <= e.config.Teams[j.rec.Team].Guarantee {
 			used[j.rec.Team] += need
 			covered[j] = true
--- a/internal/workflow/engine/policy_test.go
+++ b/internal/workflow/engine/policy_test.go
@@ -38,6 +38,11 @@
 	Queues         []workflow.Queue         `json:"queues"`
 	Teams          map[string]workflow.Team `json:"teams"`
 	Jobs           []loadJob                `json:"jobs"` // in order of acceptance
+
+	// onArrival, if set, is called before each job of the load is submitted, and onEnd at
+	// the end with the ids of all jobs.
+	onArrival func(w *world, index int)
+	onEnd     func(w *world, ids []string)
 }
 
 // loadJob is a job of a recorded load. Its times count from the first acceptance.
@@ -131,6 +136,9 @@
 	next := 0
 	for w.now.Sub(began) < time.Duration(l.Jobs[len(l.Jobs)-1].AtMS)*time.Millisecond+3*time.Minute {
 		for ; next < len(l.Jobs) && w.now.Sub(began).Milliseconds() >= l.Jobs[next].AtMS; next++ {
+			if l.onArrival != nil {
+				l.onArrival(w, next)
+			}
 			ids[next] = w.addLoadJob(&l.Jobs[next])
 		}
 		for i, j := range l.Jobs[:next] {
@@ -145,6 +153,9 @@
 			break
 		}
 	}
+	if l.onEnd != nil {
+		l.onEnd(w, ids)
+	}
 	return w.measureOutcome(l, ids)
 }
 
--- a/internal/workflow/intake/intake.go
+++ b/internal/workflow/intake/intake.go
@@ -66,6 +66,8 @@
 	configAdoptedMS atomic.Int64 // Unix milliseconds at which config was adopted
 	jobs            sync.Map     // id -> *workflow.JobRecord
 	progress        sync.Map     // id -> *workflow.Progress
+	backlog         atomic.Pointer[receivedBacklog]
+	admission       *Admission // nil accepts every job
 	draining        atomic.Bool
 	onConfig        []func(*workflow.Config)
 }
@@ -133,6 +135,8 @@
 	for _, e := range events {
 		id := workflow.IDOfKey(e.Key)
 		switch {
+		case e.Key == workflow.BacklogKey:
+			in.applyBacklog(e)
 		case strings.HasPrefix(e.Key, workflow.JobPrefix):
 			applyRecord[workflow.JobRecord](&in.jobs, id, e)
 		case strings.HasPrefix(e.Key, workflow.ProgressPrefix):
@@ -167,6 +171,9 @@
 	if err := job.Validate(); err != nil {
 		return err
 	}
+	if known, err := in.admit(ctx, q, team, id, job); known || err != nil {
+		return err
+	}
 	rec := &workflow.JobRecord{
 		Job: *job, Queue: q.Name, Team: team, AcceptedMS: time.Now().UnixMilli(), Service: q.Service, Priority: q.Priority,
 		MaxAttempts: q.MaxAttempts, SlackFactor: q.SlackFactor, TargetMS: q.TargetMS, Nonce: rand.Uint64(),
--- a/internal/workflow/model.go
+++ b/internal/workflow/model.go
@@ -102,6 +102,16 @@
 	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.LongRunning })
 }
 
+// GuaranteeNeed returns the accelerators that a job takes of its team's guarantee: those of
+// its largest step.
+func (j *Job) GuaranteeNeed() int64 {
+	need := int64(0)
+	for s := range j.Steps {
+		need = max(need, j.Steps[s].Accelerators*int64(j.Steps[s].Count))
+	}
+	return need
+}
+
 // Validate checks the limits of a job and its steps. Its errors have code
 // BadRequest.
 func (j *Job) Validate() error {
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -55,6 +55,8 @@
 	LeaseDuration time.Duration
 	// EndedJobRetention is how long the records of ended jobs are kept.
 	EndedJobRetention time.Duration
+	// PublishBacklog states the waiting work to the entries while room is short.
+	PublishBacklog bool
 }
 
 // Host takes part in the election and runs the engine while this entry is planner.
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -89,6 +89,9 @@
 		return
 	}
 	go t.sendStopOrders(ctx)
+	if t.host.options.PublishBacklog {
+		go t.publishBacklog(ctx)
+	}
 	lastCleanup := time.Now()
 	for ctx.Err() == nil {
 		t.runPass(ctx)
