Add a model of what a delay of a job costs its callers

Cause: when there is too little room, the planner orders waiting jobs by class, lateness, priority and latest start, and knows no figure for what a delay costs.

The engine does not ask it yet, so that no decision changes.

--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"snipegw/internal/workflow"
+	"snipegw/internal/workflow/framework"
 )
 
 const (
@@ -21,7 +22,7 @@
 	maxReservations = 2
 	// maxLatenessFactor times a job's objective is the time after which its
 	// completion is of no more use to the caller.
-	maxLatenessFactor = 3
+	maxLatenessFactor = framework.MaxLatenessFactor
 	// preemptionOverhead is the time from the decision to stop a run until another
 	// one runs in its place, without the worker's own stop timeout.
 	preemptionOverhead = 200 * time.Millisecond
--- a/internal/workflow/framework/cost.go
+++ b/internal/workflow/framework/cost.go
@@ -2,41 +2,70 @@
 
 import "time"
 
-// CostModel says what a delay or a refusal of a job costs its callers. Costs are in
-// units of value: completing a job of average work and of priority 0 in time is worth
-// about one unit.
+// MaxLatenessFactor times a job's objective is the time after which its completion is
+// of no more use to the caller.
+const MaxLatenessFactor = 3
+
+// CostModel says what a delay or a refusal of a job costs its callers, and how often a
+// run may be stopped. Costs are in units of value: completing a job of average work in
+// time is worth the weight of its priority.
 type CostModel interface {
-	// Cost returns the cost of a job at now.
-	Cost(j Job, now time.Time) Cost
+	// ObserveJob takes the work of an open job, once for each job, in core-seconds with
+	// an accelerator counted as several cores.
+	ObserveJob(queue string, work float64)
+	// ObserveServed takes what a team has waited for and what it was given since the
+	// last call, in core-seconds.
+	ObserveServed(team string, asked, served float64, now time.Time)
+	// Cost returns the cost of a job at now if further delay lasts for the horizon.
+	Cost(j Job, horizon time.Duration, now time.Time) Cost
+	// Compare orders two waiting jobs of one class by their costs: negative if a is to
+	// be served first, 0 if the costs do not tell.
+	Compare(a, b Cost) int
+	// MaxStops returns how often a unit may be stopped for jobs of priority 0 beyond a
+	// guarantee.
+	MaxStops() int
 }
 
 // Job describes an open or offered job to a CostModel.
 type Job struct {
 	ID, Queue, Team string
 	Priority        int
-	// Guaranteed reports whether the guarantee of the team covers the job.
-	Guaranteed bool
 	// Begin is the acceptance, or the time at which the occurrence was due if that is
 	// later. Objective counts from it.
 	Begin     time.Time
 	Objective time.Duration
 	// Remaining is the expected time from a start to the end of the job, by learned
-	// run times.
+	// run times, and Spread the standard deviation of its logarithm.
 	Remaining time.Duration
+	Spread    float64
 	// Work is the expected work of the whole job and WorkLeft the part not yet done, in
 	// core-seconds with an accelerator counted as several cores.
 	Work, WorkLeft float64
-	// FirstReady is when the job could first have started.
+	// FirstReady is when the job could first have started; zero if that is not known.
 	FirstReady time.Time
 }
 
 // Cost is what delaying or refusing a job costs.
 type Cost struct {
-	// Value is what callers still get from the job if it starts now, Refusal what they
-	// lose if it never runs.
-	Value, Refusal float64
-	// PerSecond is the value lost with each further second of delay.
+	// Value is what callers can be expected to get from the job if it starts now and is
+	// not delayed further. A refusal loses it.
+	Value float64
+	// AtRisk is the part of Value that a delay by the horizon loses.
+	AtRisk float64
+	// PerSecond is AtRisk by second of delay.
 	PerSecond float64
+	// Room is what the job still holds up: core-seconds until its end.
+	Room float64
 	// Useless reports that the job can no longer end in time to be of use.
 	Useless bool
+	// Overdue reports that other jobs may no longer be preferred by their costs.
+	Overdue bool
+	// Served is the share of what its team asked for lately that it was given.
+	Served float64
 }
+
+// Density returns the value at risk by core-second of room.
+func (c Cost) Density() float64 { return c.AtRisk / max(c.Room, minRoom) }
+
+// minRoom avoids a division by zero for jobs that hold next to nothing, in core-seconds.
+const minRoom = 0.001
