Measure how teams are served against an equal share of the pool

Cause: as a share of what it asked for, a team that floods the pool counts as the worst served. Change: what counts as asked is at most an equal share of what all teams were given. The state is bounded and forgotten by half every 20 s.

--- a/internal/workflow/callercost/callercost.go
+++ b/internal/workflow/callercost/callercost.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"snipegw/internal/workflow/framework"
@@ -17,6 +19,10 @@
 	servedHalfLife = 20 * time.Second
 	// maxTeams bounds the number of teams that are remembered.
 	maxTeams = 1024
+	// forgottenDemand is the demand below which a team is forgotten, in core-seconds.
+	forgottenDemand = 0.1
+	// minJobs is the number of jobs from which their mean work is known well enough.
+	minJobs = 3
 	// equalCosts is the factor within which costs count as equal, because expected run
 	// times are not more exact.
 	equalCosts = 1.5
@@ -25,9 +31,12 @@
 // Model is the plug-in: a framework.CostModel that knows the mean work of jobs by queue
 // and how teams were served lately.
 type Model struct {
-	settings Settings
-	queues   map[string]*meanWork
-	teams    map[string]*service
+	settings   Settings
+	jobs       int // number of observed jobs
+	queues     map[string]*meanWork
+	teams      map[string]*service
+	equalShare float64 // mean of what the teams were given lately, in core-seconds
+	observedAt time.Time
 }
 
 // meanWork is the moving mean of the work of the jobs of a queue.
@@ -37,10 +46,7 @@
 }
 
 // service is what a team asked for and was given lately, in core-seconds.
-type service struct {
-	asked, served float64
-	at            time.Time // of the latest decay
-}
+type service struct{ asked, served float64 }
 
 // New returns a Model that has learned nothing.
 func New(s Settings) *Model {
@@ -60,41 +66,60 @@
 		q = new(meanWork)
 		m.queues[queue] = q
 	}
+	m.jobs++
 	q.jobs++
 	q.mean += max(1/q.jobs, minMeanShare) * (work - q.mean)
 }
 
-// ObserveServed implements framework.CostModel.
-func (m *Model) ObserveServed(team string, asked, served float64, now time.Time) {
-	t := m.teams[team]
-	if t == nil {
-		if len(m.teams) >= maxTeams {
-			return
+// Ready implements framework.CostModel.
+func (m *Model) Ready() bool { return m.jobs >= minJobs }
+
+// ObserveTeams implements framework.CostModel.
+func (m *Model) ObserveTeams(uses []framework.TeamUse, now time.Time) {
+	elapsed := max(0, now.Sub(m.observedAt)) // a clock may jump
+	keep := math.Exp2(-elapsed.Seconds() / servedHalfLife.Seconds())
+	m.observedAt = now
+	for _, u := range uses {
+		if m.teams[u.Team] == nil && len(m.teams) < maxTeams {
+			m.teams[u.Team] = new(service)
 		}
-		t = &service{at: now}
-		m.teams[team] = t
 	}
-	if elapsed := now.Sub(t.at); elapsed > 0 {
-		keep := math.Exp2(-elapsed.Seconds() / servedHalfLife.Seconds())
+	for _, t := range m.teams {
 		t.asked, t.served = t.asked*keep, t.served*keep
 	}
-	t.at = now
-	t.asked += max(0, asked)
-	t.served += max(0, served)
+	for _, u := range uses {
+		if t := m.teams[u.Team]; t != nil {
+			t.asked += max(0, u.Asked)
+			t.served += max(0, u.Served)
+		}
+	}
+	for name, t := range m.teams {
+		if t.asked < forgottenDemand {
+			delete(m.teams, name)
+		}
+	}
+	m.equalShare = 0
+	for _, name := range slices.Sorted(maps.Keys(m.teams)) { // sums depend on the order
+		m.equalShare += m.teams[name].served / float64(len(m.teams))
+	}
 }
 
-// share returns the share of what a team asked for lately that it was given, 1 if it
-// asked for nothing.
+// share returns the share of what a team asked for lately that it was given. A team asks
+// for no more than an equal share of the pool in this measure, so that one that floods
+// does not count as badly served.
 func (m *Model) share(team string) float64 {
 	t := m.teams[team]
-	if t == nil || t.asked <= 0 {
+	if t == nil {
 		return 1
 	}
-	return min(1, t.served/t.asked)
+	if owed := min(t.asked, m.equalShare); owed > 0 {
+		return min(1, t.served/owed)
+	}
+	return 1
 }
 
-// Worth returns what completing a job in time is worth to its callers.
-func (m *Model) Worth(j *framework.Job) float64 {
+// Worth implements framework.CostModel.
+func (m *Model) Worth(j framework.Job) float64 {
 	mean := 0.0
 	if q := m.queues[j.Queue]; q != nil {
 		mean = q.mean
@@ -104,12 +129,17 @@
 
 // Cost implements framework.CostModel.
 func (m *Model) Cost(j framework.Job, horizon time.Duration, now time.Time) framework.Cost {
-	c := CostOf(m.Worth(&j), m.settings.LateShare, &j, horizon, now)
+	c := CostOf(m.Worth(j), m.settings.LateShare, &j, horizon, now)
 	c.Overdue = !j.FirstReady.IsZero() && now.Sub(j.FirstReady) > m.settings.MaxDelay()
 	c.Served = m.share(j.Team)
 	return c
 }
 
+// Value implements framework.CostModel.
+func (m *Model) Value(j framework.Job, now time.Time, delay time.Duration) float64 {
+	return Value(m.Worth(j), m.settings.LateShare, &j, now, delay)
+}
+
 // Compare implements framework.CostModel. Jobs that waited for MaxDelay come first and
 // those that are of no more use last. Between them decides the value at risk by room, in
 // steps within which the team that was served least goes first.
--- a/internal/workflow/callercost/callercost_test.go
+++ b/internal/workflow/callercost/callercost_test.go
@@ -65,21 +65,22 @@
 	g.Expect(m.Compare(m.Cost(waiting, time.Second, before), m.Cost(fresh, time.Second, now))).To(BeNumerically(">", 0))
 }
 
-// Guards against a team that floods and thereby keeps a room that others of equal cost
-// have asked for.
+// Load: one team floods the pool with jobs. Guards against the others waiting behind them
+// although they were given less than an equal share, and against the flood counting as
+// badly served.
 func TestWorstServedTeamGoesFirstAmongEqualCosts(t *testing.T) {
 	g := NewWithT(t)
 	m := newModel()
-	m.ObserveServed("floods", 1000, 900, start)
-	m.ObserveServed("small", 100, 10, start)
+	m.ObserveTeams([]framework.TeamUse{{Team: "floods", Asked: 10_000, Served: 900}, {Team: "small", Asked: 100, Served: 10}}, start)
 	job := framework.Job{Queue: "q", Begin: start, Objective: 5 * time.Second, Remaining: 4 * time.Second, Work: 10, WorkLeft: 10}
 	flood, small := job, job
 	flood.Team, small.Team = "floods", "small"
 	small.WorkLeft = 10.5
 	g.Expect(m.Compare(m.Cost(small, time.Second, start), m.Cost(flood, time.Second, start))).To(BeNumerically("<", 0))
-	later := start.Add(time.Hour)
-	m.ObserveServed("small", 1, 1, later)
-	g.Expect(m.share("small")).To(BeNumerically("~", 1, 0.01))
+	m.ObserveTeams(nil, start.Add(-time.Hour)) // the clock jumps back
+	g.Expect(m.share("small")).To(BeNumerically("~", 0.1, 0.01))
+	m.ObserveTeams(nil, start.Add(time.Hour))
+	g.Expect(m.teams).To(BeEmpty())
 }
 
 // Guards against settings with faults that are accepted.
--- a/internal/workflow/callercost/model.go
+++ b/internal/workflow/callercost/model.go
@@ -21,6 +21,9 @@
 	// minSpread is the least standard deviation of the logarithm of a run time that is
 	// assumed. Hosts differ by that much even when the work of an item is known.
 	minSpread = 0.1
+	// longRunningAbsence is the absence of a long-running job that costs its callers as
+	// much as a job of average work that is not done: they use it all the time.
+	longRunningAbsence = time.Minute
 	// uselessShare is the share of a job's worth below which its completion counts as of
 	// no use: a chance of about one in twenty of ending late.
 	uselessShare = 0.01
@@ -54,6 +57,9 @@
 // starts after a delay from now. A job that ends late, up to
 // framework.MaxLatenessFactor times its objective, keeps lateShare of its worth.
 func Value(worth, lateShare float64, j *framework.Job, now time.Time, delay time.Duration) float64 {
+	if j.LongRunning {
+		return worth * max(0, 1-float64(delay)/float64(longRunningAbsence))
+	}
 	age := now.Add(delay).Sub(j.Begin)
 	inTime := Chance(j.Objective-age, j.Remaining, j.Spread)
 	useful := Chance(framework.MaxLatenessFactor*j.Objective-age, j.Remaining, j.Spread)
--- a/internal/workflow/framework/cost.go
+++ b/internal/workflow/framework/cost.go
@@ -13,11 +13,18 @@
 	// ObserveJob takes the work of an open job, once for each job, in core-seconds with
 	// an accelerator counted as several cores.
 	ObserveJob(queue string, work float64)
-	// ObserveServed takes what a team has waited for and what it was given since the
-	// last call, in core-seconds.
-	ObserveServed(team string, asked, served float64, now time.Time)
+	// ObserveTeams takes what the teams have asked for and what they were given since the
+	// last call.
+	ObserveTeams(uses []TeamUse, now time.Time)
+	// Ready reports whether the model has learned enough. Until then its other answers
+	// have no meaning.
+	Ready() bool
 	// Cost returns the cost of a job at now if further delay lasts for the horizon.
 	Cost(j Job, horizon time.Duration, now time.Time) Cost
+	// Value returns what callers can be expected to get from a job that starts after a
+	// delay, and Worth what they get if it ends in time.
+	Value(j Job, now time.Time, delay time.Duration) float64
+	Worth(j Job) float64
 	// Compare orders two waiting jobs of one class by their costs: negative if a is to
 	// be served first, 0 if the costs do not tell.
 	Compare(a, b Cost) int
@@ -43,6 +50,16 @@
 	Work, WorkLeft float64
 	// FirstReady is when the job could first have started; zero if that is not known.
 	FirstReady time.Time
+	// LongRunning reports that the job runs until it is cancelled. Then Work and WorkLeft
+	// are those of the horizon.
+	LongRunning bool
+}
+
+// TeamUse is what the jobs of a team have asked for and were given, in core-seconds with
+// an accelerator counted as several cores.
+type TeamUse struct {
+	Team          string
+	Asked, Served float64
 }
 
 // Cost is what delaying or refusing a job costs.
@@ -60,7 +77,8 @@
 	Useless bool
 	// Overdue reports that other jobs may no longer be preferred by their costs.
 	Overdue bool
-	// Served is the share of what its team asked for lately that it was given.
+	// Served is the share of what its team asked for lately that it was given, 1 if it was
+	// given at least an equal share of the pool.
 	Served float64
 }
 
