--- a/internal/workflow/admission/admission.go
+++ b/internal/workflow/admission/admission.go
@@ -76,9 +76,9 @@
 
 // Decide accepts or refuses a job. It refuses only what it knows: a job that the pool
 // cannot hold, whose service has no workers, or that cannot end in useful time even if all
-// room is used without loss. The model, nil for none, weighs the refusal against what the
-// job would hold up.
-func Decide(s Settings, r *Request, o Observation, model framework.CostModel, now time.Time) Decision {
+// room is used without loss. Where the planner knows costs, a refusal is weighed against what
+// the job would hold up.
+func Decide(s Settings, r *Request, o Observation, now time.Time) Decision {
 	d := Decision{Code: result.OK, Class: classOf(r)}
 	age, known := o.Age(now)
 	if d.Age = age; !known {
@@ -110,7 +110,7 @@
 		d.Reason = "the planner has learned nothing of the queue, or the workers are away"
 		return d
 	}
-	return decideByLoad(s, d, r, describe(r, service, runTimes), service, model, now)
+	return decideByLoad(s, d, r, o.Backlog, service, runTimes)
 }
 
 func classOf(r *Request) int {
@@ -155,7 +155,7 @@
 }
 
 // usefulEnd returns the time from the acceptance after which the end is of no use.
-func (o *outlook) usefulEnd() time.Duration { return workflow.MaxLatenessFactor * o.objective }
+func (o *outlook) usefulEnd() time.Duration { return framework.MaxLatenessFactor * o.objective }
 
 // describe predicts a job by learned run times.
 func describe(r *Request, s *workflow.ServiceBacklog, q *workflow.QueueRunTimes) *outlook {
@@ -178,22 +178,22 @@
 
 // decideByLoad refuses a job if the work that certainly goes first leaves too little room
 // until the useful end for what the job needs.
-func decideByLoad(s Settings, d Decision, r *Request, o *outlook, service *workflow.ServiceBacklog, model framework.CostModel, now time.Time) Decision {
+func decideByLoad(s Settings, d Decision, r *Request, b *workflow.Backlog, service *workflow.ServiceBacklog, runTimes *workflow.QueueRunTimes) Decision {
+	o := describe(r, service, runTimes)
 	d.UsefulEnd = o.usefulEnd()
 	horizons := workflow.BacklogHorizons
 	if d.Age+d.UsefulEnd > horizons[len(horizons)-1] {
 		d.Reason = "the job is of use beyond what the planner's statement covers"
 		return d
 	}
-	c := compare(s, service, r, d, o)
+	c := compare(s, service, r, d, o, b.ByCost)
 	d.Needed, d.Room = c.needed, c.room
 	if c.needed <= c.room {
 		d.Reason = "the job may end in useful time"
 		return d
 	}
-	if model != nil {
-		d.weigh(r, o, service, model, now)
-		if d.HeldUpCost < d.RefusalCost {
+	if b.ByCost {
+		if d.weigh(o, service, runTimes); d.HeldUpCost <= d.RefusalCost {
 			d.Reason = "the refusal would cost more than what the job holds up"
 			return d
 		}
@@ -208,9 +208,9 @@
 
 // compare returns the comparison for the resource that is the scarcer one until the useful
 // end. All work is divided by the margin.
-func compare(settings Settings, s *workflow.ServiceBacklog, r *Request, d Decision, o *outlook) comparison {
+func compare(settings Settings, s *workflow.ServiceBacklog, r *Request, d Decision, o *outlook, byCost bool) comparison {
 	end := d.Age + d.UsefulEnd
-	first := goesFirst(s, r, d.Class, d.Age+o.objective-o.path, end-o.path)
+	first := goesFirst(s, r, d.Class, d.Age+o.objective-o.path, end-o.path, byCost)
 	total := [2]float64{float64(s.Total.Accelerators), float64(s.Total.MilliCPU)}
 	worst := comparison{room: 1, capacity: 1}
 	for k, unit := range [2]float64{1000, 1000 * 1000} {
@@ -236,10 +236,11 @@
 
 // goesFirst returns the waiting work that the planner certainly serves before a job that
 // must start by onTimeStart to meet its objective, and by usefulStart to be of use: its
-// class goes first, or within the class its priority or its latest start; and it fits
+// class goes first, or within the class its priority or its latest start, unless the order
+// within the class is by costs, which depend on the time; and it fits
 // wherever a unit of the job does, so that the job cannot use room that is left by it. The
 // order is by class and by the start until which it is served.
-func goesFirst(s *workflow.ServiceBacklog, r *Request, class int, onTimeStart, usefulStart time.Duration) []*workflow.WaitingWork {
+func goesFirst(s *workflow.ServiceBacklog, r *Request, class int, onTimeStart, usefulStart time.Duration, byCost bool) []*workflow.WaitingWork {
 	var first []*workflow.WaitingWork
 	for i := range s.Waiting {
 		g := &s.Waiting[i]
@@ -248,7 +249,7 @@
 			startBy = usefulStart
 		}
 		ordered := g.Class < class ||
-			g.Class == class && (g.Priority < r.Queue.Priority || g.Priority == r.Queue.Priority && g.LatestMS <= startBy.Milliseconds())
+			g.Class == class && !byCost && (g.Priority < r.Queue.Priority || g.Priority == r.Queue.Priority && g.LatestMS <= startBy.Milliseconds())
 		if ordered && slices.ContainsFunc(r.Job.Steps, func(step workflow.Step) bool { return fitsWherever(g, &step) }) {
 			first = append(first, g)
 		}
@@ -289,24 +290,19 @@
 
 // weigh sets the costs of d: what the caller loses by the refusal, and what the job costs
 // those whose work it delays by the time for which it would occupy the pool.
-func (d *Decision) weigh(r *Request, o *outlook, s *workflow.ServiceBacklog, model framework.CostModel, now time.Time) {
-	const coresPerAccelerator = 8
-	work := (o.work[0]*coresPerAccelerator + o.work[1]/1000) / 1000
-	d.RefusalCost = model.Cost(framework.Job{
-		ID: r.ID, Queue: r.Queue.Name, Team: r.Team, Priority: r.Queue.Priority, Guaranteed: r.Guaranteed,
-		Begin: now, Objective: o.objective, Remaining: o.path, Work: work, WorkLeft: work, FirstReady: now,
-	}, now).Refusal
-	perSecond := 0.0
-	for _, g := range s.Waiting {
-		if g.Class >= d.Class {
-			perSecond += g.CostPerSecond
+func (d *Decision) weigh(o *outlook, s *workflow.ServiceBacklog, q *workflow.QueueRunTimes) {
+	const coresPerAccelerator = 8 // as the planner counts work
+	d.RefusalCost = q.Worth * (o.work[0]*coresPerAccelerator + o.work[1]/1000) / 1000
+	perSecond, delay := 0.0, 0.0
+	for i := range s.Waiting {
+		if s.Waiting[i].Class >= d.Class {
+			perSecond += s.Waiting[i].CostPerSecond
 		}
 	}
-	share := 0.0
 	for k, total := range [2]float64{float64(s.Total.Accelerators), float64(s.Total.MilliCPU)} {
 		if total > 0 {
-			share = max(share, o.work[k]/total/1000)
+			delay = max(delay, o.work[k]/total/1000)
 		}
 	}
-	d.HeldUpCost = perSecond * share
+	d.HeldUpCost = perSecond * delay
 }
--- a/internal/workflow/admission/admission_test.go
+++ b/internal/workflow/admission/admission_test.go
@@ -9,7 +9,6 @@
 
 	"snipegw/internal/result"
 	"snipegw/internal/workflow"
-	"snipegw/internal/workflow/framework"
 )
 
 var (
@@ -54,7 +53,7 @@
 func decideAt(r *Request, b *workflow.Backlog, at time.Time) Decision {
 	var s Settings
 	s.Provision()
-	return Decide(s, r, Observation{Backlog: b}, nil, at)
+	return Decide(s, r, Observation{Backlog: b}, at)
 }
 
 // Load: far too many urgent jobs, whose work occupies the pool for minutes. Guards against
@@ -125,7 +124,7 @@
 	r := request(bulk, 4, 5*time.Second)
 	g.Expect(decideAt(r, overload(), now.Add(s.maxAge())).Code).To(Equal(result.NotInTime))
 	g.Expect(decideAt(r, overload(), now.Add(s.maxAge()+time.Millisecond)).Code).To(Equal(result.OK))
-	d := Decide(s, r, Observation{Backlog: overload(), ReceivedAgo: s.maxAge() + time.Millisecond}, nil, now)
+	d := Decide(s, r, Observation{Backlog: overload(), ReceivedAgo: s.maxAge() + time.Millisecond}, now)
 	g.Expect(d.Code).To(Equal(result.OK))
 }
 
@@ -230,12 +229,6 @@
 	}
 }
 
-type testCost struct{ refusal float64 }
-
-func (c testCost) Cost(framework.Job, time.Time) framework.Cost {
-	return framework.Cost{Refusal: c.refusal}
-}
-
 // Load: too many urgent jobs. Guards against a refusal that costs its caller more than the
 // job would cost those behind it.
 func TestRefusalIsWeighedAgainstWhatItHoldsUp(t *testing.T) {
@@ -244,11 +237,27 @@
 	behind := waitingItems(workflow.ClassOther, 2, 150*time.Second, 150*time.Second, 1000)
 	behind.CostPerSecond = 8
 	b.Services[0].Waiting = append(b.Services[0].Waiting, behind)
-	var s Settings
-	s.Provision()
-	for refusal, code := range map[float64]result.Code{1: result.NotInTime, 3: result.OK} {
-		d := Decide(s, request(bulk, 4, 5*time.Second), Observation{Backlog: b}, testCost{refusal}, now)
+	b.ByCost = true
+	for worth, code := range map[float64]result.Code{0.01: result.NotInTime, 0.02: result.OK} {
+		b.Queues[1].Worth = worth
+		d := decide(request(bulk, 4, 5*time.Second), b)
 		g.Expect(d.Code).To(Equal(code), "refusal costs %v, delay %v", d.RefusalCost, d.HeldUpCost)
 		g.Expect(d.HeldUpCost).To(BeNumerically("~", 8*4*5/80.0, 0.01))
+		g.Expect(d.RefusalCost).To(BeNumerically("~", worth*4*5*(8+1), 0.01))
 	}
 }
+
+// Load: more work of the same class than fits, which is served by its costs. Guards against
+// counting work before a job that may be served first because it costs more to delay.
+func TestOrderByCostIsNotForeseen(t *testing.T) {
+	g := NewWithT(t)
+	earlier := waitingItems(workflow.ClassOther, 1, 40*time.Second, 41*time.Second, 80*200)
+	b := testBacklog(earlier)
+	r := request(bulk, 140, 5*time.Second)
+	r.Queue = &workflow.Queue{Name: "bulk", Service: "s", Priority: 2, SlackFactor: 1}
+	r.Job.Steps[0].Count, r.Job.Steps[0].EstimateMS = 20, 5000
+	b.Services[0].Waiting[0].EarliestMS = 100_000
+	g.Expect(decide(r, b).Code).To(Equal(result.NotInTime))
+	b.ByCost = true
+	g.Expect(decide(r, b).Code).To(Equal(result.OK))
+}
--- a/internal/workflow/backlog.go
+++ b/internal/workflow/backlog.go
@@ -22,10 +22,6 @@
 // is called "first".
 var ClassNames = [Classes]string{"guaranteed", "first", "other"}
 
-// MaxLatenessFactor times a job's objective is the time after which its completion is of
-// no more use to the caller.
-const MaxLatenessFactor = 3
-
 // BacklogHorizons are the times, counted from its statement, for which a Backlog states
 // what running items hold. Callers' objectives are seconds to minutes.
 var BacklogHorizons = [...]time.Duration{
@@ -49,6 +45,9 @@
 	StatedMS int64            `cbor:"1,keyasint" json:"stated_ms"`
 	Services []ServiceBacklog `cbor:"2,keyasint,omitempty" json:"services"`
 	Queues   []QueueRunTimes  `cbor:"3,keyasint,omitempty" json:"queues"`
+	// ByCost reports that a cost model is switched on and has learned enough, so that jobs
+	// of a class are served by their costs.
+	ByCost bool `cbor:"4,keyasint,omitempty" json:"by_cost,omitempty"`
 }
 
 // ServiceBacklog describes the pool and the waiting work of one service.
@@ -102,8 +101,8 @@
 	// millicore-milliseconds.
 	Accelerators float64 `cbor:"6,keyasint" json:"accelerator_ms"`
 	MilliCPU     float64 `cbor:"7,keyasint" json:"millicore_ms"`
-	// CostPerSecond is the value that callers lose with each second of delay, 0 if no
-	// cost model is switched on.
+	// CostPerSecond is the value that callers lose with each second of delay, by the
+	// cost model; 0 without one.
 	CostPerSecond float64 `cbor:"8,keyasint,omitempty" json:"cost_per_second,omitempty"`
 }
 
@@ -114,6 +113,9 @@
 	// Offset + Exponent * logarithm of the caller's estimate.
 	Offset   float64 `cbor:"2,keyasint" json:"offset"`
 	Exponent float64 `cbor:"3,keyasint" json:"exponent"`
+	// Worth is the mean worth of the queue's open jobs by core-second of their work, 0 if
+	// that is not known.
+	Worth float64 `cbor:"4,keyasint,omitempty" json:"worth_per_core_second,omitempty"`
 }
 
 // Duration returns the expected run time of an item of a step.
--- a/internal/workflow/daemon/daemon.go
+++ b/internal/workflow/daemon/daemon.go
@@ -13,7 +13,6 @@
 	"snipegw/internal/store"
 	"snipegw/internal/transport"
 	"snipegw/internal/workflow"
-	"snipegw/internal/workflow/framework"
 	"snipegw/internal/workflow/intake"
 	"snipegw/internal/workflow/mirror"
 	"snipegw/internal/workflow/planner"
@@ -72,8 +71,7 @@
 		record: workflow.ProcessRecord{Address: p.Address, Zone: p.FailureDomain, Debug: p.DebugAddress}}
 	in.OnConfig(plannerHost.SetConfig)
 	if s.Admission != nil {
-		cost, _ := framework.Find[framework.CostModel](s.Plugins.Constructor()())
-		in.SetAdmission(&intake.Admission{Settings: *s.Admission, Cost: cost})
+		in.SetAdmission(s.Admission)
 	}
 	in.Subscribe()
 	dumper := kernel.NewDumper()
--- a/internal/workflow/engine/backlog.go
+++ b/internal/workflow/engine/backlog.go
@@ -55,9 +55,15 @@
 	for i := range b.Services {
 		relevant = relevant || isShort(&b.Services[i])
 	}
+	var worths map[string]float64
+	if b.ByCost = e.plugins.cost != nil && e.plugins.cost.Ready(); b.ByCost && relevant {
+		worths = e.worths()
+	}
 	for _, queue := range sortedKeys(e.estimates) {
 		if len(b.Queues) < workflow.MaxBacklogQueues {
-			b.Queues = append(b.Queues, e.estimates.learned(queue))
+			q := e.estimates.learned(queue)
+			q.Worth = worths[queue]
+			b.Queues = append(b.Queues, q)
 		}
 	}
 	return b, relevant
@@ -189,7 +195,7 @@
 			Item: needs, Items: u.count, SameRack: spec.SameRack && u.count > 1, Label: spec.Label,
 			Accelerators: work * float64(needs.Accelerators), MilliCPU: work * float64(needs.MilliCPU),
 		}
-		w.CostPerSecond = e.costPerSecond(c, &w, now)
+		w.CostPerSecond = e.costPerSecond(u, now)
 		addToGroup(s, &w)
 	}
 }
@@ -239,19 +245,44 @@
 	return at
 }
 
-// costPerSecond returns what callers lose with each second by which a unit is delayed;
-// 0 without a cost model. A job counts once, by its first unit.
-func (e *Engine) costPerSecond(c *candidate, w *workflow.WaitingWork, now time.Time) float64 {
-	if e.plugins.cost == nil || c.units[0].first > 0 {
-		return 0
+// costJob describes a job to the cost model, by its occurrence with the unit given.
+func (e *Engine) costJob(j *job, occurrence int) framework.Job {
+	work := 0.0
+	for s := range j.rec.Steps {
+		step := &j.rec.Steps[s]
+		needs := step.Needs()
+		work += float64(step.Count) * (float64(needs.MilliCPU)/1000 + coresPerAccelerator*float64(needs.Accelerators)) *
+			e.estimates.stepDuration(j.rec.Queue, step).Seconds()
 	}
-	j, occurrence := c.job, c.units[0].occurrence
-	work := (w.Accelerators*coresPerAccelerator + w.MilliCPU/1000) / 1000
-	return e.plugins.cost.Cost(framework.Job{
-		ID: j.id, Queue: j.rec.Queue, Team: j.rec.Team, Priority: e.config.PriorityOf(j.rec), Guaranteed: c.class == classGuaranteed,
+	return framework.Job{
+		ID: j.id, Queue: j.rec.Queue, Team: j.rec.Team, Priority: e.config.PriorityOf(j.rec),
 		Begin: time.UnixMilli(max(j.rec.AcceptedMS, j.dueMS(occurrence))), Objective: e.objective(j, occurrence),
-		Remaining: e.criticalPath(j, occurrence, false), Work: work, WorkLeft: work, FirstReady: time.UnixMilli(j.rec.AcceptedMS),
-	}, now).PerSecond
+		Remaining: e.criticalPath(j, occurrence, false), Work: work, WorkLeft: work,
+	}
+}
+
+// costPerSecond returns what callers lose with each second by which a unit is delayed; 0
+// without a cost model. A job counts once, by the first unit of its first step.
+func (e *Engine) costPerSecond(u *unit, now time.Time) float64 {
+	if e.plugins.cost == nil || !e.plugins.cost.Ready() || u.first > 0 || u.step > 0 {
+		return 0
+	}
+	return e.plugins.cost.Cost(e.costJob(u.job, u.occurrence), shortageTime, now).PerSecond
+}
+
+// worths returns the mean worth of the open jobs of each queue by core-second of work.
+func (e *Engine) worths() map[string]float64 {
+	worth, work := make(map[string]float64), make(map[string]float64)
+	for _, j := range e.openJobs {
+		if c := e.costJob(j, 0); !j.rec.LongRunning() && c.Work > 0 {
+			worth[c.Queue] += e.plugins.cost.Worth(c)
+			work[c.Queue] += c.Work
+		}
+	}
+	for queue := range worth {
+		worth[queue] /= work[queue]
+	}
+	return worth
 }
 
 // learned returns what was learned of the run times of a queue in the form of stepDuration.
--- a/internal/workflow/engine/backlog_test.go
+++ b/internal/workflow/engine/backlog_test.go
@@ -72,7 +72,7 @@
 			latest.ReceivedAgo = w.now.Sub(statedAt)
 			d := admission.Decide(admissionSettings(), &admission.Request{
 				ID: fmt.Sprint(index), Job: job, Queue: q, Team: j.Team, Service: q.Service, Guaranteed: w.withinGuarantee(j.Queue, j.Team, job),
-			}, latest, nil, w.now)
+			}, latest, w.now)
 			if d.Code != result.OK && j.CancelMS == 0 {
 				refusals[index] = d
 			}
@@ -171,6 +171,6 @@
 	g.Expect(again).To(BeFalse(), "it is stated once")
 	d := admission.Decide(admissionSettings(), &admission.Request{
 		ID: "1", Job: &workflow.Job{Steps: []workflow.Step{tooLarge}}, Queue: w.config.Queue("small"), Service: "s",
-	}, admission.Observation{Backlog: b}, nil, w.now)
+	}, admission.Observation{Backlog: b}, w.now)
 	g.Expect(d.Code).To(Equal(result.ExceedsPool))
 }
--- a/internal/workflow/intake/admit.go
+++ b/internal/workflow/intake/admit.go
@@ -11,20 +11,12 @@
 	"snipegw/internal/store"
 	"snipegw/internal/workflow"
 	"snipegw/internal/workflow/admission"
-	"snipegw/internal/workflow/framework"
 )
 
 // lookupTimeout limits the look-up of a job before its refusal. A healthy store responds in
 // a few milliseconds.
 const lookupTimeout = 100 * time.Millisecond
 
-// Admission are the settings of the refusals at acceptance and the cost model that weighs
-// them, nil for none. The model must be safe for concurrent use.
-type Admission struct {
-	Settings admission.Settings
-	Cost     framework.CostModel
-}
-
 // receivedBacklog is a statement of the planner and when it reached this entry.
 type receivedBacklog struct {
 	backlog    *workflow.Backlog
@@ -32,7 +24,7 @@
 }
 
 // SetAdmission switches the refusals at acceptance on. It must be called before Subscribe.
-func (in *Intake) SetAdmission(a *Admission) { in.admission = a }
+func (in *Intake) SetAdmission(s *admission.Settings) { in.admission = s }
 
 func (in *Intake) applyBacklog(e store.Event) {
 	if e.Deleted {
@@ -64,7 +56,7 @@
 	}
 	o := in.observation(time.Now())
 	age, known := o.Age(time.Now())
-	return map[string]any{"on": true, "settings": in.admission.Settings, "backlog": o.Backlog, "age_ms": age.Milliseconds(), "age_known": known}
+	return map[string]any{"on": true, "settings": in.admission, "backlog": o.Backlog, "age_ms": age.Milliseconds(), "age_known": known}
 }
 
 // admit returns an error if the job is to be refused now. It reports whether the store
@@ -76,7 +68,7 @@
 	}
 	begin := time.Now()
 	r := &admission.Request{ID: id, Job: job, Queue: q, Team: team, Service: q.Service, Guaranteed: in.guaranteeCovers(q, team, job)}
-	d := admission.Decide(in.admission.Settings, r, in.observation(begin), in.admission.Cost, begin)
+	d := admission.Decide(*in.admission, r, in.observation(begin), begin)
 	if d.Code == result.OK {
 		return false, nil
 	}
--- a/internal/workflow/intake/intake.go
+++ b/internal/workflow/intake/intake.go
@@ -17,6 +17,7 @@
 	"snipegw/internal/result"
 	"snipegw/internal/store"
 	"snipegw/internal/workflow"
+	"snipegw/internal/workflow/admission"
 	"snipegw/internal/workflow/mirror"
 )
 
@@ -67,7 +68,7 @@
 	jobs            sync.Map     // id -> *workflow.JobRecord
 	progress        sync.Map     // id -> *workflow.Progress
 	backlog         atomic.Pointer[receivedBacklog]
-	admission       *Admission // nil accepts every job
+	admission       *admission.Settings // nil accepts every job
 	draining        atomic.Bool
 	onConfig        []func(*workflow.Config)
 }
