Check a configuration before it is sent

Cause: a configuration with a queue whose service does not exist, a route behind an equal one, or a token of two teams takes effect without a word; operators see it by the calls that fail.

Change: workflow.Config.Validate finds such entries and limits. Entries run it when they adopt a configuration, log the findings as config_finding and adopt it as before. snipegwctl config check runs the same code on a file, compares it with another or with the one in force, and exits with 0, 1 or 2.

Ruled out: refusing a configuration with findings at an entry. The store has confirmed it to the operators by then, and the entries would disagree.

Not checked, because no document holds them: labels, and a drain longer than the grace period.

--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -25,6 +25,7 @@
 	return []command{
 		{name: "get", short: "Print the configuration in force", long: "Example: snipegwctl config get > config.json", options: &configGet{app: a}},
 		{name: "diff", short: "Compare an edited configuration with the one in force", long: "FILE is a whole configuration document, for example the edited output of config get.\nWith --json the difference is printed as a merge patch.\n\nExample: snipegwctl config diff config.json", options: &configDiff{app: a}},
+		{name: "check", short: "Check a configuration before it is sent", long: checkHelp, options: &configCheck{workflowCommand: workflowCommand{app: a}}},
 		{name: "patch", short: "Submit a configuration patch", long: patchHelp, options: &configPatch{app: a}},
 		{name: "wait", short: "Wait until a configuration version is in force everywhere", long: "The default for VERSION is the current version. Exits with status 4 on timeout.\n\nExample: snipegwctl config wait 12 --for 9s", options: &configWait{app: a}},
 		{name: "history", short: "List the accepted configuration patches", long: "Example: snipegwctl config history", options: &configHistory{app: a}},
@@ -74,7 +75,8 @@
 		return nil, usagef("%s is larger than %d bytes", name, config.MaxDocumentBytes)
 	}
 	if !json.Valid(data) {
-		return nil, usagef("%s is not valid JSON", name)
+		line, reason := lineOf(data)
+		return nil, usagef("%s is not valid JSON: line %d: %s", name, line, reason)
 	}
 	return bytes.TrimSpace(data), nil
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -21,7 +21,7 @@
 // Exit statuses of the program.
 const (
 	ExitOK      = 0
-	ExitRefused = 1 // refused and not run
+	ExitRefused = 1 // refused and not run, or a check has findings
 	ExitUsage   = 2 // invalid command line or settings
 	ExitUnknown = 3 // it is unknown whether it ran
 	ExitNotYet  = 4 // not yet in force, in progress, or the wait timed out
@@ -216,6 +216,9 @@
 	if err == nil {
 		return ExitOK
 	}
+	if errors.Is(err, errFindings) {
+		return ExitRefused
+	}
 	var fe *flags.Error
 	if errors.As(err, &fe) {
 		if fe.Type == flags.ErrHelp {
--- a/internal/ctl/workflow_test.go
+++ b/internal/ctl/workflow_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"snipegw/internal/config"
 	"snipegw/internal/standin/platformstore"
 	"snipegw/internal/workflow"
 	_ "snipegw/platform" // registers the store and the configuration format
@@ -64,6 +66,50 @@
 		put(workflow.ProgressPrefix+"00000000000000a3", workflow.Progress{State: workflow.StateFailed, Units: []workflow.UnitProgress{{Failed: 2}}})
 	})
 
+	// Guards against a document that passes the check and has faults, against an exit status
+	// that a script would misread, and against tokens in the output.
+	It("checks a configuration and compares it with the one in force", func() {
+		dir := GinkgoT().TempDir()
+		write := func(name, text string) string {
+			file := filepath.Join(dir, name)
+			Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+			return file
+		}
+		fine := strings.ReplaceAll(workflowDocument, `"maxAttempts"`, `"slackFactor":2,"maxAttempts"`)
+		Expect(run("config", "check", write("fine", fine), "--format", "platform")).To(Equal(ExitOK), out.String()+errs.String())
+		Expect(out.String()).To(Equal("0 findings\n"))
+
+		faulty := strings.ReplaceAll(strings.ReplaceAll(fine, `"backend":"svc","priority":1`, `"backend":"none","priority":1`), `"other"`, `"secret"`)
+		file := write("faulty", strings.ReplaceAll(faulty, `"version":9`, `"version":10`))
+		Expect(run("config", "check", file, "--format", "platform", "--against", "in-force")).To(Equal(ExitRefused), errs.String())
+		Expect(out.String()).To(ContainSubstring(`routes[1].backend: there is no service "none"`))
+		Expect(out.String()).To(ContainSubstring(`tenants[b].apiKeys[0]: the token also belongs to team "a"`))
+		Expect(out.String()).To(ContainSubstring("but the known workers have 8"))
+		Expect(out.String()).To(ContainSubstring("- /version 9\n+ /version 10"))
+		Expect(out.String()).NotTo(ContainSubstring("secret"))
+		Expect(run("config", "check", file, "--format", "platform", "--against", write("other", fine), "--json")).To(Equal(ExitRefused))
+		var report checkReport
+		Expect(json.Unmarshal(out.Bytes(), &report)).To(Succeed())
+		Expect(report.Findings).To(HaveLen(2))
+		Expect(report.Changes).To(ContainElement("+ /version 10"))
+
+		own := write("own", `{"version":4,"teams":[{"id":"A","weight":1}]}`)
+		Expect(run("config", "check", own, "--against", own)).To(Equal(ExitRefused))
+		Expect(out.String()).To(ContainSubstring("teams[0].id"))
+		for name, text := range map[string]string{
+			"empty": "", "not JSON": "{\n\n]", "of another version": `{"routes":[]}`, "of other types": `{"version":"9"}`,
+			"too large": `"` + strings.Repeat("x", config.MaxDocumentBytes) + `"`,
+		} {
+			Expect(run("config", "check", write("bad", text), "--format", "platform")).To(Equal(ExitUsage), name)
+			Expect(errs.String()).NotTo(BeEmpty(), name)
+		}
+		Expect(run("config", "check", write("bad", "{\n\n]"))).To(Equal(ExitUsage))
+		Expect(errs.String()).To(ContainSubstring("line 3"))
+		Expect(run("config", "check", filepath.Join(dir, "absent"))).To(Equal(ExitUsage))
+		Expect(run("config", "check", write("list", "[]"))).To(Equal(ExitUsage))
+		Expect(run("config", "check", file, "--format", "unknown")).To(Equal(ExitUsage))
+	})
+
 	It("lists all jobs or only those that match a filter", func() {
 		Expect(run("workflow", "jobs")).To(Equal(ExitOK), errs.String())
 		Expect(out.String()).To(MatchRegexp(`00000000000000a2\s+batch\s+b\s+1\s+active\s+\S+\s+0/2\s+1\s+w1`))
--- a/internal/workflow/intake/intake.go
+++ b/internal/workflow/intake/intake.go
@@ -51,6 +51,9 @@
 	Prefix string // key prefix to watch
 	Key    string // key of the configuration document
 	Decode func([]byte) (*workflow.Config, error)
+	// Path returns the path in the document for one of workflow.Config.Validate; nil if
+	// they are the same.
+	Path func(string) string
 }
 
 // ConfigFormats holds the registered configuration formats.
@@ -123,6 +126,7 @@
 			continue
 		}
 		c.Provision()
+		in.reportFindings(c)
 		in.config.Store(c)
 		in.configAdoptedMS.Store(time.Now().UnixMilli())
 		log.WithFields(log.Fields{"event": "config_in_force", "version": c.Version, "revision": e.Revision, "queues": len(c.Queues), "teams": len(c.Teams)}).Info("configuration adopted")
@@ -132,6 +136,24 @@
 	}
 }
 
+// reportFindings logs what is wrong with a configuration that is being adopted. It is
+// adopted all the same: the store holds only what it accepts, and refusing it would leave
+// this entry with another configuration than the others.
+func (in *Intake) reportFindings(c *workflow.Config) {
+	var faults kernel.ValidationErrors
+	c.Validate(&faults, nil)
+	path := in.format.Path
+	if path == nil {
+		path = func(p string) string { return p }
+	}
+	for _, f := range faults[:min(len(faults), maxLoggedFindings)] {
+		log.WithFields(log.Fields{"event": "config_finding", "version": c.Version, "path": path(f.Path), "reason": f.Reason, "findings": len(faults)}).Warn("configuration is adopted with a finding")
+	}
+}
+
+// maxLoggedFindings limits the findings of a configuration that are logged.
+const maxLoggedFindings = 5
+
 func (in *Intake) applyRecords(events []store.Event) {
 	for _, e := range events {
 		id := workflow.IDOfKey(e.Key)
