--- a/internal/workflow/daemon/daemon.go
+++ b/internal/workflow/daemon/daemon.go
@@ -67,6 +67,7 @@
 		Evacuations: evacuations,
 		Entry:       p.ID, Address: p.Address, Table: table, Records: recordMirror, Pool: network.Pool,
 		Engine: s.engineSettings(), LeaseDuration: max(planner.DefaultLeaseDuration, time.Duration(s.MinStoreLeaseMS)*time.Millisecond), EndedJobRetention: time.Duration(s.KeepEndedMS) * time.Millisecond,
+		PublishBacklog: s.Admission != nil,
 	})
 	entries := &knownEntries{process: p, table: table, recordMirror: recordMirror}
 	entries.setSeeds(s)
@@ -77,10 +78,14 @@
 	if evacuations != nil {
 		in.OnEvacuations(plannerHost.SetEvacuations)
 	}
+	if s.Admission != nil {
+		in.SetAdmission(s.Admission)
+	}
 	in.Subscribe()
 	dumper := kernel.NewDumper()
 	dumper.Add("planner", plannerHost.State)
 	dumper.Add("peers", func() any { return table.Peers() })
+	dumper.Add("admission", in.AdmissionState)
 	dumper.Add("config", func() any { return in.Config() })
 	debug := http.NewServeMux()
 	dumper.Handle(debug, in.Ready)
--- a/internal/workflow/daemon/settings.go
+++ b/internal/workflow/daemon/settings.go
@@ -9,6 +9,7 @@
 
 	"snipegw/internal/kernel"
 	"snipegw/internal/store"
+	"snipegw/internal/workflow/admission"
 	"snipegw/internal/workflow/engine"
 	"snipegw/internal/workflow/framework"
 	"snipegw/internal/workflow/intake"
@@ -62,6 +63,8 @@
 	// Plugins holds the settings of the scheduling plug-ins that are switched on, by
 	// name.
 	Plugins framework.Settings `json:"plugins"`
+	// Admission switches refusals at acceptance on; nil accepts every job.
+	Admission *admission.Settings `json:"admission"`
 }
 
 // setDefault sets field to value if it is zero.
@@ -79,6 +82,9 @@
 	setDefault(&s.StopTimeoutMS, defaultStopTimeoutMS)
 	setDefault(&s.ReclaimMS, defaultReclaimMS)
 	setDefault(&s.KeepEndedMS, defaultKeepEndedMS)
+	if s.Admission != nil {
+		s.Admission.Provision()
+	}
 }
 
 // Validate appends the faults of s to faults; path is the path of s in the
@@ -104,6 +110,9 @@
 		faults.Add(path+".evacuate_ms", "must be 0, or at least %d: orders that are under way expire within %v", minOrderAgeMS+engine.StartExpiry().Milliseconds(), engine.StartExpiry())
 	}
 	s.Plugins.Validate(path+".plugins", faults)
+	if s.Admission != nil {
+		s.Admission.Validate(path+".admission", faults)
+	}
 }
 
 // maxOrderAge returns the longest time between the record of a run and its orders with which the
--- a/internal/workflow/intake/intake.go
+++ b/internal/workflow/intake/intake.go
@@ -17,6 +17,7 @@
 	"snipegw/internal/result"
 	"snipegw/internal/store"
 	"snipegw/internal/workflow"
+	"snipegw/internal/workflow/admission"
 	"snipegw/internal/workflow/mirror"
 )
 
@@ -52,6 +53,9 @@
 	Decode func([]byte) (*workflow.Config, error)
 	// Evacuation describes the requests to evacuate failure domains.
 	Evacuation EvacuationFormat
+	// Path returns the path in the document for one of workflow.Config.Validate; nil if
+	// they are the same.
+	Path func(string) string
 }
 
 // ConfigFormats holds the registered configuration formats.
@@ -68,6 +72,8 @@
 	configAdoptedMS atomic.Int64 // Unix milliseconds at which config was adopted
 	jobs            sync.Map     // id -> *workflow.JobRecord
 	progress        sync.Map     // id -> *workflow.Progress
+	backlog         atomic.Pointer[receivedBacklog]
+	admission       *admission.Settings // nil accepts every job
 	draining        atomic.Bool
 	onConfig        []func(*workflow.Config)
 	evacuations     map[string]trackedEvacuation // by failure domain; used by listeners of configMirror only
@@ -123,6 +129,7 @@
 			continue
 		}
 		c.Provision()
+		in.reportFindings(c)
 		in.config.Store(c)
 		in.configAdoptedMS.Store(time.Now().UnixMilli())
 		log.WithFields(log.Fields{"event": "config_in_force", "version": c.Version, "revision": e.Revision, "queues": len(c.Queues), "teams": len(c.Teams)}).Info("configuration adopted")
@@ -132,10 +139,30 @@
 	}
 }
 
+// reportFindings logs what is wrong with a configuration that is being adopted. It is
+// adopted all the same: the store holds only what it accepts, and refusing it would leave
+// this entry with another configuration than the others.
+func (in *Intake) reportFindings(c *workflow.Config) {
+	var faults kernel.ValidationErrors
+	c.Validate(&faults, nil)
+	path := in.format.Path
+	if path == nil {
+		path = func(p string) string { return p }
+	}
+	for _, f := range faults[:min(len(faults), maxLoggedFindings)] {
+		log.WithFields(log.Fields{"event": "config_finding", "version": c.Version, "path": path(f.Path), "reason": f.Reason, "findings": len(faults)}).Warn("configuration is adopted with a finding")
+	}
+}
+
+// maxLoggedFindings limits the findings of a configuration that are logged.
+const maxLoggedFindings = 5
+
 func (in *Intake) applyRecords(events []store.Event) {
 	for _, e := range events {
 		id := workflow.IDOfKey(e.Key)
 		switch {
+		case e.Key == workflow.BacklogKey:
+			in.applyBacklog(e)
 		case strings.HasPrefix(e.Key, workflow.JobPrefix):
 			applyRecord[workflow.JobRecord](&in.jobs, id, e)
 		case strings.HasPrefix(e.Key, workflow.ProgressPrefix):
@@ -170,6 +197,9 @@
 	if err := job.Validate(); err != nil {
 		return err
 	}
+	if known, err := in.admit(ctx, q, team, id, job); known || err != nil {
+		return err
+	}
 	rec := &workflow.JobRecord{
 		Job: *job, Queue: q.Name, Team: team, AcceptedMS: time.Now().UnixMilli(), Service: q.Service, Priority: q.Priority,
 		MaxAttempts: q.MaxAttempts, SlackFactor: q.SlackFactor, TargetMS: q.TargetMS, Nonce: rand.Uint64(),
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -57,6 +57,8 @@
 	EndedJobRetention time.Duration
 	// Evacuations is nil if requests to evacuate failure domains are not supported.
 	Evacuations *EvacuationOptions
+	// PublishBacklog states the waiting work to the entries while room is short.
+	PublishBacklog bool
 }
 
 // Host takes part in the election and runs the engine while this entry is planner.
