Write what libraries log as key=value lines

Cause: quic-go tells once at the start of each process that the system limits UDP buffers, through the standard package log, as a line without keys. Change: the standard log is passed on to the project's logger, this line as event udp_buffer_small and any other as library_message; a test guards the form. Conclusion: every line of a process is key=value.

--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -93,6 +94,19 @@
 		Expect(out.String()).To(HaveSuffix(`level=info program=p event=e a=1 b="two words" message="line\nbreak"` + "\n"))
 		Expect(SetupLogging(&out, "p", "loud")).NotTo(Succeed())
 	})
+
+	// Guards against lines of libraries that readers of key=value pairs cannot parse.
+	It("turns what libraries write to the standard log into entries", func() {
+		defer stdlog.SetOutput(os.Stderr)
+		var out bytes.Buffer
+		Expect(SetupLogging(&out, "p", "info")).To(Succeed())
+		stdlog.Printf("%s. See the page.", "failed to increase receive buffer size (wanted: 7168 kiB, got 64 kiB)")
+		Expect(strings.Count(out.String(), "\n")).To(Equal(1))
+		Expect(out.String()).To(MatchRegexp(`^time=\S+ level=warn program=p event=udp_buffer_small error="failed to increase receive buffer size \(wanted: 7168 kiB, got 64 kiB\)\. See the page\." message="`))
+		out.Reset()
+		stdlog.Print("other")
+		Expect(out.String()).To(ContainSubstring("event=library_message error=other message="))
+	})
 })
 
 var _ = Describe("dump", func() {
--- a/internal/kernel/logging.go
+++ b/internal/kernel/logging.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	stdlog "log"
 	"sort"
 	"strconv"
 	"strings"
@@ -13,7 +14,8 @@
 )
 
 // SetupLogging makes package github.com/apex/log write to w, one line of key=value
-// pairs for each entry. level is the minimum level: debug, info, warn or error.
+// pairs for each entry. level is the minimum level: debug, info, warn or error. What
+// libraries write through the standard package log becomes entries too.
 func SetupLogging(w io.Writer, program, level string) error {
 	l, err := log.ParseLevel(level)
 	if err != nil {
@@ -21,9 +23,26 @@
 	}
 	log.SetLevel(l)
 	log.SetHandler(&lineHandler{w: w, program: program})
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(libraryWriter{})
 	return nil
 }
 
+// libraryWriter turns each message of the standard package log into a log entry.
+type libraryWriter struct{}
+
+// Write implements io.Writer.
+func (libraryWriter) Write(text []byte) (int, error) {
+	message := strings.TrimSpace(string(text))
+	// The QUIC library tells this once in a process.
+	if strings.HasPrefix(message, "failed to increase receive buffer size") || strings.HasPrefix(message, "failed to increase send buffer size") {
+		log.WithFields(log.Fields{"event": "udp_buffer_small", "error": message}).Warn("the system limits the buffers of UDP sockets; packets may be lost under load")
+	} else {
+		log.WithFields(log.Fields{"event": "library_message", "error": message}).Warn("a library has written a message")
+	}
+	return len(text), nil
+}
+
 // lineHandler writes log entries as lines of key=value pairs.
 type lineHandler struct {
 	mu      sync.Mutex
