--- a/internal/kernel/metrics.go
+++ b/internal/kernel/metrics.go
@@ -23,7 +23,7 @@
 // quantiles lists the quantiles that are exported for each histogram.
 var quantiles = []float64{0.5, 0.9, 0.99}
 
-// Metrics holds the counters and latency histograms of the process.
+// Metrics holds the counters, gauges and latency histograms of the process.
 var Metrics MetricSet
 
 // MetricSet holds counters, gauges and histograms by name and labels. The zero value is
@@ -61,7 +61,7 @@
 }
 
 // Set sets a gauge. labels is as for Count.
-func (m *MetricSet) Set(name string, value float64, labels ...string) {
+func (m *MetricSet) Set(value float64, name string, labels ...string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.gauges == nil {
--- a/internal/kernel/metrics_test.go
+++ b/internal/kernel/metrics_test.go
@@ -18,8 +18,8 @@
 		for i := 1; i <= 100; i++ {
 			m.Observe(time.Duration(i)*time.Millisecond, "call_seconds", "kind", "get")
 		}
-		m.Set("kept", 3, "kind", "get")
-		m.Set("kept", 1.5, "kind", "get")
+		m.Set(3, "kept", "kind", "get")
+		m.Set(1.5, "kept", "kind", "get")
 		var out bytes.Buffer
 		m.WriteText(&out)
 		Expect(out.String()).To(ContainSubstring(`calls_total{kind="get",code="100"} 2`))
--- a/internal/workflow/daemon/plugins.go
+++ b/internal/workflow/daemon/plugins.go
@@ -1,5 +1,7 @@
 package daemon
 
+// The scheduling plug-ins, which register themselves.
 import (
-	_ "snipegw/internal/workflow/forecast" // scheduling plug-in urgent_forecast
+	_ "snipegw/internal/workflow/forecast"
+	_ "snipegw/internal/workflow/workerspeed"
 )
--- a/internal/workflow/engine/headroom.go
+++ b/internal/workflow/engine/headroom.go
@@ -54,6 +54,16 @@
 	return false
 }
 
+// canUnitWait is canWait for a unit whose job is not at hand as a candidate.
+func (e *Engine) canUnitWait(u *unit, now time.Time) bool {
+	c := &candidate{job: u.job, units: []*unit{u}, class: e.classOf(u.job)}
+	if c.class != classOther {
+		return false
+	}
+	e.computeUrgency(c, now)
+	return e.canWait(u, c, now)
+}
+
 // headroom is what is kept free for jobs of priority 0 during one decision.
 type headroom struct {
 	accelerators, milliCPU float64
@@ -164,7 +174,7 @@
 				continue
 			}
 			seen[u] = true
-			release := framework.Release{After: e.estimates.remaining(u, now)}
+			release := framework.Release{After: e.remaining(u, now)}
 			for _, o := range u.members {
 				if o.end == "" {
 					release.Needs = release.Needs.Add(u.spec().Needs(), 1)
--- a/internal/workflow/engine/policy_test.go
+++ b/internal/workflow/engine/policy_test.go
@@ -122,9 +122,15 @@
 // replayLoad simulates a load under a policy, until all jobs have ended or three
 // minutes have passed since the last one arrived.
 func replayLoad(l *load, p policy, plugins func() framework.Set) loadOutcome {
-	w := newWorld(1, l.Workers, 0)
+	w := newLoadWorld(l)
 	w.newPlugins = plugins
 	w.planner.plugins = newPlugins(plugins)
+	return w.measureOutcome(l, w.replay(l, p))
+}
+
+// newLoadWorld returns a world with the pool, the queues and the teams of a load.
+func newLoadWorld(l *load) *world {
+	w := newWorld(1, l.Workers, 0)
 	w.noRandomFailures = true
 	w.config = &workflow.Config{Version: 2, Queues: l.Queues, Teams: l.Teams}
 	w.config.Provision()
@@ -134,6 +140,12 @@
 			m.slowness = l.Slowness[i%len(l.Slowness)]
 		}
 	}
+	return w
+}
+
+// replay submits the jobs of a load and runs the world until they have ended. It returns
+// their ids.
+func (w *world) replay(l *load, p policy) []string {
 	w.planner.SetConfig(w.config)
 	w.advance(2500 * time.Millisecond)
 	w.runTimes = make(map[string]time.Duration)
@@ -156,7 +168,7 @@
 			break
 		}
 	}
-	return w.measureOutcome(l, ids)
+	return ids
 }
 
 // addLoadJob submits a recorded job with its true run times and returns its id.
