--- a/internal/workflow/engine/policy_test.go
+++ b/internal/workflow/engine/policy_test.go
@@ -297,10 +297,12 @@
 			worth[p.name] += o.worth
 			urgentLate[p.name] += o.urgentLate
 			if *printTable {
-				fmt.Printf("| %s | %s | %.3f | %d | %d of %d | %.1f | %.1f |\n", strings.TrimSuffix(filepath.Base(file), ".json"), p.name,
-					o.worth, o.urgentLate, o.late, o.jobs, o.meanCompletion.Seconds(), 100*o.wastedShare)
+				printOutcome(file, p.name, o)
 			}
 		}
+		if *printTable && len(l.Slowness) > 0 {
+			printOutcome(file, "present, speeds learned", replayWithSpeeds(l))
+		}
 	}
 	for _, simple := range []string{"first come", "largest first", "value for the time left"} {
 		g.Expect(urgentLate["present"]).To(BeNumerically("<=", urgentLate[simple]), simple)
@@ -308,6 +310,12 @@
 	g.Expect(worth["present"]).To(BeNumerically(">=", worth["first come"]))
 }
 
+// printOutcome prints a row of the table of policies.
+func printOutcome(file, policy string, o loadOutcome) {
+	fmt.Printf("| %s | %s | %.3f | %d | %d of %d | %.1f | %.1f |\n", strings.TrimSuffix(filepath.Base(file), ".json"), policy,
+		o.worth, o.urgentLate, o.late, o.jobs, o.meanCompletion.Seconds(), 100*o.wastedShare)
+}
+
 var (
 	logFieldPattern = regexp.MustCompile(`(\w+)=("(?:[^"\\]|\\.)*"|\S+)`)
 	stepPattern     = regexp.MustCompile(`^(\d+)x\((\d+)m (\d+)MB (\d+)a\) est=(\d+)(.*)$`)
--- a/internal/workflow/engine/speed_test.go
+++ b/internal/workflow/engine/speed_test.go
@@ -162,3 +162,22 @@
 	g.Expect(stops[0].Unit.Index).To(Equal(second.index))
 	g.Expect(first.worker.health.excluded(w.now)).To(BeFalse())
 }
+
+// replayWithSpeeds is like replayLoad with the present policy, but learns speeds.
+func replayWithSpeeds(l *load) loadOutcome {
+	w := newLoadWorld(l)
+	w.learnSpeeds()
+	return w.measureOutcome(l, w.replay(l, policy{}))
+}
+
+// A quarter of the workers of a recorded load are slow for good. Guards against speeds that
+// make more urgent jobs late, or earn less worth, than taking all workers for equal.
+func TestLearnedSpeedsServeASlowPoolBetter(t *testing.T) {
+	g := NewWithT(t)
+	l, err := readLoad("testdata/loads/small-arenaria-scale-2.json")
+	g.Expect(err).NotTo(HaveOccurred())
+	l.Slowness = []float64{1, 1, 1, 3}
+	without, with := replayLoad(l, policy{}), replayWithSpeeds(l)
+	g.Expect(with.urgentLate).To(BeNumerically("<=", without.urgentLate))
+	g.Expect(with.worth).To(BeNumerically(">=", without.worth))
+}
