--- a/internal/workflow/engine/speed_test.go
+++ b/internal/workflow/engine/speed_test.go
@@ -26,9 +26,11 @@
 }
 func (k knownSpeeds) RunTime(string, framework.Run) (time.Duration, bool) { return 0, false }
 
+var speedPlugin = framework.Settings{"worker_speed": json.RawMessage(`{}`)}.Constructor()
+
 // learnSpeeds switches the plug-in worker_speed on, from the next term on.
 func (w *world) learnSpeeds() {
-	w.newPlugins = framework.Settings{"worker_speed": json.RawMessage(`{}`)}.Constructor()
+	w.newPlugins = speedPlugin
 	w.takeover()
 }
 
@@ -163,13 +165,6 @@
 	g.Expect(first.worker.health.excluded(w.now)).To(BeFalse())
 }
 
-// replayWithSpeeds is like replayLoad with the present policy, but learns speeds.
-func replayWithSpeeds(l *load) loadOutcome {
-	w := newLoadWorld(l)
-	w.learnSpeeds()
-	return w.measureOutcome(l, w.replay(l, policy{}))
-}
-
 // A quarter of the workers of a recorded load are slow for good. Guards against speeds that
 // make more urgent jobs late, or earn less worth, than taking all workers for equal.
 func TestLearnedSpeedsServeASlowPoolBetter(t *testing.T) {
@@ -177,7 +172,7 @@
 	l, err := readLoad("testdata/loads/small-arenaria-scale-2.json")
 	g.Expect(err).NotTo(HaveOccurred())
 	l.Slowness = []float64{1, 1, 1, 3}
-	without, with := replayLoad(l, policy{}), replayWithSpeeds(l)
+	without, with := replayLoad(l, policy{}, nil), replayLoad(l, policy{}, speedPlugin)
 	g.Expect(with.urgentLate).To(BeNumerically("<=", without.urgentLate))
 	g.Expect(with.worth).To(BeNumerically(">=", without.worth))
 }
