--- a/internal/workflow/engine/policy_test.go
+++ b/internal/workflow/engine/policy_test.go
@@ -318,7 +318,7 @@
 			}
 		}
 		if *printTable && len(l.Slowness) > 0 {
-			printOutcome(file, "present, speeds learned", replayWithSpeeds(l))
+			printOutcome(file, "present, speeds learned", replayLoad(l, policy{}, speedPlugin))
 		}
 	}
 	for _, simple := range []string{"first come", "largest first", "value for the time left"} {
