Request evacuations at random in the soak

Cause: the soak ran no evacuations, so overlapping faults of real processes were not tested with them. Ruled out: evacuating whole racks of the soak's four workers. Change: each worker names a zone of its own; one is evacuated at a time, for up to 9 s, and a start later than the bound is a violation.

--- a/internal/proof/soak.go
+++ b/internal/proof/soak.go
@@ -66,6 +66,7 @@
 		ctx, stop := context.WithTimeout(ctx, duration)
 		defer stop()
 		var wg sync.WaitGroup
+		wg.Go(func() { s.requestEvacuations(ctx, rand.New(rand.NewPCG(e.Seed, 7))) })
 		s.injectFaults(ctx, &wg)
 		s.stopLoad()
 		wg.Wait()
--- a/internal/proof/workflow.go
+++ b/internal/proof/workflow.go
@@ -92,6 +92,10 @@
 	return c, nil
 }
 
+// zoneOf returns the zone that a worker announces. Each has its own, so that an evacuation leaves
+// most of the room to the load.
+func zoneOf(worker string) string { return "zone-of-" + worker }
+
 // awaitAgents waits until all agents have registered in the store.
 func (c *WorkflowCluster) awaitAgents(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, workflowTimeout)
@@ -154,7 +158,7 @@
 		"id": id, "region": "r", "failure_domain": "d", "address": addrs[3], "advertise_address": addrs[4], "http_address": addrs[2],
 		"security": map[string]string{"mode": "development"},
 		"workflow": map[string]any{"front_address": addrs[0], "ready_address": addrs[1], "front": "platform", "config_format": "platform", "store": c.storeSettings(n),
-			"keep_ended_ms": workflowRetention.Milliseconds()},
+			"keep_ended_ms": workflowRetention.Milliseconds(), "evacuate_ms": evacuateBound.Milliseconds()},
 	})
 	if err != nil {
 		return err
@@ -176,6 +180,7 @@
 	if err != nil {
 		return err
 	}
+	w.SetZone(zoneOf(id))
 	n := new(WorkflowNode)
 	if err := c.connectNode(n, addrs[1], addrs[2]); err != nil {
 		return err
