Disregard differences of speed below 1.4 in decisions

Change: the engine takes a slowness between 1/1.4 and 1.4 for 1, so that such a pool is served as without the plug-in. Ran: tests of engine, workerspeed, docs.

--- a/internal/workflow/engine/speed.go
+++ b/internal/workflow/engine/speed.go
@@ -56,6 +56,9 @@
 	for _, w := range e.sortedWorkers {
 		before := w.speed()
 		w.slowness = e.plugins.speed.Slowness(w.node, now)
+		if w.speed() == "typical" {
+			w.slowness = 1 // best fit counts for more than a small difference
+		}
 		if after := w.speed(); after != before {
 			e.endEvents = append(e.endEvents, EndEvent{Speed: &SpeedChange{Node: w.node, From: before, To: after, Slowness: w.slowness}})
 		}
