--- a/internal/workflow/callercost/callercost.go
+++ b/internal/workflow/callercost/callercost.go
@@ -140,13 +140,13 @@
 	return Value(m.Worth(j), m.settings.LateShare, &j, now, delay)
 }
 
-// Compare implements framework.CostModel. Jobs that waited for MaxDelay come first and
-// those that are of no more use last. Between them decides the value at risk by room, in
-// steps within which the team that was served least goes first.
+// Compare implements framework.CostModel. The value at risk by room decides, in steps
+// within which the team that was served least goes first.
 func (m *Model) Compare(a, b framework.Cost) int {
+	if m.settings.Order != OrderCost {
+		return 0
+	}
 	return cmp.Or(
-		compareBool(b.Overdue, a.Overdue),
-		compareBool(a.Useless && !a.Overdue, b.Useless && !b.Overdue),
 		cmp.Compare(step(b), step(a)),
 		cmp.Compare(math.Round(servedSteps*a.Served), math.Round(servedSteps*b.Served)),
 	)
@@ -157,9 +157,6 @@
 
 // step returns the power of equalCosts that is nearest to the value at risk by room.
 func step(c framework.Cost) float64 {
-	if c.Overdue {
-		return 0
-	}
 	return math.Round(math.Log(max(c.Density(), minDensity)) / math.Log(equalCosts))
 }
 
@@ -167,16 +164,6 @@
 // job of a hundred cores and a minute puts less than a hundredth at risk there.
 const minDensity = 1e-6
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 // State implements framework.Plugin.
 func (m *Model) State(time.Time) any {
 	s := State{Settings: m.settings, MeanWork: make(map[string]float64), Served: make(map[string]float64)}
--- a/internal/workflow/callercost/settings.go
+++ b/internal/workflow/callercost/settings.go
@@ -28,10 +28,13 @@
 	// PriorityWeights is what an average job that ends in time is worth, by priority.
 	// The last weight holds for all further priorities.
 	PriorityWeights []float64 `json:"priority_weights"`
+	// Order is the order of waiting jobs of equal class, lateness and priority: OrderCost,
+	// or OrderLatestStart, which is also the order without the plug-in.
+	Order string `json:"order"`
 	// LateShare is the share of a job's worth that callers still get from a late end.
 	LateShare float64 `json:"late_share"`
-	// MaxDelayMS is how long costs may put a job back behind others of its class. Later
-	// it is served in the order of arrival.
+	// MaxDelayMS is the age from which a job goes before all younger ones of its class that
+	// are not within a guarantee.
 	MaxDelayMS int64 `json:"max_delay_ms"`
 	// MaxStops is how often a unit may be stopped for jobs of priority 0 beyond a
 	// guarantee.
@@ -44,6 +47,12 @@
 // the caller has turned to another way by then, but need not submit the job again.
 var defaultPriorityWeights = []float64{4, 3, 1}
 
+// Values of Settings.Order.
+const (
+	OrderLatestStart = "latest_start"
+	OrderCost        = "cost"
+)
+
 const (
 	defaultLateShare  = 0.25
 	defaultMaxDelayMS = 60_000
@@ -55,6 +64,9 @@
 	if s.PriorityWeights == nil {
 		s.PriorityWeights = defaultPriorityWeights
 	}
+	if s.Order == "" {
+		s.Order = OrderLatestStart
+	}
 	if s.LateShare == 0 {
 		s.LateShare = defaultLateShare
 	}
@@ -77,6 +89,9 @@
 			break
 		}
 	}
+	if s.Order != OrderCost && s.Order != OrderLatestStart {
+		faults.Add("order", "must be %q or %q", OrderLatestStart, OrderCost)
+	}
 	if s.LateShare < 0 || s.LateShare > 1 {
 		faults.Add("late_share", "must be from 0 to 1")
 	}
--- a/internal/workflow/daemon/settings.go
+++ b/internal/workflow/daemon/settings.go
@@ -47,6 +47,8 @@
 	MaxLeaseMS int64 `json:"max_lease_ms"`
 	// StopTimeoutMS is the timeout within which a worker stops a run.
 	StopTimeoutMS int64 `json:"stop_timeout_ms"`
+	// RestoreMS is the run time lost when a run with checkpoints is stopped and resumed.
+	RestoreMS int64 `json:"restore_ms"`
 	// ReclaimMS is the timeout within which a guaranteed job must have started.
 	ReclaimMS int64 `json:"reclaim_ms"`
 	// MinStoreLeaseMS is the shortest lease that the store grants.
@@ -71,6 +73,7 @@
 	setDefault(&s.Store.TimeoutMS, defaultStoreTimeoutMS)
 	setDefault(&s.MaxLeaseMS, defaultMaxLeaseMS)
 	setDefault(&s.StopTimeoutMS, defaultStopTimeoutMS)
+	setDefault(&s.RestoreMS, engine.DefaultResumeCost.Milliseconds())
 	setDefault(&s.ReclaimMS, defaultReclaimMS)
 	setDefault(&s.KeepEndedMS, defaultKeepEndedMS)
 }
@@ -89,7 +92,7 @@
 	if s.MaxLeaseMS < minLeaseMS {
 		faults.Add(path+".max_lease_ms", "must be at least %d", minLeaseMS)
 	}
-	for name, v := range map[string]int64{"stop_timeout_ms": s.StopTimeoutMS, "reclaim_ms": s.ReclaimMS, "keep_ended_ms": s.KeepEndedMS, "min_store_lease_ms": s.MinStoreLeaseMS} {
+	for name, v := range map[string]int64{"stop_timeout_ms": s.StopTimeoutMS, "restore_ms": s.RestoreMS, "reclaim_ms": s.ReclaimMS, "keep_ended_ms": s.KeepEndedMS, "min_store_lease_ms": s.MinStoreLeaseMS} {
 		if v < 0 {
 			faults.Add(path+"."+name, "must not be negative")
 		}
@@ -101,6 +104,7 @@
 	ms := func(v int64) time.Duration { return time.Duration(v) * time.Millisecond }
 	return engine.Settings{
 		LeaseDuration: ms(s.MaxLeaseMS - leaseReserveMS), StopTimeout: ms(s.StopTimeoutMS), ReclaimTimeout: ms(s.ReclaimMS),
+		ResumeCost: ms(s.RestoreMS),
 		NewPlugins: s.Plugins.Constructor(),
 	}
 }
--- /dev/null
+++ b/internal/workflow/engine/cost.go
@@ -0,0 +1,188 @@
+package engine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"snipegw/internal/workflow"
+	"snipegw/internal/workflow/framework"
+)
+
+const (
+	// maxDemandInterval bounds the time since the latest decision for which demand is
+	// counted, because clocks may jump.
+	maxDemandInterval = time.Second
+	// maxCostHorizon bounds the time in which room is expected to fall free. A pool of
+	// long runs still frees some of its room every minute.
+	maxCostHorizon = time.Minute
+)
+
+// decisionCosts holds what the cost model needs during one decision.
+type decisionCosts struct {
+	model framework.CostModel
+	// horizon is the mean time until the room in use falls free, weighted by room.
+	horizon time.Duration
+	// roomPrice is the value of a core-second of the pool: what the open jobs that are
+	// not of priority 0 are worth by their work.
+	roomPrice float64
+	jobs      map[*job]framework.Job // cache of describeJob
+}
+
+// updateCosts prepares the costs for a decision at now. It sets e.costs to nil if there
+// is no model or it knows too little.
+func (e *Engine) updateCosts(now time.Time) {
+	e.costs = nil
+	model := e.plugins.cost
+	if model == nil {
+		return
+	}
+	for _, j := range e.openJobs {
+		if !j.costObserved && !j.isLongRunning() {
+			j.costObserved = true
+			model.ObserveJob(j.rec.Queue, e.jobWork(j))
+		}
+	}
+	e.observeTeams(model, now)
+	if !model.Ready() {
+		return
+	}
+	e.costs = &decisionCosts{model: model, horizon: e.costHorizon(now), jobs: make(map[*job]framework.Job)}
+	worth, work := 0.0, 0.0
+	for _, j := range e.openJobs {
+		if e.config.PriorityOf(j.rec) != 0 && !j.cancelled && !j.isLongRunning() {
+			d := e.describeJob(j, 0)
+			worth, work = worth+model.Worth(d), work+d.Work
+		}
+	}
+	if work > 0 {
+		e.costs.roomPrice = worth / work
+	}
+}
+
+// observeTeams passes to the model what the teams have asked for, and what they were
+// given, since the latest decision.
+func (e *Engine) observeTeams(model framework.CostModel, now time.Time) {
+	elapsed := min(max(now.Sub(e.demandAt), 0), maxDemandInterval).Seconds()
+	e.demandAt = now
+	uses := make(map[string]framework.TeamUse)
+	for _, j := range e.openJobs {
+		if j.cancelled {
+			continue
+		}
+		use := uses[j.rec.Team]
+		for _, u := range j.units {
+			if u.done {
+				continue
+			}
+			cores := float64(u.milliCores()) / 1000 * elapsed
+			switch {
+			case u.isActive():
+				use.Asked, use.Served = use.Asked+cores, use.Served+cores
+			case now.UnixMilli() >= j.dueMS(u.occurrence) && j.dependenciesDone(u.occurrence, u.step):
+				use.Asked += cores
+			}
+		}
+		use.Team = j.rec.Team
+		uses[j.rec.Team] = use
+	}
+	sorted := make([]framework.TeamUse, 0, len(uses))
+	for _, team := range slices.Sorted(maps.Keys(uses)) {
+		sorted = append(sorted, uses[team])
+	}
+	model.ObserveTeams(sorted, now)
+}
+
+// costHorizon returns the mean time until the room in use falls free, weighted by room.
+func (e *Engine) costHorizon(now time.Time) time.Duration {
+	sum, weight := 0.0, 0.0
+	for _, j := range e.openJobs {
+		for _, u := range j.units {
+			if u.isActive() && !u.spec().LongRunning {
+				room := float64(u.milliCores())
+				sum, weight = sum+room*e.estimates.remaining(u, now).Seconds(), weight+room
+			}
+		}
+	}
+	if weight == 0 {
+		return 0
+	}
+	return min(time.Duration(sum/weight*float64(time.Second)), maxCostHorizon)
+}
+
+// isLongRunning reports whether j has a long-running step.
+func (j *job) isLongRunning() bool {
+	return slices.ContainsFunc(j.rec.Steps, func(s workflow.Step) bool { return s.LongRunning })
+}
+
+// jobWork returns the expected work of all items of an occurrence of j, in core-seconds.
+func (e *Engine) jobWork(j *job) float64 {
+	work := 0.0
+	for s := range j.rec.Steps {
+		step := &j.rec.Steps[s]
+		work += float64(step.Count) * float64(weightedMilliCores(step.Needs())) / 1000 * e.estimates.stepDuration(j.rec.Queue, step).Seconds()
+	}
+	return work
+}
+
+// describeJob returns an occurrence of j as the cost model sees it.
+func (e *Engine) describeJob(j *job, occurrence int) framework.Job {
+	if d, ok := e.costs.jobs[j]; ok && j.rec.Occurrences == 0 {
+		return d
+	}
+	begin := time.UnixMilli(max(j.rec.AcceptedMS, j.dueMS(occurrence)))
+	d := framework.Job{
+		ID: j.id, Queue: j.rec.Queue, Team: j.rec.Team, Priority: e.config.PriorityOf(j.rec), Begin: begin, FirstReady: begin,
+		Objective: e.objective(j, occurrence), Remaining: e.criticalPath(j, occurrence, false), Spread: e.estimates.spread(j.rec.Queue),
+		Work: e.jobWork(j), LongRunning: j.isLongRunning(),
+	}
+	for s := range j.stages[occurrence] {
+		for _, u := range j.stages[occurrence][s].units {
+			if !u.done && !u.isActive() {
+				d.WorkLeft += float64(u.milliCores()) / 1000 * e.estimates.duration(u).Seconds()
+			}
+		}
+	}
+	if d.LongRunning {
+		d.Work, d.WorkLeft = 0, 0
+		for _, u := range j.units {
+			if !u.isActive() {
+				d.WorkLeft += float64(u.milliCores()) / 1000 * e.costs.horizon.Seconds()
+			}
+		}
+	}
+	e.costs.jobs[j] = d
+	return d
+}
+
+// setCost sets the cost of a candidate, by the occurrence of its first unit.
+func (e *Engine) setCost(c *candidate, now time.Time) {
+	if e.costs != nil {
+		c.cost = e.costs.model.Cost(e.describeJob(c.job, c.units[0].occurrence), e.costs.horizon, now)
+	}
+}
+
+// compareOverdue puts jobs that have waited too long before the others of their class, in
+// the order of their acceptance. Jobs within guarantees keep their order: the time in
+// which they must start is a rule.
+func (e *Engine) compareOverdue(a, b *candidate) int {
+	switch {
+	case e.costs == nil || a.class == classGuaranteed || !a.cost.Overdue && !b.cost.Overdue:
+		return 0
+	case a.cost.Overdue && b.cost.Overdue:
+		return cmp.Compare(a.job.rec.AcceptedMS, b.job.rec.AcceptedMS)
+	case a.cost.Overdue:
+		return -1
+	}
+	return 1
+}
+
+// compareByCost orders two candidates of one class by what their delay costs, 0 if costs
+// do not tell.
+func (e *Engine) compareByCost(a, b *candidate) int {
+	if e.costs == nil || a.class == classGuaranteed {
+		return 0
+	}
+	return e.costs.model.Compare(a.cost, b.cost)
+}
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -60,6 +60,7 @@
 	stops = e.stopRunsOnDrainingWorkers(now, stops)
 	stops = e.stopHungRuns(now, stops)
 	var starts []Placement
+	e.updateCosts(now)
 	r := e.freeResources(now)
 	reserved := 0 // units of class other that hold a reservation
 	for _, c := range e.candidates(now) {
@@ -164,7 +165,8 @@
 	// startBy is the latest start with which the job still meets its objective or,
 	// once that is missed, with which its completion is still of use.
 	startBy  time.Time
-	lateness int // 0: can meet its objective, 1: late but of use, 2: too late to be of use
+	lateness int            // 0: can meet its objective, 1: late but of use, 2: too late to be of use
+	cost     framework.Cost // zero without a cost model
 }
 
 // candidates returns the jobs with units that are ready, in the order in which
@@ -179,6 +181,7 @@
 		if units := e.readyUnits(j, now); len(units) > 0 {
 			c := &candidate{job: j, units: units, class: e.classOf(j)}
 			e.computeUrgency(c, now)
+			e.setCost(c, now)
 			out = append(out, c)
 		}
 	}
@@ -188,8 +191,10 @@
 		}
 		return cmp.Or(
 			cmp.Compare(a.class, b.class),
+			e.compareOverdue(a, b),
 			cmp.Compare(a.lateness, b.lateness),
 			cmp.Compare(e.config.PriorityOf(a.job.rec), e.config.PriorityOf(b.job.rec)),
+			e.compareByCost(a, b),
 			a.startBy.Compare(b.startBy),
 		)
 	})
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -25,10 +25,16 @@
 	// ReclaimTimeout is the start deadline of a job within its team's guarantee, counted
 	// from its acceptance.
 	ReclaimTimeout time.Duration
+	// ResumeCost is the run time lost when a run with checkpoints is stopped and resumed;
+	// DefaultResumeCost if 0.
+	ResumeCost time.Duration
 	// NewPlugins makes the scheduling plug-ins of a term; nil for none.
 	NewPlugins func() framework.Set
 }
 
+// DefaultResumeCost is the usual ResumeCost of platforms that do not state theirs.
+const DefaultResumeCost = 600 * time.Millisecond
+
 const (
 	// startWindow limits how late a start order may take effect. It leaves the
 	// agent time for some retries, and ends well before the other members of a
@@ -75,6 +81,8 @@
 	// unexplainedCrashAt is the time of the latest crash of a worker without a recent start.
 	unexplainedCrashAt time.Time
 	plugins            plugins
+	costs              *decisionCosts // of the latest decision; nil without a cost model
+	demandAt           time.Time      // of the latest decision that counted the demand of teams
 }
 
 // policy switches off parts of the scheduling policy, or replaces the order of
@@ -91,6 +99,7 @@
 // New returns an Engine for a planner's term with the given epoch that begins at
 // now.
 func New(s Settings, epoch uint64, now time.Time) *Engine {
+	s.ResumeCost = cmp.Or(s.ResumeCost, DefaultResumeCost)
 	return &Engine{
 		settings: s, epoch: epoch, termStart: now, config: &workflow.Config{},
 		jobs: make(map[string]*job), workers: make(map[string]*worker), dirty: make(map[string]*job),
@@ -114,6 +123,7 @@
 	maxFailedRuns int       // highest failedRuns of any unit that is not long-running
 	hasCrashes    bool      // some unit has crash counts
 	givenUp       bool      // an item has crashed too many workers
+	costObserved  bool      // the cost model knows the job's work
 }
 
 // stage is one step of one occurrence of a job.
@@ -136,10 +146,12 @@
 	members    []*member // of the latest run; nil once all have ended
 	stopping   bool      // the latest run is to be stopped
 	stopReason string
-	notBefore  time.Time          // earliest start of the next run
-	idleSince  time.Time          // end of the latest run of this term, zero if there was none
-	failedOn   map[string]bool    // worker incarnations on which a run failed
-	crashes    map[int]crashCount // by item index, nil if there were none
+	// preemptions is how often a run of this term was stopped for a job of priority 0.
+	preemptions int
+	notBefore   time.Time          // earliest start of the next run
+	idleSince   time.Time          // end of the latest run of this term, zero if there was none
+	failedOn    map[string]bool    // worker incarnations on which a run failed
+	crashes     map[int]crashCount // by item index, nil if there were none
 	// lostInherited reports that a crash has ended a run of another planner, and no run has
 	// outlived crashProbation since.
 	lostInherited bool
--- a/internal/workflow/engine/estimate.go
+++ b/internal/workflow/engine/estimate.go
@@ -85,6 +85,15 @@
 	return time.Duration(math.Exp(share*corrected+(1-share)*q.runTime.mean) * float64(time.Millisecond))
 }
 
+// spread returns the standard deviation of the logarithm of a prediction for the queue.
+func (est durationEstimates) spread(queue string) float64 {
+	q := est[queue]
+	if q == nil {
+		return math.Sqrt(initialRatioVariance)
+	}
+	return math.Sqrt(q.runTime.variance * q.ratio.variance / (q.runTime.variance + q.ratio.variance))
+}
+
 // minProgressPercent is the least progress, in percent, from which the speed of a
 // run is extrapolated.
 const minProgressPercent = 4
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -12,7 +12,7 @@
 type preemptionPlan struct {
 	victims   []*unit
 	placement []*worker
-	lostWork  int64 // in weighted millicore-milliseconds
+	lostWork  int64 // in weighted millicore-milliseconds, or millionths of value with a cost model
 }
 
 // preempt finds a placement for u on resources that are free, are being freed, or
@@ -26,31 +26,41 @@
 	if e.policy.preemptForGuaranteesOnly && c.class != classGuaranteed {
 		return nil, nil
 	}
+	if e.costs != nil {
+		return e.preemptByCost(u, c, r, now)
+	}
 	best := e.cheapestPreemption(u, r, func(v *unit) bool {
 		return e.mayPreempt(c, v) && (v.stopping || v.done || e.classOf(v.job) == classOther)
-	}, now)
+	}, e.lostWork, now)
 	if best == nil && c.class < classUrgent {
-		best = e.cheapestPreemption(u, r, func(v *unit) bool { return e.mayPreempt(c, v) }, now)
+		best = e.cheapestPreemption(u, r, func(v *unit) bool { return e.mayPreempt(c, v) }, e.lostWork, now)
 	}
 	if best == nil || !e.policy.ignoreLostWork && c.class == classUrgent && best.lostWork > e.remainingWork(u.job) {
 		return nil, nil
 	}
+	return best.placement, stopVictims(u, best.victims)
+}
+
+// stopVictims stops the units that are preempted for u.
+func stopVictims(u *unit, victims []*unit) []StopDecision {
 	var stops []StopDecision
-	for _, v := range best.victims {
+	for _, v := range victims {
 		if !v.stopping && !v.done {
 			v.stop("preempted for " + u.job.id)
+			v.preemptions++
 			stops = append(stops, StopDecision{Unit: v.itemRef(v.first), Run: v.run, Reason: v.stopReason})
 		}
 	}
-	return best.placement, stops
+	return stops
 }
 
 // cheapestPreemption returns the plan for u with the least lost work that stops
-// only units for which mayStop holds, nil if there is none.
-func (e *Engine) cheapestPreemption(u *unit, r *freeResources, mayStop func(*unit) bool, now time.Time) *preemptionPlan {
+// only units for which mayStop holds, nil if there is none. The loss of a unit is in any
+// measure that can be summed.
+func (e *Engine) cheapestPreemption(u *unit, r *freeResources, mayStop func(*unit) bool, loss func(*unit, time.Time) int64, now time.Time) *preemptionPlan {
 	var best *preemptionPlan
 	for _, group := range e.preemptionGroups(u, r) {
-		if plan := e.planPreemption(u, mayStop, group, now); plan != nil && (best == nil || plan.lostWork < best.lostWork) {
+		if plan := e.planPreemption(u, mayStop, loss, group, now); plan != nil && (best == nil || plan.lostWork < best.lostWork) {
 			best = plan
 		}
 	}
@@ -84,13 +94,13 @@
 // each step it releases victims on the worker with the least lost work for each
 // item of u gained, until u fits. It returns nil if u does not fit with all
 // permitted victims released.
-func (e *Engine) planPreemption(u *unit, mayStop func(*unit) bool, group *freeResources, now time.Time) *preemptionPlan {
+func (e *Engine) planPreemption(u *unit, mayStop func(*unit) bool, loss func(*unit, time.Time) int64, group *freeResources, now time.Time) *preemptionPlan {
 	trial := group.clone()
 	losses := make(map[*unit]int64)
 	for _, w := range group.workers {
 		for _, m := range w.members {
 			if _, ok := losses[m.unit]; !ok && mayStop(m.unit) {
-				losses[m.unit] = e.lostWork(m.unit, now)
+				losses[m.unit] = loss(m.unit, now)
 			}
 		}
 	}
@@ -246,9 +256,14 @@
 }
 
 // lostWork returns the work that stopping v would lose, in weighted
-// millicore-milliseconds. The true age of a run that an earlier planner started is
-// unknown, so its progress counts as well.
+// millicore-milliseconds.
 func (e *Engine) lostWork(v *unit, now time.Time) int64 {
+	return v.milliCores() * e.lostRunTime(v, now).Milliseconds()
+}
+
+// lostRunTime returns the run time that stopping v would lose. The true age of a run that
+// an earlier planner started is unknown, so its progress counts as well.
+func (e *Engine) lostRunTime(v *unit, now time.Time) time.Duration {
 	if v.stopping || v.done {
 		return 0
 	}
@@ -259,19 +274,14 @@
 		}
 	}
 	if v.spec().Checkpoints {
-		lost = min(lost, checkpointResumeCost)
+		lost = min(lost, e.settings.ResumeCost)
 	}
-	return v.milliCores() * lost.Milliseconds()
+	return lost
 }
 
-const (
-	// coresPerAccelerator is the weight of an accelerator, in cores, when amounts
-	// of work are compared.
-	coresPerAccelerator = 8
-	// checkpointResumeCost is the run time lost when a run with checkpoints is
-	// stopped and resumed.
-	checkpointResumeCost = 600 * time.Millisecond
-)
+// coresPerAccelerator is the weight of an accelerator, in cores, when amounts of work are
+// compared.
+const coresPerAccelerator = 8
 
 // soonestPlacement returns the workers on which a waiting unit can be expected to
 // start soonest, and the delay until then. It assumes that active units end in the
--- a/internal/workflow/framework/cost.go
+++ b/internal/workflow/framework/cost.go
@@ -25,7 +25,7 @@
 	// delay, and Worth what they get if it ends in time.
 	Value(j Job, now time.Time, delay time.Duration) float64
 	Worth(j Job) float64
-	// Compare orders two waiting jobs of one class by their costs: negative if a is to
+	// Compare orders two waiting jobs of equal class, lateness and priority by their costs: negative if a is to
 	// be served first, 0 if the costs do not tell.
 	Compare(a, b Cost) int
 	// MaxStops returns how often a unit may be stopped for jobs of priority 0 beyond a
