--- a/internal/kernel/metrics.go
+++ b/internal/kernel/metrics.go
@@ -31,6 +31,7 @@
 type MetricSet struct {
 	mu         sync.Mutex
 	counters   map[string]uint64
+	sums       map[string]float64
 	histograms map[string]*hdrhistogram.Histogram
 }
 
@@ -59,6 +60,16 @@
 	m.counters[seriesKey(name, labels)]++
 }
 
+// Add adds a value, which must not be negative, to a sum. labels is as for Count.
+func (m *MetricSet) Add(value float64, name string, labels ...string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sums == nil {
+		m.sums = make(map[string]float64)
+	}
+	m.sums[seriesKey(name, labels)] += value
+}
+
 // Observe records the duration d in a histogram. labels is as for Count.
 func (m *MetricSet) Observe(d time.Duration, name string, labels ...string) {
 	m.mu.Lock()
@@ -75,7 +86,7 @@
 	_ = h.RecordValue(min(max(d.Microseconds(), 1), maxDurationUS)) // fails only for a value out of range
 }
 
-// WriteText writes a line for each counter, and for each histogram a line per
+// WriteText writes a line for each counter and sum, and for each histogram a line per
 // quantile, in seconds, and a line with its count.
 func (m *MetricSet) WriteText(w io.Writer) {
 	m.mu.Lock()
@@ -83,6 +94,9 @@
 	for _, key := range slices.Sorted(maps.Keys(m.counters)) {
 		fmt.Fprintf(w, "%s %d\n", key, m.counters[key])
 	}
+	for _, key := range slices.Sorted(maps.Keys(m.sums)) {
+		fmt.Fprintf(w, "%s %g\n", key, m.sums[key])
+	}
 	for _, key := range slices.Sorted(maps.Keys(m.histograms)) {
 		h := m.histograms[key]
 		name, labels, _ := strings.Cut(strings.TrimSuffix(key, "}"), "{")
--- a/internal/workflow/engine/cost.go
+++ b/internal/workflow/engine/cost.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -186,3 +187,42 @@
 	}
 	return e.costs.model.Compare(a.cost, b.cost)
 }
+
+// waitingCost returns what a further delay of j costs, nil if none of its units waits or
+// there is no cost model. It uses the costs of the latest decision.
+func (e *Engine) waitingCost(j *job, now time.Time) *framework.Cost {
+	if e.costs == nil || j.cancelled {
+		return nil
+	}
+	units := e.readyUnits(j, now)
+	if len(units) == 0 {
+		return nil
+	}
+	c := e.costs.model.Cost(e.describeJob(j, units[0].occurrence), e.costs.horizon, now)
+	return &c
+}
+
+// costReason says what a delay of j costs and what it is weighed against: the jobs of its
+// class that hold room or wait, in the same measure. It is empty without a cost model.
+func (e *Engine) costReason(j *job, now time.Time) string {
+	own := e.waitingCost(j, now)
+	if own == nil {
+		return ""
+	}
+	text := fmt.Sprintf("; a second of delay costs %.3f of its value of %.2f, for %.0f core-seconds of room", own.PerSecond, own.Value, own.Room)
+	var rival *job
+	var most *framework.Cost
+	for _, o := range e.openJobs {
+		if o == j || e.classOf(o) != e.classOf(j) {
+			continue
+		}
+		if c := e.waitingCost(o, now); c != nil && (most == nil || c.Density() > most.Density()) {
+			rival, most = o, c
+		}
+	}
+	if rival == nil {
+		return text
+	}
+	return text + fmt.Sprintf("; of the jobs of its class that wait, %s has most at risk by room: %.3f of %.2f a second, for %.0f core-seconds",
+		rival.id, most.PerSecond, most.Value, most.Room)
+}
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -43,6 +43,9 @@
 	Workers []string         // node name for each item
 	Waited  time.Duration    // since the job was accepted
 	Class   string           // one of classNames
+	Team    string
+	// Cost is the cost of a further delay of the job; zero without a cost model.
+	Cost framework.Cost
 }
 
 // StopDecision is a decision to stop a run, with its reason.
@@ -50,6 +53,13 @@
 	Unit   workflow.ItemRef // of the unit's first item, or of the item that gave the reason
 	Run    int
 	Reason string
+	// Preempted reports that the run is stopped for another job. Class and Team are those
+	// of the job that it belongs to. Preemptions counts the unit's in this term.
+	Preempted   bool
+	Class, Team string
+	Preemptions int
+	// Loss is the value that the stop loses; 0 without a cost model.
+	Loss float64
 }
 
 // Decide starts the units that should run now and stops the runs that should
@@ -315,7 +325,7 @@
 	u.job.hasStarted = true
 	p := Placement{
 		Unit: u.itemRef(u.first), Count: u.count, Run: u.run, Class: classNames[c.class],
-		Waited: now.Sub(time.UnixMilli(u.job.rec.AcceptedMS)),
+		Waited: now.Sub(time.UnixMilli(u.job.rec.AcceptedMS)), Team: u.job.rec.Team, Cost: c.cost,
 	}
 	u.members = nil
 	for i, w := range placement {
--- a/internal/workflow/engine/dump.go
+++ b/internal/workflow/engine/dump.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"snipegw/internal/workflow/framework"
+)
 
 // JobState describes an open job in the debug dump.
 type JobState struct {
@@ -19,6 +23,11 @@
 	// none waits.
 	WaitReason string   `json:"waiting,omitempty"`
 	Workers    []string `json:"workers,omitempty"` // nodes on which items may be running
+	// Preemptions counts the runs of the job that this term stopped for others.
+	Preemptions int `json:"preemptions,omitempty"`
+	// Cost is what a further delay of a job with waiting units costs; nil without a cost
+	// model.
+	Cost *framework.Cost `json:"cost,omitempty"`
 }
 
 // WorkerState describes a worker in the debug dump.
@@ -54,7 +63,9 @@
 			UnitsLeft: j.unitsLeft, AgeMS: now.UnixMilli() - j.rec.AcceptedMS,
 			Class: classNames[e.classOf(j)], WaitReason: e.jobWaitReason(j, r, now), Workers: j.activeNodes(),
 		}
+		js.Cost = e.waitingCost(j, now)
 		for _, u := range j.units {
+			js.Preemptions += u.preemptions
 			if u.isActive() {
 				js.RunningUnits++
 			}
--- a/internal/workflow/engine/explain.go
+++ b/internal/workflow/engine/explain.go
@@ -21,7 +21,7 @@
 	}
 	for _, u := range j.units {
 		if !u.done && !u.isActive() {
-			return fmt.Sprintf("item %s %s", u.itemRef(u.first), e.unitWaitReason(u, r, now))
+			return fmt.Sprintf("item %s %s", u.itemRef(u.first), e.unitWaitReason(u, r, now)) + e.costReason(j, now)
 		}
 	}
 	return ""
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -38,18 +38,26 @@
 	if best == nil || !e.policy.ignoreLostWork && c.class == classUrgent && best.lostWork > e.remainingWork(u.job) {
 		return nil, nil
 	}
-	return best.placement, stopVictims(u, best.victims)
+	return best.placement, e.stopVictims(u, best.victims, now)
 }
 
 // stopVictims stops the units that are preempted for u.
-func stopVictims(u *unit, victims []*unit) []StopDecision {
+func (e *Engine) stopVictims(u *unit, victims []*unit, now time.Time) []StopDecision {
 	var stops []StopDecision
 	for _, v := range victims {
-		if !v.stopping && !v.done {
-			v.stop("preempted for " + u.job.id)
-			v.preemptions++
-			stops = append(stops, StopDecision{Unit: v.itemRef(v.first), Run: v.run, Reason: v.stopReason})
+		if v.stopping || v.done {
+			continue
+		}
+		loss := 0.0
+		if e.costs != nil {
+			loss = e.lossByStop(v, now)
 		}
+		v.stop("preempted for " + u.job.id)
+		v.preemptions++
+		stops = append(stops, StopDecision{
+			Unit: v.itemRef(v.first), Run: v.run, Reason: v.stopReason, Preempted: true,
+			Class: classNames[e.classOf(v.job)], Team: v.job.rec.Team, Preemptions: v.preemptions, Loss: loss,
+		})
 	}
 	return stops
 }
--- a/internal/workflow/framework/cost.go
+++ b/internal/workflow/framework/cost.go
@@ -66,20 +66,20 @@
 type Cost struct {
 	// Value is what callers can be expected to get from the job if it starts now and is
 	// not delayed further. A refusal loses it.
-	Value float64
+	Value float64 `json:"value"`
 	// AtRisk is the part of Value that a delay by the horizon loses.
-	AtRisk float64
+	AtRisk float64 `json:"at_risk"`
 	// PerSecond is AtRisk by second of delay.
-	PerSecond float64
+	PerSecond float64 `json:"per_second"`
 	// Room is what the job still holds up: core-seconds until its end.
-	Room float64
+	Room float64 `json:"room_core_seconds"`
 	// Useless reports that the job can no longer end in time to be of use.
-	Useless bool
+	Useless bool `json:"useless,omitempty"`
 	// Overdue reports that other jobs may no longer be preferred by their costs.
-	Overdue bool
+	Overdue bool `json:"overdue,omitempty"`
 	// Served is the share of what its team asked for lately that it was given, 1 if it was
 	// given at least an equal share of the pool.
-	Served float64
+	Served float64 `json:"served"`
 }
 
 // Density returns the value at risk by core-second of room.
--- a/internal/workflow/planner/log.go
+++ b/internal/workflow/planner/log.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math"
 	"strings"
 
 	"github.com/apex/log"
@@ -15,17 +16,29 @@
 		kernel.Metrics.Count("snipegw_runs_decided_total", "class", s.Class)
 		if s.Run == 1 {
 			kernel.Metrics.Observe(s.Waited, "snipegw_first_start_seconds", "class", s.Class)
+			kernel.Metrics.Observe(s.Waited, "snipegw_delay_seconds", "class", s.Class, "team", s.Team)
 		}
 		log.WithFields(log.Fields{
 			"event": "placed", "job": s.Unit.Job, "unit": s.Unit.String(), "items": s.Count, "run": s.Run, "epoch": epoch,
 			"workers": strings.Join(s.Workers, ","), "class": s.Class, "since_accepted_ms": s.Waited.Milliseconds(),
+			"value": round(s.Cost.Value), "loss_per_s": round(s.Cost.PerSecond),
 		}).Info("run decided")
 	}
 	for _, s := range stops {
-		log.WithFields(log.Fields{"event": "stop_decided", "job": s.Unit.Job, "unit": s.Unit.String(), "run": s.Run, "epoch": epoch, "reason": s.Reason}).Info("stop decided")
+		if s.Preempted {
+			kernel.Metrics.Count("snipegw_preemptions_total", "class", s.Class, "team", s.Team)
+			kernel.Metrics.Add(s.Loss, "snipegw_preemption_loss_total", "class", s.Class, "team", s.Team)
+		}
+		log.WithFields(log.Fields{
+			"event": "stop_decided", "job": s.Unit.Job, "unit": s.Unit.String(), "run": s.Run, "epoch": epoch, "reason": s.Reason,
+			"loss": round(s.Loss), "preemptions": s.Preemptions,
+		}).Info("stop decided")
 	}
 }
 
+// round returns a value in thousandths, for logs.
+func round(value float64) float64 { return math.Round(1000*value) / 1000 }
+
 // logEndEvents writes log entries and metrics for runs and jobs that have ended, and for
 // runs that should have.
 func logEndEvents(epoch uint64, endEvents []engine.EndEvent) {
