--- a/internal/workflow/engine/costpreempt.go
+++ b/internal/workflow/engine/costpreempt.go
@@ -1,21 +1,22 @@
 package engine
 
-import "time"
-
-const (
-	// awaitMargin is the factor by which the expected remaining time of a run that is
-	// awaited instead of stopped is stretched, because it may end later than expected.
-	awaitMargin = 1.2
-	// valueScale is the number of units of a loss in value within a preemptionPlan.
-	valueScale = 1e6
+import (
+	"slices"
+	"time"
 )
 
-// preemptByCost is preempt with a cost model. It stops the units whose stop loses the
-// least value, and none that is expected to end within the time that a stop takes. A job
-// beyond its team's guarantee stops nothing if that loses more value than the job has
-// left. Units that were stopped often are stopped for guarantees only, and only if nothing
-// else makes room.
+// awaitMargin is the factor by which the expected remaining time of a run that is awaited
+// instead of stopped is stretched, because it may end later than expected.
+const awaitMargin = 1.2
+
+// preemptByCost is preempt with a cost model. No unit is stopped that is expected to end
+// within the time that a stop takes, and a job of no more use stops nothing unless it is
+// within its team's guarantee. Units that were stopped often are stopped for guarantees
+// only, and only if nothing else makes room.
 func (e *Engine) preemptByCost(u *unit, c *candidate, r *freeResources, now time.Time) ([]*worker, []StopDecision) {
+	if c.class == classUrgent && c.cost.Useless {
+		return nil, nil
+	}
 	stopTime := e.settings.StopTimeout + preemptionOverhead
 	ending := make(map[*unit]bool)
 	mayTake := func(v *unit) bool {
@@ -29,7 +30,7 @@
 		if ending[v] {
 			return 0
 		}
-		return int64(valueScale * e.lossByStop(v, now))
+		return e.lostWork(v, now)
 	}
 	best := e.cheapestPreemption(u, r, func(v *unit) bool {
 		return mayTake(v) && (v.stopping || v.done || ending[v] || e.classOf(v.job) == classOther && v.preemptions < e.costs.model.MaxStops())
@@ -37,19 +38,10 @@
 	if best == nil && c.class < classUrgent {
 		best = e.cheapestPreemption(u, r, mayTake, loss, now)
 	}
-	if best == nil {
-		return nil, nil
-	}
-	victims := best.victims[:0:0]
-	lostWork := int64(0)
-	for _, v := range best.victims {
-		if !ending[v] {
-			victims, lostWork = append(victims, v), lostWork+e.lostWork(v, now)
-		}
-	}
-	if c.class == classUrgent && (lostWork > e.remainingWork(u.job) || float64(best.lostWork) > valueScale*c.cost.Value) {
+	if best == nil || c.class == classUrgent && best.lostWork > e.remainingWork(u.job) {
 		return nil, nil
 	}
+	victims := slices.DeleteFunc(slices.Clone(best.victims), func(v *unit) bool { return ending[v] })
 	return best.placement, e.stopVictims(u, victims, now)
 }
 
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -12,7 +12,7 @@
 type preemptionPlan struct {
 	victims   []*unit
 	placement []*worker
-	lostWork  int64 // in weighted millicore-milliseconds, or millionths of value with a cost model
+	lostWork  int64 // in weighted millicore-milliseconds
 }
 
 // preempt finds a placement for u on resources that are free, are being freed, or
@@ -63,8 +63,8 @@
 }
 
 // cheapestPreemption returns the plan for u with the least lost work that stops
-// only units for which mayStop holds, nil if there is none. The loss of a unit is in any
-// measure that can be summed.
+// only units for which mayStop holds, nil if there is none. The loss of a unit is in
+// weighted millicore-milliseconds.
 func (e *Engine) cheapestPreemption(u *unit, r *freeResources, mayStop func(*unit) bool, loss func(*unit, time.Time) int64, now time.Time) *preemptionPlan {
 	var best *preemptionPlan
 	for _, group := range e.preemptionGroups(u, r) {
