--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -26,14 +26,11 @@
 	if e.policy.preemptForGuaranteesOnly && c.class != classGuaranteed {
 		return nil, nil
 	}
-	if e.costs != nil {
-		return e.preemptByCost(u, c, r, now)
-	}
 	best := e.cheapestPreemption(u, r, func(v *unit) bool {
-		return e.mayPreempt(c, v) && (v.stopping || v.done || e.classOf(v.job) == classOther)
-	}, e.lostWork, now)
+		return e.mayPreempt(c, v) && e.mayPreemptByCost(c, v, false) && (v.stopping || v.done || e.classOf(v.job) == classOther)
+	}, now)
 	if best == nil && c.class < classUrgent {
-		best = e.cheapestPreemption(u, r, func(v *unit) bool { return e.mayPreempt(c, v) }, e.lostWork, now)
+		best = e.cheapestPreemption(u, r, func(v *unit) bool { return e.mayPreempt(c, v) && e.mayPreemptByCost(c, v, true) }, now)
 	}
 	if best == nil || !e.policy.ignoreLostWork && c.class == classUrgent && best.lostWork > e.remainingWork(u.job) {
 		return nil, nil
@@ -63,12 +60,11 @@
 }
 
 // cheapestPreemption returns the plan for u with the least lost work that stops
-// only units for which mayStop holds, nil if there is none. The loss of a unit is in
-// weighted millicore-milliseconds.
-func (e *Engine) cheapestPreemption(u *unit, r *freeResources, mayStop func(*unit) bool, loss func(*unit, time.Time) int64, now time.Time) *preemptionPlan {
+// only units for which mayStop holds, nil if there is none.
+func (e *Engine) cheapestPreemption(u *unit, r *freeResources, mayStop func(*unit) bool, now time.Time) *preemptionPlan {
 	var best *preemptionPlan
 	for _, group := range e.preemptionGroups(u, r) {
-		if plan := e.planPreemption(u, mayStop, loss, group, now); plan != nil && (best == nil || plan.lostWork < best.lostWork) {
+		if plan := e.planPreemption(u, mayStop, group, now); plan != nil && (best == nil || plan.lostWork < best.lostWork) {
 			best = plan
 		}
 	}
@@ -102,13 +98,13 @@
 // each step it releases victims on the worker with the least lost work for each
 // item of u gained, until u fits. It returns nil if u does not fit with all
 // permitted victims released.
-func (e *Engine) planPreemption(u *unit, mayStop func(*unit) bool, loss func(*unit, time.Time) int64, group *freeResources, now time.Time) *preemptionPlan {
+func (e *Engine) planPreemption(u *unit, mayStop func(*unit) bool, group *freeResources, now time.Time) *preemptionPlan {
 	trial := group.clone()
 	losses := make(map[*unit]int64)
 	for _, w := range group.workers {
 		for _, m := range w.members {
 			if _, ok := losses[m.unit]; !ok && mayStop(m.unit) {
-				losses[m.unit] = loss(m.unit, now)
+				losses[m.unit] = e.lostWork(m.unit, now)
 			}
 		}
 	}
