--- a/internal/workflow/daemon/plugins.go
+++ b/internal/workflow/daemon/plugins.go
@@ -1,6 +1,8 @@
 package daemon
 
-// The scheduling plug-ins register themselves under the names in the settings.
+// The scheduling plug-ins, which register themselves.
 import (
 	_ "snipegw/internal/workflow/callercost"
+	_ "snipegw/internal/workflow/forecast"
+	_ "snipegw/internal/workflow/workerspeed"
 )
--- a/internal/workflow/engine/cost.go
+++ b/internal/workflow/engine/cost.go
@@ -102,7 +102,7 @@
 		for _, u := range j.units {
 			if u.isActive() && !u.spec().LongRunning {
 				room := float64(u.milliCores())
-				sum, weight = sum+room*e.estimates.remaining(u, now).Seconds(), weight+room
+				sum, weight = sum+room*e.remaining(u, now).Seconds(), weight+room
 			}
 		}
 	}
--- a/internal/workflow/engine/cost_stops.go
+++ b/internal/workflow/engine/cost_stops.go
@@ -26,7 +26,7 @@
 	idle := e.settings.StopTimeout + preemptionOverhead
 	loss := e.costs.roomPrice * float64(v.milliCores()) / 1000 * (lost + idle).Seconds()
 	job := e.describeJob(v.job, v.occurrence)
-	remaining := e.estimates.remaining(v, now)
+	remaining := e.remaining(v, now)
 	running := job
 	running.Remaining = remaining
 	if job.WorkLeft > 0 {
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -17,14 +17,18 @@
 	// doNotFit holds the shapes that could not be placed. Free resources only
 	// shrink within a decision, so further units of such a shape need no search.
 	doNotFit map[shape]bool
-	// fits holds the shapes that could be placed. It is cleared by each allocation.
-	fits map[shape]bool
+	// fits holds a placement for each shape that could be placed. It is cleared by each
+	// allocation.
+	fits map[shape][]*worker
 	now  time.Time
 	// started holds the workers on which units start in this decision, and closed those on
 	// which no further ones may, because of a suspect unit.
 	started, closed map[*worker]bool
+	anyCold         bool // some usable worker is cold
 	// cachedTotals caches the result of totals, nil after an allocation.
 	cachedTotals *[2]workflow.Resources
+	headroom     *headroom // see keptHeadroom, nil until it is asked for
+	held         bool      // a unit has to wait for the headroom
 }
 
 // shape holds all properties of a unit without a spread limit that decide whether
@@ -40,13 +44,14 @@
 // freeResources returns the free resources of the workers that are usable at now.
 func (e *Engine) freeResources(now time.Time) *freeResources {
 	r := &freeResources{
-		free: make([]workflow.Resources, len(e.sortedWorkers)), doNotFit: make(map[shape]bool), fits: make(map[shape]bool),
+		free: make([]workflow.Resources, len(e.sortedWorkers)), doNotFit: make(map[shape]bool), fits: make(map[shape][]*worker),
 		now: now, started: make(map[*worker]bool), closed: make(map[*worker]bool),
 	}
 	for _, w := range e.sortedWorkers {
 		if e.usable(w, now) {
 			r.workers = append(r.workers, w)
 			r.free[w.index] = w.free()
+			r.anyCold = r.anyCold || w.isCold(now)
 			if e.hostsSuspect(w) {
 				r.closed[w] = true
 			}
@@ -69,7 +74,7 @@
 	if placement == nil {
 		r.doNotFit[s] = true
 	} else {
-		r.fits[s] = true
+		r.fits[s] = placement
 	}
 	return placement
 }
@@ -99,7 +104,7 @@
 
 // clone returns a copy, without the caches, for trial releases.
 func (r *freeResources) clone() *freeResources {
-	return &freeResources{workers: r.workers, free: slices.Clone(r.free), now: r.now, started: maps.Clone(r.started), closed: maps.Clone(r.closed)}
+	return &freeResources{workers: r.workers, free: slices.Clone(r.free), now: r.now, anyCold: r.anyCold, started: maps.Clone(r.started), closed: maps.Clone(r.closed)}
 }
 
 // allocate subtracts the needs of u's items from the free resources of their
@@ -108,6 +113,9 @@
 	for _, w := range placement {
 		r.free[w.index] = r.free[w.index].Add(u.spec().Needs(), -1)
 		r.cachedTotals = nil
+		if r.headroom != nil {
+			r.headroom.room = nil
+		}
 		r.started[w] = true
 		if suspect {
 			r.closed[w] = true
@@ -205,7 +213,7 @@
 }
 
 // placeInRack places a gang in one rack: in the preferred one, or else in the
-// fitting one with the fewest free accelerators. It spreads the gang over racks
+// fitting one that is fastest and then has the fewest free accelerators. It spreads the gang over racks
 // only if no rack could hold it even when empty.
 func (e *Engine) placeInRack(u *unit, r *freeResources, fitting []*worker) []*worker {
 	racks := make(map[string][]*worker)
@@ -213,7 +221,7 @@
 		racks[w.announcement.Rack] = append(racks[w.announcement.Rack], w)
 	}
 	var best []*worker
-	bestFree := int64(-1)
+	bestFree, bestSlowness := int64(-1), 0.0
 	for _, rack := range sortedKeys(racks) {
 		placement := pack(u, r, e.sortByPreference(u, r, racks[rack]))
 		if placement == nil {
@@ -226,8 +234,9 @@
 		if rack == u.spec().PreferredRack {
 			return placement
 		}
-		if bestFree < 0 || freeInRack < bestFree {
-			best, bestFree = placement, freeInRack
+		slowness := slowest(placement)
+		if bestFree < 0 || cmp.Or(cmp.Compare(slowness, bestSlowness), cmp.Compare(freeInRack, bestFree)) < 0 {
+			best, bestFree, bestSlowness = placement, freeInRack, slowness
 		}
 	}
 	if best != nil || e.rackCouldHold(u) {
@@ -240,7 +249,7 @@
 func (e *Engine) rackCouldHold(u *unit) bool {
 	itemsByRack := make(map[string]int)
 	for _, w := range e.workers {
-		if w.announcement != nil && !w.announcement.Draining && e.isEligible(u, w) {
+		if w.announcement != nil && !w.announcement.Draining && !e.isEvacuated(w) && e.isEligible(u, w) {
 			n := itemsThatFit(u, w, w.announcement.Capacity)
 			if limit := u.spec().MaxPerWorker; limit > 0 {
 				n = min(n, limit)
@@ -258,8 +267,9 @@
 
 // sortByPreference returns the workers in the order in which u should fill them:
 // first those on which it has not failed, then those in its preferred rack, where
-// its data is, then those with the least free resources (best fit), so that whole
-// workers stay free for large items. A suspect unit prefers those with the fewest runs,
+// its data is, then warm ones (or cold ones if it can wait), then fast ones, then those
+// with the least free resources (best fit), so that whole workers stay free for large
+// items. A suspect unit prefers those with the fewest runs,
 // which a crash would end.
 func (e *Engine) sortByPreference(u *unit, r *freeResources, workers []*worker) []*worker {
 	penalty := func(w *worker) int {
@@ -279,11 +289,18 @@
 		}
 		return 0
 	}
+	coldRank := func(*worker) int { return 0 }
+	if r.anyCold {
+		canWait := e.canUnitWait(u, r.now)
+		coldRank = func(w *worker) int { return coldPreference(w, canWait, r.now) }
+	}
 	sorted := slices.Clone(workers)
 	slices.SortStableFunc(sorted, func(a, b *worker) int {
 		return cmp.Or(
 			cmp.Compare(runsAtRisk(a), runsAtRisk(b)),
 			cmp.Compare(penalty(a), penalty(b)),
+			cmp.Compare(coldRank(a), coldRank(b)),
+			cmp.Compare(a.relativeSlowness(), b.relativeSlowness()),
 			cmp.Compare(r.free[a.index].Accelerators, r.free[b.index].Accelerators),
 			cmp.Compare(r.free[a.index].MilliCPU, r.free[b.index].MilliCPU),
 		)
--- a/internal/workflow/engine/policy_test.go
+++ b/internal/workflow/engine/policy_test.go
@@ -20,6 +20,7 @@
 
 	"snipegw/internal/workflow"
 	"snipegw/internal/workflow/callercost"
+	"snipegw/internal/workflow/forecast"
 	"snipegw/internal/workflow/framework"
 )
 
@@ -58,12 +59,13 @@
 var policies = []struct {
 	name    string
 	variant policy
-	plugins func() framework.Set // nil for none
+	plugins func() framework.Set
 }{
 	{"present", policy{}, nil},
+	{"without headroom", policy{noHeadroom: true}, nil},
 	{"stops by cost", policy{}, callerCostPlugins(`{}`)},
 	{"order and stops by cost", policy{}, callerCostPlugins(`{"order":"cost"}`)},
-	{"without headroom", policy{noHeadroom: true}, nil},
+	{"urgent forecast", policy{}, forecastPlugin},
 	{"stops for guarantees only", policy{preemptForGuaranteesOnly: true}, nil},
 	{"no bound on work lost", policy{ignoreLostWork: true}, nil},
 	{"first come", policy{compare: compareByArrival}, nil},
@@ -76,6 +78,11 @@
 	return framework.Settings{callercost.Name: json.RawMessage(settings)}.Constructor()
 }
 
+// forecastPlugin returns headroom by forecast, with its default settings.
+func forecastPlugin() framework.Set {
+	return framework.Set{forecast.Name: forecast.New(forecast.Settings{})}
+}
+
 func compareByArrival(_ *Engine, _ time.Time, a, b *candidate) int {
 	return cmp.Compare(a.job.rec.AcceptedMS, b.job.rec.AcceptedMS)
 }
@@ -124,13 +131,17 @@
 
 // replayLoad simulates a load under a policy, until all jobs have ended or three
 // minutes have passed since the last one arrived.
-func replayLoad(l *load, p policy, newPlugins func() framework.Set) loadOutcome {
+func replayLoad(l *load, p policy, plugins func() framework.Set) loadOutcome {
+	w := newLoadWorld(l)
+	w.newPlugins = plugins
+	w.planner.plugins = newPlugins(plugins)
+	return w.measureOutcome(l, w.replay(l, p))
+}
+
+// newLoadWorld returns a world with the pool, the queues and the teams of a load.
+func newLoadWorld(l *load) *world {
 	w := newWorld(1, l.Workers, 0)
 	w.noRandomFailures = true
-	if newPlugins != nil {
-		w.newPlugins = newPlugins
-		w.takeover()
-	}
 	w.config = &workflow.Config{Version: 2, Queues: l.Queues, Teams: l.Teams}
 	w.config.Provision()
 	for i, m := range w.workers {
@@ -139,6 +150,12 @@
 			m.slowness = l.Slowness[i%len(l.Slowness)]
 		}
 	}
+	return w
+}
+
+// replay submits the jobs of a load and runs the world until they have ended. It returns
+// their ids.
+func (w *world) replay(l *load, p policy) []string {
 	w.planner.SetConfig(w.config)
 	w.advance(2500 * time.Millisecond)
 	w.runTimes = make(map[string]time.Duration)
@@ -161,17 +178,12 @@
 			break
 		}
 	}
-	return w.measureOutcome(l, ids)
+	return ids
 }
 
 // addLoadJob submits a recorded job with its true run times and returns its id.
 func (w *world) addLoadJob(j *loadJob) string {
-	id := w.addJob(j.Queue, j.Team, j.Steps[0])
-	w.jobs[id].Steps = j.Steps
-	// addJob gave the planner the first step only; replace it by the whole job.
-	w.planner.RemoveJob(id)
-	w.planner.openJobs = slices.DeleteFunc(w.planner.openJobs, func(o *job) bool { return o.id == id })
-	w.planner.AddJob(id, w.jobs[id], nil, 0)
+	id := w.addJob(j.Queue, j.Team, j.Steps...)
 	for s := range j.TookMS {
 		for i, ms := range j.TookMS[s] {
 			w.runTimes[workflow.ItemRef{Job: id, Step: s, Index: i}.String()] = time.Duration(ms) * time.Millisecond
