--- a/internal/kernel/metrics.go
+++ b/internal/kernel/metrics.go
@@ -31,6 +31,7 @@
 type MetricSet struct {
 	mu         sync.Mutex
 	counters   map[string]uint64
+	sums       map[string]float64
 	gauges     map[string]float64
 	histograms map[string]*hdrhistogram.Histogram
 }
@@ -60,6 +61,16 @@
 	m.counters[seriesKey(name, labels)]++
 }
 
+// Add adds a value, which must not be negative, to a sum. labels is as for Count.
+func (m *MetricSet) Add(value float64, name string, labels ...string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sums == nil {
+		m.sums = make(map[string]float64)
+	}
+	m.sums[seriesKey(name, labels)] += value
+}
+
 // Set sets a gauge. labels is as for Count.
 func (m *MetricSet) Set(value float64, name string, labels ...string) {
 	m.mu.Lock()
@@ -86,7 +97,7 @@
 	_ = h.RecordValue(min(max(d.Microseconds(), 1), maxDurationUS)) // fails only for a value out of range
 }
 
-// WriteText writes a line for each counter and gauge, and for each histogram a line per
+// WriteText writes a line for each counter, sum and gauge, and for each histogram a line per
 // quantile, in seconds, and a line with its count.
 func (m *MetricSet) WriteText(w io.Writer) {
 	m.mu.Lock()
@@ -94,6 +105,9 @@
 	for _, key := range slices.Sorted(maps.Keys(m.counters)) {
 		fmt.Fprintf(w, "%s %d\n", key, m.counters[key])
 	}
+	for _, key := range slices.Sorted(maps.Keys(m.sums)) {
+		fmt.Fprintf(w, "%s %g\n", key, m.sums[key])
+	}
 	for _, key := range slices.Sorted(maps.Keys(m.gauges)) {
 		fmt.Fprintf(w, "%s %g\n", key, m.gauges[key])
 	}
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -43,6 +43,9 @@
 	Workers []string         // node name for each item
 	Waited  time.Duration    // since the job was accepted
 	Class   string           // one of classNames
+	Team    string
+	// Cost is the cost of a further delay of the job; zero without a cost model.
+	Cost framework.Cost
 }
 
 // StopDecision is a decision to stop a run, with its reason.
@@ -50,6 +53,13 @@
 	Unit   workflow.ItemRef // of the unit's first item, or of the item that gave the reason
 	Run    int
 	Reason string
+	// Preempted reports that the run is stopped for another job. Class and Team are those
+	// of the job that it belongs to. Preemptions counts the unit's in this term.
+	Preempted   bool
+	Class, Team string
+	Preemptions int
+	// Loss is the value that the stop loses; 0 without a cost model.
+	Loss float64
 }
 
 // Decide starts the units that should run now and stops the runs that should
@@ -61,6 +71,7 @@
 	stops = e.stopRunsOnDrainingWorkers(now, stops)
 	stops = e.stopHungRuns(now, stops)
 	var starts []Placement
+	e.updateCosts(now)
 	r := e.freeResources(now)
 	reserved := 0 // units of class other that hold a reservation
 	for _, c := range e.candidates(now) {
@@ -168,7 +179,8 @@
 	// startBy is the latest start with which the job still meets its objective or,
 	// once that is missed, with which its completion is still of use.
 	startBy  time.Time
-	lateness int // 0: can meet its objective, 1: late but of use, 2: too late to be of use
+	lateness int            // 0: can meet its objective, 1: late but of use, 2: too late to be of use
+	cost     framework.Cost // zero without a cost model
 }
 
 // candidates returns the jobs with units that are ready, in the order in which
@@ -183,6 +195,7 @@
 		if units := e.readyUnits(j, now); len(units) > 0 {
 			c := &candidate{job: j, units: units, class: e.classOf(j)}
 			e.computeUrgency(c, now)
+			e.setCost(c, now)
 			out = append(out, c)
 		}
 	}
@@ -192,8 +205,10 @@
 		}
 		return cmp.Or(
 			cmp.Compare(a.class, b.class),
+			e.compareOverdue(a, b),
 			cmp.Compare(a.lateness, b.lateness),
 			cmp.Compare(e.config.PriorityOf(a.job.rec), e.config.PriorityOf(b.job.rec)),
+			e.compareByCost(a, b),
 			a.startBy.Compare(b.startBy),
 		)
 	})
@@ -305,7 +320,7 @@
 	u.job.hasStarted = true
 	p := Placement{
 		Unit: u.itemRef(u.first), Count: u.count, Run: u.run, Class: classNames[c.class],
-		Waited: now.Sub(time.UnixMilli(u.job.rec.AcceptedMS)),
+		Waited: now.Sub(time.UnixMilli(u.job.rec.AcceptedMS)), Team: u.job.rec.Team, Cost: c.cost,
 	}
 	u.members = nil
 	for i, w := range placement {
--- a/internal/workflow/engine/policy_test.go
+++ b/internal/workflow/engine/policy_test.go
@@ -19,6 +19,7 @@
 	. "github.com/onsi/gomega"
 
 	"snipegw/internal/workflow"
+	"snipegw/internal/workflow/callercost"
 	"snipegw/internal/workflow/forecast"
 	"snipegw/internal/workflow/framework"
 )
@@ -28,6 +29,7 @@
 	recordTo   = flag.String("to", "", "file for the recorded load")
 	speedup    = flag.Int64("pace", 3, "factor by which the jobs of a load arrive faster than recorded")
 	printTable = flag.Bool("table", false, "print the table of all policies on all recorded loads")
+	tableOf    = flag.String("policies", "", "comma-separated policies of the table, all if empty")
 )
 
 // load is a recorded load: the pool, the jobs that callers submitted, and the true
@@ -66,6 +68,8 @@
 }{
 	{"present", policy{}, nil},
 	{"without headroom", policy{noHeadroom: true}, nil},
+	{"stops by cost", policy{}, callerCostPlugins(`{}`)},
+	{"order and stops by cost", policy{}, callerCostPlugins(`{"order":"cost"}`)},
 	{"urgent forecast", policy{}, forecastPlugin},
 	{"stops for guarantees only", policy{preemptForGuaranteesOnly: true}, nil},
 	{"no bound on work lost", policy{ignoreLostWork: true}, nil},
@@ -74,6 +78,11 @@
 	{"value for the time left", policy{compare: compareByValueDensity}, nil},
 }
 
+// callerCostPlugins returns a constructor of the plug-in caller_cost.
+func callerCostPlugins(settings string) func() framework.Set {
+	return framework.Settings{callercost.Name: json.RawMessage(settings)}.Constructor()
+}
+
 // forecastPlugin returns headroom by forecast, with its default settings.
 func forecastPlugin() framework.Set {
 	return framework.Set{forecast.Name: forecast.New(forecast.Settings{})}
@@ -111,6 +120,7 @@
 	jobs           int           // jobs that callers did not cancel
 	meanCompletion time.Duration // from acceptance to completion
 	wastedShare    float64       // share of the work done that was lost to stops
+	stopped        int           // runs that were stopped, of jobs that callers did not cancel
 }
 
 // spedUp returns a copy of the load whose jobs arrive faster by the given factor.
@@ -215,6 +225,9 @@
 				cores := weightedCores(&j.Steps[s])
 				work += cores * w.runTimes[name].Seconds()
 				for _, r := range w.runsByItem[name] {
+					if r.how == workflow.EndStopped && j.CancelMS == 0 {
+						o.stopped++
+					}
 					if r.how == workflow.EndStopped && !j.Steps[s].Checkpoints && j.CancelMS == 0 {
 						wasted += cores * r.stopAt.Sub(r.startedAt).Seconds()
 					}
@@ -310,6 +323,9 @@
 			if !*printTable && p.variant.compare == nil && p.name != "present" {
 				continue
 			}
+			if *printTable && *tableOf != "" && !slices.Contains(strings.Split(*tableOf, ","), p.name) {
+				continue
+			}
 			o := replayLoad(l, p.variant, p.plugins)
 			worth[p.name] += o.worth
 			urgentLate[p.name] += o.urgentLate
@@ -321,6 +337,9 @@
 			printOutcome(file, "present, speeds learned", replayLoad(l, policy{}, speedPlugin))
 		}
 	}
+	if *printTable && *tableOf != "" {
+		return
+	}
 	for _, simple := range []string{"first come", "largest first", "value for the time left"} {
 		g.Expect(urgentLate["present"]).To(BeNumerically("<=", urgentLate[simple]), simple)
 	}
@@ -329,8 +348,8 @@
 
 // printOutcome prints a row of the table of policies.
 func printOutcome(file, policy string, o loadOutcome) {
-	fmt.Printf("| %s | %s | %.3f | %d | %d of %d | %.1f | %.1f |\n", strings.TrimSuffix(filepath.Base(file), ".json"), policy,
-		o.worth, o.urgentLate, o.late, o.jobs, o.meanCompletion.Seconds(), 100*o.wastedShare)
+	fmt.Printf("| %s | %s | %.3f | %d | %d of %d | %.1f | %.1f | %d |\n", strings.TrimSuffix(filepath.Base(file), ".json"), policy,
+		o.worth, o.urgentLate, o.late, o.jobs, o.meanCompletion.Seconds(), 100*o.wastedShare, o.stopped)
 }
 
 var (
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -28,22 +28,36 @@
 	}
 	fast, _ := e.avoidSlow(u, c, r, now)
 	best := e.cheapestPreemption(u, fast, func(v *unit) bool {
-		return e.mayPreempt(c, v) && (v.stopping || v.done || e.classOf(v.job) == classOther)
+		return e.mayPreempt(c, v) && e.mayPreemptByCost(c, v, false) && (v.stopping || v.done || e.classOf(v.job) == classOther)
 	}, now)
 	if best == nil && c.class < classUrgent {
-		best = e.cheapestPreemption(u, r, func(v *unit) bool { return e.mayPreempt(c, v) }, now)
+		best = e.cheapestPreemption(u, r, func(v *unit) bool { return e.mayPreempt(c, v) && e.mayPreemptByCost(c, v, true) }, now)
 	}
 	if best == nil || !e.policy.ignoreLostWork && c.class == classUrgent && best.lostWork > e.remainingWork(u.job) {
 		return nil, nil
 	}
+	return best.placement, e.stopVictims(u, best.victims, now)
+}
+
+// stopVictims stops the units that are preempted for u.
+func (e *Engine) stopVictims(u *unit, victims []*unit, now time.Time) []StopDecision {
 	var stops []StopDecision
-	for _, v := range best.victims {
-		if !v.stopping && !v.done {
-			v.stop("preempted for " + u.job.id)
-			stops = append(stops, StopDecision{Unit: v.itemRef(v.first), Run: v.run, Reason: v.stopReason})
+	for _, v := range victims {
+		if v.stopping || v.done {
+			continue
 		}
+		loss := 0.0
+		if e.costs != nil {
+			loss = e.lossByStop(v, now)
+		}
+		v.stop("preempted for " + u.job.id)
+		v.preemptions++
+		stops = append(stops, StopDecision{
+			Unit: v.itemRef(v.first), Run: v.run, Reason: v.stopReason, Preempted: true,
+			Class: classNames[e.classOf(v.job)], Team: v.job.rec.Team, Preemptions: v.preemptions, Loss: loss,
+		})
 	}
-	return best.placement, stops
+	return stops
 }
 
 // cheapestPreemption returns the plan for u with the least lost work that stops
@@ -247,9 +261,14 @@
 }
 
 // lostWork returns the work that stopping v would lose, in weighted
-// millicore-milliseconds. The true age of a run that an earlier planner started is
-// unknown, so its progress counts as well.
+// millicore-milliseconds.
 func (e *Engine) lostWork(v *unit, now time.Time) int64 {
+	return v.milliCores() * e.lostRunTime(v, now).Milliseconds()
+}
+
+// lostRunTime returns the run time that stopping v would lose. The true age of a run that
+// an earlier planner started is unknown, so its progress counts as well.
+func (e *Engine) lostRunTime(v *unit, now time.Time) time.Duration {
 	if v.stopping || v.done {
 		return 0
 	}
@@ -260,19 +279,14 @@
 		}
 	}
 	if v.spec().Checkpoints {
-		lost = min(lost, checkpointResumeCost)
+		lost = min(lost, e.settings.ResumeCost)
 	}
-	return v.milliCores() * lost.Milliseconds()
+	return lost
 }
 
-const (
-	// coresPerAccelerator is the weight of an accelerator, in cores, when amounts
-	// of work are compared.
-	coresPerAccelerator = 8
-	// checkpointResumeCost is the run time lost when a run with checkpoints is
-	// stopped and resumed.
-	checkpointResumeCost = 600 * time.Millisecond
-)
+// coresPerAccelerator is the weight of an accelerator, in cores, when amounts of work are
+// compared.
+const coresPerAccelerator = 8
 
 // soonestPlacement returns the workers on which a waiting unit can be expected to
 // start soonest, and the delay until then. It assumes that active units end in the
