List slow workers that a new planner learns too rarely as a known failure

Cause: the test of a model that begins while workers are slow asked for 4 of 5, found 3, and its bound was lowered to 3. Ruled out: the lower bound, which came from the measured figure.

--- a/internal/workflow/workerspeed/workerspeed_test.go
+++ b/internal/workflow/workerspeed/workerspeed_test.go
@@ -161,11 +161,9 @@
 	}
 }
 
-// A planner takes over while a third of the workers are slow. Guards against a model that
-// takes them for fast when they recover, and against one that never learns a worker that is
-// slow all the time.
-func TestEmptyStateLearnsSlowWorkers(t *testing.T) {
-	g := NewWithT(t)
+// poolWithSlowQuarter returns a pool that a new planner has observed for a minute, and in
+// which each fourth worker is slow all the time.
+func poolWithSlowQuarter() *pool {
 	p := newPool(20, 4)
 	p.slowness = func(w int) float64 {
 		if w%4 == 0 {
@@ -174,15 +172,19 @@
 		return 1
 	}
 	p.advance(60)
-	found := 0
+	return p
+}
+
+// A planner takes over while a quarter of the workers are slow. Guards against a model that
+// takes the others for slow, or the slow ones for fast when they recover.
+func TestEmptyStateMistakesNoWorker(t *testing.T) {
+	g := NewWithT(t)
+	p := poolWithSlowQuarter()
 	for w := range p.workers {
-		if w%4 == 0 && p.level(w) >= 1.4 {
-			found++
-		} else if w%4 != 0 {
+		if w%4 != 0 {
 			g.Expect(p.level(w)).To(BeNumerically("<", 1.4), "worker %d", w)
 		}
 	}
-	g.Expect(found).To(BeNumerically(">=", 3), "of 5 slow workers, by 60 items of which each differs by a factor of 1.5")
 	p.slowness = func(int) float64 { return 1 }
 	p.seen = func(w int, s float64) { g.Expect(s).To(BeNumerically(">=", 0.8), "worker %d", w) }
 	p.advance(60)
@@ -191,6 +193,19 @@
 	}
 }
 
+// Guards against a model that never learns a worker which is slow all the time, by 60 items
+// of which each differs by a factor of 1.5. See KNOWN-RED.txt.
+func TestEmptyStateLearnsSlowWorkers(t *testing.T) {
+	p := poolWithSlowQuarter()
+	found := 0
+	for w := 0; w < p.workers; w += 4 {
+		if p.level(w) >= 1.4 {
+			found++
+		}
+	}
+	NewWithT(t).Expect(found).To(BeNumerically(">=", 4), "of 5 slow workers")
+}
+
 // Guards against progress that makes no sense, or stands still, changing the speed of a
 // worker: one run of four goes backwards, exceeds 100, is not a number, jumps or hangs.
 func TestNonsenseProgressIsIgnored(t *testing.T) {
