Describe jobs to the cost model in one place

Change: the statement uses the description and the costs of the latest decision. Ran: go vet, the engine's tests of costs and statements.

--- a/internal/workflow/engine/backlog.go
+++ b/internal/workflow/engine/backlog.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"snipegw/internal/workflow"
-	"snipegw/internal/workflow/framework"
 )
 
 const (
@@ -56,7 +55,7 @@
 		relevant = relevant || isShort(&b.Services[i])
 	}
 	var worths map[string]float64
-	if b.ByCost = e.plugins.cost != nil && e.plugins.cost.Ready(); b.ByCost && relevant {
+	if b.ByCost = e.costs != nil; b.ByCost && relevant {
 		worths = e.worths()
 	}
 	for _, queue := range sortedKeys(e.estimates) {
@@ -245,38 +244,22 @@
 	return at
 }
 
-// costJob describes a job to the cost model, by its occurrence with the unit given.
-func (e *Engine) costJob(j *job, occurrence int) framework.Job {
-	work := 0.0
-	for s := range j.rec.Steps {
-		step := &j.rec.Steps[s]
-		needs := step.Needs()
-		work += float64(step.Count) * (float64(needs.MilliCPU)/1000 + coresPerAccelerator*float64(needs.Accelerators)) *
-			e.estimates.stepDuration(j.rec.Queue, step).Seconds()
-	}
-	return framework.Job{
-		ID: j.id, Queue: j.rec.Queue, Team: j.rec.Team, Priority: e.config.PriorityOf(j.rec),
-		Begin: time.UnixMilli(max(j.rec.AcceptedMS, j.dueMS(occurrence))), Objective: e.objective(j, occurrence),
-		Remaining: e.criticalPath(j, occurrence, false), Work: work, WorkLeft: work,
-	}
-}
-
 // costPerSecond returns what callers lose with each second by which a unit is delayed; 0
 // without a cost model. A job counts once, by the first unit of its first step.
 func (e *Engine) costPerSecond(u *unit, now time.Time) float64 {
-	if e.plugins.cost == nil || !e.plugins.cost.Ready() || u.first > 0 || u.step > 0 {
+	if e.costs == nil || u.first > 0 || u.step > 0 {
 		return 0
 	}
-	return e.plugins.cost.Cost(e.costJob(u.job, u.occurrence), shortageTime, now).PerSecond
+	return e.costs.model.Cost(e.describeJob(u.job, u.occurrence), shortageTime, now).PerSecond
 }
 
 // worths returns the mean worth of the open jobs of each queue by core-second of work.
 func (e *Engine) worths() map[string]float64 {
 	worth, work := make(map[string]float64), make(map[string]float64)
 	for _, j := range e.openJobs {
-		if c := e.costJob(j, 0); !j.rec.LongRunning() && c.Work > 0 {
-			worth[c.Queue] += e.plugins.cost.Worth(c)
-			work[c.Queue] += c.Work
+		if d := e.describeJob(j, 0); !d.LongRunning && d.Work > 0 {
+			worth[d.Queue] += e.costs.model.Worth(d)
+			work[d.Queue] += d.Work
 		}
 	}
 	for queue := range worth {
--- a/internal/workflow/engine/cost.go
+++ b/internal/workflow/engine/cost.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"snipegw/internal/workflow"
 	"snipegw/internal/workflow/framework"
 )
 
@@ -40,7 +39,7 @@
 		return
 	}
 	for _, j := range e.openJobs {
-		if !j.costObserved && !j.isLongRunning() {
+		if !j.costObserved && !j.rec.LongRunning() {
 			j.costObserved = true
 			model.ObserveJob(j.rec.Queue, e.jobWork(j))
 		}
@@ -52,7 +51,7 @@
 	e.costs = &decisionCosts{model: model, horizon: e.costHorizon(now), jobs: make(map[*job]framework.Job)}
 	worth, work := 0.0, 0.0
 	for _, j := range e.openJobs {
-		if e.config.PriorityOf(j.rec) != 0 && !j.cancelled && !j.isLongRunning() {
+		if e.config.PriorityOf(j.rec) != 0 && !j.cancelled && !j.rec.LongRunning() {
 			d := e.describeJob(j, 0)
 			worth, work = worth+model.Worth(d), work+d.Work
 		}
@@ -112,11 +111,6 @@
 	return min(time.Duration(sum/weight*float64(time.Second)), maxCostHorizon)
 }
 
-// isLongRunning reports whether j has a long-running step.
-func (j *job) isLongRunning() bool {
-	return slices.ContainsFunc(j.rec.Steps, func(s workflow.Step) bool { return s.LongRunning })
-}
-
 // jobWork returns the expected work of all items of an occurrence of j, in core-seconds.
 func (e *Engine) jobWork(j *job) float64 {
 	work := 0.0
@@ -136,7 +130,7 @@
 	d := framework.Job{
 		ID: j.id, Queue: j.rec.Queue, Team: j.rec.Team, Priority: e.config.PriorityOf(j.rec), Begin: begin, FirstReady: begin,
 		Objective: e.objective(j, occurrence), Remaining: e.criticalPath(j, occurrence, false), Spread: e.estimates.spread(j.rec.Queue),
-		Work: e.jobWork(j), LongRunning: j.isLongRunning(),
+		Work: e.jobWork(j), LongRunning: j.rec.LongRunning(),
 	}
 	for s := range j.stages[occurrence] {
 		for _, u := range j.stages[occurrence][s].units {
