--- a/internal/workflow/engine/backlog_test.go
+++ b/internal/workflow/engine/backlog_test.go
@@ -51,6 +51,7 @@
 // accepted, and those that an entry would refuse are noted. Guards against the refusal of
 // a job that ends in useful time, with statements that are up to 2 s old.
 func TestNoJobIsRefusedThatWouldBeServed(t *testing.T) {
+	t.Parallel()
 	refused := 0
 	for file, copies := range map[string]int{"testdata/loads/small-arenaria-scale-1.json": 3, "testdata/loads/small-arrieros-scale-2.json": 6} {
 		recorded, err := readLoad(file)
--- a/internal/workflow/engine/headroom_test.go
+++ b/internal/workflow/engine/headroom_test.go
@@ -44,6 +44,7 @@
 
 // Guards against a policy that changes decisions although it has no figure.
 func TestUnknownHeadroomChangesNothing(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		var histories [2][]string
@@ -144,6 +145,7 @@
 // planner, its learned state and the workers are lost at random while headroom is kept by
 // forecast.
 func TestForecastUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), 5, 0.5)
 		w.newPlugins = forecastPlugin
--- a/internal/workflow/engine/load_test.go
+++ b/internal/workflow/engine/load_test.go
@@ -74,6 +74,7 @@
 // guaranteed job whose items do not all start within Settings.ReclaimTimeout because
 // of what runs on the pool or how it is spread over the workers.
 func TestGuaranteeIsReclaimedFromAFullPool(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), 6, 0)
 		w.advance(2500 * time.Millisecond) // past workerSettleTime
@@ -478,6 +479,7 @@
 // Guards against a placement cache that leads to other decisions than a search for
 // every unit.
 func TestPlacementCacheChangesNoDecision(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		var starts [2]string
--- a/internal/workflow/engine/policy_test.go
+++ b/internal/workflow/engine/policy_test.go
@@ -306,6 +306,7 @@
 // urgent jobs late than a simple order, or earns less worth than the order of
 // arrival. With -table all policies run on all loads and the table is printed.
 func TestPolicyBeatsSimpleOrders(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	pattern := "testdata/loads/small-*.json"
 	if *printTable {
--- a/internal/workflow/engine/property_test.go
+++ b/internal/workflow/engine/property_test.go
@@ -21,6 +21,7 @@
 // before its dependencies are done, or a start of a cancelled or failed job. Once
 // the faults end, every job must end.
 func TestRulesHoldUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
 		faultRate := rapid.SampledFrom([]float64{0, 0.3, 1}).Draw(t, "trouble")
