--- a/internal/workflow/admission/admission.go
+++ b/internal/workflow/admission/admission.go
@@ -237,9 +237,9 @@
 // goesFirst returns the waiting work that the planner certainly serves before a job that
 // must start by onTimeStart to meet its objective, and by usefulStart to be of use: its
 // class goes first, or within the class its priority or its latest start, unless the order
-// within the class is by costs, which depend on the time; and it fits
-// wherever a unit of the job does, so that the job cannot use room that is left by it. The
-// order is by class and by the start until which it is served.
+// within the class is by costs, which depend on the time; and it fits wherever a unit of
+// the job does, so that the job cannot use room that is left by it. The order is by class
+// and by the start until which it is served.
 func goesFirst(s *workflow.ServiceBacklog, r *Request, class int, onTimeStart, usefulStart time.Duration, byCost bool) []*workflow.WaitingWork {
 	var first []*workflow.WaitingWork
 	for i := range s.Waiting {
@@ -269,8 +269,8 @@
 	return g.Item.Fits(step.Needs()) && g.Items <= items && (!g.SameRack || step.SameRack) && (g.Label == "" || g.Label == step.Label)
 }
 
-// roomUntil returns, in accelerator-milliseconds or millicore-milliseconds, what the pool offers a job of a class until end: all that items which
-// it may not preempt do not hold.
+// roomUntil returns, in accelerator-milliseconds or millicore-milliseconds, what the pool
+// offers a job of a class until end: all that items which it may not preempt do not hold.
 func roomUntil(s *workflow.ServiceBacklog, class, resource int, end time.Duration) float64 {
 	amount := func(r workflow.Resources) float64 { return float64([2]int64{r.Accelerators, r.MilliCPU}[resource]) }
 	room := 0.0
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -212,9 +212,9 @@
 	return out
 }
 
-// placeInRack places a gang in one rack: in the preferred one, or else in the
-// fitting one that is fastest and then has the fewest free accelerators. It spreads the gang over racks
-// only if no rack could hold it even when empty.
+// placeInRack places a gang in one rack: in the preferred one, or else in the fitting
+// one that is fastest and then has the fewest free accelerators. It spreads the gang over
+// racks only if no rack could hold it even when empty.
 func (e *Engine) placeInRack(u *unit, r *freeResources, fitting []*worker) []*worker {
 	racks := make(map[string][]*worker)
 	for _, w := range fitting {
