Count how often needs fit, and weigh accelerators, in one place

Cause: the planner's statement for admission repeated the engine's loop that counts how many items fit into free resources, and admission its own copy of the weight of an accelerator. Change: workflow.Resources.Count and workflow.CoresPerAccelerator serve both; behaviour is unchanged.

--- a/internal/workflow/admission/admission.go
+++ b/internal/workflow/admission/admission.go
@@ -291,8 +291,7 @@
 // weigh sets the costs of d: what the caller loses by the refusal, and what the job costs
 // those whose work it delays by the time for which it would occupy the pool.
 func (d *Decision) weigh(o *outlook, s *workflow.ServiceBacklog, q *workflow.QueueRunTimes) {
-	const coresPerAccelerator = 8 // as the planner counts work
-	d.RefusalCost = q.Worth * (o.work[0]*coresPerAccelerator + o.work[1]/1000) / 1000
+	d.RefusalCost = q.Worth * (o.work[0]*workflow.CoresPerAccelerator + o.work[1]/1000) / 1000
 	perSecond, delay := 0.0, 0.0
 	for i := range s.Waiting {
 		if s.Waiting[i].Class >= d.Class {
--- a/internal/workflow/backlog.go
+++ b/internal/workflow/backlog.go
@@ -163,12 +163,7 @@
 
 // itemsPerWorker returns how many items of a step, at most its count, an empty worker holds.
 func itemsPerWorker(step *Step, capacity Resources) int {
-	needs, n := step.Needs(), step.Count
-	for _, r := range [][2]int64{{needs.MilliCPU, capacity.MilliCPU}, {needs.MemoryMB, capacity.MemoryMB}, {needs.Accelerators, capacity.Accelerators}} {
-		if r[0] > 0 {
-			n = min(n, int(r[1]/r[0]))
-		}
-	}
+	n := capacity.Count(step.Needs(), step.Count)
 	if step.MaxPerWorker > 0 {
 		n = min(n, step.MaxPerWorker)
 	}
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -156,12 +156,7 @@
 // itemsThatFit returns how many items of u, at most all, fit on w with the given free
 // resources and the spread limit.
 func itemsThatFit(u *unit, w *worker, free workflow.Resources) int {
-	needs, n := u.spec().Needs(), u.count
-	for _, resource := range [][2]int64{{needs.MilliCPU, free.MilliCPU}, {needs.MemoryMB, free.MemoryMB}, {needs.Accelerators, free.Accelerators}} {
-		if resource[0] > 0 {
-			n = min(n, int(max(resource[1], 0)/resource[0]))
-		}
-	}
+	n := free.Count(u.spec().Needs(), u.count)
 	if limit := spreadAllowance(u, w); limit >= 0 {
 		n = min(n, limit)
 	}
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -284,9 +284,7 @@
 	return lost
 }
 
-// coresPerAccelerator is the weight of an accelerator, in cores, when amounts of work are
-// compared.
-const coresPerAccelerator = 8
+const coresPerAccelerator = workflow.CoresPerAccelerator
 
 // soonestPlacement returns the workers on which a waiting unit can be expected to
 // start soonest, and the delay until then. It assumes that active units end in the
--- a/internal/workflow/messages.go
+++ b/internal/workflow/messages.go
@@ -19,6 +19,20 @@
 	return Resources{MilliCPU: r.MilliCPU + n*o.MilliCPU, MemoryMB: r.MemoryMB + n*o.MemoryMB, Accelerators: r.Accelerators + n*o.Accelerators}
 }
 
+// Count returns how many times needs fit into r, at most limit. Amounts below 0 count as 0.
+func (r Resources) Count(needs Resources, limit int) int {
+	for _, amount := range [][2]int64{{needs.MilliCPU, r.MilliCPU}, {needs.MemoryMB, r.MemoryMB}, {needs.Accelerators, r.Accelerators}} {
+		if amount[0] > 0 {
+			limit = min(limit, int(max(amount[1], 0)/amount[0]))
+		}
+	}
+	return limit
+}
+
+// CoresPerAccelerator is the weight of an accelerator, in cores, when amounts of work are
+// compared.
+const CoresPerAccelerator = 8
+
 // Needs returns the resources that one item of the step reserves. An item of a
 // step with Fills reserves no processors, because it only uses processor time that
 // other items leave unused.
