--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -52,8 +52,9 @@
 	changed  chan struct{}
 	fault    fault
 	downAt   time.Time
-	lost     int // writes that got no answer
-	answered int // writes that were answered
+	losing   bool // answers are being lost
+	lost     int  // writes without an answer, and answered those with one, while losing
+	answered int
 }
 
 func runStore(args []string) {
@@ -112,6 +113,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if s.fault.LatePrefix != "" {
+		s.lost, s.answered = 0, 0
+	}
+	s.losing = s.fault.LatePrefix != ""
 	switch {
 	case s.fault.Down && !was:
 		s.downAt = time.Now()
@@ -276,7 +281,7 @@
 	}
 	if late {
 		s.lost++
-	} else {
+	} else if s.losing {
 		s.answered++
 	}
 	s.mu.Unlock()
