--- a/review/rig/cluster.go
+++ b/review/rig/cluster.go
@@ -23,8 +23,9 @@
 // Figures of the small deployment sites/arenaria-sched.toml, but for the number of workers.
 const (
 	edges  = 3
-	sides  = 12 // 1 of 12 workers is a share of 0.083
-	apiKey = "key-1"
+	sides  = 12      // 1 of 12 workers is a share of 0.083
+	apiKey = "key-1" // of tenant t1, which has a guarantee
+	other  = "key-2" // of tenant t2, which has none
 	host   = "nony24.example"
 )
 
@@ -320,7 +321,10 @@
 	doc, _ := json.Marshal(map[string]any{
 		"version": version, "routes": []any{route("r-first", "/lohu930/", 0), route("r-other", "/bopu901/", 2)},
 		"services": []any{map[string]any{"name": "catalogue"}}, "limits": map[string]any{"maxBodyBytes": 262144},
-		"tenants": []any{map[string]any{"name": "t1", "apiKeys": []string{apiKey}, "guaranteed": map[string]int{"gpus": 8}}},
+		"tenants": []any{
+			map[string]any{"name": "t1", "apiKeys": []string{apiKey}, "guaranteed": map[string]int{"gpus": 8}},
+			map[string]any{"name": "t2", "apiKeys": []string{other}},
+		},
 	})
 	return c.post(c.at(storeIP, portFaults)+"/rig/put", map[string]any{"puts": []any{map[string]any{"key": "op/config", "value": doc}}})
 }
@@ -344,8 +348,12 @@
 	return nil
 }
 
-// request is a requester's call to an entry. It returns status 0 if there was no answer.
+// request is a call of tenant t1 to an entry. It returns status 0 if there was no answer.
 func (c *cluster) request(edge int, method, path string, body any) (int, string) {
+	return c.requestAs(apiKey, edge, method, path, body)
+}
+
+func (c *cluster) requestAs(key string, edge int, method, path string, body any) (int, string) {
 	var reader io.Reader
 	if body != nil {
 		data, _ := json.Marshal(body)
@@ -358,7 +366,7 @@
 		return 0, err.Error()
 	}
 	req.Host = host
-	req.Header.Set("Authorization", "Token "+apiKey)
+	req.Header.Set("Authorization", "Token "+key)
 	req.Header.Set("Deadline-Ms", "3000")
 	req.Header.Set("Content-Type", "application/json")
 	status, text := 0, ""
