--- a/review/rig/cluster.go
+++ b/review/cluster.go
@@ -51,9 +51,8 @@
 )
 
 type process struct {
-	name string
 	cmd  *exec.Cmd
-	done chan struct{}
+	done chan struct{} // closed when it has ended
 }
 
 type cluster struct {
@@ -66,7 +65,6 @@
 	mu        sync.Mutex
 	processes map[string]*process
 	events    []seen // of all workers
-	log       map[string]*os.File
 }
 
 // seen is an event of a worker.
@@ -121,7 +119,7 @@
 // launch starts the store, the workers, the agents and the entries, and waits until all entries are
 // ready and all workers are known.
 func launch(root, recordFile string, labels func(side int) string) (*cluster, error) {
-	c := &cluster{root: root, began: time.Now(), processes: map[string]*process{}, log: map[string]*os.File{}, client: http.Client{Timeout: 4 * time.Second}}
+	c := &cluster{root: root, began: time.Now(), processes: map[string]*process{}, client: http.Client{Timeout: 4 * time.Second}}
 	var err error
 	if c.record, err = os.Create(recordFile); err != nil {
 		return c, err
@@ -198,7 +196,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	p := &process{name: name, cmd: cmd, done: make(chan struct{})}
+	p := &process{cmd: cmd, done: make(chan struct{})}
 	go func() {
 		if pipe != nil {
 			for s := bufio.NewScanner(pipe); s.Scan(); {
--- a/review/rig/worker.go
+++ b/review/worker.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"flag"
-	"fmt"
 	"net/http"
 	"os"
 	"strconv"
@@ -224,12 +223,13 @@
 	for _, e := range w.ends {
 		if e.number > o.AckCursor {
 			kept = append(kept, e)
-		} else if how := ""; true {
-			if e.lapsed {
-				how = "lapsed before" // not taken note of, by the rule
-			}
-			w.print("noted", e.run, how)
+			continue
+		}
+		how := ""
+		if e.lapsed {
+			how = "lapsed before" // not taken note of, by the rule
 		}
+		w.print("noted", e.run, how)
 	}
 	w.ends = kept
 	for until := time.Now().Add(time.Duration(min(o.WaitMs, 2000)) * time.Millisecond); len(w.ends) == 0 && time.Now().Before(until); {
@@ -282,5 +282,3 @@
 		}
 	}
 }
-
-var _ = fmt.Sprint
