Tell why a silent worker's runs are still open after a takeover

Several causes give the same picture: the successor waits for the lease of a worker that does not report, whose agent answers or not; crash counters hold the item back; a gang waits for a rack; the start finds no room. Logs, metrics and `explain` did not tell them apart: until the lease had expired nothing was logged, `explain` was silent about an item with an open run, and `run_ended how=lapsed` did not say from what the expiry was computed.

Agents now state in a reply without a report how long the worker has not responded to them (SilentMS, at most 6 bytes in such a reply and nothing in others). The planner logs `worker_unreported` once, 2 s after its term began, for a worker with open runs that has not reported, and once more if its agent begins to answer; `worker_lease_expired` with the basis of the computation when the runs end; and counts these as snipegw_worker_leases_expired_total. `explain` and the dump name the worker whose lease an item waits for and the time left. Decisions are unchanged.

--- a/internal/workflow/engine/dump.go
+++ b/internal/workflow/engine/dump.go
@@ -49,6 +49,11 @@
 	// Evacuated reports that the failure domain is evacuated, so that nothing starts here.
 	Evacuated bool `json:"evacuated,omitempty"`
 	Cold      bool `json:"cold,omitempty"` // runs items slowly after its start
+	// SilentMS is how long the worker has not responded to its agent, if the agent replies
+	// without a report.
+	SilentMS int64 `json:"silent_ms,omitempty"`
+	// LeaseEndsMS is the time until the lease of a worker with items ends unless it reports.
+	LeaseEndsMS int64 `json:"lease_ends_ms,omitempty"`
 }
 
 // State is the state of the engine in the debug dump: its open jobs and all workers.
@@ -90,6 +95,10 @@
 		if w.announcement != nil {
 			ws.Rack, ws.Accelerators = w.announcement.Rack, w.announcement.Capacity.Accelerators
 		}
+		if len(w.members) > 0 {
+			silence := e.silence(w, now)
+			ws.SilentMS, ws.LeaseEndsMS = silence.Silent.Milliseconds(), silence.ExpiresIn.Milliseconds()
+		}
 		s.Workers = append(s.Workers, ws)
 	}
 	s.Evacuations = e.Evacuations(now)
--- a/internal/workflow/engine/explain.go
+++ b/internal/workflow/engine/explain.go
@@ -8,7 +8,8 @@
 )
 
 // jobWaitReason returns a sentence that says why the first unit of j without a run
-// waits, empty if none waits. The parameter r holds the free resources at now.
+// waits, or else which run may be lost, empty if neither holds. The parameter r holds the
+// free resources at now.
 func (e *Engine) jobWaitReason(j *job, r *freeResources, now time.Time) string {
 	if j.cancelled {
 		return "the job is cancelled; its runs are being stopped"
@@ -24,7 +25,7 @@
 			return fmt.Sprintf("item %s %s", u.itemRef(u.first), e.unitWaitReason(u, r, now)) + e.costReason(j, now)
 		}
 	}
-	return ""
+	return e.silenceReason(j, now)
 }
 
 // unitWaitReason says what a unit without a run waits for. The text continues a
--- a/internal/workflow/engine/notes.go
+++ b/internal/workflow/engine/notes.go
@@ -6,13 +6,14 @@
 	"snipegw/internal/workflow"
 )
 
-// EndEvent is the end of a run or of a job, a run that should have ended, or a change of
-// the speed of a worker, for logs and metrics. Exactly one of its fields is set.
+// EndEvent is the end of a run or of a job, a run that should have ended, a change of
+// the speed of a worker, or the silence of one, for logs and metrics. Exactly one of its fields is set.
 type EndEvent struct {
 	Run        *RunEnd
 	Job        *JobEnd
 	Unexpected *UnexpectedRun
 	Speed      *SpeedChange
+	Silence    *WorkerSilence
 }
 
 // UnexpectedRun is a run that a worker lists although the planner has no record of it,
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -24,6 +24,8 @@
 	reportedAt      time.Time              // arrival of the latest report; zero before the first of this term
 	maxLeaseUntilMS int64                  // latest lease expiry that was sent, on the worker's clock
 	lastEndNumber   uint64                 // highest number of an end that was processed
+	agentRepliedAt  time.Time              // arrival of the latest reply of the agent without a report
+	silentSince     time.Time              // the worker's latest response to its agent, by that reply
 	hasLeft         bool                   // the agent has reported that the worker left
 	unconfirmed     bool                   // the agent has refused a start for the incarnation since the latest report
 	members         []*member              // that may be running, in order of their starts
@@ -31,9 +33,11 @@
 	// inheritedRuns reports that the term began with runs of an earlier planner here, and
 	// lostInheritedRuns that a crash has ended them.
 	inheritedRuns, lostInheritedRuns bool
-	unexpected                       map[runKey]bool // runs in the latest report that no member stands for
-	health                           health
-	slowness                         float64 // learned from run times, see relativeSlowness; 0 is 1
+	// unreportedNoted and agentAnswerNoted tell what recordUnreported has noted.
+	unreportedNoted, agentAnswerNoted bool
+	unexpected                        map[runKey]bool // runs in the latest report that no member stands for
+	health                            health
+	slowness                          float64 // learned from run times, see relativeSlowness; 0 is 1
 }
 
 // AddWorker adds the worker of a node, if it is new. Nothing starts on it before its
@@ -54,6 +58,7 @@
 	e.AddWorker(node)
 	w := e.workers[node]
 	if reply.Report == nil {
+		w.recordAgentReply(time.Duration(reply.SilentMS)*time.Millisecond, now)
 		if reply.Left {
 			e.resolveLapses(w, false, now)
 			e.endAllRuns(w, now)
@@ -253,7 +258,12 @@
 		if len(w.lapsed) > 0 && now.Sub(w.lapsed[0].at) > lapseTimeout {
 			e.resolveLapses(w, false, now)
 		}
-		if len(w.members) > 0 && now.After(e.leaseExpiry(w)) {
+		e.recordUnreported(w, now)
+		if len(w.members) == 0 {
+			continue
+		}
+		if expiry, _ := e.leaseExpiry(w); now.After(expiry) {
+			e.endEvents = append(e.endEvents, EndEvent{Silence: e.silence(w, now)})
 			for _, m := range slices.Clone(w.members) {
 				e.recordLapse(m, now)
 				e.endMember(m, workflow.EndLapsed, "", now)
@@ -263,14 +273,14 @@
 }
 
 // leaseExpiry returns the time after which nothing runs on a worker that sends no
-// further report. Before the first report of this term the lease comes from an
-// earlier planner, which may go on extending it for up to MaxStoreOutage.
-func (e *Engine) leaseExpiry(w *worker) time.Time {
+// further report, and what it is computed from. Before the first report of this term the
+// lease comes from an earlier planner, which may go on extending it for up to MaxStoreOutage.
+func (e *Engine) leaseExpiry(w *worker) (at time.Time, basis string) {
 	if w.reportedAt.IsZero() {
-		return e.termStart.Add(e.settings.MaxStoreOutage + withClockDrift(e.settings.LeaseDuration) + expiryMargin)
+		return e.termStart.Add(e.settings.MaxStoreOutage + withClockDrift(e.settings.LeaseDuration) + expiryMargin), basisOutage
 	}
 	remaining := time.Duration(max(w.maxLeaseUntilMS-w.clockMS, 0)) * time.Millisecond
-	return w.reportedAt.Add(withClockDrift(remaining) + expiryMargin)
+	return w.reportedAt.Add(withClockDrift(remaining) + expiryMargin), basisReport
 }
 
 // withClockDrift returns the longest time on the planner's clock during which a
--- a/internal/workflow/messages.go
+++ b/internal/workflow/messages.go
@@ -139,6 +139,10 @@
 	Left bool `cbor:"4,keyasint,omitempty"`
 	// Generation is that of the request. Report was made by a poll under its token.
 	Generation uint64 `cbor:"5,keyasint,omitempty"`
+	// SilentMS is set if Report is nil. It is the time since the worker's latest response to a
+	// poll, or since the agent's start if the worker has not responded to this agent. Every
+	// lease that planners have extended ends at most the duration of a lease after that response.
+	SilentMS int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // StartOrder is the order to start a run of one item.
--- a/internal/workflow/planner/log.go
+++ b/internal/workflow/planner/log.go
@@ -55,6 +55,9 @@
 				"event": "worker_speed_changed", "node": s.Node, "from": s.From, "to": s.To, "slowness": s.Slowness, "epoch": epoch,
 			}).Info("the learned speed of a worker has changed")
 		}
+		if s := end.Silence; s != nil {
+			logSilence(epoch, s)
+		}
 		if r := end.Run; r != nil {
 			kernel.Metrics.Count("snipegw_runs_ended_total", "how", string(r.How))
 			log.WithFields(log.Fields{
@@ -74,6 +77,20 @@
 	}
 }
 
+// logSilence writes the log entry and the metric of a worker that does not report.
+func logSilence(epoch uint64, s *engine.WorkerSilence) {
+	fields := log.WithFields(log.Fields{
+		"event": "worker_unreported", "node": s.Node, "items": s.Items, "epoch": epoch, "basis": s.Basis,
+		"expires_in_ms": s.ExpiresIn.Milliseconds(), "agent_answers": s.AgentAnswers, "silent_ms": s.Silent.Milliseconds(),
+	})
+	if !s.Expired {
+		fields.Warn("a worker with open runs has not reported to the new planner")
+		return
+	}
+	kernel.Metrics.Count("snipegw_worker_leases_expired_total", "basis", s.Basis)
+	fields.WithField("event", "worker_lease_expired").Warn("the lease of a silent worker has expired; its runs have ended")
+}
+
 // countHeadroom updates the metrics of the headroom after a pass.
 func countHeadroom(use engine.HeadroomUse) {
 	if use.Asked {
--- a/internal/workflow/runner/runner.go
+++ b/internal/workflow/runner/runner.go
@@ -84,6 +84,7 @@
 	instance          string // instance and startedMS identify the incarnation that responded last
 	startedMS         int64
 	answeredAt        time.Time // of the latest poll, zero if it was not answered
+	respondedAt       time.Time // of the latest poll that was answered, or the agent's start
 	leaseUntilMS      int64
 	ackedEnds         uint64
 	announced         *workflow.Announcement
@@ -99,7 +100,7 @@
 
 // New returns a Runner for a worker.
 func New(api WorkerAPI) *Runner {
-	return &Runner{api: api, changed: make(chan struct{}), epochKnown: make(chan struct{}, 1), incarnationKnown: make(chan struct{}, 1), version: 1}
+	return &Runner{api: api, changed: make(chan struct{}), epochKnown: make(chan struct{}, 1), incarnationKnown: make(chan struct{}, 1), version: 1, respondedAt: time.Now()}
 }
 
 // Register registers the handlers of the planner's calls on mux.
@@ -224,6 +225,7 @@
 		}
 		return r.handlePollError(instance, err)
 	}
+	r.respondedAt = time.Now()
 	if r.workerReport != nil && (report.StartedMS < r.workerReport.StartedMS || report.StartedMS == r.workerReport.StartedMS && report.ClockMS < r.workerReport.ClockMS) {
 		// A newer response has already arrived, or the clock by which the worker states its
 		// birth was set back over a restart.
@@ -309,6 +311,8 @@
 		reply := &workflow.SyncReply{Version: r.version, Announced: r.announced, Left: r.hasLeft, Generation: req.Generation}
 		if r.workerReportToken == workflow.FencingToken(req.Epoch, req.Generation) && !r.hasLeft {
 			reply.Report = r.workerReport
+		} else {
+			reply.SilentMS = time.Since(r.respondedAt).Milliseconds()
 		}
 		changed, epoch := r.changed, r.epoch
 		r.mu.Unlock()
