Count the lease of an earlier planner after the first report of a term

Callers could see an item run twice at once (TWICE): a new planner has the first report of a worker, and before its next call is sent, it stops for a moment or loses the agent. It then took the worker's lease for expired 0.4 s after that report, although the former planner had extended it by up to 5.9 s.

Cause: the latest expiry that a planner has sent (maxLeaseUntilMS) is 0 until it extends a lease itself, and a lease that an earlier planner extended was not counted. The window is the time between the first report and the next request, which is sent by the same goroutine, so a frozen or stopped entry is needed.

The first report of a term now assumes a lease of the full duration from its clock on. Looked at elsewhere: a later incarnation in the term (moveToIncarnation) counts it already; an agent takes over no lease for another incarnation.

TestLeaseOfAnEarlierPlannerOutlastsTheFirstReport failed before: the item started again after 500 ms, asked were over 5.5 s.

--- /dev/null
+++ b/internal/workflow/engine/silence_test.go
@@ -0,0 +1,82 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"snipegw/internal/workflow"
+)
+
+// silenceBench is a successor's engine. Its predecessor has started the item of a job on worker
+// n0, which does not report; worker n1 is free.
+type silenceBench struct {
+	*GomegaWithT
+	engine    *Engine
+	termStart time.Time
+	now       time.Time
+}
+
+const (
+	silenceLease  = 5 * time.Second
+	silenceOutage = 20 * time.Second
+	// agentReplyInterval is the time between two replies of an agent without news.
+	agentReplyInterval = time.Second
+)
+
+func newSilenceBench(t *testing.T) *silenceBench {
+	b := &silenceBench{GomegaWithT: NewWithT(t), termStart: time.UnixMilli(1_800_000_000_000)}
+	b.now = b.termStart
+	b.engine = New(Settings{LeaseDuration: silenceLease, MaxStoreOutage: silenceOutage}, 7, b.now)
+	config := &workflow.Config{Version: 1, Queues: []workflow.Queue{{Name: "q", Service: "s", MaxAttempts: 3}}}
+	config.Provision()
+	b.engine.SetConfig(config)
+	b.engine.AddJob("j", &workflow.JobRecord{
+		Job:   workflow.Job{Steps: []workflow.Step{{Count: 1, Accelerators: 1, EstimateMS: 5000}}},
+		Queue: "q", Service: "s", MaxAttempts: 3, AcceptedMS: b.now.UnixMilli(),
+	}, &workflow.Progress{
+		State: workflow.StateActive, Seq: 1,
+		Units: []workflow.UnitProgress{{Run: 1, Members: []workflow.MemberProgress{{Worker: workflow.WorkerKey("n0", "i-n0", 1000)}}}},
+	}, 1)
+	return b
+}
+
+// runUntilRestart lets time pass, with reports of n1 and what agent does for n0 each
+// agentReplyInterval, until the item starts again. It returns the time since the term's start, and
+// false if the item has not started within limit.
+func (b *silenceBench) runUntilRestart(limit time.Duration, agent func(sinceStart time.Duration)) (time.Duration, bool) {
+	for since := time.Duration(0); since <= limit; since += 100 * time.Millisecond {
+		b.now = b.termStart.Add(since)
+		if since%agentReplyInterval == 0 {
+			agent(since)
+		}
+		b.engine.HandleReport("n1", &workflow.SyncReply{
+			Report:    &workflow.WorkerReport{Instance: "i-n1", StartedMS: 1000, ClockMS: 1 + b.now.UnixMilli()},
+			Announced: &workflow.Announcement{Instance: "i-n1", StartedMS: 1000, Service: "s", Capacity: workflow.Resources{Accelerators: 1}, Seq: 1},
+		}, b.now)
+		b.engine.ExpireLeases(b.now)
+		if starts, _ := b.engine.Decide(b.now); len(starts) > 0 {
+			b.Expect(starts[0].Workers).To(Equal([]string{"n1"}))
+			return since, true
+		}
+	}
+	return 0, false
+}
+
+// A worker's first report of the term is also its last one, because the planner stops or is cut off
+// before its next call. Guards against runs that end while the lease of an earlier planner lasts.
+func TestLeaseOfAnEarlierPlannerOutlastsTheFirstReport(t *testing.T) {
+	b := newSilenceBench(t)
+	leaseEnd := withClockDrift(silenceLease) + expiryMargin
+	at, ok := b.runUntilRestart(2*leaseEnd, func(since time.Duration) {
+		if since > 0 {
+			return
+		}
+		b.engine.HandleReport("n0", &workflow.SyncReply{Report: &workflow.WorkerReport{
+			Instance: "i-n0", StartedMS: 1000, ClockMS: 500_000, Running: []workflow.RunningItem{{Ref: workflow.ItemRef{Job: "j"}, Run: 1}},
+		}}, b.now)
+	})
+	b.Expect(ok).To(BeTrue())
+	b.Expect(at).To(BeNumerically(">", leaseEnd))
+}
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -101,7 +101,8 @@
 func (e *Engine) startIncarnation(w *worker, incarnation string, report *workflow.WorkerReport, now time.Time) {
 	otherID := w.instance != "" && report.Instance != "" && w.instance != report.Instance
 	crashed := !w.hasLeft && (w.announcement == nil || !w.announcement.Draining)
-	if w.incarnation != "" {
+	inherited := w.incarnation == ""
+	if !inherited {
 		w.generation++
 		if crashed && !w.hasRecentStart(w.reportedAt) {
 			e.unexplainedCrashAt = now
@@ -109,6 +110,10 @@
 	}
 	w.incarnation, w.instance, w.startedMS = incarnation, report.Instance, report.StartedMS
 	w.announcement, w.coldUntil, w.clockMS, w.maxLeaseUntilMS, w.lastEndNumber, w.hasLeft = nil, time.Time{}, 0, 0, 0, false
+	if inherited {
+		// An earlier planner may have extended the lease, by that much at most.
+		w.maxLeaseUntilMS = report.ClockMS + e.settings.LeaseDuration.Milliseconds()
+	}
 	w.health = health{}
 	e.resolveLapses(w, crashed, now)
 	for _, m := range slices.Clone(w.members) {
