Recall earlier planners, so that a successor need not outwait them

Callers saw accepted items that did not start again for 18.5 s (LOST) when workers had gone together with their agents and the planner was replaced before the leases had expired.

That it has long ended was not known to the successor: a dead process, one that was replaced or stopped, and one that is cut off from the store look the same in the store.

Change: an entry that becomes planner records its address as a holder in the same transaction. A new planner asks each recorded holder to end its terms of lower epochs, which a live process does at once and a restarted one has done; neither begins one any more. When all have confirmed, nobody extends leases but the new planner, so the leases of the others end at most their duration later. A holder that does not answer leaves the former bound as it is.

Tests of the hand-over: TestRecallEndsEarlierTerms and TestEachPlannerIsRecordedAsHolder; the model of the property test recalls planners, too.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -45,11 +45,12 @@
 )
 
 // Operations of workflows. An agent serves KindWorkflowSync and
-// KindWorkflowOrder, an entry serves KindStoreRelay.
+// KindWorkflowOrder, an entry serves KindStoreRelay and KindPlannerRecall.
 const (
 	KindWorkflowSync  Kind = 60 // workflow.SyncRequest -> workflow.SyncReply
 	KindWorkflowOrder Kind = 61 // workflow.OrderRequest -> workflow.OrderReply
 	KindStoreRelay    Kind = 62 // relay.Request -> relay.Reply
+	KindPlannerRecall Kind = 63 // workflow.RecallRequest -> workflow.RecallReply
 )
 
 // Fault is the wire form of an error.
--- a/internal/workflow/daemon/daemon.go
+++ b/internal/workflow/daemon/daemon.go
@@ -69,6 +69,7 @@
 		Engine: s.engineSettings(), LeaseDuration: max(planner.DefaultLeaseDuration, time.Duration(s.MinStoreLeaseMS)*time.Millisecond), EndedJobRetention: time.Duration(s.KeepEndedMS) * time.Millisecond,
 		PublishBacklog: s.Admission != nil,
 	})
+	plannerHost.Register(&network.Mux)
 	entries := &knownEntries{process: p, table: table, recordMirror: recordMirror}
 	entries.setSeeds(s)
 	recordMirror.Listen(func([]store.Event) { entries.updatePeers() })
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -64,9 +64,11 @@
 	settings  Settings
 	epoch     uint64
 	termStart time.Time
-	config    *workflow.Config
-	jobs      map[string]*job
-	openJobs  []*job // jobs that have not ended, see addOpenJob for their order
+	// formerEndedAt is the time from which no earlier planner extends leases, zero if not known.
+	formerEndedAt time.Time
+	config        *workflow.Config
+	jobs          map[string]*job
+	openJobs      []*job // jobs that have not ended, see addOpenJob for their order
 	// guaranteed holds the jobs that were within their teams' guarantees at the
 	// latest decision.
 	guaranteed    map[*job]bool
--- a/internal/workflow/engine/silence.go
+++ b/internal/workflow/engine/silence.go
@@ -7,9 +7,10 @@
 
 // What the expiry of a silent worker's lease is computed from.
 const (
-	basisReport = "report" // the worker's latest report of this term
-	basisAgent  = "agent"  // the agent's latest reply, by which the worker does not respond to it
-	basisOutage = "outage" // MaxStoreOutage, after which no earlier planner extends leases
+	basisReport  = "report"  // the worker's latest report of this term
+	basisAgent   = "agent"   // the agent's latest reply, by which the worker does not respond to it
+	basisPlanner = "planner" // the confirmation that no earlier planner extends leases
+	basisOutage  = "outage"  // MaxStoreOutage, after which no earlier planner extends leases
 )
 
 // WorkerSilence describes a worker with open runs that does not report.
@@ -19,7 +20,7 @@
 	// Expired reports that the lease has expired and the runs have ended. It is false if the
 	// worker has not reported in this term yet.
 	Expired bool
-	// Basis says what the expiry of the lease is computed from: report, agent or outage.
+	// Basis says what the expiry of the lease is computed from: report, agent, planner or outage.
 	Basis string
 	// ExpiresIn is the longest time until the runs end, 0 if Expired.
 	ExpiresIn time.Duration
@@ -29,6 +30,14 @@
 	Silent       time.Duration
 }
 
+// EndFormerPlanners notes that no earlier planner extends leases from now on.
+func (e *Engine) EndFormerPlanners(now time.Time) {
+	limit := e.termStart.Add(e.settings.MaxStoreOutage)
+	if e.formerEndedAt.IsZero() && now.Before(limit) {
+		e.formerEndedAt = now
+	}
+}
+
 // recordAgentReply notes a reply of the agent of w without a report that arrived at now.
 func (w *worker) recordAgentReply(silent time.Duration, now time.Time) {
 	w.agentRepliedAt, w.silentSince = now, now.Add(-silent)
--- a/internal/workflow/engine/silence_test.go
+++ b/internal/workflow/engine/silence_test.go
@@ -116,6 +116,17 @@
 		_, ok := b.runUntilRestart(outageEnd, func(time.Duration) {})
 		b.Expect(ok).To(BeFalse(), "an earlier planner may extend the lease")
 	})
+	t.Run("the agent does not answer, and all earlier planners have ended", func(t *testing.T) {
+		b := newSilenceBench(t)
+		const ended = 4 * time.Second
+		at, ok := b.runUntilRestart(outageEnd, func(since time.Duration) {
+			if since == ended {
+				b.engine.EndFormerPlanners(b.now)
+			}
+		})
+		b.Expect(ok).To(BeTrue())
+		within(b, at, ended+leaseEnd)
+	})
 	t.Run("the agent stops answering", func(t *testing.T) {
 		b := newSilenceBench(t)
 		_, ok := b.runUntilRestart(outageEnd, func(since time.Duration) {
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -280,7 +280,8 @@
 // leaseExpiry returns the time after which nothing runs on a worker that sends no
 // further report, and what it is computed from. Before the first report of this term the
 // lease comes from an earlier planner, which may go on extending it for up to MaxStoreOutage
-// unless the agent's latest reply shows that the worker has been silent for longer than a lease.
+// unless all have ended, or unless the agent's latest reply shows that the worker has been
+// silent for longer than a lease.
 func (e *Engine) leaseExpiry(w *worker) (at time.Time, basis string) {
 	if w.reportedAt.IsZero() {
 		longest := withClockDrift(e.settings.LeaseDuration) + expiryMargin
@@ -289,6 +290,9 @@
 		if at := w.silentSince.Add(longest); !w.agentRepliedAt.Before(at) {
 			return at, basisAgent
 		}
+		if !e.formerEndedAt.IsZero() {
+			return e.formerEndedAt.Add(longest), basisPlanner
+		}
 		return e.termStart.Add(e.settings.MaxStoreOutage + longest), basisOutage
 	}
 	remaining := time.Duration(max(w.maxLeaseUntilMS-w.clockMS, 0)) * time.Millisecond
--- a/internal/workflow/engine/world_partition_test.go
+++ b/internal/workflow/engine/world_partition_test.go
@@ -46,6 +46,14 @@
 	m.agentEpoch, m.knownStartedMS, m.respondedAt = 0, 0, m.env.now
 }
 
+// recallFormerPlanner lets the planner learn at random that no earlier one goes on.
+func (w *world) recallFormerPlanner() {
+	if w.faultRate > 0 && w.partitions.rng.IntN(20) == 0 {
+		w.partitions.former = nil
+		w.planner.EndFormerPlanners(w.now)
+	}
+}
+
 // syncFormerPlanner exchanges reports between the replaced planner and all agents, until one
 // refuses its epoch.
 func (w *world) syncFormerPlanner() {
--- a/internal/workflow/engine/world_test.go
+++ b/internal/workflow/engine/world_test.go
@@ -155,6 +155,7 @@
 	for _, o := range append(p.StartOrders(w.now), p.StopOrders(w.now)...) {
 		w.ordersInFlight = append(w.ordersInFlight, delayedOrder{sentAt: w.now, deliverAt: w.now.Add(w.randomDuration(10 * time.Millisecond)), order: o, sender: p})
 	}
+	w.recallFormerPlanner()
 	w.syncFormerPlanner()
 	for _, m := range w.workers {
 		if w.chance(w.faultRate*0.2) || w.now.Before(m.cutOffUntil) {
--- a/internal/workflow/messages.go
+++ b/internal/workflow/messages.go
@@ -145,6 +145,14 @@
 	SilentMS int64 `cbor:"6,keyasint,omitempty"`
 }
 
+// RecallRequest asks an entry to end its terms as planner with an epoch below Epoch.
+type RecallRequest struct {
+	Epoch uint64 `cbor:"1,keyasint"`
+}
+
+// RecallReply confirms that no such term goes on, and that none will begin in the process.
+type RecallReply struct{}
+
 // StartOrder is the order to start a run of one item.
 type StartOrder struct {
 	Ref        ItemRef `cbor:"1,keyasint"`
--- /dev/null
+++ b/internal/workflow/planner/holders_test.go
@@ -0,0 +1,73 @@
+package planner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/gomega"
+
+	"snipegw/internal/result"
+	"snipegw/internal/store"
+	"snipegw/internal/workflow"
+	"snipegw/internal/workflow/mirror"
+)
+
+// A new planner recalls an entry whose term it cannot see the end of. Guards against a confirmation
+// while a term of that entry goes on or begins later: the leases that it extends would be taken for expired, and the items
+// would run twice.
+func TestRecallEndsEarlierTerms(t *testing.T) {
+	log.SetHandler(discard.New())
+	newHost := func() *Host {
+		table := &memoryTable{records: make(map[string]store.Record)}
+		return New(Options{Entry: "e", Address: "127.0.0.1:1", Table: table, Records: mirror.New(table, workflow.Prefix), LeaseDuration: time.Second})
+	}
+	t.Run("a term goes on", func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHost()
+		ctx, endTerm := context.WithCancelCause(t.Context())
+		h.term = newTerm(h, 1, 5, endTerm)
+		_, err := h.recall(t.Context(), &workflow.RecallRequest{Epoch: 7})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(context.Cause(ctx)).To(MatchError(errReplaced))
+	})
+	t.Run("the call is older than the term", func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHost()
+		ctx, endTerm := context.WithCancelCause(t.Context())
+		h.term = newTerm(h, 1, 9, endTerm)
+		_, err := h.recall(t.Context(), &workflow.RecallRequest{Epoch: 7})
+		g.Expect(result.CodeOf(err)).To(Equal(result.Fenced))
+		g.Expect(ctx.Err()).NotTo(HaveOccurred())
+	})
+	t.Run("a term begins late", func(t *testing.T) {
+		g := NewWithT(t)
+		h := newHost()
+		_, err := h.recall(t.Context(), &workflow.RecallRequest{Epoch: 7})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(h.runTerm(t.Context(), 1, 5)).To(MatchError(errReplaced))
+	})
+}
+
+// Guards against planners that a successor does not know of, and so does not recall.
+func TestEachPlannerIsRecordedAsHolder(t *testing.T) {
+	g := NewWithT(t)
+	table := &memoryTable{records: make(map[string]store.Record)}
+	h := New(Options{Entry: "e", Address: "127.0.0.1:1", Table: grantingTable{table}, Records: mirror.New(table, workflow.Prefix), LeaseDuration: time.Second})
+	_, epoch, err := h.acquireTerm(t.Context(), 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	var records []store.Record
+	for _, r := range table.records {
+		records = append(records, r)
+	}
+	g.Expect(table.records[workflow.PlannerKey].Revision).To(Equal(epoch))
+	g.Expect(holderAddresses(records)).To(Equal([]string{"127.0.0.1:1"}))
+}
+
+// grantingTable is a memoryTable that grants leases.
+type grantingTable struct{ *memoryTable }
+
+// Grant implements store.Table.
+func (grantingTable) Grant(context.Context, time.Duration) (uint64, error) { return 1, nil }
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -74,6 +74,7 @@
 	// evacuations are the requests in force, also while this entry is not planner.
 	evacuations        []workflow.Evacuation
 	evacuationsVersion uint64        // number of changes of evacuations
+	recalledBelow      uint64        // no term with a lower epoch may go on
 	term               *term         // nil while this entry is not planner
 	pending            []store.Event // changes of records that the term has not processed
 	wakeUp             chan struct{} // signals news to run and to the term; holds one signal
@@ -231,12 +232,13 @@
 	if err != nil {
 		return 0, 0, err
 	}
+	record := workflow.Encode(workflow.PlannerRecord{Entry: h.options.Entry, Address: h.options.Address})
 	outcome, err := h.options.Table.Commit(ctx, store.Txn{
 		Conditions: []store.Condition{{Key: workflow.PlannerKey, Revision: revision}},
-		Puts: []store.Put{{
-			Key: workflow.PlannerKey, Lease: lease,
-			Value: workflow.Encode(workflow.PlannerRecord{Entry: h.options.Entry, Address: h.options.Address}),
-		}},
+		Puts: []store.Put{
+			{Key: workflow.PlannerKey, Lease: lease, Value: record},
+			{Key: workflow.HolderPrefix + h.options.Address, Value: record},
+		},
 	})
 	if err != nil {
 		// The key may have been written. It is deleted with the lease.
@@ -254,8 +256,7 @@
 		return lease, 0, nil
 	}
 	h.options.Records.Apply([]store.Event{{Record: store.Record{
-		Key: workflow.PlannerKey, Lease: lease, Revision: outcome.Revision,
-		Value: workflow.Encode(workflow.PlannerRecord{Entry: h.options.Entry, Address: h.options.Address}),
+		Key: workflow.PlannerKey, Lease: lease, Revision: outcome.Revision, Value: record,
 	}}})
 	return lease, outcome.Revision, nil
 }
@@ -278,6 +279,10 @@
 	defer endTerm(nil)
 	t := newTerm(h, lease, epoch, endTerm)
 	h.mu.Lock()
+	if epoch < h.recalledBelow {
+		h.mu.Unlock()
+		return errReplaced
+	}
 	h.term, h.pending = t, nil
 	h.mu.Unlock()
 	log.WithFields(log.Fields{"event": "planner_term", "epoch": epoch, "lease": lease}).Info("this entry has become planner")
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -152,6 +152,7 @@
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.applyRecords(records)
+		go t.recallHolders(ctx, holderAddresses(records))
 		log.WithFields(log.Fields{"event": "planner_loaded", "epoch": t.epoch, "records": len(records)}).Info("planner has loaded all records")
 		return true
 	}
--- a/internal/workflow/records.go
+++ b/internal/workflow/records.go
@@ -17,7 +17,9 @@
 	ProgressPrefix = Prefix + "runs/"
 	AgentPrefix    = Prefix + "agents/"
 	EntryPrefix    = Prefix + "entries/"
-	PlannerKey     = Prefix + "planner"
+	// HolderPrefix is followed by the address of an entry that has been planner.
+	HolderPrefix = Prefix + "planners/"
+	PlannerKey   = Prefix + "planner"
 )
 
 // JobRecord is an accepted job. It is never changed after it was written.
