Reply to a waiting planner with the state at the end of the wait

Cause: an agent built its reply before it waited for a change, and returned that one when the wait was over. The worker's clock in it was then 1.0 to 1.5 s old, while the planner takes it for the clock at arrival and sets the deadline of a start 1.5 s after it. The time for which a silent worker has not responded was told 1 s too short, and a worker that had gone counted as usable for as much longer.

TestReplyAfterTheWaitIsUpToDate failed before ("Expected <int64>: 1 to be > <int64>: 1").

--- a/internal/workflow/runner/runner.go
+++ b/internal/workflow/runner/runner.go
@@ -302,11 +302,12 @@
 }
 
 // awaitReport returns the current state as soon as its version differs from the
-// one that the planner has, or when the wait of the request is over.
+// one that the planner has, or when the wait of the request is over. The planner takes the
+// clock in the report for the worker's clock at the arrival of the reply.
 func (r *Runner) awaitReport(ctx context.Context, req *workflow.SyncRequest) (*workflow.SyncReply, error) {
 	timer := time.NewTimer(min(time.Duration(req.WaitMS)*time.Millisecond, maxSyncWait))
 	defer timer.Stop()
-	for {
+	for waited := false; ; {
 		r.mu.Lock()
 		reply := &workflow.SyncReply{Version: r.version, Announced: r.announced, Left: r.hasLeft, Generation: req.Generation}
 		if r.workerReportToken == workflow.FencingToken(req.Epoch, req.Generation) && !r.hasLeft {
@@ -319,13 +320,13 @@
 		if epoch != req.Epoch {
 			return nil, result.Errorf(result.Fenced, "epoch %d is older than %d", req.Epoch, epoch)
 		}
-		if reply.Version != req.Version {
+		if waited || reply.Version != req.Version {
 			return reply, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return reply, nil
+			waited = true
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
--- a/internal/workflow/runner/runner_test.go
+++ b/internal/workflow/runner/runner_test.go
@@ -378,3 +378,24 @@
 		g.Expect(silence(r, 3)).To(Equal(3 * time.Second))
 	})
 }
+
+// Nothing changes on a worker while the planner's call waits. Guards against a reply with the state at the
+// begin of the wait: the planner would set the deadlines of starts by a clock that is a second behind, and
+// the worker refuse them as late.
+func TestReplyAfterTheWaitIsUpToDate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := &fakeWorker{report: workflow.WorkerReport{Instance: "w", StartedMS: 5}}
+		r := New(w)
+		first, err := r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 1})
+		g.Expect(err).NotTo(HaveOccurred())
+		go func() {
+			time.Sleep(900 * time.Millisecond)
+			r.poll(t.Context(), 0)
+		}()
+		reply, err := r.Sync(t.Context(), &workflow.SyncRequest{Epoch: 1, Version: first.Version, WaitMS: 1000})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.Version).To(Equal(first.Version))
+		g.Expect(reply.Report.ClockMS).To(BeNumerically(">", first.Report.ClockMS))
+	})
+}
