End a planner's term with the longest outage of the store

Callers could see an item run twice (TWICE): a planner that is cut off from the store and from all other entries went on extending the leases of workers for up to 14.8 s after its latest renewal. Its successor, which cannot ask it, takes them for expired as if it had stopped after 12 s.

Cause: the limit (MaxStoreOutage) was compared only after a renewal had failed, which takes 2.7 s when neither the store nor three peers answer, and the time of the first renewal was that of the term's begin instead of the begin of its acquisition.

Change: the renewal has the limit as its deadline, and the limit counts from the begin of the acquisition.

Remains: a process that is suspended does not count that time on its steady clock.

--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -69,6 +69,10 @@
 	done     chan struct{} // closed when run has returned
 	stopping chan struct{} // closed by Stop
 
+	// acquiredAt is the time at which the latest acquisition of the planner's key began. It is
+	// used by run only.
+	acquiredAt time.Time
+
 	mu     sync.Mutex
 	config *workflow.Config
 	// evacuations are the requests in force, also while this entry is not planner.
@@ -228,6 +232,7 @@
 // revision of the new key is the epoch of the term; epoch is 0 if another entry was
 // faster. The caller must revoke the lease.
 func (h *Host) acquireTerm(ctx context.Context, revision uint64) (lease, epoch uint64, err error) {
+	h.acquiredAt = time.Now()
 	lease, err = h.options.Table.Grant(ctx, h.options.LeaseDuration)
 	if err != nil {
 		return 0, 0, err
@@ -278,6 +283,9 @@
 	ctx, endTerm := context.WithCancelCause(parent)
 	defer endTerm(nil)
 	t := newTerm(h, lease, epoch, endTerm)
+	if !h.acquiredAt.IsZero() {
+		t.renewedAt = h.acquiredAt
+	}
 	h.mu.Lock()
 	if epoch < h.recalledBelow {
 		h.mu.Unlock()
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -120,15 +120,18 @@
 func (t *term) renewLease(ctx context.Context) {
 	for ctx.Err() == nil {
 		kernel.Sleep(ctx, t.host.options.LeaseDuration/renewalsPerLease)
-		sentAt := time.Now()
-		err := t.host.options.Table.Renew(ctx, t.lease)
+		sentAt, limit := time.Now(), t.renewedAt.Add(MaxStoreOutage)
+		// A call to a silent store takes seconds, by which the term must not outlast the limit.
+		renewCtx, cancel := context.WithDeadline(ctx, limit)
+		err := t.host.options.Table.Renew(renewCtx, t.lease)
+		cancel()
 		switch {
 		case err == nil:
 			t.renewedAt = sentAt
 		case errors.Is(err, store.ErrLeaseLost):
 			t.endTerm(errReplaced)
 			return
-		case time.Since(t.renewedAt) > MaxStoreOutage:
+		case !time.Now().Before(limit):
 			t.endTerm(errNotRenewed)
 			return
 		}
