Take the absence of all holder records for no confirmation

Callers could see an item run twice (TWICE) at the first change of the planner after an upgrade: the earlier planner, of a version that records no holder, is cut off from the store and goes on extending leases, while its successor finds its own record only and takes all earlier planners for ended.

Cause: an empty list of holders counted as complete.

Change: a term takes the list for complete only if the entry knew of a holder before it acquired the term. Without one the longest outage is waited for, as before.

TestNoHolderRecordsConfirmNothing failed before ("the lease is taken for expired by planner").

--- a/internal/workflow/planner/holders.go
+++ b/internal/workflow/planner/holders.go
@@ -69,7 +69,9 @@
 	if parent.Err() != nil {
 		return
 	}
-	if ctx.Err() == nil {
+	// Without any record before this term's own, earlier planners may be of a version that
+	// recorded none.
+	if ctx.Err() == nil && t.knewHolder {
 		t.mu.Lock()
 		t.engine.EndFormerPlanners(time.Now())
 		t.mu.Unlock()
--- a/internal/workflow/planner/holders_test.go
+++ b/internal/workflow/planner/holders_test.go
@@ -12,6 +12,7 @@
 	"snipegw/internal/result"
 	"snipegw/internal/store"
 	"snipegw/internal/workflow"
+	"snipegw/internal/workflow/engine"
 	"snipegw/internal/workflow/mirror"
 )
 
@@ -66,6 +67,40 @@
 	g.Expect(holderAddresses(records)).To(Equal([]string{"127.0.0.1:1"}))
 }
 
+// records for the confirmation that no earlier planner extends leases.
+func TestNoHolderRecordsConfirmNothing(t *testing.T) {
+	log.SetHandler(discard.New())
+	g := NewWithT(t)
+	// The earlier planner's key is gone with its lease; the job that it has started is there.
+	table := &memoryTable{revision: 100, records: map[string]store.Record{}}
+	h := New(Options{
+		Entry: "e", Address: "127.0.0.1:1", Table: grantingTable{table}, Records: mirror.New(table, workflow.Prefix), LeaseDuration: time.Second,
+		Engine: engine.Settings{LeaseDuration: time.Second},
+	})
+	_, epoch, err := h.acquireTerm(t.Context(), 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, endTerm := context.WithCancelCause(t.Context())
+	defer endTerm(nil)
+	tm := newTerm(h, 1, epoch, endTerm)
+	tm.engine.AddJob("j", &workflow.JobRecord{
+		Job: workflow.Job{Steps: []workflow.Step{{Count: 1, Accelerators: 1, EstimateMS: 5000}}}, Queue: "q", Service: "s", MaxAttempts: 3,
+	}, &workflow.Progress{
+		State: workflow.StateActive, Seq: 1,
+		Units: []workflow.UnitProgress{{Run: 1, Members: []workflow.MemberProgress{{Worker: workflow.WorkerKey("n0", "i-n0", 1000)}}}},
+	}, 1)
+	var records []store.Record
+	for _, r := range table.records {
+		records = append(records, r)
+	}
+	tm.recallHolders(ctx, holderAddresses(records))
+	tm.engine.ExpireLeases(time.Now().Add(MaxStoreOutage))
+	for _, end := range tm.engine.TakeEndEvents() {
+		if end.Silence != nil {
+			g.Expect(end.Silence.Expired).To(BeFalse(), "the lease is taken for expired by %s", end.Silence.Basis)
+		}
+	}
+}
+
 // grantingTable is a memoryTable that grants leases.
 type grantingTable struct{ *memoryTable }
 
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -69,9 +69,11 @@
 	done     chan struct{} // closed when run has returned
 	stopping chan struct{} // closed by Stop
 
-	// acquiredAt is the time at which the latest acquisition of the planner's key began. It is
-	// used by run only.
+	// acquiredAt is the time at which the latest acquisition of the planner's key began, and
+	// knewHolder reports whether any entry was recorded as a holder then. They are used by run
+	// only.
 	acquiredAt time.Time
+	knewHolder bool
 
 	mu     sync.Mutex
 	config *workflow.Config
@@ -232,7 +234,8 @@
 // revision of the new key is the epoch of the term; epoch is 0 if another entry was
 // faster. The caller must revoke the lease.
 func (h *Host) acquireTerm(ctx context.Context, revision uint64) (lease, epoch uint64, err error) {
-	h.acquiredAt = time.Now()
+	h.acquiredAt, h.knewHolder = time.Now(), false
+	h.options.Records.Each(workflow.HolderPrefix, func(store.Record) { h.knewHolder = true })
 	lease, err = h.options.Table.Grant(ctx, h.options.LeaseDuration)
 	if err != nil {
 		return 0, 0, err
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -61,6 +61,7 @@
 	engine         *engine.Engine
 	agentAddresses map[string]string      // by node
 	storedEnds     map[string]endPosition // by node; ends that may be acknowledged
+	knewHolder     bool                   // a holder was recorded before this term
 	renewedAt      time.Time              // start of the latest successful renewal; used by renewLease only
 
 	// The following fields are used by runPass only.
@@ -86,7 +87,7 @@
 	s.MaxStoreOutage = MaxStoreOutage
 	return &term{
 		host: h, lease: lease, epoch: epoch, endTerm: endTerm, engine: engine.New(s, epoch, now),
-		agentAddresses: make(map[string]string), storedEnds: make(map[string]endPosition), renewedAt: now,
+		agentAddresses: make(map[string]string), storedEnds: make(map[string]endPosition), renewedAt: now, knewHolder: h.knewHolder,
 		reportedEvacuations: make(map[string]uint64),
 	}
 }
