Let replaced planners of the model go on, and show a missing report as such

The model of the property test ended a replaced planner as soon as one agent refused it, so that a recall that is confirmed too early went unseen (TestModelDetectsPrematureRecall failed before: no TWICE in its list of violations). A replaced planner now goes on with all agents that accept its epoch.

The dump gave an age of 292 years for workers without a report in the term: it is -1 now, and "no report" in the table of workers. `agent_answers` of `worker_unreported` holds only while the agent goes on answering. Names: earlier planners instead of former ones.

go test ./internal/workflow/engine -run 'TestModel|TestRulesHold' passes.

--- a/internal/ctl/workflow.go
+++ b/internal/ctl/workflow.go
@@ -258,8 +258,12 @@
 	var rows [][]string
 	for _, w := range d.Workers {
 		flags := trueKeys(map[string]bool{"usable": w.Usable, "draining": w.Draining, "excluded": w.Excluded, "evacuated": w.Evacuated, "cold": w.Cold})
+		silent := "no report"
+		if w.ReportAgeMS >= 0 {
+			silent = formatDuration(time.Duration(w.ReportAgeMS) * time.Millisecond)
+		}
 		rows = append(rows, []string{w.Node, cmp.Or(w.FailureDomain, s.Agents[w.Node].Zone), w.Rack, flags, fmt.Sprintf("%d/%d", w.FreeAccelerators, w.Accelerators),
-			strconv.Itoa(w.Items), formatDuration(time.Duration(w.ReportAgeMS) * time.Millisecond)})
+			strconv.Itoa(w.Items), silent})
 	}
 	return c.printTable("worker failure_domain rack use accelerators_free items silent", rows)
 }
--- a/internal/workflow/engine/dump.go
+++ b/internal/workflow/engine/dump.go
@@ -36,7 +36,7 @@
 	Incarnation string `json:"incarnation"`
 	Usable      bool   `json:"usable"`
 	Draining    bool   `json:"draining"`
-	ReportAgeMS int64  `json:"report_age_ms"`
+	ReportAgeMS int64  `json:"report_age_ms"` // -1 before the first report of the term
 	Items       int    `json:"items"`
 	Excluded    bool   `json:"excluded"`
 	// Slowness is the learned factor of run times, 1 for a typical worker.
@@ -92,6 +92,9 @@
 			FreeAccelerators: w.free().Accelerators, Slowness: w.relativeSlowness(),
 			FailureDomain: w.failureDomain(), Evacuated: e.isEvacuated(w), Cold: w.isCold(now),
 		}
+		if w.reportedAt.IsZero() {
+			ws.ReportAgeMS = -1
+		}
 		if w.announcement != nil {
 			ws.Rack, ws.Accelerators = w.announcement.Rack, w.announcement.Capacity.Accelerators
 		}
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -64,8 +64,8 @@
 	settings  Settings
 	epoch     uint64
 	termStart time.Time
-	// formerEndedAt is the time from which no earlier planner extends leases, zero if not known.
-	formerEndedAt time.Time
+	// earlierEndedAt is the time from which no earlier planner extends leases, zero if not known.
+	earlierEndedAt time.Time
 	config        *workflow.Config
 	jobs          map[string]*job
 	openJobs      []*job // jobs that have not ended, see addOpenJob for their order
--- a/internal/workflow/engine/silence.go
+++ b/internal/workflow/engine/silence.go
@@ -30,11 +30,11 @@
 	Silent       time.Duration
 }
 
-// EndFormerPlanners notes that no earlier planner extends leases from now on.
-func (e *Engine) EndFormerPlanners(now time.Time) {
+// EndEarlierPlanners notes that no earlier planner extends leases from now on.
+func (e *Engine) EndEarlierPlanners(now time.Time) {
 	limit := e.termStart.Add(e.settings.MaxStoreOutage)
-	if e.formerEndedAt.IsZero() && now.Before(limit) {
-		e.formerEndedAt = now
+	if e.earlierEndedAt.IsZero() && now.Before(limit) {
+		e.earlierEndedAt = now
 	}
 }
 
@@ -47,7 +47,7 @@
 func (e *Engine) silence(w *worker, now time.Time) *WorkerSilence {
 	expiry, basis := e.leaseExpiry(w)
 	s := &WorkerSilence{Node: w.node, Items: len(w.members), Basis: basis, Expired: now.After(expiry), ExpiresIn: max(expiry.Sub(now), 0)}
-	if w.reportedAt.Before(w.agentRepliedAt) {
+	if w.reportedAt.Before(w.agentRepliedAt) && now.Sub(w.agentRepliedAt) < reportTimeout {
 		s.AgentAnswers, s.Silent = true, now.Sub(w.silentSince)
 	}
 	return s
@@ -60,7 +60,7 @@
 		return
 	}
 	s := e.silence(w, now)
-	if w.unreportedNoted && w.agentAnswerNoted == s.AgentAnswers {
+	if w.unreportedNoted && (w.agentAnswerNoted || !s.AgentAnswers) {
 		return
 	}
 	w.unreportedNoted, w.agentAnswerNoted = true, s.AgentAnswers
--- a/internal/workflow/engine/silence_test.go
+++ b/internal/workflow/engine/silence_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -121,7 +122,7 @@
 		const ended = 4 * time.Second
 		at, ok := b.runUntilRestart(outageEnd, func(since time.Duration) {
 			if since == ended {
-				b.engine.EndFormerPlanners(b.now)
+				b.engine.EndEarlierPlanners(b.now)
 			}
 		})
 		b.Expect(ok).To(BeTrue())
@@ -159,3 +160,23 @@
 	b.Expect(ok).To(BeTrue())
 	b.Expect(at).To(BeNumerically(">", leaseEnd))
 }
+
+// A successor takes its predecessor for ended while that one still reaches a worker that the successor
+// does not reach. Guards against a model in which such a recall goes unseen.
+func TestModelDetectsPrematureRecall(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorld(19, 2, 0)
+	w.noRandomFailures = true
+	w.advance(2500 * time.Millisecond)
+	id := w.addJob("small", "b", step(1, 8, 60_000))
+	w.advance(time.Second)
+	g.Expect(w.runs(id, 0)).To(HaveLen(1))
+	m := w.runs(id, 0)[0].worker
+	m.cutOffUntil = w.now.Add(9 * time.Second)
+	earlier := w.planner
+	w.takeover()
+	w.partitions.former, w.partitions.formerUntil = earlier, w.now.Add(worldStoreOutage)
+	w.planner.EndEarlierPlanners(w.now)
+	w.advance(9 * time.Second)
+	g.Expect(w.violations).To(ContainElement(ContainSubstring("TWICE")), strings.Join(w.violations, "\n"))
+}
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -290,8 +290,8 @@
 		if at := w.silentSince.Add(longest); !w.agentRepliedAt.Before(at) {
 			return at, basisAgent
 		}
-		if !e.formerEndedAt.IsZero() {
-			return e.formerEndedAt.Add(longest), basisPlanner
+		if !e.earlierEndedAt.IsZero() {
+			return e.earlierEndedAt.Add(longest), basisPlanner
 		}
 		return e.termStart.Add(e.settings.MaxStoreOutage + longest), basisOutage
 	}
--- a/internal/workflow/engine/world_partition_test.go
+++ b/internal/workflow/engine/world_partition_test.go
@@ -50,12 +50,12 @@
 func (w *world) recallFormerPlanner() {
 	if w.faultRate > 0 && w.partitions.rng.IntN(20) == 0 {
 		w.partitions.former = nil
-		w.planner.EndFormerPlanners(w.now)
+		w.planner.EndEarlierPlanners(w.now)
 	}
 }
 
-// syncFormerPlanner exchanges reports between the replaced planner and all agents, until one
-// refuses its epoch.
+// syncFormerPlanner exchanges reports between the replaced planner and the agents that accept its
+// epoch.
 func (w *world) syncFormerPlanner() {
 	p := &w.partitions
 	if p.former == nil || w.now.After(p.formerUntil) {
@@ -65,8 +65,7 @@
 	for _, m := range w.workers {
 		req := p.former.NextSyncRequest(m.node, 0)
 		if req.Epoch < m.agentEpoch {
-			p.former = nil
-			return
+			continue // the refusal may be lost, and the planner go on with other agents
 		}
 		if reply := m.sync(req); reply != nil {
 			p.former.HandleReport(m.node, reply, w.now)
--- a/internal/workflow/planner/holders.go
+++ b/internal/workflow/planner/holders.go
@@ -73,7 +73,7 @@
 	// recorded none.
 	if ctx.Err() == nil && t.knewHolder {
 		t.mu.Lock()
-		t.engine.EndFormerPlanners(time.Now())
+		t.engine.EndEarlierPlanners(time.Now())
 		t.mu.Unlock()
 		log.WithFields(log.Fields{"event": "planners_recalled", "epoch": t.epoch, "entries": len(holders)}).Info("no earlier planner extends leases any more")
 	}
--- a/internal/workflow/runner/runner_test.go
+++ b/internal/workflow/runner/runner_test.go
@@ -350,7 +350,7 @@
 
 // A new planner calls while the worker does not respond. Guards against a reply that leaves open
 // how long ago the worker can have been given a lease: its runs would wait for the longest outage of the store.
-func TestReplyWithoutReportTellsTheSilence(t *testing.T) {
+func TestReplyWithoutReportStatesTheSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		w := &fakeWorker{report: workflow.WorkerReport{Instance: "w", StartedMS: 5}}
