--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -66,9 +66,9 @@
 	termStart time.Time
 	// earlierEndedAt is the time from which no earlier planner extends leases, zero if not known.
 	earlierEndedAt time.Time
-	config        *workflow.Config
-	jobs          map[string]*job
-	openJobs      []*job // jobs that have not ended, see addOpenJob for their order
+	config         *workflow.Config
+	jobs           map[string]*job
+	openJobs       []*job // jobs that have not ended, see addOpenJob for their order
 	// guaranteed holds the jobs that were within their teams' guarantees at the
 	// latest decision.
 	guaranteed    map[*job]bool
