Let only the worker's answers decide which incarnation it is

What callers saw: nothing starts on a worker any more, although it is well and ready. Cause: the agent kept one announcement, that of the latest birth, and passed starts on only while no later incarnation had announced itself. A check-in of another writer with a later birth therefore hid the real worker for good: its own check-ins counted as those of a former incarnation, and starts were refused with reason "instance". With another service under the worker's id and birth, it left its pool. Evidence: on the former code go test ./internal/workflow/runner -run 'Foreign|Refuted|EarlierPoll' fails in TestForeignAnnouncementDoesNotHideTheWorker (later birth, later birth and draining, other id and later birth, other service) and in TestForeignIDIsDroppedWhenTheWorkerRefusesIt. Change: the agent keeps the announcements of several incarnations, at most 16, and reports that of the one that answers its polls. A later one under the same id still stops starts, as a worker may restart under its id (docs/incidents/2026-12-twice-after-worker-restart.md), but only until a poll that was sent after it is answered: the former incarnation does not live then unless the announcement was none of this worker. An answer to an earlier poll refutes nothing (TestAnswerToAnEarlierPollRefutesNothing), and an incarnation that was refuted counts once it answers (TestRefutedIncarnationCountsOnceItAnswers). An announcement under another id stops nothing, since orders carry the id and the worker refuses those for another one. Log lines of announcements are bounded. Looked elsewhere: a deregistration names no incarnation and still counts only for one that drains; the planner ignores an announcement that is not of the incarnation in the report. What remains: a well-formed check-in under the worker's own id and birth cannot be told from its own, and a later birth under its id stops starts for up to one poll (0.5 s).

--- a/internal/workflow/runner/order.go
+++ b/internal/workflow/runner/order.go
@@ -160,8 +160,8 @@
 func (r *Runner) logOrder(operation string, req *workflow.OrderRequest, ref workflow.ItemRef, run int, out workflow.OrderOutcome) {
 	r.mu.Lock()
 	knownBorn := r.startedMS
-	if r.announced != nil {
-		knownBorn = max(knownBorn, r.announced.StartedMS)
+	if c := r.successor(); c != nil {
+		knownBorn = c.announcement.StartedMS
 	}
 	r.mu.Unlock()
 	log.WithFields(log.Fields{
--- a/internal/workflow/runner/runner.go
+++ b/internal/workflow/runner/runner.go
@@ -86,7 +86,10 @@
 	answeredAt        time.Time // of the latest poll, zero if it was not answered
 	leaseUntilMS      int64
 	ackedEnds         uint64
-	announced         *workflow.Announcement
+	candidates        []candidate            // incarnations that have announced themselves, see Announce
+	announced         *workflow.Announcement // latest one of the incarnation that has answered, see selectAnnounced
+	announcedLogAt    time.Time              // start of the present period of announcedLogLines
+	announcedLogLines int                    // lines of logAnnounced in that period
 	deregistered      *workflow.Announcement // latest one of the incarnation that has deregistered last, nil for none
 	workerReport      *workflow.WorkerReport
 	workerReportToken uint64        // token of the poll that returned workerReport
@@ -116,62 +119,6 @@
 	r.changed = make(chan struct{})
 }
 
-// isConfirmed reports whether the incarnation in r.startedMS has answered the latest poll
-// and no later one has announced itself. The caller holds r.mu.
-func (r *Runner) isConfirmed() bool {
-	return !r.answeredAt.IsZero() && (r.announced == nil || r.announced.StartedMS <= r.startedMS)
-}
-
-// Announce records an announcement of the worker, unless it is older than the
-// recorded one.
-func (r *Runner) Announce(a *workflow.Announcement) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if old := r.announced; old != nil {
-		if old.Instance == a.Instance && old.StartedMS == a.StartedMS && a.Seq < old.Seq || a.StartedMS < old.StartedMS {
-			return // a newer announcement has already arrived
-		}
-		if old.Instance != a.Instance || old.StartedMS != a.StartedMS || old.Draining != a.Draining {
-			r.logAnnounced(a)
-		}
-	} else {
-		r.logAnnounced(a)
-	}
-	changed := r.announced == nil || r.announced.Draining != a.Draining || r.announced.Instance != a.Instance ||
-		r.announced.StartedMS != a.StartedMS || r.announced.Capacity != a.Capacity
-	r.announced = a
-	if a.StartedMS > r.startedMS {
-		select {
-		case r.incarnationKnown <- struct{}{}:
-		default:
-		}
-	}
-	if changed {
-		r.publish()
-	}
-}
-
-func (r *Runner) logAnnounced(a *workflow.Announcement) {
-	log.WithFields(log.Fields{
-		"event": "worker_announced", "worker": a.Instance, "born": a.StartedMS, "draining": a.Draining,
-		"remaining_ms": a.RemainingMS, "seq": a.Seq, "service": a.Service,
-	}).Info("the worker has announced a new state")
-}
-
-// Deregister records that an instance terminates now. The message does not name the
-// incarnation and may be late, so it counts only for one that has announced that it drains.
-func (r *Runner) Deregister(instance string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.announced == nil || r.announced.Instance != instance || !r.announced.Draining {
-		log.WithFields(log.Fields{"event": "worker_goodbye_ignored", "worker": instance}).Info("the worker has deregistered without announcing that it drains")
-		return
-	}
-	r.deregistered = r.announced
-	log.WithFields(log.Fields{"event": "worker_goodbye", "worker": instance, "born": r.announced.StartedMS}).Info("the worker has deregistered")
-	r.publish()
-}
-
 // Run polls the worker until ctx ends.
 func (r *Runner) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -229,8 +176,8 @@
 		// birth was set back over a restart.
 		return pollRetryDelay
 	}
-	if report.Instance == "" && r.announced != nil && r.announced.StartedMS == report.StartedMS {
-		report.Instance = r.announced.Instance
+	if report.Instance == "" {
+		report.Instance = r.announcedInstance(report.StartedMS)
 	}
 	if report.StartedMS != r.startedMS || report.StartedMS == 0 && report.Instance != r.instance {
 		log.WithFields(log.Fields{"event": "worker_incarnation", "worker": report.Instance, "born": report.StartedMS, "former": r.instance}).Info("a new incarnation of the worker has responded")
@@ -240,6 +187,7 @@
 	if time.Since(sentAt) <= wait+callTimeout {
 		r.answeredAt = time.Now()
 	} // else the agent was stopped, and the worker may have restarted after it had answered
+	r.settleCandidates(sentAt)
 	reportChanged := r.workerReport == nil || len(report.Ended) > 0 || r.workerReportToken != token || len(report.Running) != len(r.workerReport.Running)
 	r.workerReport, r.workerReportToken, r.hasLeft = report, token, false
 	if reportChanged {
@@ -255,6 +203,7 @@
 // next one. The caller holds r.mu.
 func (r *Runner) handlePollError(instance string, err error) time.Duration {
 	if errors.Is(err, ErrOtherIncarnation) {
+		r.refuteInstance(instance)
 		if r.instance == instance {
 			r.instance = "" // the next poll accepts any incarnation
 		}
