Ignore records that name no process and no job

What callers saw: items of a worker that is well start again elsewhere, since the planner calls its agent at an address of another writer; a planner that calls addresses that cannot exist without end. Cause: the id of a record was the last element of its key, so that snipegw/agents/x/node-1 replaced the address of node-1, and its removal removed the agent; snipegw/cancels/x/ID cancelled a job. An address was used as it was, with a port out of range or without a host, and replaced a known one. A job under an id with a dot was planned, and the names of its items made every report of its worker unreadable. Evidence: go test ./internal/workflow/planner -run NameNoAgent on the former code: the agents are map[:10.0.0.9:7000 odd-1:10.0.0.9:0 odd-2: odd|5:10.0.0.9:7000], expected map[node-1:10.0.0.1:7000] Change: the id is all that follows the prefix of the kind. DecodeProcess and DecodeJob check it, the address and the job, for the planner, the callers' side, the relay's peers and snipegwctl, which also failed with a negative step in a progress record. Such records are counted and logged once, no longer with each term. Looked elsewhere: transport resolves an address with each call and fails it without a panic; the backlog and the progress of jobs are written by the planner only and are not checked beyond decoding. What remains: a well-formed record that names the address of another agent cannot be told from a move of it.

--- a/internal/workflow/daemon/entries.go
+++ b/internal/workflow/daemon/entries.go
@@ -53,9 +53,12 @@
 func (k *knownEntries) updatePeers() {
 	var addresses []string
 	k.recordMirror.Each(workflow.EntryPrefix, func(r store.Record) {
-		if e, err := workflow.Decode[workflow.ProcessRecord](r.Value); err == nil {
-			addresses = append(addresses, e.Address)
+		e, err := workflow.DecodeProcess(workflow.IDOfKey(r.Key), r.Value)
+		if err != nil {
+			workflow.ReportUnreadable(r.Key, err)
+			return
 		}
+		addresses = append(addresses, e.Address)
 	})
 	k.table.SetPeers(append(addresses, *k.seeds.Load()...))
 }
--- a/internal/workflow/inspect/inspect.go
+++ b/internal/workflow/inspect/inspect.go
@@ -49,8 +49,9 @@
 	jobs := make(map[string]*Job)
 	for _, r := range records {
 		if strings.HasPrefix(r.Key, workflow.JobPrefix) {
-			if rec := decodeRecord[workflow.JobRecord](s, r); rec != nil {
-				j := &Job{ID: workflow.IDOfKey(r.Key), Record: rec}
+			id := workflow.IDOfKey(r.Key)
+			if rec := decodeRecord(s, r, func(value []byte) (*workflow.JobRecord, error) { return workflow.DecodeJob(id, value) }); rec != nil {
+				j := &Job{ID: id, Record: rec}
 				jobs[j.ID] = j
 				s.Jobs = append(s.Jobs, j)
 			}
@@ -92,25 +93,26 @@
 
 func (s *System) addRecord(r store.Record, jobs map[string]*Job) {
 	id := workflow.IDOfKey(r.Key)
+	decodeProcess := func(value []byte) (*workflow.ProcessRecord, error) { return workflow.DecodeProcess(id, value) }
 	switch {
 	case strings.HasPrefix(r.Key, workflow.ProgressPrefix):
 		if j := jobs[id]; j != nil {
-			j.Progress = decodeRecord[workflow.Progress](s, r)
+			j.Progress = decodeRecord(s, r, workflow.Decode[workflow.Progress])
 		}
 	case strings.HasPrefix(r.Key, workflow.CancelPrefix):
 		if j := jobs[id]; j != nil {
 			j.Cancelled = true
 		}
 	case strings.HasPrefix(r.Key, workflow.EntryPrefix):
-		if p := decodeRecord[workflow.ProcessRecord](s, r); p != nil {
+		if p := decodeRecord(s, r, decodeProcess); p != nil {
 			s.Entries[id] = *p
 		}
 	case strings.HasPrefix(r.Key, workflow.AgentPrefix):
-		if p := decodeRecord[workflow.ProcessRecord](s, r); p != nil {
+		if p := decodeRecord(s, r, decodeProcess); p != nil {
 			s.Agents[id] = *p
 		}
 	case r.Key == workflow.PlannerKey:
-		if s.Planner = decodeRecord[workflow.PlannerRecord](s, r); s.Planner != nil {
+		if s.Planner = decodeRecord(s, r, workflow.Decode[workflow.PlannerRecord]); s.Planner != nil {
 			s.Epoch = r.Revision
 		}
 	}
@@ -118,8 +120,8 @@
 
 // decodeRecord decodes a record. If it cannot, it adds the key to s.Unreadable and
 // returns nil.
-func decodeRecord[T any](s *System, r store.Record) *T {
-	v, err := workflow.Decode[T](r.Value)
+func decodeRecord[T any](s *System, r store.Record, decode func([]byte) (*T, error)) *T {
+	v, err := decode(r.Value)
 	if err != nil {
 		s.Unreadable = append(s.Unreadable, r.Key)
 		return nil
@@ -171,7 +173,7 @@
 	for i := range j.Progress.Units {
 		u := &j.Progress.Units[i]
 		c.Failed = max(c.Failed, u.Failed)
-		if u.Step >= len(j.Record.Steps) {
+		if u.Step < 0 || u.Step >= len(j.Record.Steps) {
 			continue // no such step in this job; the planner ignores the unit too
 		}
 		step := &j.Record.Steps[u.Step]
--- a/internal/workflow/intake/admit.go
+++ b/internal/workflow/intake/admit.go
@@ -33,7 +33,7 @@
 	}
 	b, err := workflow.Decode[workflow.Backlog](e.Value)
 	if err != nil {
-		log.WithFields(log.Fields{"event": "record_unreadable", "key": e.Key, "revision": e.Revision, "error": err.Error()}).Error("record cannot be decoded and is ignored")
+		workflow.ReportUnreadable(e.Key, err)
 		in.backlog.Store(nil)
 		return
 	}
--- a/internal/workflow/intake/intake.go
+++ b/internal/workflow/intake/intake.go
@@ -164,21 +164,21 @@
 		case e.Key == workflow.BacklogKey:
 			in.applyBacklog(e)
 		case strings.HasPrefix(e.Key, workflow.JobPrefix):
-			applyRecord[workflow.JobRecord](&in.jobs, id, e)
+			applyRecord(&in.jobs, id, e, func(value []byte) (*workflow.JobRecord, error) { return workflow.DecodeJob(id, value) })
 		case strings.HasPrefix(e.Key, workflow.ProgressPrefix):
-			applyRecord[workflow.Progress](&in.progress, id, e)
+			applyRecord(&in.progress, id, e, workflow.Decode[workflow.Progress])
 		}
 	}
 }
 
-func applyRecord[T any](m *sync.Map, id string, e store.Event) {
+func applyRecord[T any](m *sync.Map, id string, e store.Event, decode func([]byte) (*T, error)) {
 	if e.Deleted {
 		m.Delete(id)
 		return
 	}
-	v, err := workflow.Decode[T](e.Value)
+	v, err := decode(e.Value)
 	if err != nil {
-		log.WithFields(log.Fields{"event": "record_unreadable", "key": e.Key, "revision": e.Revision, "error": err.Error()}).Error("record cannot be decoded and is ignored")
+		workflow.ReportUnreadable(e.Key, err)
 		return
 	}
 	m.Store(id, v)
--- a/internal/workflow/planner/planner_test.go
+++ b/internal/workflow/planner/planner_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 
+	"snipegw/internal/store"
+	"snipegw/internal/workflow"
 	"snipegw/internal/workflow/engine"
 )
 
@@ -40,3 +43,31 @@
 		t.Error("the lock of the term is still held")
 	}
 }
+
+// Guards against a record of another writer that replaces or removes the address of an agent, or
+// is followed although it names none: the worker beside that agent would be lost, and the planner
+// would call an address that cannot exist without end.
+func TestRecordsThatNameNoAgentAreNotFollowed(t *testing.T) {
+	log.SetHandler(discard.New())
+	ctx, endTerm := context.WithCancelCause(t.Context())
+	term := newTerm(New(Options{Engine: engine.Settings{}}), 1, 2, endTerm)
+	endTerm(errStopping) // no agent is called
+	term.ctx = ctx
+	event := func(key string, value []byte) store.Event {
+		return store.Event{Record: store.Record{Key: workflow.AgentPrefix + key, Value: value, Revision: 1}}
+	}
+	address := func(a string) []byte { return workflow.Encode(workflow.ProcessRecord{Address: a}) }
+	removed := event("x/node-1", nil)
+	removed.Deleted = true
+	term.mu.Lock()
+	defer term.mu.Unlock()
+	term.applyEvents([]store.Event{
+		event("node-1", address("10.0.0.1:7000")),
+		event("node-1", address("10.0.0.9:70000")), event("node-1", []byte("x")), event("node-1", nil),
+		event("x/node-1", address("10.0.0.9:7000")), removed,
+		event("odd-1", address("10.0.0.9:0")), event("odd-2", address("")), event("odd|5", address("10.0.0.9:7000")), event("", address("10.0.0.9:7000")),
+	})
+	if want := map[string]string{"node-1": "10.0.0.1:7000"}; !maps.Equal(term.agentAddresses, want) {
+		t.Errorf("the agents are %v, expected %v", term.agentAddresses, want)
+	}
+}
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -182,17 +182,14 @@
 // addJob adds the job in record r to the engine, with its progress record if there is
 // one. It skips a job with a record that cannot be decoded. t.mu is held.
 func (t *term) addJob(r store.Record, progressRecords map[string]store.Record) {
-	rec, err := workflow.Decode[workflow.JobRecord](r.Value)
-	if err == nil {
-		// A job that breaks the limits, such as one with a dependency on a missing step,
-		// would make every decision fail.
-		err = rec.Validate()
-	}
+	id := workflow.IDOfKey(r.Key)
+	// A job that breaks the limits, such as one with a dependency on a missing step, would make
+	// every decision fail.
+	rec, err := workflow.DecodeJob(id, r.Value)
 	if err != nil {
-		log.WithFields(log.Fields{"event": "record_unreadable", "key": r.Key, "error": err.Error()}).Error("record cannot be decoded or is invalid; the job is ignored")
+		workflow.ReportUnreadable(r.Key, err)
 		return
 	}
-	id := workflow.IDOfKey(r.Key)
 	progress, ok := progressRecords[id]
 	if !ok {
 		t.engine.AddJob(id, rec, nil, 0)
@@ -200,7 +197,7 @@
 	}
 	p, err := workflow.Decode[workflow.Progress](progress.Value)
 	if err != nil {
-		log.WithFields(log.Fields{"event": "record_unreadable", "key": progress.Key, "error": err.Error()}).Error("record cannot be decoded; the job is ignored")
+		workflow.ReportUnreadable(progress.Key, err)
 		return
 	}
 	t.engine.AddJob(id, rec, p, progress.Revision)
@@ -224,16 +221,17 @@
 	}
 }
 
-// applyAgentEvent updates the address of an agent and follows an agent that is new.
+// applyAgentEvent updates the address of an agent and follows an agent that is new. The address
+// that is known stays if the record names none.
 // t.mu is held.
 func (t *term) applyAgentEvent(node string, e store.Event) {
 	if e.Deleted {
 		delete(t.agentAddresses, node)
 		return
 	}
-	a, err := workflow.Decode[workflow.ProcessRecord](e.Value)
+	a, err := workflow.DecodeProcess(node, e.Value)
 	if err != nil {
-		log.WithFields(log.Fields{"event": "record_unreadable", "key": e.Key, "error": err.Error()}).Error("record cannot be decoded; the agent is ignored")
+		workflow.ReportUnreadable(e.Key, err)
 		return
 	}
 	if _, known := t.agentAddresses[node]; !known {
--- a/internal/workflow/records.go
+++ b/internal/workflow/records.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 
+	"snipegw/internal/kernel"
 	"snipegw/internal/wire"
 )
 
@@ -139,5 +140,63 @@
 	return v, nil
 }
 
-// IDOfKey returns the last path element of a key, which is the id of its record.
-func IDOfKey(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
+// IDOfKey returns the id of the record at a key: what follows the prefix of its kind. The id of
+// a key with further path elements, which another writer may have written, has slashes and is
+// that of no job or process.
+func IDOfKey(key string) string {
+	_, id, _ := strings.Cut(strings.TrimPrefix(key, Prefix), "/")
+	return id
+}
+
+// Limits of the ids of jobs and of the names of processes.
+const (
+	maxJobIDBytes   = 64
+	maxProcessBytes = 200
+)
+
+// DecodeJob decodes the record of the job with the given id. It fails if the record describes no
+// job that can be planned. Workers name items by the id and dots.
+func DecodeJob(id string, data []byte) (*JobRecord, error) {
+	if id == "" || len(id) > maxJobIDBytes || strings.ContainsFunc(id, func(c rune) bool { return !isLetterOrDigit(c) && c != '-' && c != '_' }) {
+		return nil, fmt.Errorf("%.80q is no job id", id)
+	}
+	r, err := Decode[JobRecord](data)
+	if err == nil {
+		err = r.Validate()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+func isLetterOrDigit(c rune) bool {
+	return c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+}
+
+// DecodeProcess decodes the record of the process with the given name. It fails if the record
+// describes no process that can be called. WorkerKey separates the name by a bar.
+func DecodeProcess(name string, data []byte) (*ProcessRecord, error) {
+	if name == "" || len(name) > maxProcessBytes || strings.ContainsFunc(name, func(c rune) bool { return c <= ' ' || c > '~' || c == '/' || c == '|' }) {
+		return nil, fmt.Errorf("%.80q is no name of a process", name)
+	}
+	r, err := Decode[ProcessRecord](data)
+	if err != nil {
+		return nil, err
+	}
+	if len(r.Zone) > MaxFailureDomainBytes {
+		return nil, fmt.Errorf("zone of %d bytes exceeds %d", len(r.Zone), MaxFailureDomainBytes)
+	}
+	if err := ValidateAddress(r.Address); err != nil {
+		return nil, err
+	}
+	if ValidateAddress(r.Debug) != nil {
+		r.Debug = "" // only operators use it
+	}
+	return r, nil
+}
+
+// ReportUnreadable reports a record that is ignored since it cannot be decoded or is invalid.
+func ReportUnreadable(key string, err error) {
+	kernel.Rejections.Report("record_unreadable", "record", key, err, "record cannot be decoded or is invalid, and is ignored")
+}
