Refuse jobs whose amounts overflow in sums

What callers saw: nothing so far; found by reading. Cause: amounts of a job had no upper limit. Four items of 2^61 accelerators each need 0 of them after an overflow, so that the job counted as one within its team's guarantee; an estimate of 2^63-1 ms gave a negative duration. Sums over 20,000 items and 64 steps stay below 2^63. Looked elsewhere: capacities of workers are limited where announcements are decoded.

--- a/internal/workflow/model.go
+++ b/internal/workflow/model.go
@@ -17,6 +17,12 @@
 	MaxItems        = 20_000 // over all steps and occurrences
 	MaxItemsPerStep = 4096
 	MaxOccurrences  = 1000
+	// MaxAmount limits the request of an item for each resource, and MaxPeriodMS estimates,
+	// targets and intervals (about two years). Sums over all items and steps do not overflow.
+	MaxAmount   = 1 << 40
+	MaxPeriodMS = 1 << 36
+	// MaxTimeMS limits times, in Unix milliseconds.
+	MaxTimeMS = 1 << 43
 )
 
 // Job is a job as a caller submits it.
@@ -127,6 +133,8 @@
 		return badRequest("%d occurrences, must be 0 to %d", j.Occurrences, MaxOccurrences)
 	case j.IntervalMS < 0 || j.FirstAtMS < 0:
 		return badRequest("start time and interval must not be negative")
+	case j.IntervalMS > MaxPeriodMS || j.FirstAtMS > MaxTimeMS:
+		return badRequest("start time or interval is out of range")
 	}
 	items := 0
 	for i := range j.Steps {
@@ -150,6 +158,10 @@
 		return badRequest("%d items, must be 1 to %d", s.Count, MaxItemsPerStep)
 	case s.MilliCPU < 0 || s.MemoryMB < 0 || s.Accelerators < 0 || s.EstimateMS < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 || s.TargetMS < 0:
 		return badRequest("resources, estimate, limits and latency target must not be negative")
+	case max(s.MilliCPU, s.MemoryMB, s.Accelerators) > MaxAmount:
+		return badRequest("a request for resources exceeds %d", int64(MaxAmount))
+	case max(s.EstimateMS, s.TargetMS) > MaxPeriodMS:
+		return badRequest("estimate or latency target exceeds %d ms", int64(MaxPeriodMS))
 	}
 	for _, dep := range s.After {
 		if dep < 0 || dep >= index {
