Replace a planner's key that has no lease

What callers saw: nothing is planned any more (LOST), if another writer overwrites or leaves snipegw/planner. Cause: an entry becomes planner only while the key does not exist or is its own. A key without a lease never goes away, and the planner at work ends its term when it sees the higher revision. Change: a planner holds its key by a lease of the store, so that a key without one is that of no planner: it is replaced on the condition of its revision, counted and logged once. The epoch stays the revision of the key. Looked elsewhere: backlog (replaced by the next statement), progress records (a conflict ends the term, and the next one ignores a job whose progress cannot be read; see docs/platform.md).

--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -61,6 +61,8 @@
 	PublishBacklog bool
 }
 
+var errNoLease = errors.New("the planner's key has no lease")
+
 // Host takes part in the election and runs the engine while this entry is planner.
 // It is a kernel.Component.
 type Host struct {
@@ -209,7 +211,8 @@
 
 // mayBecomePlanner reports whether this entry may become planner, and the revision
 // of the planner's key to replace, 0 if there is none. A key of this entry's own was
-// left by an earlier process, so it is replaced before its lease expires.
+// left by an earlier process, so it is replaced before its lease expires. A key without a
+// lease is that of no planner, and would stay for ever.
 func (h *Host) mayBecomePlanner() (revision uint64, vacant bool) {
 	if !h.options.Records.Synced() {
 		return 0, false
@@ -218,6 +221,10 @@
 	if !held {
 		return 0, true
 	}
+	if r.Lease == 0 {
+		workflow.ReportUnreadable(r.Key, errNoLease)
+		return r.Revision, true
+	}
 	p, err := workflow.Decode[workflow.PlannerRecord](r.Value)
 	return r.Revision, err == nil && p.Entry == h.options.Entry
 }
