Bound durations that are computed from estimates and factors

What callers saw: nothing so far; found by reading. Cause: a slack factor or an estimate out of range, also NaN, which the encoding of records allows, gave a product that no time.Duration holds. The conversion then yields another value on arm64 than on x86-64, such as an objective 292 years ago, so that the job goes before or after all others of its class. Change: ToDuration bounds such durations to about a year, and Objective computes the objective for the planner and for refusals. Estimates of usual size keep their values. Looked elsewhere: predictions from the progress of a run divide by at least 4%, and a worker's progress is taken as 0 to 100.

--- a/internal/workflow/admission/admission.go
+++ b/internal/workflow/admission/admission.go
@@ -170,9 +170,9 @@
 				waves = max(waves, math.Ceil(total*stepPoolDivisor/float64(amount[1])))
 			}
 		}
-		return time.Duration(waves * float64(duration))
+		return workflow.ToDuration(waves * float64(duration))
 	})
-	o.objective = time.Duration(max(r.Queue.SlackFactor, 1)*float64(o.path)) + time.Duration(r.Queue.TargetMS)*time.Millisecond
+	o.objective = workflow.Objective(r.Queue.SlackFactor, o.path, r.Queue.TargetMS)
 	return o
 }
 
--- a/internal/workflow/backlog.go
+++ b/internal/workflow/backlog.go
@@ -123,7 +123,7 @@
 	if s.EstimateMS <= 0 {
 		return 0
 	}
-	return time.Duration(math.Exp(q.Offset+q.Exponent*math.Log(float64(s.EstimateMS))) * float64(time.Millisecond))
+	return ToDuration(math.Exp(q.Offset+q.Exponent*math.Log(float64(s.EstimateMS))) * float64(time.Millisecond))
 }
 
 // Service returns the part of b on a service; nil if there is none.
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -272,8 +272,7 @@
 // from its acceptance or due time, whichever is later: its critical path times the
 // slack factor, plus TargetMS.
 func (e *Engine) objective(j *job, occurrence int) time.Duration {
-	slack := max(j.rec.SlackFactor, 1)
-	return time.Duration(slack*float64(e.criticalPath(j, occurrence, true))) + time.Duration(j.rec.TargetMS)*time.Millisecond
+	return workflow.Objective(j.rec.SlackFactor, e.criticalPath(j, occurrence, true), j.rec.TargetMS)
 }
 
 // computeUrgency sets startBy and lateness of a candidate, by the occurrence of
--- a/internal/workflow/engine/estimate.go
+++ b/internal/workflow/engine/estimate.go
@@ -82,7 +82,7 @@
 	}
 	corrected := math.Log(float64(step.EstimateMS)) + q.ratio.mean
 	share := q.runTime.variance / (q.runTime.variance + q.ratio.variance)
-	return time.Duration(math.Exp(share*corrected+(1-share)*q.runTime.mean) * float64(time.Millisecond))
+	return workflow.ToDuration(math.Exp(share*corrected+(1-share)*q.runTime.mean) * float64(time.Millisecond))
 }
 
 // spread returns the standard deviation of the logarithm of a prediction for the queue.
