End a call in time while its address is resolved

What callers saw: nothing so far; found by reading. Cause: a connection resolved its address with net.ResolveUDPAddr, which knows no context. The address comes from a record of the store; with a host name that no resolver answers, the call outlasts its time limit by the resolver's, and other calls to that address wait for it. An entry that tries its peers, as the store does not answer it, would keep its callers waiting. Evidence: go test ./internal/transport -run CallEnds on the former code: "the call goes on after its time limit". Change: resolve ends with the time limit of the handshake. TestOddAddressesAreRefused shows that ports out of range and addresses without a host are errors; it guards what held before. Looked elsewhere: TCP connections are dialed with a context; addresses of settings are resolved at the start. Run: go test -race ./internal/transport passes.

--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -273,17 +275,42 @@
 	return pc.dial(ctx, p, addr)
 }
 
+// resolve returns the UDP address of host:port. Unlike net.ResolveUDPAddr it ends with ctx: the
+// address may come from a record of another writer, and its host be a name that nobody resolves.
+func resolve(ctx context.Context, addr string) (*net.UDPAddr, error) {
+	if literal, err := netip.ParseAddrPort(addr); err == nil {
+		return net.UDPAddrFromAddrPort(literal), nil
+	}
+	host, service, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	port, err := net.DefaultResolver.LookupPort(ctx, "udp", service)
+	if err != nil {
+		return nil, err
+	}
+	ips, err := net.DefaultResolver.LookupNetIP(ctx, "ip", host)
+	if err != nil {
+		return nil, err
+	}
+	ip := ips[0]
+	if i := slices.IndexFunc(ips, func(a netip.Addr) bool { return a.Unmap().Is4() }); i >= 0 {
+		ip = ips[i]
+	}
+	return net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip.Unmap(), uint16(port))), nil
+}
+
 // dial opens the connection. The caller holds mu.
 func (pc *pooledConn) dial(ctx context.Context, p *Pool, addr string) (*quic.Conn, error) {
 	if pc.closed {
 		return nil, errConnectionsClosed
 	}
-	udpAddr, err := net.ResolveUDPAddr("udp", addr)
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	udpAddr, err := resolve(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
-	defer cancel()
 	c, err := p.quicTransport.Dial(ctx, udpAddr, p.creds.clientConfig(), quicConfig())
 	if err != nil {
 		return nil, err
