Merge the handling of input of other writers

Records of other writers below snipegw/planners/ are skipped like those of agents and entries (TestOddHoldersAreIgnored). TestLogEvents also finds the events that are reported as rejected input.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -121,7 +121,7 @@
 // but no longer logged fails as well.
 func TestLogEvents(t *testing.T) {
 	logged := map[string]bool{}
-	pattern := regexp.MustCompile(`(?:"event"[:,] *|logEvent\()"([a-z_]+)"( \+)?`)
+	pattern := regexp.MustCompile(`(?:"event"[:,] *|logEvent\(|Rejections\.Report\()"([a-z_]+)"( \+)?`)
 	for _, m := range pattern.FindAllStringSubmatch(sources(t), -1) {
 		name := m[1]
 		if m[2] != "" {
--- a/internal/workflow/planner/holders.go
+++ b/internal/workflow/planner/holders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -25,6 +26,8 @@
 	recallPeriod = MaxStoreOutage + 5*time.Second
 )
 
+var errOtherAddress = errors.New("the record holds another address than its key")
+
 // Register registers the handler of calls from other planners on mux.
 func (h *Host) Register(mux *transport.Mux) {
 	mux.Handle(wire.KindPlannerRecall, transport.Unary(h.recall))
@@ -98,13 +101,27 @@
 	}
 }
 
-// holderAddresses returns the addresses of the entries that have been planner.
+// holderAddresses returns the addresses of the entries that have been planner. It skips records of
+// other writers, whose key is not the address in the record.
 func holderAddresses(records []store.Record) []string {
 	var addresses []string
 	for _, r := range records {
-		if address, ok := strings.CutPrefix(r.Key, workflow.HolderPrefix); ok {
-			addresses = append(addresses, address)
+		address, ok := strings.CutPrefix(r.Key, workflow.HolderPrefix)
+		if !ok {
+			continue
+		}
+		p, err := workflow.Decode[workflow.PlannerRecord](r.Value)
+		if err == nil && p.Address != address {
+			err = errOtherAddress
+		}
+		if err == nil {
+			err = workflow.ValidateAddress(address)
+		}
+		if err != nil {
+			workflow.ReportUnreadable(r.Key, err)
+			continue
 		}
+		addresses = append(addresses, address)
 	}
 	return addresses
 }
--- a/internal/workflow/planner/holders_test.go
+++ b/internal/workflow/planner/holders_test.go
@@ -101,6 +101,20 @@
 	}
 }
 
+// Another writer leaves records among those of the holders. Guards against a planner that calls
+// addresses that cannot exist, and never learns that all earlier planners have ended.
+func TestOddHoldersAreIgnored(t *testing.T) {
+	g := NewWithT(t)
+	log.SetHandler(discard.New())
+	record := func(key, address string) store.Record {
+		return store.Record{Key: workflow.HolderPrefix + key, Value: workflow.Encode(workflow.PlannerRecord{Entry: "e", Address: address})}
+	}
+	g.Expect(holderAddresses([]store.Record{
+		record("127.0.0.1:70000", "127.0.0.1:70000"), record("127.0.0.1:1", "127.0.0.1:2"), record("x/127.0.0.1:1", "127.0.0.1:1"),
+		{Key: workflow.HolderPrefix + "127.0.0.1:3", Value: []byte("odd")}, record("127.0.0.1:4", "127.0.0.1:4"),
+	})).To(Equal([]string{"127.0.0.1:4"}))
+}
+
 // grantingTable is a memoryTable that grants leases.
 type grantingTable struct{ *memoryTable }
 
