Await the ends that a worker's report leaves out

Callers saw work items start a second time after they were done (TWICE), when more than 500 ends waited on one worker, mostly because the store was down and no end could be acknowledged.

Cause: a worker lists 500 ends at a time. Its runs behind these are in neither list of the report, and the planner took that for the proof that they were lost. A list that may be cut short says nothing about what it leaves out.

Change: the agent marks a report with a full list of ends (WorkerReport.EndsTruncated, field 6). The planner concludes nothing from absence in such a report: runs of this planner, of a former one and of a former incarnation stay open and hold their room. A run that goes on no longer and whose end may be on a later page is called pending. It is not taken for hung (and the worker not for faulty), not for starting, not for the victim of a crash or of a lapse, and its run time is not learned. The listed ends are recorded and acknowledged as before, so that the next report begins behind them, and leases are renewed. When the worker crashes, leaves or is silent until its lease has expired, nobody can acknowledge a pending end any more, and the item starts again. The planner logs worker_ends_truncated once for a series of such reports, counts it (snipegw_ends_truncated_total), and the dump has ends_pending.

The stand-in worker lists 500 ends at a time.

--- a/internal/standin/platformworker/worker.go
+++ b/internal/standin/platformworker/worker.go
@@ -42,6 +42,10 @@
 	outcome string
 }
 
+// maxListedEnds is the largest number of ends in the response to a hold. The further ones are
+// listed once those have been acknowledged.
+const maxListedEnds = 500
+
 // gpusPerWorker is the number of accelerators of a worker.
 const gpusPerWorker = 8
 
@@ -67,6 +71,7 @@
 	draining           bool
 	down               bool          // between a restart under the same id and its new incarnation
 	cameBack           chan struct{} // signals the end of a downtime to Announce
+	holds              int           // number of answers to holds
 	responsesToLose    int           // number of next starts and stops whose response is lost
 }
 
@@ -327,8 +332,26 @@
 	for _, r := range w.running {
 		running = append(running, []any{r.item, r.number, "", r.progressPercent(), 0})
 	}
+	w.holds++
 	return http.StatusOK, map[string]any{
-		"born": w.incarnationStart.UnixMilli(), "running": running, "endedRuns": append([][]any{}, w.unacknowledgedEnds...),
+		"born": w.incarnationStart.UnixMilli(), "running": running,
+		"endedRuns": append([][]any{}, w.unacknowledgedEnds[:min(len(w.unacknowledgedEnds), maxListedEnds)]...),
+	}
+}
+
+// Holds returns the number of answers to holds.
+func (w *Worker) Holds() int {
+	w.pool.mu.Lock()
+	defer w.pool.mu.Unlock()
+	return w.holds
+}
+
+// FinishRuns ends all runs as done.
+func (w *Worker) FinishRuns() {
+	w.pool.mu.Lock()
+	defer w.pool.mu.Unlock()
+	for _, r := range append([]*run(nil), w.running...) {
+		w.endRun(r, "done")
 	}
 }
 
--- a/internal/workflow/engine/crash.go
+++ b/internal/workflow/engine/crash.go
@@ -54,6 +54,9 @@
 
 // recordLapse notes that the run of m has ended with its worker's lease.
 func (e *Engine) recordLapse(m *member, now time.Time) {
+	if m.endPending {
+		return // it had ended before the worker fell silent
+	}
 	u, w := m.unit, m.worker
 	l := lapsedRun{member: m, atStart: m.startedRecently(w.reportedAt), at: now}
 	w.lapsed = append(w.lapsed, l)
@@ -114,7 +117,7 @@
 // startedRecently reports whether, at the given time, the run of m may still be starting.
 // It is false for runs that another planner has started, whose start time is not known.
 func (m *member) startedRecently(at time.Time) bool {
-	return !m.inherited && (!m.listed || !m.hasOutlivedStart(at))
+	return !m.inherited && !m.endPending && (!m.listed || !m.hasOutlivedStart(at))
 }
 
 // hasOutlivedStart reports whether the run of m has lasted for crashProbation since its first
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -365,7 +365,7 @@
 		}
 		for _, m := range w.members {
 			u := m.unit
-			if u.stopping || u.done || !m.listed || u.spec().LongRunning || m.awaitsGang() || w.reportedAt.Sub(m.percentChangedAt) < e.hangTimeoutOf(m) {
+			if u.stopping || u.done || !m.listed || m.endPending || u.spec().LongRunning || m.awaitsGang() || w.reportedAt.Sub(m.percentChangedAt) < e.hangTimeoutOf(m) {
 				continue
 			}
 			u.stop("no progress")
--- a/internal/workflow/engine/dump.go
+++ b/internal/workflow/engine/dump.go
@@ -38,7 +38,10 @@
 	Draining    bool   `json:"draining"`
 	ReportAgeMS int64  `json:"report_age_ms"`
 	Items       int    `json:"items"`
-	Excluded    bool   `json:"excluded"`
+	// PendingEnds counts the items that no longer run and whose ends the latest report may have
+	// left out.
+	PendingEnds int  `json:"ends_pending,omitempty"`
+	Excluded    bool `json:"excluded"`
 	// Slowness is the learned factor of run times, 1 for a typical worker.
 	Slowness float64 `json:"slowness"`
 	// Rack and Accelerators are as announced; empty and 0 before an announcement.
@@ -83,7 +86,7 @@
 	for _, w := range e.sortedWorkers {
 		ws := WorkerState{
 			Node: w.node, Incarnation: w.incarnation, Usable: e.usable(w, now), Draining: w.announcement != nil && w.announcement.Draining,
-			ReportAgeMS: now.Sub(w.reportedAt).Milliseconds(), Items: len(w.members), Excluded: w.health.excluded(now),
+			ReportAgeMS: now.Sub(w.reportedAt).Milliseconds(), Items: len(w.members), Excluded: w.health.excluded(now), PendingEnds: w.pendingEnds(),
 			FreeAccelerators: w.free().Accelerators, Slowness: w.relativeSlowness(),
 			FailureDomain: w.failureDomain(), Evacuated: e.isEvacuated(w), Cold: w.isCold(now),
 		}
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -179,6 +179,7 @@
 	moved            bool      // the worker restarted under its id after the order, see startIncarnation
 	crashed          bool      // that restart was a crash
 	crashedAtStart   bool      // the run may still have been starting at that restart
+	endPending       bool      // the run goes on no longer, and the latest report was truncated before its end
 	startedAt        time.Time // first report of the run; before that, the decision or the order, or the term's start if inherited
 	firstPercent     float64   // progress in the first report of the run
 	resumed          bool      // the start order carried a checkpoint
--- a/internal/workflow/engine/health.go
+++ b/internal/workflow/engine/health.go
@@ -46,8 +46,8 @@
 // observeEnd updates the health of the worker, the run-time estimates and the list
 // of workers on which the unit failed from the end of a member. The run time is taken on
 // the worker's clock, from the confirmation of the start to the report of the end. Runs
-// that resumed from a checkpoint, or were started by another planner, do not change the
-// estimates.
+// that resumed from a checkpoint, were started by another planner, or ended some time before
+// their ends were listed, do not change the estimates.
 func (e *Engine) observeEnd(m *member, how workflow.End, now time.Time) {
 	u := m.unit
 	if e.plugins.speed != nil {
@@ -59,7 +59,7 @@
 	switch how {
 	case workflow.EndDone:
 		m.worker.health.recordSuccess()
-		if m.startConfirmedMS > 0 && !m.resumed {
+		if m.startConfirmedMS > 0 && !m.resumed && !m.endPending {
 			e.estimates.observe(u, scale(time.Duration(m.worker.clockMS-m.startConfirmedMS)*time.Millisecond, 1/u.slowness()))
 		}
 	case workflow.EndFailed:
--- a/internal/workflow/engine/notes.go
+++ b/internal/workflow/engine/notes.go
@@ -6,13 +6,22 @@
 	"snipegw/internal/workflow"
 )
 
-// EndEvent is the end of a run or of a job, a run that should have ended, or a change of
-// the speed of a worker, for logs and metrics. Exactly one of its fields is set.
+// EndEvent is the end of a run or of a job, a run that should have ended, a list of ends that
+// is incomplete, or a change of the speed of a worker, for logs and metrics. Exactly one of its
+// fields is set.
 type EndEvent struct {
 	Run        *RunEnd
 	Job        *JobEnd
 	Unexpected *UnexpectedRun
 	Speed      *SpeedChange
+	Truncated  *TruncatedEnds
+}
+
+// TruncatedEnds is the first of a series of truncated lists of ends from a worker.
+type TruncatedEnds struct {
+	Worker  string // key of the worker's incarnation
+	Listed  int    // ends in the report
+	Pending int    // runs whose ends the report may have left out
 }
 
 // UnexpectedRun is a run that a worker lists although the planner has no record of it,
--- a/internal/workflow/engine/property_test.go
+++ b/internal/workflow/engine/property_test.go
@@ -26,6 +26,7 @@
 		seed := rapid.Uint64().Draw(t, "seed")
 		faultRate := rapid.SampledFrom([]float64{0, 0.3, 1}).Draw(t, "trouble")
 		w := newWorld(seed, rapid.IntRange(2, 6).Draw(t, "workers"), faultRate)
+		w.endsPerReport = rapid.SampledFrom([]int{500, 1, 3}).Draw(t, "ends per report")
 		w.simulate(faultPeriod, calmPeriod)
 		if len(w.violations) > 0 {
 			t.Fatalf("rules broken:\n%s", strings.Join(w.violations, "\n"))
@@ -71,6 +72,9 @@
 				wk.members = slices.DeleteFunc(wk.members, func(m *member) bool { return !m.listed })
 			}
 		}},
+		{"TWICE", func(w *world) { // a run that a truncated report leaves out is taken for lost
+			w.endsPerReport, w.hideTruncation = 1, true
+		}},
 		{"UNASKED", func(w *world) { w.hideCancels = true }},
 		{"EVAC", func(w *world) { w.evacuations.hide = true }},
 	}
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -32,6 +32,7 @@
 	// lostInheritedRuns that a crash has ended them.
 	inheritedRuns, lostInheritedRuns bool
 	unexpected                       map[runKey]bool // runs in the latest report that no member stands for
+	endsTruncated                    bool            // the latest report may have left out ends
 	health                           health
 	slowness                         float64 // learned from run times, see relativeSlowness; 0 is 1
 }
@@ -107,6 +108,7 @@
 	w.health = health{}
 	e.resolveLapses(w, crashed, now)
 	for _, m := range slices.Clone(w.members) {
+		crashed := crashed && !m.endPending // such a run had ended before the restart
 		switch {
 		case m.incarnation == incarnation:
 		case !m.startSent && !m.inherited:
@@ -142,14 +144,15 @@
 	if !m.moved || m.listed {
 		m.crashed, m.crashedAtStart = crashed, m.startedRecently(w.reportedAt)
 	}
-	m.incarnation, m.moved, m.listed = w.incarnation, true, false
+	m.incarnation, m.moved, m.listed, m.endPending = w.incarnation, true, false, false
 	m.startConfirmedMS, m.stopConfirmedMS, m.lastStopSent = 0, 0, time.Time{}
 	// The order has extended the lease by an amount that is not known on the new clock.
 	w.maxLeaseUntilMS = report.ClockMS + e.settings.LeaseDuration.Milliseconds()
 	e.markDirty(m.unit.job)
 }
 
-// endAllRuns ends all members on a worker that has left as lost.
+// endAllRuns ends all members on a worker that has left as lost, also those with pending
+// ends, which nobody will list or acknowledge any more.
 func (e *Engine) endAllRuns(w *worker, now time.Time) {
 	for _, m := range slices.Clone(w.members) {
 		e.endMember(m, workflow.EndLost, "", now)
@@ -164,7 +167,8 @@
 
 // reconcileRuns updates the members on w from the runs and ends that the worker
 // reports, and ends the members that it neither reports nor can still run. If the report is
-// fenced, it was made under the worker's generation.
+// fenced, it was made under the worker's generation. A truncated report ends only the members
+// that it lists, because the ends of others may be on a later page.
 func (e *Engine) reconcileRuns(w *worker, report *workflow.WorkerReport, fenced bool, now time.Time) {
 	known := make(map[runKey]*member, len(w.members))
 	for _, m := range w.members {
@@ -200,6 +204,9 @@
 	for _, m := range slices.Clone(w.members) {
 		switch {
 		case listed[m]:
+			m.endPending = false
+		case report.EndsTruncated:
+			m.endPending = m.moved && fenced || !m.moved && m.cannotRun(report.ClockMS)
 		case m.moved && fenced && !m.listed:
 			e.loseMember(m, m.crashed, m.crashedAtStart, now)
 		case m.moved && fenced, !m.moved && m.cannotRun(report.ClockMS):
@@ -210,6 +217,26 @@
 			e.endMember(m, how, "", now)
 		}
 	}
+	e.noteTruncation(w, report)
+}
+
+// noteTruncation records when a worker begins to have more ends than a report holds.
+func (e *Engine) noteTruncation(w *worker, report *workflow.WorkerReport) {
+	if report.EndsTruncated && !w.endsTruncated {
+		e.endEvents = append(e.endEvents, EndEvent{Truncated: &TruncatedEnds{Worker: w.incarnation, Listed: len(report.Ended), Pending: w.pendingEnds()}})
+	}
+	w.endsTruncated = report.EndsTruncated
+}
+
+// pendingEnds returns the number of members whose ends the latest report may have left out.
+func (w *worker) pendingEnds() int {
+	n := 0
+	for _, m := range w.members {
+		if m.endPending {
+			n++
+		}
+	}
+	return n
 }
 
 // cannotRun reports whether a run that is missing from the worker's report of
--- a/internal/workflow/engine/world_test.go
+++ b/internal/workflow/engine/world_test.go
@@ -42,6 +42,9 @@
 	runTimes         map[string]time.Duration // true run times by item; random if absent
 	crashDelay       time.Duration            // time after which an item with payload "deadly" crashes its worker
 	crashDowntime    time.Duration            // time until such a worker starts again
+	endsPerReport    int                      // a report lists at most so many ends
+	hideTruncation   bool                     // reports do not say that ends are left out, to test the check
+	acksHeldUntil    time.Time                // no end is acknowledged before, as during an outage of the store
 }
 
 // delayedOrder is an order on its way to a worker.
@@ -59,7 +62,8 @@
 		jobs: make(map[string]*workflow.JobRecord), progress: make(map[string]*workflow.Progress),
 		revision: make(map[string]uint64), cancels: make(map[string]time.Time),
 		acknowledgedDone: make(map[string]bool), acknowledgedFailures: make(map[string]int), runsByItem: make(map[string][]*modelRun), storeRevision: 1,
-		evacuations: worldEvacuations{rng: rand.New(rand.NewPCG(seed, 2)), requestedAt: make(map[string]time.Time)},
+		endsPerReport: 500,
+		evacuations:   worldEvacuations{rng: rand.New(rand.NewPCG(seed, 2)), requestedAt: make(map[string]time.Time)},
 	}
 	w.config = &workflow.Config{
 		Version: 1,
@@ -122,7 +126,7 @@
 	p.Decide(w.now)
 	acked := make(map[string]uint64)
 	for _, m := range w.workers {
-		if key, n := p.LastProcessedEnd(m.node); key == workflow.WorkerKey(m.node, m.node, m.startedMS) {
+		if key, n := p.LastProcessedEnd(m.node); !w.now.Before(w.acksHeldUntil) && key == workflow.WorkerKey(m.node, m.node, m.startedMS) {
 			acked[m.node] = n
 		}
 	}
@@ -245,6 +249,9 @@
 			m.draining = true
 		}
 	}
+	if w.endsPerReport < 500 && w.chance(w.faultRate*0.02) {
+		w.acksHeldUntil = w.now.Add(w.randomDuration(3 * time.Second))
+	}
 }
 
 // submitRandomJob submits a job of one or two random steps.
@@ -308,7 +315,7 @@
 		w.changeEvacuations()
 		w.tick()
 	}
-	w.faultRate = 0
+	w.faultRate, w.acksHeldUntil = 0, time.Time{}
 	clear(w.evacuations.requestedAt)
 	w.showEvacuations()
 	for _, m := range w.workers {
--- a/internal/workflow/engine/world_worker_test.go
+++ b/internal/workflow/engine/world_worker_test.go
@@ -320,7 +320,9 @@
 		m.acknowledge(req.AckedEnds)
 	}
 	m.seq++
-	report := &workflow.WorkerReport{Instance: m.node, StartedMS: m.startedMS, ClockMS: m.clockMS(), Ended: append([]workflow.EndedItem(nil), m.ended...)}
+	report := &workflow.WorkerReport{Instance: m.node, StartedMS: m.startedMS, ClockMS: m.clockMS()}
+	report.Ended = append(report.Ended, m.ended[:min(len(m.ended), m.env.endsPerReport)]...)
+	report.EndsTruncated = len(report.Ended) == m.env.endsPerReport && !m.env.hideTruncation
 	for _, r := range m.running {
 		report.Running = append(report.Running, workflow.RunningItem{Ref: r.ref, Run: r.run, Percent: r.percent()})
 	}
--- a/internal/workflow/messages.go
+++ b/internal/workflow/messages.go
@@ -92,6 +92,9 @@
 	ClockMS   int64         `cbor:"3,keyasint"` // the worker's monotonic clock
 	Running   []RunningItem `cbor:"4,keyasint,omitempty"`
 	Ended     []EndedItem   `cbor:"5,keyasint,omitempty"`
+	// EndsTruncated reports that Ended may be the first page of a longer list. A run that is in
+	// neither list may have ended then; the next ends are listed once these are acknowledged.
+	EndsTruncated bool `cbor:"6,keyasint,omitempty"`
 }
 
 // SyncRequest renews the lease of a worker, acknowledges ended runs and asks the
--- a/internal/workflow/planner/log.go
+++ b/internal/workflow/planner/log.go
@@ -49,6 +49,12 @@
 				"event": "run_unexpected", "job": u.Item.Job, "item": u.Item.String(), "run": u.Run, "epoch": epoch, "worker": u.Worker,
 			}).Warn("a worker lists a run that the planner does not hold")
 		}
+		if p := end.Truncated; p != nil {
+			kernel.Metrics.Count("snipegw_ends_truncated_total")
+			log.WithFields(log.Fields{
+				"event": "worker_ends_truncated", "epoch": epoch, "worker": p.Worker, "listed": p.Listed, "pending": p.Pending,
+			}).Warn("a worker has more ends than fit into its report; runs that the report leaves out stay open")
+		}
 		if s := end.Speed; s != nil {
 			kernel.Metrics.Count("snipegw_worker_speed_changes_total", "to", s.To)
 			log.WithFields(log.Fields{
