Restart items that last however many workers crash under them

Callers saw a job without an end as "failed", and its 11 sound work items were stopped, after one worker had crashed under its twelfth item five times.

Cause: the limits of crashes under one item, made for items that are done some time (docs/incidents/2026-12-budget-deadly-items.md), held for items that last as well, although these are restarted however they end. The same limits held a start until it was known whether a lapsed run was a crash, up to 30 s, and let the items of a step wait for the one under suspicion, which an item that is never given up would make for ever.

Ruled out first: failures of the item itself (no run ended failed, and those have no limit for items that last), and the cancellation path (nobody cancelled; the stops say "job failed").

Change: a crash under an item that lasts gives nothing up. Its restart is delayed from the worker's latest report on, by 0.5 s after the first crash and twice as long after each further one, up to maxLastingCrashDelay, 4 s: the item must be at work again 6 s after its last run, and the rest is for the order and the startup. The time until the crash is noticed is part of the delay. Lapsed runs do not hold it, and the search for a worker without a recent start ends at the same bound. Items of one step that last do not wait for each other, and from the second crash on such an item prefers the worker with the fewest runs. The delay is logged with the count (restart_delayed), counted (snipegw_restart_delays_total) and shown by explain. Jobs with an end keep their limits.

Tests: TestLastingItemThatCrashesWorkersIsGivenUp asserted the outcome that is mended here. TestLastingItemThatCrashesWorkersIsRestarted replaces it with the same delays: the job stays active, the sound items keep their one run, and each pause is below the platform's 6 s, or ends with the lease of a worker that is away for longer. New: TestLastingItemCrashesAcrossTerms, TestLastingItemDoesNotWaitForASuspectOne, TestLastingItemRestartsOnABusyPool, TestLastingItemThatCrashedTwiceAvoidsOtherRuns, TestRestartDelayIsExplained, and TestLastingJobOutlivesCrashes with real entry and agent.

Looked elsewhere: the hang detection and the limit of attempts leave items that last alone already; a gang that lasts takes the same path; the restart after a failure keeps its 0.5 s.

--- a/internal/workflow/engine/crash.go
+++ b/internal/workflow/engine/crash.go
@@ -15,6 +15,12 @@
 	// lastingProbation is the time after which the crashes under an item that runs until it
 	// is cancelled are forgotten.
 	lastingProbation = 30 * time.Second
+	// lastingCrashDelay is the time from the latest report of an item that runs until it is
+	// cancelled to its restart, after the first crash of its worker. Each further crash doubles it,
+	// up to maxLastingCrashDelay. The platform asks that such an item is at work again 6 s after
+	// its last run; the rest of these 6 s is left for the order and the startup.
+	lastingCrashDelay    = 500 * time.Millisecond
+	maxLastingCrashDelay = 4 * time.Second
 	// maxStartCrashes is the number of crashes at its start, with no run between them that
 	// outlived it, after which an item is given up. The platform allows two; the third spares
 	// items that were hit by two unrelated crashes. After the first, no other run starts beside
@@ -25,7 +31,8 @@
 	maxUnexplainedStartCrashes = 4
 	unexplainedCrashPeriod     = 10 * time.Second
 	// maxSuspectWait is how long a suspect unit waits, after its last run, for a worker without
-	// a recent start. On a busy pool there may never be one.
+	// a recent start. On a busy pool there may never be one. A unit that lasts waits no longer
+	// than maxLastingCrashDelay after the latest report of its last run.
 	maxSuspectWait = 2 * time.Second
 	// maxCrashes is the number of crashes of any kind after which an item is given up. The
 	// platform allows two starts after the third crash.
@@ -43,9 +50,10 @@
 
 // lapsedRun is a run that ended with the lease of its worker.
 type lapsedRun struct {
-	member  *member
-	atStart bool
-	at      time.Time
+	member     *member
+	atStart    bool
+	at         time.Time
+	reportedAt time.Time // of the worker's latest report before
 }
 
 // lapseTimeout is the time after which a silent worker is taken for gone for good. Whether it
@@ -58,7 +66,7 @@
 		return // it had ended before the worker fell silent
 	}
 	u, w := m.unit, m.worker
-	l := lapsedRun{member: m, atStart: m.startedRecently(w.reportedAt), at: now}
+	l := lapsedRun{member: m, atStart: m.startedRecently(w.reportedAt), at: now, reportedAt: w.reportedAt}
 	w.lapsed = append(w.lapsed, l)
 	u.changeCrashes(m.index, func(c *crashCount) {
 		c.lapsed++
@@ -66,7 +74,7 @@
 			c.lapsedAtStart++
 		}
 	})
-	u.lostInherited = u.lostInherited || m.inherited
+	u.lostInherited, u.crashReportedAt = u.lostInherited || m.inherited, w.reportedAt
 	e.markDirty(u.job)
 }
 
@@ -85,7 +93,7 @@
 		if !crashed || u.done {
 			continue
 		}
-		e.recordCrash(l.member, l.atStart, now)
+		e.recordCrash(l.member, l.atStart, l.reportedAt, now)
 		e.stopIfExhausted(u.job)
 		e.endJobIfFinished(u.job, now)
 	}
@@ -106,6 +114,9 @@
 // awaitsLapses reports whether u must not start before it is known which of its lapsed runs
 // were crashes, because all of them together reach maxCrashes.
 func (u *unit) awaitsLapses() bool {
+	if u.spec().LongRunning {
+		return false // restarted however many there are
+	}
 	for _, c := range u.crashes {
 		if c.lapsed > 0 && c.total+c.lapsed >= maxCrashes {
 			return true
@@ -127,9 +138,10 @@
 	return at.Sub(m.startedAt) >= crashProbation || m.percent >= startPercent && !m.inherited && !m.unit.spec().LongRunning
 }
 
-// recordCrash counts a crash of the worker under m, and gives the job up if the item has
-// crashed too many workers.
-func (e *Engine) recordCrash(m *member, startedRecently bool, now time.Time) {
+// recordCrash counts a crash of the worker under m, of which the latest report came at
+// reportedAt. If the item has crashed too many workers, it gives the job up, or delays the
+// restart of an item that lasts.
+func (e *Engine) recordCrash(m *member, startedRecently bool, reportedAt, now time.Time) {
 	u := m.unit
 	if u.done || u.job.state.Terminal() {
 		return
@@ -142,12 +154,51 @@
 	})
 	c := u.crashes[m.index]
 	u.lostInherited = u.lostInherited || m.inherited
+	e.markDirty(u.job)
+	if u.spec().LongRunning {
+		e.delayRestart(m, c.total, reportedAt)
+		return
+	}
 	limit := maxStartCrashes
 	if now.Sub(e.unexplainedCrashAt) < unexplainedCrashPeriod {
 		limit = maxUnexplainedStartCrashes
 	}
 	u.job.givenUp = u.job.givenUp || c.atStart >= limit || c.total >= maxCrashes
-	e.markDirty(u.job)
+}
+
+// delayRestart delays the next run of an item that lasts after a number of crashes. The delay
+// begins with the latest report of the worker that crashed, so that the time until the crash
+// became known is part of it.
+func (e *Engine) delayRestart(m *member, crashes int, reportedAt time.Time) {
+	delay := maxLastingCrashDelay
+	if doublings := crashes - 1; doublings < 8 { // more would overflow in the end
+		delay = min(lastingCrashDelay<<doublings, maxLastingCrashDelay)
+	}
+	m.unit.crashReportedAt = reportedAt
+	m.unit.delayUntil(reportedAt.Add(delay))
+	e.endEvents = append(e.endEvents, EndEvent{Delay: &RestartDelay{Item: m.unit.itemRef(m.index), Run: m.run, Worker: m.incarnation, Crashes: crashes, Delay: delay}})
+}
+
+// delayUntil lets the next run of u start at t or later.
+func (u *unit) delayUntil(t time.Time) {
+	if t.After(u.notBefore) {
+		u.notBefore = t
+	}
+}
+
+// risksWorker reports whether u should run apart from other units where there is a choice,
+// because it may crash its worker.
+func (e *Engine) risksWorker(u *unit) bool {
+	return e.isSuspect(u) || u.spec().LongRunning && u.crashTotal() >= 2
+}
+
+// crashTotal returns the largest number of crashes under an item of u.
+func (u *unit) crashTotal() int {
+	most := 0
+	for _, c := range u.crashes {
+		most = max(most, c.total)
+	}
+	return most
 }
 
 // forgetCrashes drops the counts of an item that lasts, once its run has lasted for
@@ -190,7 +241,8 @@
 
 // limitSuspects returns which of the ready units of j may start. The items of a step are
 // alike, so while one is under suspicion only that one starts, and the others of the step
-// wait until its run has outlived crashProbation.
+// wait until its run has outlived crashProbation. Items that last do not wait for each other:
+// one that is never given up would hold the sound ones for ever.
 func (e *Engine) limitSuspects(j *job, ready []*unit) []*unit {
 	if !j.hasCrashes {
 		return ready
@@ -201,7 +253,7 @@
 	}
 	byStep := make(map[int]*suspects)
 	for _, u := range j.units {
-		if !e.isSuspect(u) {
+		if u.spec().LongRunning || !e.isSuspect(u) {
 			continue
 		}
 		step := byStep[u.step]
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -157,6 +157,9 @@
 	// lostInherited reports that a crash has ended a run of another planner, and no run has
 	// outlived crashProbation since.
 	lostInherited bool
+	// crashReportedAt is the latest report of the worker before its latest crash or lapse under an
+	// item of u, zero if there was none in this term.
+	crashReportedAt time.Time
 }
 
 // member is one item of a run of a unit, on the worker that it is assigned to.
@@ -179,6 +182,7 @@
 	moved            bool      // the worker restarted under its id after the order, see startIncarnation
 	crashed          bool      // that restart was a crash
 	crashedAtStart   bool      // the run may still have been starting at that restart
+	crashReportedAt  time.Time // latest report of the worker before that restart
 	endPending       bool      // the run goes on no longer, and the latest report was truncated before its end
 	startedAt        time.Time // first report of the run; before that, the decision or the order, or the term's start if inherited
 	firstPercent     float64   // progress in the first report of the run
@@ -319,7 +323,7 @@
 }
 
 // attemptsExhausted reports whether a unit of the job has used all its attempts or has
-// crashed too many workers. Long-running units have no limit of attempts.
+// crashed too many workers. Long-running units have no limit of attempts or crashes.
 func (e *Engine) attemptsExhausted(j *job) bool {
 	return j.givenUp || j.maxFailedRuns >= e.config.MaxAttemptsOf(j.rec)
 }
@@ -382,9 +386,9 @@
 	}
 	switch {
 	case noneStarted:
-		u.notBefore = now.Add(startRetryDelay)
+		u.delayUntil(now.Add(startRetryDelay))
 	case anyFailed && u.spec().LongRunning:
-		u.notBefore = now.Add(failureRestartDelay)
+		u.delayUntil(now.Add(failureRestartDelay))
 	}
 	if !u.done {
 		e.stopIfExhausted(u.job)
--- a/internal/workflow/engine/explain.go
+++ b/internal/workflow/engine/explain.go
@@ -40,7 +40,11 @@
 		}
 	}
 	if now.Before(u.notBefore) {
-		return fmt.Sprintf("backs off for %v after its last run", u.notBefore.Sub(now).Round(10*time.Millisecond))
+		text := fmt.Sprintf("backs off for %v after its last run", u.notBefore.Sub(now).Round(10*time.Millisecond))
+		if crashes := u.crashTotal(); crashes > 0 {
+			text += fmt.Sprintf(", as workers have crashed under it (%d so far)", crashes)
+		}
+		return text
 	}
 	c := &candidate{job: j, units: []*unit{u}, class: e.classOf(j)}
 	e.computeUrgency(c, now)
--- a/internal/workflow/engine/notes.go
+++ b/internal/workflow/engine/notes.go
@@ -7,14 +7,24 @@
 )
 
 // EndEvent is the end of a run or of a job, a run that should have ended, a list of ends that
-// is incomplete, or a change of the speed of a worker, for logs and metrics. Exactly one of its
-// fields is set.
+// is incomplete, a restart that is delayed, or a change of the speed of a worker, for logs and
+// metrics. Exactly one of its fields is set.
 type EndEvent struct {
 	Run        *RunEnd
 	Job        *JobEnd
 	Unexpected *UnexpectedRun
 	Speed      *SpeedChange
 	Truncated  *TruncatedEnds
+	Delay      *RestartDelay
+}
+
+// RestartDelay is the delay before the restart of an item that lasts, after its worker crashed.
+type RestartDelay struct {
+	Item    workflow.ItemRef
+	Run     int           // that ended with the worker
+	Worker  string        // key of the worker's incarnation
+	Crashes int           // under the item, since a run last lasted for lastingProbation
+	Delay   time.Duration // from the worker's latest report
 }
 
 // TruncatedEnds is the first of a series of truncated lists of ends from a worker.
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -63,7 +63,7 @@
 // placeCached is like place, but searches only once for units of one shape. Use it
 // only on free resources to which nothing is released.
 func (e *Engine) placeCached(u *unit, r *freeResources) []*worker {
-	if e.cacheDisabled || u.spec().MaxPerWorker > 0 || e.isSuspect(u) {
+	if e.cacheDisabled || u.spec().MaxPerWorker > 0 || e.risksWorker(u) {
 		return e.place(u, r) // a spread limit depends on where the step's other items run
 	}
 	s := e.shape(u)
@@ -187,7 +187,7 @@
 // can be attributed. If there are none, it closes the one with the fewest runs to other units
 // until its last start is no longer recent. After maxSuspectWait any worker will do.
 func (r *freeResources) workersForSuspect(u *unit, fitting []*worker) []*worker {
-	if r.now.Sub(u.idleSince) > maxSuspectWait {
+	if r.now.Sub(u.idleSince) > maxSuspectWait || u.spec().LongRunning && r.now.Sub(u.crashReportedAt) >= maxLastingCrashDelay {
 		return fitting
 	}
 	var out []*worker
@@ -264,8 +264,8 @@
 // first those on which it has not failed, then those in its preferred rack, where
 // its data is, then warm ones (or cold ones if it can wait), then fast ones, then those
 // with the least free resources (best fit), so that whole workers stay free for large
-// items. A suspect unit prefers those with the fewest runs,
-// which a crash would end.
+// items. A suspect unit, and one that lasts and under which two workers have crashed, prefers
+// those with the fewest runs, which a crash would end.
 func (e *Engine) sortByPreference(u *unit, r *freeResources, workers []*worker) []*worker {
 	penalty := func(w *worker) int {
 		n := 0
@@ -277,7 +277,7 @@
 		}
 		return n
 	}
-	suspect := e.isSuspect(u)
+	suspect := e.risksWorker(u)
 	runsAtRisk := func(w *worker) int {
 		if suspect {
 			return len(w.members)
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -114,10 +114,10 @@
 		case !m.startSent && !m.inherited:
 			e.endMember(m, workflow.EndNever, "", now)
 		case otherID:
-			e.loseMember(m, crashed, m.startedRecently(w.reportedAt), now)
+			e.loseMember(m, crashed, m.startedRecently(w.reportedAt), w.reportedAt, now)
 		default:
 			if m.moved && m.listed && crashed {
-				e.recordCrash(m, m.startedRecently(w.reportedAt), now)
+				e.recordCrash(m, m.startedRecently(w.reportedAt), w.reportedAt, now)
 			}
 			e.moveToIncarnation(m, crashed, report)
 		}
@@ -125,14 +125,14 @@
 }
 
 // loseMember ends the run of a member whose worker has restarted, by a crash or after it
-// had drained.
-func (e *Engine) loseMember(m *member, crashed, startedRecently bool, now time.Time) {
+// had drained, with its latest report before at reportedAt.
+func (e *Engine) loseMember(m *member, crashed, startedRecently bool, reportedAt, now time.Time) {
 	if m.inherited {
 		m.worker.lostInheritedRuns = true
 		e.updateMassRestart()
 	}
 	if crashed {
-		e.recordCrash(m, startedRecently, now)
+		e.recordCrash(m, startedRecently, reportedAt, now)
 	}
 	e.endMember(m, workflow.EndLost, "", now)
 }
@@ -142,7 +142,7 @@
 func (e *Engine) moveToIncarnation(m *member, crashed bool, report *workflow.WorkerReport) {
 	w := m.worker
 	if !m.moved || m.listed {
-		m.crashed, m.crashedAtStart = crashed, m.startedRecently(w.reportedAt)
+		m.crashed, m.crashedAtStart, m.crashReportedAt = crashed, m.startedRecently(w.reportedAt), w.reportedAt
 	}
 	m.incarnation, m.moved, m.listed, m.endPending = w.incarnation, true, false, false
 	m.startConfirmedMS, m.stopConfirmedMS, m.lastStopSent = 0, 0, time.Time{}
@@ -208,7 +208,7 @@
 		case report.EndsTruncated:
 			m.endPending = m.moved && fenced || !m.moved && m.cannotRun(report.ClockMS)
 		case m.moved && fenced && !m.listed:
-			e.loseMember(m, m.crashed, m.crashedAtStart, now)
+			e.loseMember(m, m.crashed, m.crashedAtStart, m.crashReportedAt, now)
 		case m.moved && fenced, !m.moved && m.cannotRun(report.ClockMS):
 			how := workflow.EndNever
 			if m.listed || m.startConfirmedMS > 0 {
--- a/internal/workflow/planner/log.go
+++ b/internal/workflow/planner/log.go
@@ -55,6 +55,13 @@
 				"event": "worker_ends_truncated", "epoch": epoch, "worker": p.Worker, "listed": p.Listed, "pending": p.Pending,
 			}).Warn("a worker has more ends than fit into its report; runs that the report leaves out stay open")
 		}
+		if d := end.Delay; d != nil {
+			kernel.Metrics.Count("snipegw_restart_delays_total")
+			log.WithFields(log.Fields{
+				"event": "restart_delayed", "job": d.Item.Job, "item": d.Item.String(), "run": d.Run, "epoch": epoch, "worker": d.Worker,
+				"crashes": d.Crashes, "delay_ms": d.Delay.Milliseconds(),
+			}).Warn("the worker has crashed under an item that lasts; its restart is delayed")
+		}
 		if s := end.Speed; s != nil {
 			kernel.Metrics.Count("snipegw_worker_speed_changes_total", "to", s.To)
 			log.WithFields(log.Fields{
