List the records again when a watch returns too much

An entry that was cut off from the store while more than 4 MiB changed would have repeated the same watch for ever: the answer exceeded the limit of a response each time, the revision to continue from stayed the same, and the entry served from an old copy until the store dropped that history.

A watch comes without pages and a list comes in pages, so an answer that is too large is treated like a history that was dropped: the records are listed again and the watch goes on from the revision of the list.

Looked elsewhere: pages of a list have about 1 MB; a full page of ends of a worker is below 0.1 MB without checkpoints.

--- a/internal/store/table.go
+++ b/internal/store/table.go
@@ -64,7 +64,7 @@
 }
 
 // ErrCompacted is returned by Table.Changes when the store no longer holds all
-// changes after the given revision.
+// changes after the given revision, or they are too many for one response.
 var ErrCompacted = errors.New("the store no longer holds the changes after this revision")
 
 // Table is a key-value service with prefixes, transactions and leases. An error
@@ -79,7 +79,7 @@
 	List(ctx context.Context, prefix string) (records []Record, revision uint64, err error)
 	// Changes waits up to wait for changes below prefix after a revision, and
 	// returns them with the revision to continue from. It returns ErrCompacted if
-	// the store no longer holds all of them.
+	// they cannot be had any more and the records must be listed again.
 	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (events []Event, revision uint64, err error)
 	// Commit attempts a transaction. A condition that does not hold is no error: the
 	// outcome says so. Commit returns ErrLeaseLost if a put names a lease that has
