--- a/internal/workflow/engine/notes.go
+++ b/internal/workflow/engine/notes.go
@@ -6,14 +6,33 @@
 	"snipegw/internal/workflow"
 )
 
-// EndEvent is the end of a run or of a job, a run that should have ended, a change of
-// the speed of a worker, or the silence of one, for logs and metrics. Exactly one of its fields is set.
+// EndEvent is the end of a run or of a job, a run that should have ended, a list of ends that
+// is incomplete, a restart that is delayed, a change of the speed of a worker, or the silence
+// of one, for logs and metrics. Exactly one of its fields is set.
 type EndEvent struct {
 	Run        *RunEnd
 	Job        *JobEnd
 	Unexpected *UnexpectedRun
 	Speed      *SpeedChange
 	Silence    *WorkerSilence
+	Truncated  *TruncatedEnds
+	Delay      *RestartDelay
+}
+
+// RestartDelay is the delay before the restart of an item that lasts, after its worker crashed.
+type RestartDelay struct {
+	Item    workflow.ItemRef
+	Run     int           // that ended with the worker
+	Worker  string        // key of the worker's incarnation
+	Crashes int           // under the item, since a run last lasted for lastingProbation
+	Delay   time.Duration // from the worker's latest report
+}
+
+// TruncatedEnds is the first of a series of truncated lists of ends from a worker.
+type TruncatedEnds struct {
+	Worker  string // key of the worker's incarnation
+	Listed  int    // ends in the report
+	Pending int    // runs whose ends the report may have left out
 }
 
 // UnexpectedRun is a run that a worker lists although the planner has no record of it,
