Let a gang that prefers one rack spread when no rack has room for it in time

Cause: a gang was spread over racks only if no rack could hold it when empty, and every worker that had ever announced itself counted at its full capacity: also one that had left, was silent or excluded, or whose room a long-running item held. There was no bound on the wait. Ruled out: reservations and headroom (soonestPlacement, totals and roomLeft see usable workers only); a wait without regard to the pool's use (on a full pool it would triple run times, on an empty one leave room unused). Limits by worker and labels are requirements, and the preferred rack of single items only sorts. Admission keeps counting workers that are away for 30 s, and names of labels for the whole term: such a job waits with its reason. A rack could hold a gang if its usable workers do, without what long-running items hold that the gang may not preempt. The gang waits for one rack at most as long as spreading costs (twice its expected run time), counted from when it could start on several; 1.5 s while less than half of the pool is in use and for long-running gangs. A guaranteed gang for which no rack can be cleared spreads at once. Workers that have yet to announce themselves after a takeover count as there. Run times on several racks are learned by a third. The dump says how long the gang still waits. The simulated workers now slow such gangs down.

--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -76,7 +76,7 @@
 	reserved := 0 // units of class other that hold a reservation
 	for _, c := range e.candidates(now) {
 		for _, u := range c.units {
-			if p := r.fits[e.shape(u)]; p != nil && e.mustLeaveHeadroom(u, c, p, r, now) {
+			if p := r.fits[e.shapeNow(u, r)]; p != nil && e.mustLeaveHeadroom(u, c, p, r, now) {
 				break // fits like an equal unit before it, but has to leave the headroom
 			}
 			placement := e.placeCached(u, r)
@@ -91,6 +91,7 @@
 				r.allocate(u, placement, e.isSuspect(u))
 				continue
 			}
+			e.noteRackWait(u, r)
 			if c.class == classOther && reserved >= maxReservations {
 				break // no reservation is left, and equal units do not fit either
 			}
@@ -127,6 +128,9 @@
 	if afterPreemption, stops := e.preempt(u, c, r, now); afterPreemption != nil {
 		return afterPreemption, stops
 	}
+	if c.class == classGuaranteed {
+		u.rackGivenUp = true // it must start in time, and no rack can be cleared for it
+	}
 	return placement, nil
 }
 
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -150,10 +150,14 @@
 	stopReason string
 	// preemptions is how often a run of this term was stopped for a job of priority 0.
 	preemptions int
-	notBefore   time.Time          // earliest start of the next run
-	idleSince   time.Time          // end of the latest run of this term, zero if there was none
-	failedOn    map[string]bool    // worker incarnations on which a run failed
-	crashes     map[int]crashCount // by item index, nil if there were none
+	notBefore   time.Time // earliest start of the next run
+	// rackWaitSince is when the next run could have started on several racks and waited for one;
+	// rackGivenUp reports that it no longer waits.
+	rackWaitSince time.Time
+	rackGivenUp   bool
+	idleSince     time.Time          // end of the latest run of this term, zero if there was none
+	failedOn      map[string]bool    // worker incarnations on which a run failed
+	crashes       map[int]crashCount // by item index, nil if there were none
 	// lostInherited reports that a crash has ended a run of another planner, and no run has
 	// outlived crashProbation since.
 	lostInherited bool
@@ -373,6 +377,9 @@
 		noneStarted = noneStarted && m.end == workflow.EndNever
 	}
 	u.members, u.stopping, u.stopReason, u.idleSince = nil, false, "", now
+	if !noneStarted {
+		u.rackWaitSince, u.rackGivenUp = time.Time{}, false
+	}
 	if anyFailed && !u.done {
 		u.failedRuns++
 		if !u.spec().LongRunning {
--- a/internal/workflow/engine/explain.go
+++ b/internal/workflow/engine/explain.go
@@ -82,7 +82,7 @@
 	if s := u.spec(); s.Label != "" {
 		limits = append(limits, "label "+s.Label)
 	}
-	if u.count > 1 && u.spec().SameRack && e.rackCouldHold(u) {
+	if e.awaitsRack(u, r) {
 		limits = append(limits, "one rack")
 	}
 	text := fmt.Sprintf("needs %d x (%d accelerators, %d millicores, %d MB)", u.count, needs.Accelerators, needs.MilliCPU, needs.MemoryMB)
@@ -91,6 +91,10 @@
 	}
 	text += fmt.Sprintf("; of %d workers %d are usable and suit it, with %d accelerators free, at most %d on one, and %d have room for an item",
 		len(e.workers), suitable, totalFree, mostFree, withSpace)
+	if e.awaitsRack(u, r) && !u.rackWaitSince.IsZero() {
+		text += fmt.Sprintf("; it starts on several racks, which takes %d times as long, in %v at the latest",
+			remoteFactor, (e.maxRackWait(u, r) - r.now.Sub(u.rackWaitSince)).Round(100*time.Millisecond))
+	}
 	if evacuated > 0 {
 		text += fmt.Sprintf("; %d that suit it are in evacuated failure domains (%s)", evacuated, strings.Join(sortedKeys(e.evacuations), ", "))
 	}
--- a/internal/workflow/engine/health.go
+++ b/internal/workflow/engine/health.go
@@ -60,7 +60,11 @@
 	case workflow.EndDone:
 		m.worker.health.recordSuccess()
 		if m.startConfirmedMS > 0 && !m.resumed {
-			e.estimates.observe(u, scale(time.Duration(m.worker.clockMS-m.startConfirmedMS)*time.Millisecond, 1/u.slowness()))
+			slowness := u.slowness()
+			if u.spansRacks() {
+				slowness *= remoteFactor
+			}
+			e.estimates.observe(u, scale(time.Duration(m.worker.clockMS-m.startConfirmedMS)*time.Millisecond, 1/slowness))
 		}
 	case workflow.EndFailed:
 		m.worker.health.recordFailure(u.job.id, now)
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -29,6 +29,7 @@
 	cachedTotals *[2]workflow.Resources
 	headroom     *headroom // see keptHeadroom, nil until it is asked for
 	held         bool      // a unit has to wait for the headroom
+	pool         *poolView
 }
 
 // shape holds all properties of a unit without a spread limit that decide whether
@@ -37,6 +38,7 @@
 	service, label string
 	needs          workflow.Resources // of one item
 	count          int
+	oneRack        bool // whether a gang waits for one rack, see awaitsRack
 	sameRack       bool
 	fills, serves  bool // whether the items use spare processor time (Fills), or serve requests (TargetMS)
 }
@@ -57,6 +59,7 @@
 			}
 		}
 	}
+	r.pool = &poolView{workers: r.workers, rackHolds: make(map[rackShape]bool), idle: make(map[idleKey]bool)}
 	return r
 }
 
@@ -66,7 +69,7 @@
 	if e.cacheDisabled || u.spec().MaxPerWorker > 0 || e.isSuspect(u) {
 		return e.place(u, r) // a spread limit depends on where the step's other items run
 	}
-	s := e.shape(u)
+	s := e.shapeNow(u, r)
 	if r.doNotFit[s] {
 		return nil
 	}
@@ -79,7 +82,14 @@
 	return placement
 }
 
-// shape returns the key of u in the placement cache.
+// shapeNow returns the key of u in the placement cache.
+func (e *Engine) shapeNow(u *unit, r *freeResources) shape {
+	s := e.shape(u)
+	s.oneRack = e.awaitsRack(u, r)
+	return s
+}
+
+// shape returns the properties of u that do not change while it waits.
 func (e *Engine) shape(u *unit) shape {
 	s := u.spec()
 	return shape{
@@ -104,7 +114,7 @@
 
 // clone returns a copy, without the caches, for trial releases.
 func (r *freeResources) clone() *freeResources {
-	return &freeResources{workers: r.workers, free: slices.Clone(r.free), now: r.now, anyCold: r.anyCold, started: maps.Clone(r.started), closed: maps.Clone(r.closed)}
+	return &freeResources{workers: r.workers, free: slices.Clone(r.free), now: r.now, anyCold: r.anyCold, started: maps.Clone(r.started), closed: maps.Clone(r.closed), pool: r.pool}
 }
 
 // allocate subtracts the needs of u's items from the free resources of their
@@ -207,59 +217,6 @@
 	return out
 }
 
-// placeInRack places a gang in one rack: in the preferred one, or else in the fitting
-// one that is fastest and then has the fewest free accelerators. It spreads the gang over
-// racks only if no rack could hold it even when empty.
-func (e *Engine) placeInRack(u *unit, r *freeResources, fitting []*worker) []*worker {
-	racks := make(map[string][]*worker)
-	for _, w := range fitting {
-		racks[w.announcement.Rack] = append(racks[w.announcement.Rack], w)
-	}
-	var best []*worker
-	bestFree, bestSlowness := int64(-1), 0.0
-	for _, rack := range sortedKeys(racks) {
-		placement := pack(u, r, e.sortByPreference(u, r, racks[rack]))
-		if placement == nil {
-			continue
-		}
-		freeInRack := int64(0)
-		for _, w := range racks[rack] {
-			freeInRack += r.free[w.index].Accelerators
-		}
-		if rack == u.spec().PreferredRack {
-			return placement
-		}
-		slowness := slowest(placement)
-		if bestFree < 0 || cmp.Or(cmp.Compare(slowness, bestSlowness), cmp.Compare(freeInRack, bestFree)) < 0 {
-			best, bestFree, bestSlowness = placement, freeInRack, slowness
-		}
-	}
-	if best != nil || e.rackCouldHold(u) {
-		return best
-	}
-	return pack(u, r, e.sortByPreference(u, r, fitting))
-}
-
-// rackCouldHold reports whether some rack could hold all of u if it were empty.
-func (e *Engine) rackCouldHold(u *unit) bool {
-	itemsByRack := make(map[string]int)
-	for _, w := range e.workers {
-		if w.announcement != nil && !w.announcement.Draining && !e.isEvacuated(w) && e.isEligible(u, w) {
-			n := itemsThatFit(u, w, w.announcement.Capacity)
-			if limit := u.spec().MaxPerWorker; limit > 0 {
-				n = min(n, limit)
-			}
-			itemsByRack[w.announcement.Rack] += n
-		}
-	}
-	for _, n := range itemsByRack {
-		if n >= u.count {
-			return true
-		}
-	}
-	return false
-}
-
 // sortByPreference returns the workers in the order in which u should fill them:
 // first those on which it has not failed, then those in its preferred rack, where
 // its data is, then warm ones (or cold ones if it can wait), then fast ones, then those
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -73,17 +73,16 @@
 }
 
 // preemptionGroups returns the groups of workers in which u may be placed as a
-// whole: each rack for a gang that needs a single rack and could fit into one, else
-// one group of all usable workers.
+// whole: each rack for a gang that waits for one, else one group of all usable workers.
 func (e *Engine) preemptionGroups(u *unit, r *freeResources) []*freeResources {
-	if u.count == 1 || !u.spec().SameRack || !e.rackCouldHold(u) {
+	if !e.awaitsRack(u, r) {
 		return []*freeResources{r}
 	}
 	racks := make(map[string]*freeResources)
 	for _, w := range r.workers {
 		rack := racks[w.announcement.Rack]
 		if rack == nil {
-			rack = &freeResources{free: r.free, now: r.now, anyCold: r.anyCold, started: r.started, closed: r.closed}
+			rack = &freeResources{free: r.free, now: r.now, anyCold: r.anyCold, started: r.started, closed: r.closed, pool: r.pool}
 			racks[w.announcement.Rack] = rack
 		}
 		rack.workers = append(rack.workers, w)
--- a/internal/workflow/engine/world_worker_test.go
+++ b/internal/workflow/engine/world_worker_test.go
@@ -163,12 +163,21 @@
 	return len(w.gangMembers(r)) == w.jobs[r.ref.Job].Steps[r.ref.Step].Count
 }
 
+// remoteSlowdown is the factor by which the items of a gang that prefers one rack take longer on
+// several.
+const remoteSlowdown = 3
+
 // beginGang lets all members of a gang go on, now that the last one has started.
 func (w *world) beginGang(r *modelRun) {
 	all := w.gangMembers(r)
 	longest := time.Duration(0) // a gang is as slow as its slowest member
+	racks := make(map[string]bool)
 	for _, o := range all {
 		longest = max(longest, o.doneAt.Sub(o.startedAt))
+		racks[o.worker.rack] = true
+	}
+	if w.jobs[r.ref.Job].Steps[r.ref.Step].SameRack && len(racks) > 1 {
+		longest *= remoteSlowdown
 	}
 	for _, o := range all {
 		o.waiting, o.doneAt = false, w.now.Add(longest)
