Let serving and filling items preempt each other where guarantees ask for it

Cause: isEligible looked at the members that a worker had, also where the plan of a preemption asks whether the unit fits once its victims have gone, and cheapestVictims passed over such workers. Nor was a worker kept free for the one sort while the other sort left it. A plan releases all items of the other sort on a worker, or leaves the worker alone if one of them may not be stopped (a step with a bound on unavailable items is still never preempted). Items that fill weigh nothing as lost work, so equal plans are ordered by the stops that are still to be sent. A serving item of lower priority, too, gets a reservation, because ends alone make no room for it. The dump counts the workers that hold items of the other sort. Looked at: rackCouldHold, fitsOnRacks and the reservations follow the same rule.

--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -117,7 +117,7 @@
 	fast, _ := e.avoidSlow(u, c, r, now)
 	placement, delay := e.soonestPlacement(u, fast, now)
 	if c.class == classOther || placement != nil && now.Add(delay).Before(e.latestStart(c)) {
-		if u.count == 1 && u.spec().Accelerators <= 1 {
+		if u.count == 1 && u.spec().Accelerators <= 1 && !u.serves() {
 			return nil, nil // small enough to start as soon as any run ends
 		}
 		return placement, nil
--- a/internal/workflow/engine/explain.go
+++ b/internal/workflow/engine/explain.go
@@ -60,7 +60,7 @@
 // workers.
 func (e *Engine) describeShortage(u *unit, r *freeResources) string {
 	needs := u.spec().Needs()
-	var suitable, withSpace, evacuated int
+	var suitable, withSpace, excluding, evacuated int
 	var totalFree, mostFree int64
 	for _, w := range r.workers {
 		if !e.isEligible(u, w) {
@@ -69,7 +69,10 @@
 		suitable++
 		totalFree += max(r.free[w.index].Accelerators, 0)
 		mostFree = max(mostFree, r.free[w.index].Accelerators)
-		if itemsThatFit(u, w, r.free[w.index]) > 0 {
+		switch {
+		case !r.mayShare(u, w):
+			excluding++
+		case itemsThatFit(u, w, r.free[w.index]) > 0:
 			withSpace++
 		}
 	}
@@ -91,6 +94,9 @@
 	}
 	text += fmt.Sprintf("; of %d workers %d are usable and suit it, with %d accelerators free, at most %d on one, and %d have room for an item",
 		len(e.workers), suitable, totalFree, mostFree, withSpace)
+	if excluding > 0 {
+		text += fmt.Sprintf("; %d hold items beside which it must not run, because filling items disturb serving ones", excluding)
+	}
 	if e.awaitsRack(u, r) && !u.rackWaitSince.IsZero() {
 		text += fmt.Sprintf("; it starts on several racks, which takes %d times as long, in %v at the latest",
 			remoteFactor, (e.maxRackWait(u, r) - r.now.Sub(u.rackWaitSince)).Round(100*time.Millisecond))
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -30,6 +30,7 @@
 	headroom     *headroom // see keptHeadroom, nil until it is asked for
 	held         bool      // a unit has to wait for the headroom
 	pool         *poolView
+	sharing
 }
 
 // shape holds all properties of a unit without a spread limit that decide whether
@@ -47,7 +48,7 @@
 func (e *Engine) freeResources(now time.Time) *freeResources {
 	r := &freeResources{
 		free: make([]workflow.Resources, len(e.sortedWorkers)), doNotFit: make(map[shape]bool), fits: make(map[shape][]*worker),
-		now: now, started: make(map[*worker]bool), closed: make(map[*worker]bool),
+		now: now, started: make(map[*worker]bool), closed: make(map[*worker]bool), sharing: newSharing(),
 	}
 	for _, w := range e.sortedWorkers {
 		if e.usable(w, now) {
@@ -94,7 +95,7 @@
 	s := u.spec()
 	return shape{
 		service: e.config.ServiceOf(u.job.rec), label: s.Label, needs: s.Needs(), count: u.count, sameRack: s.SameRack,
-		fills: s.Fills, serves: s.TargetMS > 0,
+		fills: u.fills(), serves: u.serves(),
 	}
 }
 
@@ -114,7 +115,7 @@
 
 // clone returns a copy, without the caches, for trial releases.
 func (r *freeResources) clone() *freeResources {
-	return &freeResources{workers: r.workers, free: slices.Clone(r.free), now: r.now, anyCold: r.anyCold, started: maps.Clone(r.started), closed: maps.Clone(r.closed), pool: r.pool}
+	return &freeResources{workers: r.workers, free: slices.Clone(r.free), now: r.now, anyCold: r.anyCold, started: maps.Clone(r.started), closed: maps.Clone(r.closed), pool: r.pool, sharing: r.sharing.clone()}
 }
 
 // allocate subtracts the needs of u's items from the free resources of their
@@ -127,6 +128,7 @@
 			r.headroom.room = nil
 		}
 		r.started[w] = true
+		r.keepFor(u, w)
 		if suspect {
 			r.closed[w] = true
 		}
@@ -134,18 +136,11 @@
 	}
 }
 
-// isEligible reports whether w may run items of u, apart from free resources: it
-// has the service and the label, and does not mix filling and serving items.
+// isEligible reports whether w may run items of u once nothing else runs there: it has the service
+// and the label.
 func (e *Engine) isEligible(u *unit, w *worker) bool {
-	s := u.spec()
-	if s.Fills || s.TargetMS > 0 {
-		for _, m := range w.members {
-			if o := m.unit.spec(); o.Fills && s.TargetMS > 0 || s.Fills && o.TargetMS > 0 {
-				return false // filling items raise the latency of serving ones
-			}
-		}
-	}
-	return w.announcement.Service == e.config.ServiceOf(u.job.rec) && (s.Label == "" || slices.Contains(w.announcement.Labels, s.Label))
+	label := u.spec().Label
+	return w.announcement.Service == e.config.ServiceOf(u.job.rec) && (label == "" || slices.Contains(w.announcement.Labels, label))
 }
 
 // spreadAllowance returns how many further items of u's stage may run on w under
@@ -177,7 +172,7 @@
 func (e *Engine) place(u *unit, r *freeResources) []*worker {
 	var fitting []*worker
 	for _, w := range r.workers {
-		if !r.closed[w] && itemsThatFit(u, w, r.free[w.index]) > 0 && e.isEligible(u, w) {
+		if !r.closed[w] && itemsThatFit(u, w, r.free[w.index]) > 0 && e.isEligible(u, w) && r.mayShare(u, w) {
 			fitting = append(fitting, w)
 		}
 	}
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -13,6 +13,7 @@
 	victims   []*unit
 	placement []*worker
 	lostWork  int64 // in weighted millicore-milliseconds
+	stops     int64 // see countStops
 }
 
 // preempt finds a placement for u on resources that are free, are being freed, or
@@ -65,7 +66,7 @@
 func (e *Engine) cheapestPreemption(u *unit, r *freeResources, mayStop func(*unit) bool, now time.Time) *preemptionPlan {
 	var best *preemptionPlan
 	for _, group := range e.preemptionGroups(u, r) {
-		if plan := e.planPreemption(u, mayStop, group, now); plan != nil && (best == nil || plan.lostWork < best.lostWork) {
+		if plan := e.planPreemption(u, mayStop, group, now); plan != nil && (best == nil || cmp.Or(cmp.Compare(plan.lostWork, best.lostWork), cmp.Compare(plan.stops, best.stops)) < 0) {
 			best = plan
 		}
 	}
@@ -82,7 +83,7 @@
 	for _, w := range r.workers {
 		rack := racks[w.announcement.Rack]
 		if rack == nil {
-			rack = &freeResources{free: r.free, now: r.now, anyCold: r.anyCold, started: r.started, closed: r.closed, pool: r.pool}
+			rack = &freeResources{free: r.free, now: r.now, anyCold: r.anyCold, started: r.started, closed: r.closed, pool: r.pool, sharing: r.sharing}
 			racks[w.announcement.Rack] = rack
 		}
 		rack.workers = append(rack.workers, w)
@@ -113,7 +114,7 @@
 		if placement := e.place(u, trial); placement != nil {
 			return e.dropUnneededVictims(u, placement, released, group, losses)
 		}
-		victims := e.cheapestVictims(u, trial, losses, released)
+		victims := e.cheapestVictims(u, trial, losses)
 		if victims == nil {
 			return nil
 		}
@@ -125,43 +126,73 @@
 }
 
 // cheapestVictims returns the units on one worker whose release lets further items
-// of u fit there, for the worker with the least lost work per item gained; nil if
-// there is none.
-func (e *Engine) cheapestVictims(u *unit, trial *freeResources, losses map[*unit]int64, released []*unit) []*unit {
+// of u fit there, for the worker with the least lost work per item gained, and then with the least
+// by countStops; nil if there is none.
+func (e *Engine) cheapestVictims(u *unit, trial *freeResources, losses map[*unit]int64) []*unit {
 	var best []*unit
-	bestLoss, bestItems := int64(0), int64(0)
+	bestLoss, bestStops, bestItems := int64(0), int64(0), int64(0)
 	for _, w := range trial.workers {
-		if !e.isEligible(u, w) {
+		if !e.isEligible(u, w) || trial.isKeptFrom(u, w) {
 			continue
 		}
-		victims, loss, items := victimsOnWorker(u, w, trial, losses, released)
-		if items > 0 && (best == nil || loss*bestItems < bestLoss*items) {
-			best, bestLoss, bestItems = victims, loss, items
+		victims, loss, items := victimsOnWorker(u, w, trial, losses)
+		if items <= 0 {
+			continue
+		}
+		stops := countStops(u, victims)
+		if best == nil || cmp.Or(cmp.Compare(loss*bestItems, bestLoss*items), cmp.Compare(stops*bestItems, bestStops*items)) < 0 {
+			best, bestLoss, bestStops, bestItems = victims, loss, stops, items
 		}
 	}
 	return best
 }
 
-// victimsOnWorker selects units on w to release, the cheapest first, until more
-// items of u fit, and then drops those that are not needed for it. It returns them
-// with their total lost work and the number of items gained.
-func victimsOnWorker(u *unit, w *worker, trial *freeResources, losses map[*unit]int64, released []*unit) (victims []*unit, loss, items int64) {
-	var all []*unit
+// countStops returns how many of the units exclude u and still have to be stopped. Items that fill
+// reserve no processors, so their lost work does not tell these apart from those that are stopped
+// already, and a plan must stay the best one until its victims have ended.
+func countStops(u *unit, units []*unit) int64 {
+	n := int64(0)
+	for _, v := range units {
+		if u.excludes(v) && !v.stopping && !v.done {
+			n++
+		}
+	}
+	return n
+}
+
+// victimsOnWorker selects units on w to release: those beside which u may not run, and then the
+// cheapest others until more items of u fit, without those that are not needed for it. It returns
+// them with their total lost work and the number of items gained.
+func victimsOnWorker(u *unit, w *worker, trial *freeResources, losses map[*unit]int64) (victims []*unit, loss, items int64) {
+	var all, others []*unit
 	for _, m := range w.members {
-		if _, ok := losses[m.unit]; ok && !slices.Contains(released, m.unit) && !slices.Contains(all, m.unit) {
-			all = append(all, m.unit)
+		v := m.unit
+		_, ok := losses[v]
+		switch excludes := u.excludes(v); {
+		case trial.released[v]:
+		case excludes && !ok:
+			return nil, 0, 0
+		case excludes && !slices.Contains(all, v):
+			all = append(all, v)
+		case ok && !excludes && !slices.Contains(others, v):
+			others = append(others, v)
 		}
 	}
-	slices.SortStableFunc(all, func(a, b *unit) int { return cmp.Compare(losses[a], losses[b]) })
 	before, free := itemsThatFit(u, w, trial.free[w.index]), trial.free[w.index]
+	required := len(all)
+	if required > 0 {
+		before = 0
+	}
+	slices.SortStableFunc(others, func(a, b *unit) int { return cmp.Compare(losses[a], losses[b]) })
+	all = append(all, others...)
 	for i, v := range all {
 		free = free.Add(v.resourcesOn(w), 1)
-		if itemsThatFit(u, w, free) > before {
+		if i+1 >= required && itemsThatFit(u, w, free) > before {
 			victims = slices.Clone(all[:i+1])
 			break
 		}
 	}
-	for i := len(victims) - 2; i >= 0; i-- {
+	for i := len(victims) - 2; i >= required; i-- {
 		if freeWithout := free.Add(victims[i].resourcesOn(w), -1); itemsThatFit(u, w, freeWithout) > before {
 			free, victims = freeWithout, slices.Delete(victims, i, i+1)
 		}
@@ -198,7 +229,7 @@
 			needed, placement = without, alternative
 		}
 	}
-	plan := &preemptionPlan{victims: needed, placement: placement}
+	plan := &preemptionPlan{victims: needed, placement: placement, stops: countStops(u, needed)}
 	for _, v := range needed {
 		plan.lostWork += losses[v]
 	}
@@ -226,8 +257,9 @@
 	return r.MilliCPU + 1000*coresPerAccelerator*r.Accelerators
 }
 
-// release adds back the resources that v's members hold.
+// release takes v for ended: it adds back the resources that its members hold.
 func (r *freeResources) release(v *unit) {
+	r.released[v] = true
 	for _, m := range v.members {
 		if m.end == "" {
 			r.free[m.worker.index] = r.free[m.worker.index].Add(v.spec().Needs(), 1)
--- a/internal/workflow/engine/rack.go
+++ b/internal/workflow/engine/rack.go
@@ -157,7 +157,7 @@
 func (e *Engine) fitsOnRacks(u *unit, r *freeResources) bool {
 	n := 0
 	for _, w := range r.workers {
-		if !r.closed[w] && e.isEligible(u, w) {
+		if !r.closed[w] && e.isEligible(u, w) && r.mayShare(u, w) {
 			n += max(0, itemsThatFit(u, w, r.free[w.index]))
 		}
 		if n >= u.count {
@@ -178,7 +178,7 @@
 	room := e.lastingRoom(key.class, r)
 	itemsByRack := make(map[string]int)
 	for _, w := range r.pool.workers {
-		if e.isEligible(u, w) {
+		if e.isEligible(u, w) && e.mayShareLater(u, key.class, w) {
 			rack := w.announcement.Rack
 			itemsByRack[rack] += max(0, itemsThatFit(u, w, room[w.index]))
 			if itemsByRack[rack] >= u.count {
@@ -196,11 +196,10 @@
 func (e *Engine) lastingRoom(class int, r *freeResources) []workflow.Resources {
 	if r.pool.lastingRoom[class] == nil {
 		room := make([]workflow.Resources, len(e.sortedWorkers))
-		c := &candidate{class: class}
 		for _, w := range r.pool.workers {
 			room[w.index] = w.announcement.Capacity
 			for _, m := range w.members {
-				if m.unit.spec().LongRunning && !e.mayPreempt(c, m.unit) {
+				if e.holdsForLong(m.unit, class) {
 					room[w.index] = room[w.index].Add(m.unit.spec().Needs(), -1)
 				}
 			}
@@ -209,3 +208,9 @@
 	}
 	return r.pool.lastingRoom[class]
 }
+
+// holdsForLong reports whether a unit holds its room until its job is cancelled, and a unit of the
+// given class may not preempt it.
+func (e *Engine) holdsForLong(v *unit, class int) bool {
+	return v.spec().LongRunning && !e.mayPreempt(&candidate{class: class}, v)
+}
