Check reclaimed guarantees beside items that may not be stopped, and for gangs that prefer one rack

Cause: the random test of reclaimed guarantees had only victims that may be stopped and no gang with sameRack, so it could not show that a guaranteed gang waited for a rack that no preemption can clear. Change: each rack holds one or two protected long-running items, and half of the gangs prefer one rack.

--- a/internal/workflow/engine/load_test.go
+++ b/internal/workflow/engine/load_test.go
@@ -70,7 +70,8 @@
 	return s
 }
 
-// Other teams fill the pool, then a team claims its guarantee. Guards against a
+// Other teams fill the pool, in part with items that may not be stopped, then a team claims its
+// guarantee, also with a gang that prefers one rack. Guards against a
 // guaranteed job whose items do not all start within Settings.ReclaimTimeout because
 // of what runs on the pool or how it is spread over the workers.
 func TestGuaranteeIsReclaimedFromAFullPool(t *testing.T) {
@@ -78,6 +79,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), 6, 0)
 		w.advance(2500 * time.Millisecond) // past workerSettleTime
+		for _, rack := range []string{"r0", "r1"} {
+			protected := lastingStep(rack, 8)
+			protected.Count, protected.MaxUnavailable = 1+w.rng.IntN(2), 1
+			w.addJob("small", "b", protected)
+		}
+		w.advance(time.Duration(w.rng.IntN(300)) * time.Millisecond)
 		for range 30 {
 			w.addJob([]string{"large", "small"}[w.rng.IntN(2)], "b", step(1+w.rng.IntN(6), 1<<w.rng.IntN(4), 4000+w.rng.Int64N(4000)))
 		}
@@ -85,7 +92,7 @@
 		accelerators := int64(1) << w.rng.IntN(4)
 		count := int(16 / accelerators)
 		claim := step(1+w.rng.IntN(count), accelerators, 1000+w.rng.Int64N(2000))
-		claim.Gang = w.chance(0.5)
+		claim.Gang, claim.SameRack = w.chance(0.5), w.chance(0.5)
 		accepted := w.now
 		id := w.addJob("urgent", "a", claim)
 		w.advance(2700 * time.Millisecond)
