Close the id of a job before a cancel is answered with 410

What callers saw: a caller got 504 for an acceptance, cancelled the job and got 410.

Cause: a cancel of an id that the store does not have changed nothing, so the condition of the acceptance under way, that `jobs/ID` does not exist, still held afterwards. Ruled out: a cancel that overtakes a record in the mirror (the entry asks the store before it says that there is no job), and a repeated call of the requester (the record of the run has one POST).

Change: before the answer 410 the entry writes a closing under `jobs/ID`, on the condition that the key does not exist or is at the closing that the entry knows. A job that is found instead is cancelled; a closing without an answer is told as 503 or 504. A later acceptance replaces the closing under its revision. There was no such record before: a refusal (503) is only sent when no write of its call can take effect, so it writes none, and the closing is the one way in which an id is closed.

- A further cancel renews the closing, because an acceptance that replaces it may be under way too.
- An acceptance replaces only a closing that its entry knew when the call arrived.
One that it finds later may belong to a cancel that came after the call; the answer is 503 (new code 315, `job_closed`), and the next call is accepted.
A caller that hands the id in again through another entry, before that entry has seen the closing, may get this answer once.
- Callers without a valid key are refused before, invalid ids write nothing, and the id of another team's job is answered with 410 as before, without a write.
- Entries, planner and `snipegwctl workflow` count a closing as no job.
The planner removes closings after `keep_ended_ms`.
Programs of before this change take a closing for an invalid record (planner) or for a known job (entry).

Cost: a cancel of an id without a job is one write call more (it was three reads). Nothing changes for other calls.

Looked for the same cause in: the other writes for callers (a late `cancels/ID` cancels nothing that was not asked for), the removal of ended jobs (conditional on the progress record), and the refusals at acceptance. There, a job is refused after a look-up although an earlier call for the same id, answered with 504, may be under way; its caller was told that the outcome is unknown, so this stays as it is.

--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -63,6 +63,7 @@
 	EntryUnreachable     Code = 312
 	NotInTime            Code = 313
 	ExceedsPool          Code = 314
+	JobClosed            Code = 315
 
 	Fenced              Code = 400
 	StaleIncarnation    Code = 401
@@ -137,6 +138,7 @@
 	{EntryUnreachable, "entry_unreachable", http.StatusServiceUnavailable, RanNo, "Check the address, or use another entry."},
 	{NotInTime, "not_in_time", http.StatusServiceUnavailable, RanNo, "Retry after the time in Retry-After; the waiting work leaves no room for the job within three times its objective."},
 	{ExceedsPool, "exceeds_pool", http.StatusServiceUnavailable, RanNo, "Divide the job, or retry once the service has larger workers; a step needs more than the present ones have."},
+	{JobClosed, "job_closed", http.StatusServiceUnavailable, RanNo, "Retry; the job id was closed by a cancellation, perhaps while the request was under way."},
 
 	{Fenced, "fenced", http.StatusConflict, RanNo, "None; a newer planner has taken over."},
 	{StaleIncarnation, "stale_incarnation", http.StatusConflict, RanNo, "None; the agent has since restarted."},
--- a/internal/standin/platformstore/handlers.go
+++ b/internal/standin/platformstore/handlers.go
@@ -95,7 +95,11 @@
 		e.mu.Unlock()
 		switch {
 		case lose && delay > 0:
-			time.AfterFunc(delay, func() { apply() })
+			e.store.addLateWrites(1)
+			time.AfterFunc(delay, func() {
+				apply()
+				e.store.addLateWrites(-1)
+			})
 			<-r.Context().Done()
 		case lose:
 			apply()
--- a/internal/standin/platformstore/store.go
+++ b/internal/standin/platformstore/store.go
@@ -64,6 +64,7 @@
 	changed         chan struct{}
 	leasesFrozen    bool // leases do not expire
 	callCounts      map[string]int
+	lateWrites      int // lost writes that have not taken effect yet
 }
 
 // New returns an empty Store.
@@ -156,6 +157,19 @@
 	return out
 }
 
+// LateWrites returns the number of writes without a response that have not taken effect yet.
+func (s *Store) LateWrites() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lateWrites
+}
+
+func (s *Store) addLateWrites(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateWrites += n
+}
+
 // wakeWatches makes all watches look for changes. The caller holds s.mu.
 func (s *Store) wakeWatches() {
 	close(s.changed)
--- a/internal/workflow/inspect/inspect.go
+++ b/internal/workflow/inspect/inspect.go
@@ -49,7 +49,7 @@
 	jobs := make(map[string]*Job)
 	for _, r := range records {
 		if strings.HasPrefix(r.Key, workflow.JobPrefix) {
-			if rec := decodeRecord[workflow.JobRecord](s, r); rec != nil {
+			if rec := decodeRecord[workflow.JobRecord](s, r); rec != nil && !rec.IsClosing() {
 				j := &Job{ID: workflow.IDOfKey(r.Key), Record: rec}
 				jobs[j.ID] = j
 				s.Jobs = append(s.Jobs, j)
--- a/internal/workflow/intake/admit.go
+++ b/internal/workflow/intake/admit.go
@@ -80,7 +80,9 @@
 	}
 	if found {
 		in.recordMirror.Apply([]store.Event{{Record: record}})
-		return true, nil
+		if !isClosing(record) {
+			return true, nil
+		}
 	}
 	kernel.Metrics.Count("snipegw_jobs_not_admitted_total", "code", d.Code.String(), "class", workflow.ClassNames[d.Class], "team", team)
 	log.WithFields(log.Fields{
--- a/internal/workflow/intake/intake.go
+++ b/internal/workflow/intake/intake.go
@@ -164,7 +164,7 @@
 		case e.Key == workflow.BacklogKey:
 			in.applyBacklog(e)
 		case strings.HasPrefix(e.Key, workflow.JobPrefix):
-			applyRecord[workflow.JobRecord](&in.jobs, id, e)
+			in.applyJob(id, e)
 		case strings.HasPrefix(e.Key, workflow.ProgressPrefix):
 			applyRecord[workflow.Progress](&in.progress, id, e)
 		}
@@ -191,6 +191,7 @@
 	if _, known := in.jobs.Load(id); known {
 		return nil
 	}
+	closing := in.closingRevision(id)
 	if q.Advised {
 		return result.Errorf(result.Unsupported, "queue %s needs placement advice, which is not supported", q.Name)
 	}
@@ -206,9 +207,8 @@
 	}
 	key := workflow.JobPrefix + id
 	fields := log.Fields{"queue": q.Name, "team": team, "steps": describeSteps(job)}
-	return in.writeNewKey(ctx, "accept", id, fields, store.Txn{
-		Conditions: []store.Condition{{Key: key}},
-		Puts:       []store.Put{{Key: key, Value: workflow.Encode(rec)}},
+	return in.writeRecord(ctx, &recordWrite{
+		operation: "accept", id: id, fields: fields, key: key, value: workflow.Encode(rec), revision: closing, onConflict: acceptOverRecord,
 	})
 }
 
@@ -257,16 +257,28 @@
 }
 
 // Cancel records the cancellation of a job. It succeeds without a change if the
-// state of the job is final.
+// state of the job is final. An id without a job is closed before Cancel fails with
+// code JobGone, so that an acceptance that is still under way cannot take effect.
 func (in *Intake) Cancel(ctx context.Context, team, id string) error {
+	_, err := in.findJob(ctx, id)
+	if result.CodeOf(err) == result.JobGone {
+		closeErr := in.closeID(ctx, id)
+		switch {
+		case closeErr == nil:
+			return err
+		case result.CodeOf(closeErr) != result.JobConflict:
+			return closeErr
+		}
+	} else if err != nil {
+		return err
+	}
 	state, err := in.State(ctx, team, id)
 	if err != nil || state.Terminal() {
 		return err
 	}
-	key := workflow.CancelPrefix + id
-	return in.writeNewKey(ctx, "cancel", id, nil, store.Txn{
-		Conditions: []store.Condition{{Key: key}},
-		Puts:       []store.Put{{Key: key, Value: []byte{1}}},
+	return in.writeRecord(ctx, &recordWrite{
+		operation: "cancel", id: id, key: workflow.CancelPrefix + id, value: []byte{1},
+		onConflict: func(store.Record) (uint64, bool, error) { return 0, false, nil },
 	})
 }
 
@@ -289,83 +301,6 @@
 	return n
 }
 
-// writeNewKey commits t, which creates one key. A key that already exists is a
-// success. Attempts that failed or whose outcome is unknown are repeated within
-// the caller's deadline, up to refusedWriteTimeout or unknownWriteTimeout. It
-// fails with code StoreUnavailable if no attempt can have taken effect, and with
-// DeadlineRan otherwise. The log line includes fields.
-func (in *Intake) writeNewKey(ctx context.Context, operation, id string, fields log.Fields, t store.Txn) error {
-	begin := time.Now()
-	if deadline, ok := ctx.Deadline(); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-min(responseReserve, time.Until(deadline)/responseReserveDivisor)))
-		defer cancel()
-	}
-	ctx, cancel := context.WithTimeout(ctx, unknownWriteTimeout)
-	defer cancel()
-	if age := min(in.recordMirror.Age(), in.configMirror.Age()); age > maxStoreSilence {
-		err := result.Errorf(result.StoreUnavailable, "the platform's store has not responded for %d ms", age.Milliseconds())
-		in.logWrite(operation, id, fields, result.StoreUnavailable, 0, begin, err)
-		return err
-	}
-	outcomeUnknown := false
-	for attempt := 1; ; attempt++ {
-		out, err := in.table.Commit(ctx, t)
-		if err == nil {
-			in.applyOutcome(t, out)
-			in.logWrite(operation, id, fields, result.OK, attempt, begin, nil)
-			return nil
-		}
-		outcomeUnknown = outcomeUnknown || result.CodeOf(err) != result.StoreUnavailable
-		timeout := refusedWriteTimeout
-		if outcomeUnknown {
-			timeout = unknownWriteTimeout
-		}
-		if ctx.Err() == nil && time.Since(begin) < timeout {
-			select {
-			case <-time.After(retryDelay):
-				continue
-			case <-ctx.Done():
-			}
-		}
-		code := result.StoreUnavailable
-		if outcomeUnknown {
-			code = result.DeadlineRan
-		}
-		in.logWrite(operation, id, fields, code, attempt, begin, err)
-		return result.Errorf(code, "the platform's store did not confirm the write: %w", err)
-	}
-}
-
-// applyOutcome applies the records that a transaction wrote or found to the
-// mirror, so that the caller's next call sees them.
-func (in *Intake) applyOutcome(t store.Txn, out store.Outcome) {
-	if !out.Committed {
-		for _, r := range out.Current {
-			in.recordMirror.Apply([]store.Event{{Record: r}})
-		}
-		return
-	}
-	for _, p := range t.Puts {
-		in.recordMirror.Apply([]store.Event{{Record: store.Record{Key: p.Key, Value: p.Value, Revision: out.Revision}}})
-	}
-}
-
-func (in *Intake) logWrite(operation, id string, fields log.Fields, code result.Code, attempts int, begin time.Time, err error) {
-	kernel.Metrics.Count("snipegw_caller_operations_total", "operation", operation, "code", code.String())
-	kernel.Metrics.Observe(time.Since(begin), "snipegw_caller_operation_seconds", "operation", operation)
-	version, age := in.ConfigVersion()
-	e := log.WithFields(fields).WithFields(log.Fields{
-		"event": "job_" + operation, "job": id, "code": int(code), "attempts": attempts,
-		"took_ms": time.Since(begin).Milliseconds(), "config_version": version, "config_age_ms": age.Milliseconds(), "mirror_age_ms": in.recordMirror.Age().Milliseconds(),
-	})
-	if err != nil {
-		e.WithField("error", err.Error()).Warn("not recorded")
-		return
-	}
-	e.Info("recorded")
-}
-
 // maxLoggedSteps limits the steps that a log line describes.
 const maxLoggedSteps = 8
 
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -57,10 +57,11 @@
 	endTerm context.CancelCauseFunc // cancels ctx
 	ctx     context.Context
 
-	mu             sync.Mutex // guards engine, agentAddresses and storedEnds
+	mu             sync.Mutex // guards engine, agentAddresses, storedEnds and closings
 	engine         *engine.Engine
 	agentAddresses map[string]string      // by node
 	storedEnds     map[string]endPosition // by node; ends that may be acknowledged
+	closings       map[string]closing     // by job id, until they are removed or replaced
 	renewedAt      time.Time              // start of the latest successful renewal; used by renewLease only
 
 	// The following fields are used by runPass only.
@@ -86,7 +87,7 @@
 	s.MaxStoreOutage = MaxStoreOutage
 	return &term{
 		host: h, lease: lease, epoch: epoch, endTerm: endTerm, engine: engine.New(s, epoch, now),
-		agentAddresses: make(map[string]string), storedEnds: make(map[string]endPosition), renewedAt: now,
+		agentAddresses: make(map[string]string), storedEnds: make(map[string]endPosition), closings: make(map[string]closing), renewedAt: now,
 		reportedEvacuations: make(map[string]uint64),
 	}
 }
@@ -107,6 +108,7 @@
 		t.runPass(ctx)
 		if time.Since(lastCleanup) > cleanupInterval {
 			t.removeOutdatedJobs(ctx)
+			t.removeOutdatedClosings(ctx)
 			lastCleanup = time.Now()
 		}
 		kernel.Sleep(ctx, minPassInterval)
@@ -182,7 +184,13 @@
 // addJob adds the job in record r to the engine, with its progress record if there is
 // one. It skips a job with a record that cannot be decoded. t.mu is held.
 func (t *term) addJob(r store.Record, progressRecords map[string]store.Record) {
+	id := workflow.IDOfKey(r.Key)
 	rec, err := workflow.Decode[workflow.JobRecord](r.Value)
+	if err == nil && rec.IsClosing() {
+		t.closings[id] = closing{revision: r.Revision, at: time.UnixMilli(rec.ClosedMS)}
+		return
+	}
+	delete(t.closings, id)
 	if err == nil {
 		// A job that breaks the limits, such as one with a dependency on a missing step,
 		// would make every decision fail.
@@ -192,7 +200,6 @@
 		log.WithFields(log.Fields{"event": "record_unreadable", "key": r.Key, "error": err.Error()}).Error("record cannot be decoded or is invalid; the job is ignored")
 		return
 	}
-	id := workflow.IDOfKey(r.Key)
 	progress, ok := progressRecords[id]
 	if !ok {
 		t.engine.AddJob(id, rec, nil, 0)
@@ -213,7 +220,9 @@
 		id := workflow.IDOfKey(e.Key)
 		switch {
 		case strings.HasPrefix(e.Key, workflow.JobPrefix):
-			if !e.Deleted {
+			if e.Deleted {
+				delete(t.closings, id)
+			} else {
 				t.addJob(e.Record, nil)
 			}
 		case strings.HasPrefix(e.Key, workflow.CancelPrefix) && !e.Deleted:
--- a/internal/workflow/records.go
+++ b/internal/workflow/records.go
@@ -20,7 +20,10 @@
 	PlannerKey     = Prefix + "planner"
 )
 
-// JobRecord is an accepted job. It is never changed after it was written.
+// JobRecord is an accepted job, which is never changed after it was written, or the
+// closing of a job id, which has ClosedMS and Nonce only. A closed id has no job, and
+// writes of an acceptance that are still under way find its key taken. A later
+// acceptance replaces the closing under its revision.
 type JobRecord struct {
 	Job
 	Queue string `cbor:"20,keyasint"`
@@ -35,10 +38,15 @@
 	MaxAttempts int     `cbor:"25,keyasint,omitempty"`
 	SlackFactor float64 `cbor:"26,keyasint,omitempty"`
 	TargetMS    int64   `cbor:"27,keyasint,omitempty"`
-	// Nonce distinguishes two acceptances of the same job id.
+	// Nonce distinguishes two acceptances, or closings, of the same job id.
 	Nonce uint64 `cbor:"28,keyasint"`
+	// ClosedMS is the time at which the id was closed in Unix milliseconds; 0 for a job.
+	ClosedMS int64 `cbor:"29,keyasint,omitempty"`
 }
 
+// IsClosing reports whether the record closes its id instead of describing a job.
+func (r *JobRecord) IsClosing() bool { return r.ClosedMS != 0 }
+
 // Progress is the planner's record of a job.
 type Progress struct {
 	State State `cbor:"1,keyasint"`
