Count a job as queued until a worker has begun one of its items

Cause: an entry counted the jobs in the state pending, and the planner stores the state active with the decision to start an item. A refused, unanswered or lost start does not change that. Ruled out: records that reach the entries late (all three entries gave the same count until the worker recovered).

Change: the progress record says whether a worker has begun an item (Progress.Begun). The planner sets it when a worker has confirmed a start or lists a run or its end, never by a decision, and a new planner takes it from the record or from the first report that lists a run. Entries count open jobs without it. Records of earlier versions count as begun if a unit is done or has failed. The state that callers read is as before: active from the decision on, and it does not go back to pending.

Cost: the begin is stored with the planner's next transaction for any job, or after 1 s by itself; the count may be 2 s old.

Looked for the same cause in: the state of a job (decided on purpose, see docs/platform.md), `snipegwctl workflow` (shows the state), the metrics of first starts (documented as decisions), the planner's statement of the backlog (counts units without a run, not jobs), and the run times, crashes and hangs, which already count from a worker's word.

--- a/internal/standin/platformworker/worker.go
+++ b/internal/standin/platformworker/worker.go
@@ -65,6 +65,7 @@
 	highestRun         map[string]int
 	seq                int // number of the last announcement
 	draining           bool
+	unhealthy          bool          // answers starts with 503
 	down               bool          // between a restart under the same id and its new incarnation
 	cameBack           chan struct{} // signals the end of a downtime to Announce
 	responsesToLose    int           // number of next starts and stops whose response is lost
@@ -107,6 +108,13 @@
 	w.draining = true
 }
 
+// SetUnhealthy makes the worker answer starts with 503 and do nothing.
+func (w *Worker) SetUnhealthy(on bool) {
+	w.pool.mu.Lock()
+	defer w.pool.mu.Unlock()
+	w.unhealthy = on
+}
+
 // SetZone sets the zone that the worker announces.
 func (w *Worker) SetZone(zone string) {
 	w.pool.mu.Lock()
@@ -220,6 +228,9 @@
 
 func (w *Worker) handleStart(o *order) (int, map[string]any) {
 	w.advance()
+	if w.unhealthy {
+		return http.StatusServiceUnavailable, map[string]any{}
+	}
 	switch {
 	case o.FencingToken < w.fencingToken:
 		return conflict("fence")
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -106,6 +106,7 @@
 		}
 	}
 	e.recordHeadroomUse(r, starts)
+	e.recordBegun(now)
 	return starts, stops
 }
 
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -85,6 +85,10 @@
 	demandAt           time.Time                      // of the latest decision that counted the demand of teams
 	evacuations        map[string]workflow.Evacuation // by failure domain
 	headroomUse        HeadroomUse                    // in the latest decision
+	// begunUnrecorded holds the jobs that have begun since their latest change. They become
+	// changes of their own at begunRecordDue.
+	begunUnrecorded map[string]*job
+	begunRecordDue  time.Time
 }
 
 // policy switches off parts of the scheduling policy, or replaces the order of
@@ -106,6 +110,7 @@
 		settings: s, epoch: epoch, termStart: now, config: &workflow.Config{},
 		jobs: make(map[string]*job), workers: make(map[string]*worker), dirty: make(map[string]*job),
 		estimates: make(durationEstimates), plugins: newPlugins(s.NewPlugins), evacuations: make(map[string]workflow.Evacuation),
+		begunUnrecorded: make(map[string]*job),
 	}
 }
 
@@ -118,7 +123,8 @@
 	state         workflow.State
 	endedMS       int64 // Unix time, 0 while the job is open
 	cancelled     bool
-	hasStarted    bool // at least one item has been started
+	hasStarted    bool // a start of an item has been decided, also if it never took effect
+	begun         bool // a worker has begun an item
 	units         []*unit
 	stages        [][]stage // by occurrence and step
 	unitsLeft     int       // units that are not done
@@ -271,6 +277,7 @@
 func (e *Engine) RemoveJob(id string) {
 	delete(e.jobs, id)
 	delete(e.dirty, id)
+	delete(e.begunUnrecorded, id)
 }
 
 // stop requests that the latest run of u be stopped. The first reason is kept.
--- a/internal/workflow/engine/orders.go
+++ b/internal/workflow/engine/orders.go
@@ -127,6 +127,7 @@
 	switch outcome.Verdict {
 	case workflow.VerdictDone:
 		m.startConfirmedMS = outcome.ClockMS
+		e.markBegun(m.unit.job, now)
 	case workflow.VerdictRefused:
 		if outcome.Reason == workflow.ReasonBusy {
 			m.worker.health.recordFailure(m.unit.job.id, now)
--- a/internal/workflow/engine/progress.go
+++ b/internal/workflow/engine/progress.go
@@ -36,6 +36,7 @@
 
 func (e *Engine) takeChange(j *job) Change {
 	delete(e.dirty, j.id)
+	delete(e.begunUnrecorded, j.id)
 	j.seq++
 	return Change{
 		ID: j.id, Revision: j.revision, Progress: j.progressRecord(), Cancelled: j.cancelled,
@@ -120,7 +121,7 @@
 
 // progressRecord returns the progress of a job as it is to be stored.
 func (j *job) progressRecord() *workflow.Progress {
-	p := &workflow.Progress{State: j.state, EndedMS: j.endedMS, Seq: j.seq, Crashes: j.crashRecords(), GivenUp: j.givenUp}
+	p := &workflow.Progress{State: j.state, EndedMS: j.endedMS, Seq: j.seq, Crashes: j.crashRecords(), GivenUp: j.givenUp, Begun: j.begun}
 	if p.State == workflow.StatePending && j.hasStarted {
 		p.State = workflow.StateActive
 	}
@@ -165,6 +166,7 @@
 	}
 	j.restoreCrashes(p.Crashes)
 	j.givenUp = p.GivenUp
+	j.restoreBegun(p)
 }
 
 // restoreMembers restores the members of a unit's latest run. Those that have not
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -194,6 +194,7 @@
 		w.lastEndNumber = max(w.lastEndNumber, end.Seq)
 		if m := known[runKey{end.Ref, end.Run}]; m != nil {
 			listed[m] = true
+			e.markBegun(m.unit.job, now)
 			e.endMember(m, end.End, end.Checkpoint, now)
 		}
 	}
@@ -232,6 +233,7 @@
 // updateProgress updates a member from the worker's report of its run.
 func (e *Engine) updateProgress(m *member, r *workflow.RunningItem, now time.Time) {
 	if !m.listed {
+		e.markBegun(m.unit.job, now)
 		m.listed, m.startedAt, m.percentChangedAt, m.firstPercent, m.percent = true, now, now, r.Percent, r.Percent
 	}
 	if m.hasOutlivedStart(now) {
--- a/internal/workflow/intake/intake.go
+++ b/internal/workflow/intake/intake.go
@@ -282,15 +282,15 @@
 	})
 }
 
-// Queued returns the number of accepted jobs of a queue that have neither started
-// nor been cancelled.
+// Queued returns the number of open jobs of a queue of which no worker has begun an item
+// and that have not been cancelled.
 func (in *Intake) Queued(queue string) int {
 	n := 0
 	in.jobs.Range(func(k, v any) bool {
 		if v.(*workflow.JobRecord).Queue != queue {
 			return true
 		}
-		if p, ok := in.progress.Load(k); ok && p.(*workflow.Progress).State != workflow.StatePending {
+		if p, ok := in.progress.Load(k); ok && (p.(*workflow.Progress).Begun || p.(*workflow.Progress).State.Terminal()) {
 			return true
 		}
 		if _, cancelled := in.recordMirror.Get(workflow.CancelPrefix + k.(string)); !cancelled {
--- a/internal/workflow/records.go
+++ b/internal/workflow/records.go
@@ -60,6 +60,9 @@
 	Crashes []ItemCrashes `cbor:"5,keyasint,omitempty"`
 	// GivenUp reports that an item has crashed too many workers.
 	GivenUp bool `cbor:"6,keyasint,omitempty"`
+	// Begun reports that a worker has begun an item. The state is active from the decision to
+	// start one, which may never take effect.
+	Begun bool `cbor:"7,keyasint,omitempty"`
 }
 
 // ItemCrashes counts the crashes of workers under one item. It is encoded as an array: the
