State the pool for jobs that were accepted before the planner's term

Callers' jobs that the pool cannot hold are accepted until such a statement.

Hypotheses: the lease of the planner is lost again and again (the log has one term); the statement cannot be stored (the log has no backlog_published); the job is older than the first statement that a term compares it with. The last one holds: in both logged failures the job was accepted 2.3 and 7.2 ms before planner_loaded, in 16 runs that passed 5 to 116 ms after it.

Cause: a term begins as if it had stated the pool at its start, and states it only for jobs that were accepted later. The statements of earlier terms went with their leases, so a job that was accepted while no planner was there, or under an earlier one, is never stated.

Change: a term has made no statement at its start.

Evidence: go test -run TestJobOfAnEarlierTermMakesTheNextPlannerStateThePool ./platform/ (new, an impossible job and then another planner) failed before with "admission_test.go: Timed out after 20.001s. Expected nil not to be nil" and passes now, in 8 of 8 runs together with the test above.

Cost: at most one statement more in a term, while such a job is open.

--- a/internal/workflow/planner/backlog.go
+++ b/internal/workflow/planner/backlog.go
@@ -24,7 +24,7 @@
 // entries should know it. It does not delay the passes. If a statement is lost, the next
 // one follows, and entries accept what they know nothing of.
 func (t *term) publishBacklog(ctx context.Context) {
-	published := time.Now()
+	var published time.Time // zero before the first statement of the term: earlier ones went with their lease
 	for ctx.Err() == nil {
 		kernel.Sleep(ctx, backlogInterval)
 		t.guard("backlog", func() {
