--- a/internal/workflow/engine/load_test.go
+++ b/internal/workflow/engine/load_test.go
@@ -80,7 +80,7 @@
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), 6, 0)
 		w.advance(2500 * time.Millisecond) // past workerSettleTime
 		for _, rack := range []string{"r0", "r1"} {
-			protected := lastingStep(rack, 8)
+			protected := lastingStepOn(rack, 8)
 			protected.Count, protected.MaxUnavailable = 1+w.rng.IntN(2), 1
 			w.addJob("small", "b", protected)
 		}
--- a/internal/workflow/engine/progress.go
+++ b/internal/workflow/engine/progress.go
@@ -36,6 +36,7 @@
 
 func (e *Engine) takeChange(j *job) Change {
 	delete(e.dirty, j.id)
+	delete(e.begunUnrecorded, j.id)
 	j.seq++
 	return Change{
 		ID: j.id, Revision: j.revision, Progress: j.progressRecord(), Cancelled: j.cancelled,
@@ -94,13 +95,26 @@
 		if len(revisions) == limit {
 			break
 		}
-		if j.state.Terminal() && j.revision > 0 && now.Sub(time.UnixMilli(j.endedMS)) > retention && e.dirty[id] == nil && !j.isActive() {
+		if e.isSettled(j) && j.revision > 0 && now.Sub(time.UnixMilli(j.endedMS)) > retention {
 			revisions[id] = j.revision
 		}
 	}
 	return revisions
 }
 
+// isSettled reports whether j has ended, with neither active units nor changes to store.
+func (e *Engine) isSettled(j *job) bool {
+	return j.state.Terminal() && e.dirty[j.id] == nil && !j.isActive()
+}
+
+// RemoveEndedJob drops a job whose record is no longer in the store, if it has ended and has
+// neither active units nor changes to store.
+func (e *Engine) RemoveEndedJob(id string) {
+	if j := e.jobs[id]; j != nil && e.isSettled(j) {
+		e.RemoveJob(id)
+	}
+}
+
 // isActive reports whether some unit of the job is active.
 func (j *job) isActive() bool {
 	return slices.ContainsFunc(j.units, (*unit).isActive)
@@ -120,7 +134,7 @@
 
 // progressRecord returns the progress of a job as it is to be stored.
 func (j *job) progressRecord() *workflow.Progress {
-	p := &workflow.Progress{State: j.state, EndedMS: j.endedMS, Seq: j.seq, Crashes: j.crashRecords(), GivenUp: j.givenUp}
+	p := &workflow.Progress{State: j.state, EndedMS: j.endedMS, Seq: j.seq, Crashes: j.crashRecords(), GivenUp: j.givenUp, Begun: j.begun}
 	if p.State == workflow.StatePending && j.hasStarted {
 		p.State = workflow.StateActive
 	}
@@ -165,6 +179,7 @@
 	}
 	j.restoreCrashes(p.Crashes)
 	j.givenUp = p.GivenUp
+	j.restoreBegun(p)
 }
 
 // restoreMembers restores the members of a unit's latest run. Those that have not
--- a/internal/workflow/inspect/inspect.go
+++ b/internal/workflow/inspect/inspect.go
@@ -50,7 +50,7 @@
 	for _, r := range records {
 		if strings.HasPrefix(r.Key, workflow.JobPrefix) {
 			id := workflow.IDOfKey(r.Key)
-			if rec := decodeRecord(s, r, func(value []byte) (*workflow.JobRecord, error) { return workflow.DecodeJob(id, value) }); rec != nil {
+			if rec := decodeRecord(s, r, func(value []byte) (*workflow.JobRecord, error) { return workflow.DecodeJob(id, value) }); rec != nil && !rec.IsClosing() {
 				j := &Job{ID: id, Record: rec}
 				jobs[j.ID] = j
 				s.Jobs = append(s.Jobs, j)
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -57,11 +57,12 @@
 	endTerm context.CancelCauseFunc // cancels ctx
 	ctx     context.Context
 
-	mu             sync.Mutex // guards engine, agentAddresses and storedEnds
+	mu             sync.Mutex // guards engine, agentAddresses, storedEnds and closings
 	engine         *engine.Engine
 	agentAddresses map[string]string      // by node
 	storedEnds     map[string]endPosition // by node; ends that may be acknowledged
 	knewHolder     bool                   // a holder was recorded before this term
+	closings       map[string]closing     // by job id, until they are removed or replaced
 	renewedAt      time.Time              // start of the latest successful renewal; used by renewLease only
 
 	// The following fields are used by runPass only.
@@ -87,7 +88,7 @@
 	s.MaxStoreOutage = MaxStoreOutage
 	return &term{
 		host: h, lease: lease, epoch: epoch, endTerm: endTerm, engine: engine.New(s, epoch, now),
-		agentAddresses: make(map[string]string), storedEnds: make(map[string]endPosition), renewedAt: now, knewHolder: h.knewHolder,
+		agentAddresses: make(map[string]string), storedEnds: make(map[string]endPosition), closings: make(map[string]closing), renewedAt: now, knewHolder: h.knewHolder,
 		reportedEvacuations: make(map[string]uint64),
 	}
 }
@@ -108,6 +109,7 @@
 		t.runPass(ctx)
 		if time.Since(lastCleanup) > cleanupInterval {
 			t.removeOutdatedJobs(ctx)
+			t.removeOutdatedClosings(ctx)
 			lastCleanup = time.Now()
 		}
 		kernel.Sleep(ctx, minPassInterval)
@@ -191,6 +193,11 @@
 	// A job that breaks the limits, such as one with a dependency on a missing step, would make
 	// every decision fail.
 	rec, err := workflow.DecodeJob(id, r.Value)
+	if err == nil && rec.IsClosing() {
+		t.closings[id] = closing{revision: r.Revision, at: time.UnixMilli(rec.ClosedMS)}
+		return
+	}
+	delete(t.closings, id)
 	if err != nil {
 		workflow.ReportUnreadable(r.Key, err)
 		return
@@ -215,7 +222,11 @@
 		id := workflow.IDOfKey(e.Key)
 		switch {
 		case strings.HasPrefix(e.Key, workflow.JobPrefix):
-			if !e.Deleted {
+			if e.Deleted {
+				delete(t.closings, id)
+				// The answer to the removal may have been lost, and callers may use the id again.
+				t.engine.RemoveEndedJob(id)
+			} else {
 				t.addJob(e.Record, nil)
 			}
 		case strings.HasPrefix(e.Key, workflow.CancelPrefix) && !e.Deleted:
--- a/internal/workflow/records.go
+++ b/internal/workflow/records.go
@@ -23,7 +23,10 @@
 	PlannerKey   = Prefix + "planner"
 )
 
-// JobRecord is an accepted job. It is never changed after it was written.
+// JobRecord is an accepted job, which is never changed after it was written, or the
+// closing of a job id, which has ClosedMS and Nonce only. A closed id has no job, and
+// writes of an acceptance that are still under way find its key taken. A later
+// acceptance replaces the closing under its revision.
 type JobRecord struct {
 	Job
 	Queue string `cbor:"20,keyasint"`
@@ -38,10 +41,15 @@
 	MaxAttempts int     `cbor:"25,keyasint,omitempty"`
 	SlackFactor float64 `cbor:"26,keyasint,omitempty"`
 	TargetMS    int64   `cbor:"27,keyasint,omitempty"`
-	// Nonce distinguishes two acceptances of the same job id.
+	// Nonce distinguishes two acceptances, or closings, of the same job id.
 	Nonce uint64 `cbor:"28,keyasint"`
+	// ClosedMS is the time at which the id was closed in Unix milliseconds; 0 for a job.
+	ClosedMS int64 `cbor:"29,keyasint,omitempty"`
 }
 
+// IsClosing reports whether the record closes its id instead of describing a job.
+func (r *JobRecord) IsClosing() bool { return r.ClosedMS != 0 }
+
 // Progress is the planner's record of a job.
 type Progress struct {
 	State State `cbor:"1,keyasint"`
@@ -55,6 +63,9 @@
 	Crashes []ItemCrashes `cbor:"5,keyasint,omitempty"`
 	// GivenUp reports that an item has crashed too many workers.
 	GivenUp bool `cbor:"6,keyasint,omitempty"`
+	// Begun reports that a worker has begun an item. The state is active from the decision to
+	// start one, which may never take effect.
+	Begun bool `cbor:"7,keyasint,omitempty"`
 }
 
 // ItemCrashes counts the crashes of workers under one item. It is encoded as an array: the
@@ -156,14 +167,14 @@
 	maxProcessBytes = 200
 )
 
-// DecodeJob decodes the record of the job with the given id. It fails if the record describes no
-// job that can be planned. Workers name items by the id and dots.
+// DecodeJob decodes the record of the job with the given id, or its closing. It fails if the record
+// describes no job that can be planned. Workers name items by the id and dots.
 func DecodeJob(id string, data []byte) (*JobRecord, error) {
 	if id == "" || len(id) > maxJobIDBytes || strings.ContainsFunc(id, func(c rune) bool { return !isLetterOrDigit(c) && c != '-' && c != '_' }) {
 		return nil, fmt.Errorf("%.80q is no job id", id)
 	}
 	r, err := Decode[JobRecord](data)
-	if err == nil {
+	if err == nil && !r.IsClosing() {
 		err = r.Validate()
 	}
 	if err != nil {
