Suspect an inherited run only if it may be starting and its agent answers

Callers saw an item that did not start again in time (LOST) after workers had gone with their agents and the planner had been replaced, although most of the pool was idle.

Cause: each run of an earlier planner whose lease expired came under the suspicion to have crashed its worker at its start, because its age is not known. While an item of a step is suspect, only one of them starts at a time, until its run has lasted for a second. Ten items took 18 s. The age is known once a run has been listed for that long in the new term, but that was not looked at, and an item cannot crash the agent beside its worker.

Change: a run is suspect only if it has not been listed for crashProbation in the term, and, if its lease expired, the worker's agent answers. Crashes are counted as before.

Failed before: two cases of TestItemsOfManySilentWorkersRestartTogether (5 of 10 items within 9 s).

--- a/internal/workflow/engine/crash.go
+++ b/internal/workflow/engine/crash.go
@@ -74,7 +74,8 @@
 			c.lapsedAtStart++
 		}
 	})
-	u.lostInherited, u.crashReportedAt = u.lostInherited || m.inherited, w.reportedAt
+	// An item can crash its worker, but not the agent beside it.
+	u.lostInherited, u.crashReportedAt = u.lostInherited || m.mayBeStarting(w.reportedAt) && !w.agentIsSilent(now), w.reportedAt
 	e.markDirty(u.job)
 }
 
@@ -131,6 +132,12 @@
 	return !m.inherited && !m.endPending && (!m.listed || !m.hasOutlivedStart(at))
 }
 
+// mayBeStarting reports whether the run of m, which an earlier planner has started, may still be
+// starting at the given time, because it has not been listed for long enough in this term.
+func (m *member) mayBeStarting(at time.Time) bool {
+	return m.inherited && !(m.listed && m.hasOutlivedStart(at))
+}
+
 // hasOutlivedStart reports whether the run of m has lasted for crashProbation since its first
 // report in this term or has made progress. Progress of an item that lasts says nothing, nor
 // does that of a run that another planner has started.
@@ -153,7 +160,7 @@
 		}
 	})
 	c := u.crashes[m.index]
-	u.lostInherited = u.lostInherited || m.inherited
+	u.lostInherited = u.lostInherited || m.mayBeStarting(reportedAt)
 	e.markDirty(u.job)
 	if u.spec().LongRunning {
 		e.delayRestart(m, c.total, reportedAt)
--- a/internal/workflow/engine/silence.go
+++ b/internal/workflow/engine/silence.go
@@ -43,6 +43,12 @@
 	w.agentRepliedAt, w.silentSince = now, now.Add(-silent)
 }
 
+// agentIsSilent reports whether neither the worker nor its agent has answered in this term, or the
+// agent no longer does.
+func (w *worker) agentIsSilent(now time.Time) bool {
+	return w.reportedAt.IsZero() && now.Sub(w.agentRepliedAt) > reportTimeout
+}
+
 // silence describes the silence of w at now.
 func (e *Engine) silence(w *worker, now time.Time) *WorkerSilence {
 	expiry, basis := e.leaseExpiry(w)
