Keep the fields that the search for hung runs reads together

Cause: stopHungRuns reads endPending of every run, which lay at the end of the record, in memory that the search did not touch before. A decision at 1,400 workers had become slower with it. Change: the field stands beside the others that the search reads; no behaviour changes.

--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -190,12 +190,12 @@
 	startDeadlineMS  int64     // on the worker's clock; the start has no effect later
 	startConfirmedMS int64     // worker's clock when the start was confirmed, 0 before that
 	stopConfirmedMS  int64     // worker's clock when a stop was confirmed, 0 before that
+	endPending       bool      // the run goes on no longer, and the latest report was truncated before its end
 	listed           bool      // the worker has reported the run
 	moved            bool      // the worker restarted under its id after the order, see startIncarnation
 	crashed          bool      // that restart was a crash
 	crashedAtStart   bool      // the run may still have been starting at that restart
 	crashReportedAt  time.Time // latest report of the worker before that restart
-	endPending       bool      // the run goes on no longer, and the latest report was truncated before its end
 	startedAt        time.Time // first report of the run; before that, the decision or the order, or the term's start if inherited
 	firstPercent     float64   // progress in the first report of the run
 	resumed          bool      // the start order carried a checkpoint
