Do not stop runs that have ended and whose ends are not listed yet

Callers saw nothing of it; operators saw stops and preemptions of runs that had ended. Cause: a worker lists 500 ends at a time. A run whose end is on a later page is marked (endPending), but the search for victims of a preemption, the stop of runs on a draining worker, and the statement of held room did not look at that mark: they decided to stop such a run, logged stop_decided and counted a preemption, which frees nothing sooner. Change: a unit of which all members have ended or wait for the listing of their ends counts as ending, as one that is being stopped does.

--- a/internal/workflow/engine/backlog.go
+++ b/internal/workflow/engine/backlog.go
@@ -165,7 +165,7 @@
 			remaining := e.remaining(u, now)
 			class := e.classOf(u.job)
 			for i, horizon := range workflow.BacklogHorizons {
-				if u.spec().LongRunning || !u.stopping && remaining > horizon {
+				if u.spec().LongRunning || !u.isEnding() && remaining > horizon {
 					s.Held[class][i] = s.Held[class][i].Add(u.spec().Needs(), active)
 				}
 			}
--- a/internal/workflow/engine/cost_stops.go
+++ b/internal/workflow/engine/cost_stops.go
@@ -8,7 +8,7 @@
 // which means that nothing else makes room.
 func (e *Engine) mayPreemptByCost(c *candidate, v *unit, hardPressed bool) bool {
 	switch {
-	case e.costs == nil || hardPressed || v.stopping || v.done:
+	case e.costs == nil || hardPressed || v.isEnding():
 		return true
 	case c.class == classUrgent && c.cost.Useless:
 		return false
@@ -19,7 +19,7 @@
 // lossByStop returns the value that stopping v loses: what the room is worth in which work
 // is repeated or nothing runs, and what its own callers lose because their job ends later.
 func (e *Engine) lossByStop(v *unit, now time.Time) float64 {
-	if v.stopping || v.done {
+	if v.isEnding() {
 		return 0
 	}
 	lost := e.lostRunTime(v, now)
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -347,7 +347,7 @@
 		timeLeft := time.Duration(w.announcement.RemainingMS)*time.Millisecond - drainMargin
 		for _, m := range w.members {
 			u := m.unit
-			if u.stopping || u.done || !m.listed {
+			if u.isEnding() || !m.listed {
 				continue
 			}
 			if u.spec().LongRunning || e.remaining(u, now) > timeLeft {
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -210,6 +210,15 @@
 // isActive reports whether u has a run of which some members have not ended.
 func (u *unit) isActive() bool { return len(u.members) > 0 }
 
+// isEnding reports whether what u holds is about to become free: it is done or being stopped, or
+// all its members have ended and the worker's truncated reports do not list their ends yet.
+func (u *unit) isEnding() bool {
+	if u.stopping || u.done {
+		return true
+	}
+	return u.isActive() && !slices.ContainsFunc(u.members, func(m *member) bool { return m.end == "" && !m.endPending })
+}
+
 // itemRef names the item of u's stage with the given index.
 func (u *unit) itemRef(index int) workflow.ItemRef {
 	return workflow.ItemRef{Job: u.job.id, Occurrence: u.occurrence, Step: u.step, Index: index}
--- a/internal/workflow/engine/preempt.go
+++ b/internal/workflow/engine/preempt.go
@@ -29,7 +29,7 @@
 	}
 	fast, _ := e.avoidSlow(u, c, r, now)
 	best := e.cheapestPreemption(u, fast, func(v *unit) bool {
-		return e.mayPreempt(c, v) && e.mayPreemptByCost(c, v, false) && (v.stopping || v.done || e.classOf(v.job) == classOther)
+		return e.mayPreempt(c, v) && e.mayPreemptByCost(c, v, false) && (v.isEnding() || e.classOf(v.job) == classOther)
 	}, now)
 	if best == nil && c.class < classUrgent {
 		best = e.cheapestPreemption(u, r, func(v *unit) bool { return e.mayPreempt(c, v) && e.mayPreemptByCost(c, v, true) }, now)
@@ -44,7 +44,7 @@
 func (e *Engine) stopVictims(u *unit, victims []*unit, now time.Time) []StopDecision {
 	var stops []StopDecision
 	for _, v := range victims {
-		if v.stopping || v.done {
+		if v.isEnding() {
 			continue
 		}
 		loss := 0.0
@@ -153,7 +153,7 @@
 func countStops(u *unit, units []*unit) int64 {
 	n := int64(0)
 	for _, v := range units {
-		if u.excludes(v) && !v.stopping && !v.done {
+		if u.excludes(v) && !v.isEnding() {
 			n++
 		}
 	}
@@ -268,10 +268,10 @@
 }
 
 // mayPreempt reports whether a candidate may take the resources of v. Those of a
-// unit that is done or being stopped are about to become free. A long-running unit
+// unit that is ending are about to become free. A long-running unit
 // whose step sets MaxUnavailable is never preempted, which is stricter than the limit.
 func (e *Engine) mayPreempt(c *candidate, v *unit) bool {
-	if v.stopping || v.done {
+	if v.isEnding() {
 		return true
 	}
 	if v.spec().LongRunning && v.spec().MaxUnavailable > 0 {
@@ -300,7 +300,7 @@
 // lostRunTime returns the run time that stopping v would lose. The true age of a run that
 // an earlier planner started is unknown, so its progress counts as well.
 func (e *Engine) lostRunTime(v *unit, now time.Time) time.Duration {
-	if v.stopping || v.done {
+	if v.isEnding() {
 		return 0
 	}
 	lost := time.Duration(0)
--- a/internal/workflow/engine/truncated_test.go
+++ b/internal/workflow/engine/truncated_test.go
@@ -103,6 +103,37 @@
 	g.Expect(w.planner.estimates.duration(&unit{job: w.planner.jobs[id], count: 1})).To(BeNumerically("<", 1500*time.Millisecond))
 }
 
+// A claim needs the room of runs whose ends are not listed, and their worker drains. Guards against
+// stops of runs that have ended, which free nothing and count as preemptions.
+func TestRunsWithPendingEndsAreNotStopped(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(w *world)
+	}{
+		{"claim", func(w *world) { w.addJob("urgent", "a", step(1, 8, 1000)) }},
+		{"drain", func(w *world) { w.planner.workers["n0"].announcement.Draining = true }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			w, id := truncatedWorld(g, time.Second)
+			c.change(w)
+			for range 20 {
+				_, stops := w.planner.Decide(w.now)
+				g.Expect(stops).To(BeEmpty())
+				w.advance(50 * time.Millisecond)
+			}
+			for _, u := range w.planner.jobs[id].units {
+				g.Expect(u.stopping).To(BeFalse())
+				g.Expect(u.preemptions).To(BeZero())
+			}
+			w.acknowledgeAgain()
+			g.Expect(w.progress[id].State).To(Equal(workflow.StateComplete))
+			g.Expect(w.violations).To(BeEmpty())
+		})
+	}
+}
+
 // The worker is lost with ends that were never listed. Nobody can acknowledge them any more, so the
 // items start again. Guards against items that wait for ever, and against a crash or a lapse that is
 // attributed to runs that had ended before.
