Show operators the same count of queued jobs as callers

Operators saw a job as active from the first decision on, also while all its starts were refused, and had no count of the jobs that had not begun; callers' queuedCount has told them apart since. Change: one predicate (Progress.IsQueued) for the entries' count and for a new column and JSON field queued.

--- a/internal/ctl/workflow.go
+++ b/internal/ctl/workflow.go
@@ -208,6 +208,8 @@
 	Service  string                 `json:"service"`
 	Path     string                 `json:"path"`
 	Jobs     map[workflow.State]int `json:"jobs"`
+	// Queued counts the jobs of which no worker has begun an item, as callers are told.
+	Queued int `json:"queued"`
 }
 
 // Execute implements flags.Commander.
@@ -223,16 +225,19 @@
 		for _, j := range s.Jobs {
 			if j.Record.Queue == q.Name {
 				r.Jobs[j.State()]++
+				if j.IsQueued() {
+					r.Queued++
+				}
 			}
 		}
 		list[i] = r
 		rows = append(rows, []string{r.Name, strconv.Itoa(r.Priority), strconv.Itoa(r.Attempts), r.Service, r.Path,
-			strconv.Itoa(r.Jobs[workflow.StatePending]), strconv.Itoa(r.Jobs[workflow.StateActive]), strconv.Itoa(r.Jobs[workflow.StateFailed])})
+			strconv.Itoa(r.Queued), strconv.Itoa(r.Jobs[workflow.StatePending]), strconv.Itoa(r.Jobs[workflow.StateActive]), strconv.Itoa(r.Jobs[workflow.StateFailed])})
 	}
 	if c.JSON {
 		return c.printJSON(map[string]any{"queues": list})
 	}
-	return c.printTable("queue priority attempts service path pending active failed", rows)
+	return c.printTable("queue priority attempts service path queued pending active failed", rows)
 }
 
 type workflowWorkers struct {
--- a/internal/ctl/workflow_test.go
+++ b/internal/ctl/workflow_test.go
@@ -166,6 +166,16 @@
 		}
 	})
 
+	// Guards against a job that counts as started for operators, but as queued for callers, because a
+	// start was decided that no worker has carried out.
+	It("counts a job as queued until a worker has begun an item", func() {
+		Expect(run("workflow", "queues")).To(Equal(ExitOK), errs.String())
+		Expect(out.String()).To(MatchRegexp(`q\.example/b/\s+1\s+0\s+1\s+1`))
+		put(workflow.ProgressPrefix+"00000000000000a2", workflow.Progress{State: workflow.StateActive, Begun: true})
+		Expect(run("workflow", "queues")).To(Equal(ExitOK), errs.String())
+		Expect(out.String()).To(MatchRegexp(`q\.example/b/\s+0\s+0\s+1\s+1`))
+	})
+
 	// Guards against a store that is down being reported as an invalid command line.
 	It("distinguishes an unavailable store from a missing store address", func() {
 		endpoint.SetFaults(platformstore.Faults{Down: platformstore.DownUnavailable})
--- a/internal/workflow/inspect/inspect.go
+++ b/internal/workflow/inspect/inspect.go
@@ -147,6 +147,10 @@
 	return j.Progress.State
 }
 
+// IsQueued reports whether the job counts as queued for callers: it may be active, because a start
+// was decided, without any worker having begun an item.
+func (j *Job) IsQueued() bool { return !j.Cancelled && j.Progress.IsQueued() }
+
 // Counts holds how many items of a job are done and running. The others are
 // waiting.
 type Counts struct {
--- a/internal/workflow/intake/intake.go
+++ b/internal/workflow/intake/intake.go
@@ -290,7 +290,7 @@
 		if v.(*workflow.JobRecord).Queue != queue {
 			return true
 		}
-		if p, ok := in.progress.Load(k); ok && (p.(*workflow.Progress).Begun || p.(*workflow.Progress).State.Terminal()) {
+		if p, ok := in.progress.Load(k); ok && !p.(*workflow.Progress).IsQueued() {
 			return true
 		}
 		if _, cancelled := in.recordMirror.Get(workflow.CancelPrefix + k.(string)); !cancelled {
--- a/internal/workflow/records.go
+++ b/internal/workflow/records.go
@@ -68,6 +68,10 @@
 	Begun bool `cbor:"7,keyasint,omitempty"`
 }
 
+// IsQueued reports whether a job with the progress record p, nil before the first, counts as
+// queued: it is open and no worker has begun an item.
+func (p *Progress) IsQueued() bool { return p == nil || !p.Begun && !p.State.Terminal() }
+
 // ItemCrashes counts the crashes of workers under one item. It is encoded as an array: the
 // order of its fields must not change.
 type ItemCrashes struct {
