Test that starts on idle workers are in time

Callers on real processes saw LOST: a gang of five items had nothing running while the pool was idle. An agent answered a waiting planner with the state at the begin of the wait, so that the worker's clock in it was up to 1.5 s old, and a start's deadline of 1.5 s after it had passed when the order took 50 ms or more to reach the worker. An idle worker's reports do not change, so this went on for as long as it stayed idle; the planner chose the same worker each 100 ms. The record shows five items of one gang that end how=never within 60 us in the first planner's term; the log of the trial shows the same lines with reason=late before them. Change: the stand-in worker can delay orders; TestStartsOnIdleWorkersAreInTime.

--- a/internal/standin/platformworker/worker.go
+++ b/internal/standin/platformworker/worker.go
@@ -74,6 +74,8 @@
 	cameBack           chan struct{} // signals the end of a downtime to Announce
 	holds              int           // number of answers to holds
 	responsesToLose    int           // number of next starts and stops whose response is lost
+	orderDelay         time.Duration // see DelayOrders
+	startsRefused      int
 }
 
 // Add starts a worker that listens on a free loopback port.
@@ -120,6 +122,20 @@
 	w.unhealthy = on
 }
 
+// DelayOrders makes each start and stop take effect only d after its arrival.
+func (w *Worker) DelayOrders(d time.Duration) {
+	w.pool.mu.Lock()
+	defer w.pool.mu.Unlock()
+	w.orderDelay = d
+}
+
+// StartsRefused returns the number of starts that the worker has refused.
+func (w *Worker) StartsRefused() int {
+	w.pool.mu.Lock()
+	defer w.pool.mu.Unlock()
+	return w.startsRefused
+}
+
 // SetZone sets the zone that the worker announces.
 func (w *Worker) SetZone(zone string) {
 	w.pool.mu.Lock()
@@ -195,6 +211,12 @@
 			return
 		}
 		w.pool.mu.Lock()
+		if w.orderDelay > 0 && o.Task != "" {
+			delay := w.orderDelay
+			w.pool.mu.Unlock()
+			time.Sleep(delay)
+			w.pool.mu.Lock()
+		}
 		if w.down {
 			w.pool.mu.Unlock()
 			standin.Abort()
@@ -233,6 +255,14 @@
 
 func (w *Worker) handleStart(o *order) (int, map[string]any) {
 	w.advance()
+	status, body := w.start(o)
+	if status != http.StatusOK {
+		w.startsRefused++
+	}
+	return status, body
+}
+
+func (w *Worker) start(o *order) (int, map[string]any) {
 	if w.unhealthy {
 		return http.StatusServiceUnavailable, map[string]any{}
 	}
