Try another worker after a start that had no effect

Callers see LOST: a single job stays active and never runs, while a worker reports as usual and refuses its starts or leaves them unanswered, and the others are idle. Cause: the choice among idle workers is always the same. A refusal had no consequence for the next choice (only refusals of two different jobs as busy exclude a worker; late, fence, room, old, unanswered and draining had none at all). Change: a unit counts its failed runs and starts in vain by worker incarnation (setbacks) and prefers workers with fewer; a gang also compares racks by them. Failed runs counted before as well, but only once and not between racks. Retractions of the planner's own and refusals of a run that was stopped do not count. No other unit is affected, and the worker stays in use.

--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -164,7 +164,7 @@
 	rackWaitSince time.Time
 	rackGivenUp   bool
 	idleSince     time.Time          // end of the latest run of this term, zero if there was none
-	failedOn      map[string]bool    // worker incarnations on which a run failed
+	setbacks      map[string]int     // failed runs and starts without effect in this term, by worker incarnation
 	crashes       map[int]crashCount // by item index, nil if there were none
 	// lostInherited reports that a crash has ended a run of another planner, and no run has
 	// outlived crashProbation since.
--- a/internal/workflow/engine/health.go
+++ b/internal/workflow/engine/health.go
@@ -43,8 +43,8 @@
 	h.excludedUntil = now.Add(h.lastExclusion)
 }
 
-// observeEnd updates the health of the worker, the run-time estimates and the list
-// of workers on which the unit failed from the end of a member. The run time is taken on
+// observeEnd updates the health of the worker, the run-time estimates and the
+// setbacks of the unit from the end of a member. The run time is taken on
 // the worker's clock, from the confirmation of the start to the report of the end. Runs
 // that resumed from a checkpoint, were started by another planner, or ended some time before
 // their ends were listed, do not change the estimates.
@@ -68,9 +68,16 @@
 		}
 	case workflow.EndFailed:
 		m.worker.health.recordFailure(u.job.id, now)
-		if u.failedOn == nil {
-			u.failedOn = make(map[string]bool)
-		}
-		u.failedOn[m.incarnation] = true
+		u.recordSetback(m.incarnation)
+	}
+}
+
+// recordSetback counts a failed run of u, or a start that had no effect, on a worker. The units
+// of one shape choose the same worker among idle ones each time, so that u would be
+// started again where it has just failed to start.
+func (u *unit) recordSetback(incarnation string) {
+	if u.setbacks == nil {
+		u.setbacks = make(map[string]int)
 	}
+	u.setbacks[incarnation]++
 }
--- a/internal/workflow/engine/orders.go
+++ b/internal/workflow/engine/orders.go
@@ -132,6 +132,9 @@
 		if outcome.Reason == workflow.ReasonBusy {
 			m.worker.health.recordFailure(m.unit.job.id, now)
 		}
+		if outcome.Reason != workflow.ReasonOldRun || !m.unit.stopping { // else the stop came first
+			m.unit.recordSetback(m.incarnation)
+		}
 		e.endMember(m, workflow.EndNever, "", now)
 	}
 }
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -213,17 +213,14 @@
 }
 
 // sortByPreference returns the workers in the order in which u should fill them:
-// first those on which it has not failed, then those in its preferred rack, where
-// its data is, then warm ones (or cold ones if it can wait), then fast ones, then those
+// first those on which it has met the fewest setbacks, then those in its preferred rack,
+// where its data is, then warm ones (or cold ones if it can wait), then fast ones, then those
 // with the least free resources (best fit), so that whole workers stay free for large
 // items. A suspect unit, and one that lasts and under which two workers have crashed, prefers
 // those with the fewest runs, which a crash would end.
 func (e *Engine) sortByPreference(u *unit, r *freeResources, workers []*worker) []*worker {
 	penalty := func(w *worker) int {
-		n := 0
-		if u.failedOn[w.incarnation] {
-			n += 2
-		}
+		n := 2 * u.setbacks[w.incarnation]
 		if p := u.spec().PreferredRack; p != "" && w.announcement.Rack != p {
 			n++
 		}
--- a/internal/workflow/engine/rack.go
+++ b/internal/workflow/engine/rack.go
@@ -59,16 +59,17 @@
 	return len(racks) > 1
 }
 
-// placeInRack places a gang in one rack: in the preferred one, or else in the fitting
-// one that is fastest and then has the fewest free accelerators. It spreads the gang over
-// racks if it does not wait for one (awaitsRack).
+// placeInRack places a gang in one rack: in the fitting one on whose workers it has met the
+// fewest setbacks, then in the preferred one, or else in the one that is fastest and then
+// has the fewest free accelerators. It spreads the gang over racks if it does not wait for one
+// (awaitsRack).
 func (e *Engine) placeInRack(u *unit, r *freeResources, fitting []*worker) []*worker {
 	racks := make(map[string][]*worker)
 	for _, w := range fitting {
 		racks[w.announcement.Rack] = append(racks[w.announcement.Rack], w)
 	}
 	var best []*worker
-	bestFree, bestSlowness := int64(-1), 0.0
+	bestFree, bestSlowness, bestSetbacks := int64(-1), 0.0, 0
 	for _, rack := range sortedKeys(racks) {
 		placement := pack(u, r, e.sortByPreference(u, r, racks[rack]))
 		if placement == nil {
@@ -78,12 +79,12 @@
 		for _, w := range racks[rack] {
 			freeInRack += r.free[w.index].Accelerators
 		}
+		setbacks, slowness := u.setbacksOn(placement), slowest(placement)
 		if rack == u.spec().PreferredRack {
-			return placement
+			slowness = 0 // before all others
 		}
-		slowness := slowest(placement)
-		if bestFree < 0 || cmp.Or(cmp.Compare(slowness, bestSlowness), cmp.Compare(freeInRack, bestFree)) < 0 {
-			best, bestFree, bestSlowness = placement, freeInRack, slowness
+		if best == nil || cmp.Or(cmp.Compare(setbacks, bestSetbacks), cmp.Compare(slowness, bestSlowness), cmp.Compare(freeInRack, bestFree)) < 0 {
+			best, bestFree, bestSlowness, bestSetbacks = placement, freeInRack, slowness, setbacks
 		}
 	}
 	if best != nil || e.awaitsRack(u, r) {
@@ -92,6 +93,15 @@
 	return pack(u, r, e.sortByPreference(u, r, fitting))
 }
 
+// setbacksOn returns the sum of the setbacks that u has met on the workers of its items.
+func (u *unit) setbacksOn(placement []*worker) int {
+	n := 0
+	for _, w := range placement {
+		n += u.setbacks[w.incarnation]
+	}
+	return n
+}
+
 // awaitsRack reports whether u waits for room in one rack instead of starting on several. It does
 // so if a rack could hold it, but no longer than maxRackWait after the moment from which it could
 // have started on several.
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -224,6 +224,8 @@
 			how := workflow.EndNever
 			if m.listed || m.startConfirmedMS > 0 {
 				how = workflow.EndLost
+			} else if m.startSent && !m.unit.stopping {
+				m.unit.recordSetback(m.incarnation)
 			}
 			e.endMember(m, how, "", now)
 		}
--- a/internal/workflow/engine/world_worker_test.go
+++ b/internal/workflow/engine/world_worker_test.go
@@ -53,6 +53,9 @@
 	capacity         workflow.Resources
 	faultyUntil      time.Time
 	slowness         float64 // factor of run times; 0 is 1
+	// startFault is the outcome of all starts, none of which takes effect; nil for none.
+	startFault   *workflow.OrderOutcome
+	startsInVain int
 }
 
 // restart begins a new incarnation; its runs are gone.
@@ -220,6 +223,9 @@
 	}
 	name := o.Ref.String()
 	switch {
+	case m.startFault != nil:
+		m.startsInVain++
+		return *m.startFault
 	case token < m.highestToken:
 		return refuse(workflow.ReasonFenced)
 	case o.ExpiresMS <= clock:
