Tell a successor which leases no planner extends

Cause: a planner that is cut off from the store may extend leases for 12 s, so its successor waits that long and a lease, unless the agent or the former planner answers. What the former planner knew, that the agent had gone and that it extended nothing, went with it. Change: a planner that gets no answer of an agent for 0.7 s stops extending the lease of its worker and stores that (snipegw/leases/NODE), if no earlier planner can extend it. Successors count the lease from when their entry has first seen the record, and are bound by it until a withdrawal is stored. Result: the model of TestRulesHoldUnderFaults has suspensions and holds, and finds TWICE when they are ignored; TestItemsOfALostWorkerRunAfterItsPlannerIsLostForGood passes with the real entries and agents. Cost: one write for up to 15 nodes whose agents stop answering, and one when they answer again.

--- a/internal/workflow/engine/dump.go
+++ b/internal/workflow/engine/dump.go
@@ -55,6 +55,8 @@
 	// SilentMS is how long the worker has not responded to its agent, if the agent replies
 	// without a report.
 	SilentMS int64 `json:"silent_ms,omitempty"`
+	// LeaseSuspended reports that no planner extends the worker's lease, see Engine.SuspendLease.
+	LeaseSuspended bool `json:"lease_suspended,omitempty"`
 	// LeaseEndsMS is the time until the lease of a worker with items ends unless it reports.
 	LeaseEndsMS int64 `json:"lease_ends_ms,omitempty"`
 }
@@ -93,7 +95,7 @@
 			Node: w.node, Incarnation: w.incarnation, Usable: e.usable(w, now), Draining: w.announcement != nil && w.announcement.Draining,
 			ReportAgeMS: now.Sub(w.reportedAt).Milliseconds(), Items: len(w.members), Excluded: w.health.excluded(now), PendingEnds: w.pendingEnds(),
 			FreeAccelerators: w.free().Accelerators, Slowness: w.relativeSlowness(),
-			FailureDomain: w.failureDomain(), Evacuated: e.isEvacuated(w), Cold: w.isCold(now),
+			FailureDomain: w.failureDomain(), Evacuated: e.isEvacuated(w), Cold: w.isCold(now), LeaseSuspended: w.suspended,
 		}
 		if w.reportedAt.IsZero() {
 			ws.ReportAgeMS = -1
--- a/internal/workflow/engine/orders.go
+++ b/internal/workflow/engine/orders.go
@@ -18,14 +18,14 @@
 
 // StartOrders returns the start orders that have not been handed out, one Order
 // for each node. The changes that record the runs must have been stored. A
-// member whose unit is to be stopped by now, or whose failure domain is evacuated, ends
-// without having been started.
+// member whose unit is to be stopped by now, whose failure domain is evacuated, or whose worker's
+// lease is suspended, ends without having been started.
 func (e *Engine) StartOrders(now time.Time) []*Order {
 	e.retractEvacuatedStarts(now)
 	return e.collectOrders(func(m *member, nodeOrder func() *Order) {
 		switch {
 		case m.startSent || m.inherited:
-		case m.unit.stopping:
+		case m.unit.stopping || m.worker.suspended:
 			e.endMember(m, workflow.EndNever, "", now)
 		default:
 			e.orderStart(nodeOrder(), m, now)
--- a/internal/workflow/engine/property_test.go
+++ b/internal/workflow/engine/property_test.go
@@ -77,6 +77,7 @@
 		{"TWICE", func(w *world) { // a run that a truncated report leaves out is taken for lost
 			w.endsPerReport, w.hideTruncation = 1, true
 		}},
+		{"TWICE", func(w *world) { w.suspensions.ignored = true }}, // suspended leases are extended
 		{"UNASKED", func(w *world) { w.hideCancels = true }},
 		{"EVAC", func(w *world) { w.evacuations.hide = true }},
 	}
--- a/internal/workflow/engine/silence.go
+++ b/internal/workflow/engine/silence.go
@@ -11,6 +11,8 @@
 	basisAgent   = "agent"   // the agent's latest reply, by which the worker does not respond to it
 	basisPlanner = "planner" // the confirmation that no earlier planner extends leases
 	basisOutage  = "outage"  // MaxStoreOutage, after which no earlier planner extends leases
+	// basisSuspension is the stored promise that no planner extends the lease.
+	basisSuspension = "suspension"
 )
 
 // WorkerSilence describes a worker with open runs that does not report.
@@ -20,7 +22,8 @@
 	// Expired reports that the lease has expired and the runs have ended. It is false if the
 	// worker has not reported in this term yet.
 	Expired bool
-	// Basis says what the expiry of the lease is computed from: report, agent, planner or outage.
+	// Basis says what the expiry of the lease is computed from: report, agent, planner, outage or
+	// suspension.
 	Basis string
 	// ExpiresIn is the longest time until the runs end, 0 if Expired.
 	ExpiresIn time.Duration
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -39,6 +39,13 @@
 	health                            health
 	slowness                          float64 // learned from run times, see relativeSlowness; 0 is 1
 	endsTruncated                     bool    // the latest report may have left out ends
+	// suspended reports that no planner extends the lease, see SuspendLease. It is set at
+	// suspendedAt, by this planner or an earlier one.
+	suspended   bool
+	suspendedAt time.Time
+	// unextendedSince is the time from which earlier planners have not extended the lease, zero if
+	// they have made no such promise.
+	unextendedSince time.Time
 }
 
 // AddWorker adds the worker of a node, if it is new. Nothing starts on it before its
@@ -311,8 +318,8 @@
 // leaseExpiry returns the time after which nothing runs on a worker that sends no
 // further report, and what it is computed from. Before the first report of this term the
 // lease comes from an earlier planner, which may go on extending it for up to MaxStoreOutage
-// unless all have ended, or unless the agent's latest reply shows that the worker has been
-// silent for longer than a lease.
+// unless all have ended, unless they have promised not to, or unless the agent's latest reply
+// shows that the worker has been silent for longer than a lease.
 func (e *Engine) leaseExpiry(w *worker) (at time.Time, basis string) {
 	if w.reportedAt.IsZero() {
 		longest := withClockDrift(e.settings.LeaseDuration) + expiryMargin
@@ -321,10 +328,14 @@
 		if at := w.silentSince.Add(longest); !w.agentRepliedAt.Before(at) {
 			return at, basisAgent
 		}
+		at, basis := e.termStart.Add(e.settings.MaxStoreOutage+longest), basisOutage
 		if !e.earlierEndedAt.IsZero() {
-			return e.earlierEndedAt.Add(longest), basisPlanner
+			at, basis = e.earlierEndedAt.Add(longest), basisPlanner
 		}
-		return e.termStart.Add(e.settings.MaxStoreOutage + longest), basisOutage
+		if bySuspension := w.unextendedSince.Add(longest); !w.unextendedSince.IsZero() && bySuspension.Before(at) {
+			at, basis = bySuspension, basisSuspension
+		}
+		return at, basis
 	}
 	remaining := time.Duration(max(w.maxLeaseUntilMS-w.clockMS, 0)) * time.Millisecond
 	return w.reportedAt.Add(withClockDrift(remaining) + expiryMargin), basisReport
@@ -347,6 +358,9 @@
 	}
 	req.Generation = w.generation
 	req.Instance, req.StartedMS, req.AckedEnds = w.instance, w.startedMS, acked
+	if w.suspended {
+		return req
+	}
 	req.LeaseUntilMS = w.clockMS + e.settings.LeaseDuration.Milliseconds()
 	w.maxLeaseUntilMS = max(w.maxLeaseUntilMS, req.LeaseUntilMS)
 	return req
@@ -365,7 +379,7 @@
 
 // usable reports whether new items may start on w.
 func (e *Engine) usable(w *worker, now time.Time) bool {
-	return w.incarnation != "" && !w.hasLeft && !w.unconfirmed && w.announcement != nil && !w.announcement.Draining &&
+	return w.incarnation != "" && !w.hasLeft && !w.unconfirmed && !w.suspended && w.announcement != nil && !w.announcement.Draining &&
 		now.Sub(w.reportedAt) < reportTimeout && !w.health.excluded(now) && !e.isEvacuated(w)
 }
 
--- a/internal/workflow/engine/world_test.go
+++ b/internal/workflow/engine/world_test.go
@@ -36,6 +36,7 @@
 
 	evacuations      worldEvacuations
 	partitions       worldPartitions
+	suspensions      worldSuspensions
 	hideCancels      bool                     // keeps cancellations from the planner, to test the check
 	noRandomFailures bool                     // runs do not fail at random
 	newPlugins       func() framework.Set     // scheduling plug-ins of each term, nil for none
@@ -66,6 +67,7 @@
 		endsPerReport: 500,
 		evacuations:   worldEvacuations{rng: rand.New(rand.NewPCG(seed, 2)), requestedAt: make(map[string]time.Time)},
 		partitions:    worldPartitions{rng: rand.New(rand.NewPCG(seed, 3))},
+		suspensions:   newWorldSuspensions(seed),
 	}
 	w.config = &workflow.Config{
 		Version: 1,
@@ -119,6 +121,7 @@
 	for _, m := range w.workers {
 		w.planner.AddWorker(m.node)
 	}
+	w.inheritSuspensions()
 }
 
 // runPass runs one pass of the planner: it decides, stores the changes, sends the
@@ -161,11 +164,16 @@
 	}
 	w.recallFormerPlanner()
 	w.syncFormerPlanner()
+	w.updateSuspensions()
 	for _, m := range w.workers {
 		if w.chance(w.faultRate*0.2) || w.now.Before(m.cutOffUntil) {
+			w.suspensions.noteAnswer(m.node, false, w.now)
 			continue
 		}
-		if reply := m.sync(p.NextSyncRequest(m.node, acked[m.node])); reply != nil && !w.chance(w.faultRate*0.2) {
+		reply := m.sync(p.NextSyncRequest(m.node, acked[m.node]))
+		answered := reply != nil && !w.chance(w.faultRate*0.2)
+		w.suspensions.noteAnswer(m.node, answered, w.now)
+		if answered {
 			p.HandleReport(m.node, reply, w.now)
 		}
 	}
--- a/internal/workflow/planner/holders.go
+++ b/internal/workflow/planner/holders.go
@@ -80,6 +80,9 @@
 		t.mu.Unlock()
 		log.WithFields(log.Fields{"event": "planners_recalled", "epoch": t.epoch, "entries": len(holders)}).Info("no earlier planner extends leases any more")
 	}
+	if !t.withdrawalsStored() {
+		return // their records tell a successor not to trust the suspensions; a later term removes them
+	}
 	t.removeHolders(parent, holders)
 }
 
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -72,10 +72,11 @@
 	stopping chan struct{} // closed by Stop
 
 	// acquiredAt is the time at which the latest acquisition of the planner's key began, and
-	// knewHolder reports whether any entry was recorded as a holder then. They are used by run
-	// only.
-	acquiredAt time.Time
-	knewHolder bool
+	// knewHolder reports whether any entry was recorded as a holder then. formerKept reports that
+	// the former record of this entry's address, if there was one, was of a planner that keeps
+	// suspensions. They are used by run only.
+	acquiredAt             time.Time
+	knewHolder, formerKept bool
 
 	mu     sync.Mutex
 	config *workflow.Config
@@ -86,11 +87,13 @@
 	term               *term         // nil while this entry is not planner
 	pending            []store.Event // changes of records that the term has not processed
 	wakeUp             chan struct{} // signals news to run and to the term; holds one signal
+	// leaseRecords holds the present versions of the lease records, by key.
+	leaseRecords map[string]observedRecord
 }
 
 // New returns a Host that is not started.
 func New(o Options) *Host {
-	return &Host{options: o, done: make(chan struct{}), stopping: make(chan struct{}), wakeUp: make(chan struct{}, 1)}
+	return &Host{options: o, done: make(chan struct{}), stopping: make(chan struct{}), wakeUp: make(chan struct{}, 1), leaseRecords: make(map[string]observedRecord)}
 }
 
 // Name implements kernel.Component.
@@ -136,6 +139,7 @@
 // term.
 func (h *Host) enqueueEvents(events []store.Event) {
 	h.mu.Lock()
+	h.observeLeaseRecords(events)
 	if h.term != nil {
 		h.pending = append(h.pending, events...)
 	}
@@ -241,13 +245,18 @@
 // revision of the new key is the epoch of the term; epoch is 0 if another entry was
 // faster. The caller must revoke the lease.
 func (h *Host) acquireTerm(ctx context.Context, revision uint64) (lease, epoch uint64, err error) {
-	h.acquiredAt, h.knewHolder = time.Now(), false
-	h.options.Records.Each(workflow.HolderPrefix, func(store.Record) { h.knewHolder = true })
+	h.acquiredAt, h.knewHolder, h.formerKept = time.Now(), false, true
+	h.options.Records.Each(workflow.HolderPrefix, func(r store.Record) {
+		h.knewHolder = true
+		if r.Key == workflow.HolderPrefix+h.options.Address {
+			h.formerKept = keepsSuspensions(r)
+		}
+	})
 	lease, err = h.options.Table.Grant(ctx, h.options.LeaseDuration)
 	if err != nil {
 		return 0, 0, err
 	}
-	record := workflow.Encode(workflow.PlannerRecord{Entry: h.options.Entry, Address: h.options.Address})
+	record := workflow.Encode(workflow.PlannerRecord{Entry: h.options.Entry, Address: h.options.Address, KeepsSuspensions: h.formerKept})
 	outcome, err := h.options.Table.Commit(ctx, store.Txn{
 		Conditions: []store.Condition{{Key: workflow.PlannerKey, Revision: revision}},
 		Puts: []store.Put{
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -57,13 +57,18 @@
 	endTerm context.CancelCauseFunc // cancels ctx
 	ctx     context.Context
 
-	mu             sync.Mutex // guards engine, agentAddresses, storedEnds and closings
+	mu             sync.Mutex // guards engine and the maps below
 	engine         *engine.Engine
 	agentAddresses map[string]string      // by node
 	storedEnds     map[string]endPosition // by node; ends that may be acknowledged
 	knewHolder     bool                   // a holder was recorded before this term
 	closings       map[string]closing     // by job id, until they are removed or replaced
-	renewedAt      time.Time              // start of the latest successful renewal; used by renewLease only
+	suspensions    map[string]*suspension // by node
+	// unansweredSince holds the first failed call to each agent since its latest answer, by node.
+	unansweredSince    map[string]time.Time
+	formerKept         bool          // see Host
+	suspensionsChanged chan struct{} // signals a lease that may be extended again; holds one signal
+	renewedAt          time.Time     // start of the latest successful renewal; used by renewLease only
 
 	// The following fields are used by runPass only.
 
@@ -89,7 +94,8 @@
 	return &term{
 		host: h, lease: lease, epoch: epoch, endTerm: endTerm, engine: engine.New(s, epoch, now),
 		agentAddresses: make(map[string]string), storedEnds: make(map[string]endPosition), closings: make(map[string]closing), renewedAt: now, knewHolder: h.knewHolder,
-		reportedEvacuations: make(map[string]uint64),
+		reportedEvacuations: make(map[string]uint64), formerKept: h.formerKept,
+		suspensions: make(map[string]*suspension), unansweredSince: make(map[string]time.Time), suspensionsChanged: make(chan struct{}, 1),
 	}
 }
 
@@ -101,6 +107,7 @@
 		return
 	}
 	go t.sendStopOrders(ctx)
+	go t.updateSuspensions(ctx)
 	if t.host.options.PublishBacklog {
 		go t.publishBacklog(ctx)
 	}
@@ -165,9 +172,10 @@
 	return false
 }
 
-// applyRecords adds the listed jobs with their progress to the engine, and then
-// applies the other records. t.mu is held.
+// applyRecords adds the suspended leases and the listed jobs with their progress to the engine,
+// and then applies the other records. t.mu is held.
 func (t *term) applyRecords(records []store.Record) {
+	t.inheritSuspensions(records, time.Now())
 	progressRecords := make(map[string]store.Record)
 	for _, r := range records {
 		if strings.HasPrefix(r.Key, workflow.ProgressPrefix) {
@@ -416,6 +424,7 @@
 			// The agent may have restarted and count its versions anew. No report has
 			// version 0, so the next call is answered at once.
 			version = 0
+			t.noteUnanswered(node, time.Now())
 			t.host.options.Pool.CloseConnections(address)
 			if time.Since(lastReply) > agentSilenceLimit {
 				kernel.Sleep(ctx, silentAgentRetryDelay)
@@ -427,7 +436,14 @@
 		t.guard("worker report", func() {
 			t.mu.Lock()
 			defer t.mu.Unlock()
+			delete(t.unansweredSince, node)
 			t.engine.HandleReport(node, reply, lastReply)
+			if t.engine.MayResume(node) {
+				select {
+				case t.suspensionsChanged <- struct{}{}:
+				default:
+				}
+			}
 		})
 		t.host.wake()
 	}
--- a/internal/workflow/records.go
+++ b/internal/workflow/records.go
@@ -20,7 +20,9 @@
 	EntryPrefix    = Prefix + "entries/"
 	// HolderPrefix is followed by the address of an entry that has been planner.
 	HolderPrefix = Prefix + "planners/"
-	PlannerKey   = Prefix + "planner"
+	// LeasePrefix is followed by the name of a node. See LeaseRecord.
+	LeasePrefix = Prefix + "leases/"
+	PlannerKey  = Prefix + "planner"
 )
 
 // JobRecord is an accepted job, which is never changed after it was written, or the
@@ -111,6 +113,15 @@
 type PlannerRecord struct {
 	Entry   string `cbor:"1,keyasint"`
 	Address string `cbor:"2,keyasint"`
+	// KeepsSuspensions reports that the entry keeps the promise of LeaseRecord. Earlier versions do
+	// not know it.
+	KeepsSuspensions bool `cbor:"3,keyasint,omitempty"`
+}
+
+// LeaseRecord says whether the lease of the worker on a node is suspended: no planner up to the
+// present one extends it from before the record was written until another one replaces it.
+type LeaseRecord struct {
+	Suspended bool `cbor:"1,keyasint,omitempty"`
 }
 
 // ProcessRecord holds the addresses of an agent or an entry.
@@ -191,11 +202,18 @@
 	return c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
 }
 
+func validateProcessName(name string) error {
+	if name == "" || len(name) > maxProcessBytes || strings.ContainsFunc(name, func(c rune) bool { return c <= ' ' || c > '~' || c == '/' || c == '|' }) {
+		return fmt.Errorf("%.80q is no name of a process", name)
+	}
+	return nil
+}
+
 // DecodeProcess decodes the record of the process with the given name. It fails if the record
 // describes no process that can be called. WorkerKey separates the name by a bar.
 func DecodeProcess(name string, data []byte) (*ProcessRecord, error) {
-	if name == "" || len(name) > maxProcessBytes || strings.ContainsFunc(name, func(c rune) bool { return c <= ' ' || c > '~' || c == '/' || c == '|' }) {
-		return nil, fmt.Errorf("%.80q is no name of a process", name)
+	if err := validateProcessName(name); err != nil {
+		return nil, err
 	}
 	r, err := Decode[ProcessRecord](data)
 	if err != nil {
@@ -213,6 +231,14 @@
 	return r, nil
 }
 
+// DecodeLease decodes the record of the lease of the worker on a node.
+func DecodeLease(node string, data []byte) (*LeaseRecord, error) {
+	if err := validateProcessName(node); err != nil {
+		return nil, err
+	}
+	return Decode[LeaseRecord](data)
+}
+
 // ReportUnreadable reports a record that is ignored since it cannot be decoded or is invalid.
 func ReportUnreadable(key string, err error) {
 	kernel.Rejections.Report("record_unreadable", "record", key, err, "record cannot be decoded or is invalid, and is ignored")
