Start nothing on a worker whose agent does not answer

Callers see jobs that begin seconds late, and LOST when the planner changes: an item or a gang is placed on a worker whose agent has gone. Cause: a worker is usable until its latest report is 2.5 s old. The planner knew from the failed call that the agent was gone. Change: a failed call makes the worker unusable until the agent replies.

--- a/internal/workflow/engine/silence.go
+++ b/internal/workflow/engine/silence.go
@@ -46,6 +46,14 @@
 	w.agentRepliedAt, w.silentSince = now, now.Add(-silent)
 }
 
+// NoteUnanswered notes that a call to the agent of node has failed. Nothing starts on its worker until the
+// agent replies.
+func (e *Engine) NoteUnanswered(node string) {
+	if w := e.workers[node]; w != nil {
+		w.unanswered = true
+	}
+}
+
 // agentIsSilent reports whether neither the worker nor its agent has answered in this term, or the
 // agent no longer does.
 func (w *worker) agentIsSilent(now time.Time) bool {
--- a/internal/workflow/engine/silence_test.go
+++ b/internal/workflow/engine/silence_test.go
@@ -180,3 +180,17 @@
 	w.advance(9 * time.Second)
 	g.Expect(w.violations).To(ContainElement(ContainSubstring("TWICE")), strings.Join(w.violations, "\n"))
 }
+
+// The agent of an idle worker has gone, and the latest report is not old yet. Guards against items that are started
+// there: nobody takes the order, and a successor would have to wait for the lease of runs that never were.
+func TestNothingStartsWhereTheAgentDoesNotAnswer(t *testing.T) {
+	b := newRestartBench(t)
+	b.reply(workflow.OrderOutcome{Verdict: workflow.VerdictRefused, Reason: workflow.ReasonBusy})
+	b.engine.NoteUnanswered("n0")
+	b.engine.NoteUnanswered("n1")
+	b.Expect(b.decide()).To(BeNil())
+	b.engine.HandleReport("n1", &workflow.SyncReply{}, b.now)
+	order := b.decide()
+	b.Expect(order).NotTo(BeNil())
+	b.Expect(order.Node).To(Equal("n1"))
+}
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -28,6 +28,7 @@
 	silentSince     time.Time              // the worker's latest response to its agent, by that reply
 	hasLeft         bool                   // the agent has reported that the worker left
 	unconfirmed     bool                   // the agent has refused a start for the incarnation since the latest report
+	unanswered      bool                   // a call to the agent has failed since its latest reply
 	members         []*member              // that may be running, in order of their starts
 	lapsed          []lapsedRun            // of the incarnation, since its latest report
 	// inheritedRuns reports that the term began with runs of an earlier planner here, and
@@ -65,6 +66,7 @@
 func (e *Engine) HandleReport(node string, reply *workflow.SyncReply, now time.Time) {
 	e.AddWorker(node)
 	w := e.workers[node]
+	w.unanswered = false
 	if reply.Report == nil {
 		w.recordAgentReply(time.Duration(reply.SilentMS)*time.Millisecond, now)
 		if reply.Left {
@@ -379,7 +381,7 @@
 
 // usable reports whether new items may start on w.
 func (e *Engine) usable(w *worker, now time.Time) bool {
-	return w.incarnation != "" && !w.hasLeft && !w.unconfirmed && !w.suspended && w.announcement != nil && !w.announcement.Draining &&
+	return w.incarnation != "" && !w.hasLeft && !w.unconfirmed && !w.unanswered && !w.suspended && w.announcement != nil && !w.announcement.Draining &&
 		now.Sub(w.reportedAt) < reportTimeout && !w.health.excluded(now) && !e.isEvacuated(w)
 }
 
--- a/internal/workflow/planner/suspension.go
+++ b/internal/workflow/planner/suspension.go
@@ -128,6 +128,7 @@
 	if _, ok := t.unansweredSince[node]; !ok {
 		t.unansweredSince[node] = now
 	}
+	t.engine.NoteUnanswered(node)
 }
 
 // updateSuspensions suspends the leases of workers whose agents do not answer, and extends those that answer
