State in the store that an agent has stopped

Callers see LOST: items of workers whose machines leave in good order wait up to 18.5 s, and longer with each change of the planner, if a former planner's machine never answers; a planner that cannot rule out its predecessor can suspend no lease. Cause: an agent that stops told nobody that it passes no lease on any more. Change: an agent that stops refuses planners and then writes that into its record. A new process serves planners only once it has replaced the record. Result: TestItemsOfALostWorkerRunAfterItsPlannerIsLostForGood has this case and passes; the model of TestRulesHoldUnderFaults has agents that stop, and finds TWICE when new processes serve at once.

--- a/internal/workflow/daemon/daemon.go
+++ b/internal/workflow/daemon/daemon.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/apex/log"
 
 	"snipegw/internal/kernel"
-	"snipegw/internal/result"
 	"snipegw/internal/store"
 	"snipegw/internal/transport"
 	"snipegw/internal/workflow"
@@ -142,11 +142,15 @@
 	}
 	r := runner.New(api)
 	r.Register(&network.Mux)
-	registration := &registration{table: table, key: workflow.AgentPrefix + s.Node, record: workflow.ProcessRecord{Address: p.Address, Zone: p.FailureDomain}}
+	r.SetServing(false)
+	presence := &agentPresence{runner: r, registration: registration{
+		table: table, key: workflow.AgentPrefix + s.Node, record: workflow.ProcessRecord{Address: p.Address, Zone: p.FailureDomain, Process: rand.Uint64()},
+	}}
 	return []kernel.Component{
 		network,
 		&kernel.HTTPServer{Label: "announcements", Address: s.ControlAddress, Handler: announcements(r)},
-		&kernel.Loops{Label: "runner", Funcs: []func(context.Context){r.Run, registration.run}},
+		&kernel.Loops{Label: "runner", Funcs: []func(context.Context){r.Run}},
+		presence,
 	}, nil
 }
 
@@ -160,42 +164,3 @@
 	}
 	return transport.NewNetwork(p.Listen, creds)
 }
-
-// registration records the addresses of a process in the store.
-type registration struct {
-	table  store.Table
-	key    string
-	record workflow.ProcessRecord
-}
-
-const registrationRetryDelay = 300 * time.Millisecond
-
-// run retries until the record is in the store.
-func (g *registration) run(ctx context.Context) {
-	value := workflow.Encode(g.record)
-	for ctx.Err() == nil {
-		err := g.register(ctx, value)
-		if err == nil {
-			log.WithFields(log.Fields{"event": "registered", "key": g.key, "address": g.record.Address}).Info("the process is registered in the store")
-			return
-		}
-		log.WithFields(log.Fields{"event": "not_registered", "key": g.key, "code": int(result.CodeOf(err)), "error": err.Error()}).Warn("the process is not registered in the store: retrying")
-		kernel.Sleep(ctx, registrationRetryDelay)
-	}
-}
-
-// register writes the record, unless the store already holds the same value.
-func (g *registration) register(ctx context.Context, value []byte) error {
-	old, found, err := g.table.Lookup(ctx, g.key)
-	if err != nil || found && string(old.Value) == string(value) {
-		return err
-	}
-	out, err := g.table.Commit(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: g.key, Revision: old.Revision}},
-		Puts:       []store.Put{{Key: g.key, Value: value}},
-	})
-	if err == nil && !out.Committed {
-		return fmt.Errorf("record %s was changed concurrently", g.key)
-	}
-	return err
-}
--- a/internal/workflow/engine/property_test.go
+++ b/internal/workflow/engine/property_test.go
@@ -77,7 +77,8 @@
 		{"TWICE", func(w *world) { // a run that a truncated report leaves out is taken for lost
 			w.endsPerReport, w.hideTruncation = 1, true
 		}},
-		{"TWICE", func(w *world) { w.suspensions.ignored = true }}, // suspended leases are extended
+		{"TWICE", func(w *world) { w.suspensions.ignored = true }},     // suspended leases are extended
+		{"TWICE", func(w *world) { w.suspensions.unannounced = true }}, // new processes of agents serve at once
 		{"UNASKED", func(w *world) { w.hideCancels = true }},
 		{"EVAC", func(w *world) { w.evacuations.hide = true }},
 	}
@@ -97,6 +98,7 @@
 					w.injectFaults()
 					w.changeEvacuations()
 					w.changePartitions()
+					w.stopAgents()
 					c.disableSafeguard(w)
 					w.tick()
 				}
--- a/internal/workflow/engine/silence.go
+++ b/internal/workflow/engine/silence.go
@@ -13,6 +13,7 @@
 	basisOutage  = "outage"  // MaxStoreOutage, after which no earlier planner extends leases
 	// basisSuspension is the stored promise that no planner extends the lease.
 	basisSuspension = "suspension"
+	basisStopped    = "stopped" // the agent's stored statement that it has stopped
 )
 
 // WorkerSilence describes a worker with open runs that does not report.
@@ -22,8 +23,8 @@
 	// Expired reports that the lease has expired and the runs have ended. It is false if the
 	// worker has not reported in this term yet.
 	Expired bool
-	// Basis says what the expiry of the lease is computed from: report, agent, planner, outage or
-	// suspension.
+	// Basis says what the expiry of the lease is computed from: report, agent, planner, outage,
+	// suspension or stopped.
 	Basis string
 	// ExpiresIn is the longest time until the runs end, 0 if Expired.
 	ExpiresIn time.Duration
--- a/internal/workflow/engine/workers.go
+++ b/internal/workflow/engine/workers.go
@@ -47,6 +47,7 @@
 	// unextendedSince is the time from which earlier planners have not extended the lease, zero if
 	// they have made no such promise.
 	unextendedSince time.Time
+	stoppedAgent    stoppedAgent
 }
 
 // AddWorker adds the worker of a node, if it is new. Nothing starts on it before its
@@ -320,8 +321,8 @@
 // leaseExpiry returns the time after which nothing runs on a worker that sends no
 // further report, and what it is computed from. Before the first report of this term the
 // lease comes from an earlier planner, which may go on extending it for up to MaxStoreOutage
-// unless all have ended, unless they have promised not to, or unless the agent's latest reply
-// shows that the worker has been silent for longer than a lease.
+// unless all have ended, unless they have promised not to, or unless the agent's latest reply or
+// its stored statement shows that the worker's lease was not extended for longer than a lease.
 func (e *Engine) leaseExpiry(w *worker) (at time.Time, basis string) {
 	if w.reportedAt.IsZero() {
 		longest := withClockDrift(e.settings.LeaseDuration) + expiryMargin
@@ -330,6 +331,9 @@
 		if at := w.silentSince.Add(longest); !w.agentRepliedAt.Before(at) {
 			return at, basisAgent
 		}
+		if s := &w.stoppedAgent; !s.since.IsZero() && !s.confirmedAt.Before(s.since.Add(longest)) {
+			return s.since.Add(longest), basisStopped
+		}
 		at, basis := e.termStart.Add(e.settings.MaxStoreOutage+longest), basisOutage
 		if !e.earlierEndedAt.IsZero() {
 			at, basis = e.earlierEndedAt.Add(longest), basisPlanner
--- a/internal/workflow/engine/world_test.go
+++ b/internal/workflow/engine/world_test.go
@@ -165,6 +165,7 @@
 	w.recallFormerPlanner()
 	w.syncFormerPlanner()
 	w.updateSuspensions()
+	w.confirmStoppedAgents()
 	for _, m := range w.workers {
 		if w.chance(w.faultRate*0.2) || w.now.Before(m.cutOffUntil) {
 			w.suspensions.noteAnswer(m.node, false, w.now)
@@ -216,7 +217,7 @@
 		d.sender.HandleOrderReply(d.order, nil, w.now)
 		return
 	}
-	if m.isUnreachable() || d.sender == w.planner && w.now.Before(m.cutOffUntil) {
+	if m.isUnreachable() || !m.serves() || d.sender == w.planner && w.now.Before(m.cutOffUntil) {
 		d.sender.HandleOrderReply(d.order, nil, w.now)
 		return
 	}
@@ -327,6 +328,7 @@
 		w.injectFaults()
 		w.changeEvacuations()
 		w.changePartitions()
+		w.stopAgents()
 		w.tick()
 	}
 	w.faultRate, w.acksHeldUntil = 0, time.Time{}
@@ -334,6 +336,8 @@
 	w.showEvacuations()
 	for _, m := range w.workers {
 		m.unreachableUntil, m.faultyUntil, m.cutOffUntil = w.now, w.now, w.now
+		m.agentStopped, m.agentStarted = false, false
+		delete(w.suspensions.statements, m.node)
 		if m.draining {
 			m.restart()
 		}
--- a/internal/workflow/engine/world_worker_test.go
+++ b/internal/workflow/engine/world_worker_test.go
@@ -53,6 +53,11 @@
 	capacity         workflow.Resources
 	faultyUntil      time.Time
 	slowness         float64 // factor of run times; 0 is 1
+	// agentStopped reports that the agent has stopped and no other process has registered yet. A new process
+	// starts at agentStartsAt and registers registrationTime later.
+	agentStopped, agentStarted bool
+	agentStartsAt              time.Time
+	registrationTime           time.Duration
 	// startFault is the outcome of all starts, none of which takes effect; nil for none.
 	startFault   *workflow.OrderOutcome
 	startsInVain int
@@ -335,6 +340,9 @@
 // sync handles a sync request like the worker's agent. It returns nil if the worker
 // is unreachable, the agent has not noticed a restart yet, or it refuses the epoch.
 func (m *modelWorker) sync(req workflow.SyncRequest) *workflow.SyncReply {
+	if !m.serves() {
+		return nil
+	}
 	fenced := workflow.FencingToken(req.Epoch, req.Generation) < m.highestToken
 	if m.isUnreachable() && m.agentReachable || fenced && !m.isUnreachable() {
 		return m.silentReply(req)
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -87,13 +87,13 @@
 	term               *term         // nil while this entry is not planner
 	pending            []store.Event // changes of records that the term has not processed
 	wakeUp             chan struct{} // signals news to run and to the term; holds one signal
-	// leaseRecords holds the present versions of the lease records, by key.
-	leaseRecords map[string]observedRecord
+	// observed holds the present versions of the lease and agent records, by key.
+	observed map[string]observedRecord
 }
 
 // New returns a Host that is not started.
 func New(o Options) *Host {
-	return &Host{options: o, done: make(chan struct{}), stopping: make(chan struct{}), wakeUp: make(chan struct{}, 1), leaseRecords: make(map[string]observedRecord)}
+	return &Host{options: o, done: make(chan struct{}), stopping: make(chan struct{}), wakeUp: make(chan struct{}, 1), observed: make(map[string]observedRecord)}
 }
 
 // Name implements kernel.Component.
@@ -139,7 +139,7 @@
 // term.
 func (h *Host) enqueueEvents(events []store.Event) {
 	h.mu.Lock()
-	h.observeLeaseRecords(events)
+	h.observeRecords(events)
 	if h.term != nil {
 		h.pending = append(h.pending, events...)
 	}
--- a/internal/workflow/planner/suspension.go
+++ b/internal/workflow/planner/suspension.go
@@ -45,32 +45,6 @@
 // isDue reports whether the record has to be written.
 func (s *suspension) isDue() bool { return s.unsure || s.suspended != s.wanted }
 
-// observedRecord is the version of a record that this entry has seen, and when it saw it first.
-type observedRecord struct {
-	revision uint64
-	at       time.Time
-}
-
-// observeLeaseRecords notes when this entry sees a version of a lease record first, also while it
-// is not planner. h.mu is held.
-func (h *Host) observeLeaseRecords(events []store.Event) {
-	for _, e := range events {
-		if strings.HasPrefix(e.Key, workflow.LeasePrefix) {
-			h.leaseRecords[e.Key] = observedRecord{revision: e.Revision, at: time.Now()}
-		}
-	}
-}
-
-// leaseRecordSeen returns when this entry has first seen the version of a record, at the latest now.
-func (h *Host) leaseRecordSeen(r store.Record, now time.Time) time.Time {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if o := h.leaseRecords[r.Key]; o.revision == r.Revision {
-		return o.at
-	}
-	return now
-}
-
 // keepsSuspensions reports whether the holder record r is of a planner that keeps suspensions.
 func keepsSuspensions(r store.Record) bool {
 	p, err := workflow.Decode[workflow.PlannerRecord](r.Value)
@@ -103,7 +77,7 @@
 		}
 		since := time.Time{}
 		if kept {
-			since = t.host.leaseRecordSeen(r, now)
+			since = t.host.recordSeen(r, now)
 		}
 		t.engine.InheritSuspension(node, since, now)
 	}
@@ -139,6 +113,7 @@
 			t.selectSuspensions(time.Now(), t.host.options.Records.Age())
 			t.storeSuspensions(ctx)
 		})
+		t.guard("stopped agents", func() { t.confirmStoppedAgents(ctx) })
 		timer := time.NewTimer(suspensionInterval)
 		select {
 		case <-timer.C:
--- a/internal/workflow/planner/suspension_test.go
+++ b/internal/workflow/planner/suspension_test.go
@@ -201,9 +201,9 @@
 	before := time.Now()
 	h.enqueueEvents([]store.Event{{Record: record}})
 	later := time.Now().Add(time.Hour)
-	g.Expect(h.leaseRecordSeen(record, later)).To(And(BeTemporally(">=", before), BeTemporally("<", before.Add(time.Minute))))
+	g.Expect(h.recordSeen(record, later)).To(And(BeTemporally(">=", before), BeTemporally("<", before.Add(time.Minute))))
 	record.Revision = 51
-	g.Expect(h.leaseRecordSeen(record, later)).To(Equal(later))
+	g.Expect(h.recordSeen(record, later)).To(Equal(later))
 }
 
 // Guards against suspensions that exceed a transaction, and against unreadable records that keep others from
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -251,6 +251,7 @@
 func (t *term) applyAgentEvent(node string, e store.Event) {
 	if e.Deleted {
 		delete(t.agentAddresses, node)
+		t.engine.SetAgentStopped(node, 0, time.Time{})
 		return
 	}
 	a, err := workflow.DecodeProcess(node, e.Value)
@@ -263,6 +264,11 @@
 		go t.followAgent(node)
 	}
 	t.engine.SetAgentDomain(node, a.Zone)
+	var stoppedSince time.Time
+	if a.Stopped {
+		stoppedSince = t.host.recordSeen(e.Record, time.Now())
+	}
+	t.engine.SetAgentStopped(node, e.Revision, stoppedSince)
 	t.agentAddresses[node] = a.Address
 }
 
--- a/internal/workflow/records.go
+++ b/internal/workflow/records.go
@@ -131,6 +131,11 @@
 	// Debug is the address of the state dump and the metrics; empty if there is
 	// none.
 	Debug string `cbor:"3,keyasint,omitempty"`
+	// Process differs between any two processes of an agent.
+	Process uint64 `cbor:"4,keyasint,omitempty"`
+	// Stopped reports that the agent has stopped and passes no lease on to its worker any more. No
+	// other process of the agent does before it has replaced the record.
+	Stopped bool `cbor:"5,keyasint,omitempty"`
 }
 
 // WorkerKey returns the key of an incarnation of the worker on a node. It uses the
--- a/internal/workflow/runner/runner.go
+++ b/internal/workflow/runner/runner.go
@@ -79,6 +79,7 @@
 	api WorkerAPI
 
 	mu                sync.Mutex
+	refusing          bool   // see SetServing
 	epoch             uint64 // highest epoch of a planner that has called; 0: none
 	token             uint64 // highest fencing token of a call, see workflow.FencingToken
 	instance          string // instance and startedMS identify the incarnation that responded last
@@ -106,6 +107,17 @@
 	return &Runner{api: api, changed: make(chan struct{}), epochKnown: make(chan struct{}, 1), incarnationKnown: make(chan struct{}, 1), version: 1, respondedAt: time.Now()}
 }
 
+// SetServing sets whether planners are served; at first they are. While they are not, the worker's lease is not
+// extended beyond what follows from its reports until then.
+func (r *Runner) SetServing(on bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refusing = !on
+}
+
+// errNotServing refuses calls of planners.
+var errNotServing = result.Errorf(result.Stopping, "the agent is not registered in the store, or stops")
+
 // Register registers the handlers of the planner's calls on mux.
 func (r *Runner) Register(mux *transport.Mux) {
 	mux.Handle(wire.KindWorkflowSync, transport.Unary(r.Sync))
@@ -220,9 +232,13 @@
 }
 
 // Sync handles the planner's call for a report. It fails with code Fenced if a
-// planner with a higher epoch has called.
+// planner with a higher epoch has called, and with Stopping while planners are not served.
 func (r *Runner) Sync(ctx context.Context, req *workflow.SyncRequest) (*workflow.SyncReply, error) {
 	r.mu.Lock()
+	if r.refusing {
+		r.mu.Unlock()
+		return nil, errNotServing
+	}
 	if req.Epoch < r.epoch {
 		r.mu.Unlock()
 		return nil, result.Errorf(result.Fenced, "epoch %d is older than %d", req.Epoch, r.epoch)
