Add no workers for removed records that name no agent, and keep connections to agents that refuse

Operators would see a worker under the name of a record of another writer once that record is removed, and a planner would connect anew 16 times a second to an agent that waits for the store to register. Change: unknown nodes are ignored, and a refused call leaves the connection open. Result: TestRecordsThatNameNoAgentAreNotFollowed also looks at the workers and fails before.

--- a/internal/workflow/engine/stopped_agent.go
+++ b/internal/workflow/engine/stopped_agent.go
@@ -11,10 +11,11 @@
 }
 
 // SetAgentStopped notes that the record of the agent on node with the given revision, first seen at since, says that
-// the agent has stopped. A zero time says that it has not.
+// the agent has stopped. A zero time says that it has not. It ignores nodes without a worker.
 func (e *Engine) SetAgentStopped(node string, revision uint64, since time.Time) {
-	e.AddWorker(node)
-	e.workers[node].stoppedAgent = stoppedAgent{revision: revision, since: since}
+	if w := e.workers[node]; w != nil {
+		w.stoppedAgent = stoppedAgent{revision: revision, since: since}
+	}
 }
 
 // StoppedAgentsDue returns the revisions of the records, by node, whose presence in the store at now would show
--- a/internal/workflow/planner/planner_test.go
+++ b/internal/workflow/planner/planner_test.go
@@ -70,4 +70,7 @@
 	if want := map[string]string{"node-1": "10.0.0.1:7000"}; !maps.Equal(term.agentAddresses, want) {
 		t.Errorf("the agents are %v, expected %v", term.agentAddresses, want)
 	}
+	if workers := term.engine.Dump(time.Now()).Workers; len(workers) != 1 {
+		t.Errorf("the workers are %v, expected that of node-1", workers)
+	}
 }
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -431,7 +431,9 @@
 			// version 0, so the next call is answered at once.
 			version = 0
 			t.noteUnanswered(node, time.Now())
-			t.host.options.Pool.CloseConnections(address)
+			if result.CodeOf(err) != result.Stopping { // else the connection is sound
+				t.host.options.Pool.CloseConnections(address)
+			}
 			if time.Since(lastReply) > agentSilenceLimit {
 				kernel.Sleep(ctx, silentAgentRetryDelay)
 			}
