Run the long tests of the engine in parallel

Change: the tests that play many worlds of the model run beside each other, as others of the package do; the checks are the same. Some comments are wrapped.

--- a/internal/workflow/engine/cost_test.go
+++ b/internal/workflow/engine/cost_test.go
@@ -175,6 +175,7 @@
 // Guards against decisions by cost that break a rule or leave a job open when planners are
 // replaced, workers crash and orders are lost or late.
 func TestRulesHoldUnderFaultsWithCosts(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 10; seed++ {
 		w := newWorld(seed, 4, 1)
 		w.newPlugins = callerCostPlugins(`{"order":"cost"}`)
--- a/internal/workflow/engine/crash_test.go
+++ b/internal/workflow/engine/crash_test.go
@@ -137,6 +137,7 @@
 // Workers that an item crashes stay away for longer than their leases. Guards against crashes that
 // are counted only when the worker is back, while the item goes on starting elsewhere.
 func TestCrashesBeyondTheLeaseAreCounted(t *testing.T) {
+	t.Parallel()
 	for _, downtime := range []time.Duration{3, 7, 10, 15, 25} {
 		for _, delay := range []time.Duration{100, 1500, 3000} {
 			for _, takeovers := range []int{0, 10} {
--- a/internal/workflow/engine/lasting_crash_test.go
+++ b/internal/workflow/engine/lasting_crash_test.go
@@ -25,6 +25,7 @@
 // that fails for it and stops the sound items, against crashes in quick succession, and against an item
 // that stays away for longer than the platform allows. Items that last have no limit of crashes.
 func TestLastingItemThatCrashesWorkersIsRestarted(t *testing.T) {
+	t.Parallel()
 	for _, delay := range []time.Duration{100 * time.Millisecond, 1500 * time.Millisecond, 5 * time.Second} {
 		for _, downtime := range []time.Duration{time.Second, 3 * time.Second, 9 * time.Second, 25 * time.Second} {
 			t.Run(fmt.Sprintf("%v, away for %v", delay, downtime), func(t *testing.T) {
--- a/internal/workflow/engine/property_test.go
+++ b/internal/workflow/engine/property_test.go
@@ -57,6 +57,7 @@
 // fault must then fail. Guards against checks that never fail, with which
 // TestRulesHoldUnderFaults would pass whatever the engine does.
 func TestModelDetectsDisabledSafeguards(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		rule             string
 		disableSafeguard func(*world)
@@ -84,6 +85,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.rule, func(t *testing.T) {
+			t.Parallel()
 			g := NewWithT(t)
 			seen := false
 			for seed := uint64(1); seed <= 40 && !seen; seed++ {
--- a/internal/workflow/engine/suspension.go
+++ b/internal/workflow/engine/suspension.go
@@ -7,9 +7,10 @@
 // planner that made the promise answers any more. A planner keeps the promise from before it is
 // stored until its withdrawal is stored.
 
-// SuspendLease stops extending the lease of the worker on node and starts nothing there, and reports whether
-// it has. Reports up to now are the last that count for the lease. It refuses while an earlier planner may
-// still extend the lease, and if nothing runs there or the worker's lease is suspended.
+// SuspendLease stops extending the lease of the worker on node and starts nothing there, and
+// reports whether it has. Reports up to now are the last that count for the lease. It refuses
+// while an earlier planner may still extend the lease, and if nothing runs there or the lease is
+// suspended.
 func (e *Engine) SuspendLease(node string, now time.Time) bool {
 	w := e.workers[node]
 	if w == nil || w.suspended || len(w.members) == 0 || !e.earlierEnded(now) {
--- a/internal/workflow/planner/stopped_agent.go
+++ b/internal/workflow/planner/stopped_agent.go
@@ -36,8 +36,8 @@
 	return now
 }
 
-// confirmStoppedAgents reads the records of stopped agents whose workers' leases have ended if no other process of
-// the agent has come since. The mirror may be older than that.
+// confirmStoppedAgents reads the records of stopped agents whose workers' leases have ended if no
+// other process of the agent has come since. The mirror may be older than that.
 func (t *term) confirmStoppedAgents(ctx context.Context) {
 	t.mu.Lock()
 	due := t.engine.StoppedAgentsDue(time.Now())
--- a/internal/workflow/planner/suspension.go
+++ b/internal/workflow/planner/suspension.go
@@ -124,9 +124,9 @@
 	}
 }
 
-// selectSuspensions decides which leases are to be suspended and which to be extended again. The engine
-// does not extend the former from now on, and the latter once that is stored. The argument storeSilence is the age of the
-// store's latest response.
+// selectSuspensions decides which leases are to be suspended and which to be extended again. The
+// engine does not extend the former from now on, and extends the latter once that is stored. The
+// argument storeSilence is the age of the store's latest response.
 func (t *term) selectSuspensions(now time.Time, storeSilence time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/workflow/runner/order.go
+++ b/internal/workflow/runner/order.go
@@ -24,8 +24,8 @@
 )
 
 // Order handles the planner's call to start and stop items. It fails with code
-// Fenced if a planner with a higher epoch has called, and with Stopping while planners are not served. The outcome of each order
-// is in the reply.
+// Fenced if a planner with a higher epoch has called, and with Stopping while planners are
+// not served. The outcome of each order is in the reply.
 func (r *Runner) Order(ctx context.Context, req *workflow.OrderRequest) (*workflow.OrderReply, error) {
 	token := workflow.FencingToken(req.Epoch, req.Generation)
 	r.mu.Lock()
