Name the loop that follows lost agents by what it does

Reading of the whole change: the loop stores suspensions and confirms the statements of stopped agents; the wanted states of a transaction are taken in one pass.

--- a/internal/workflow/daemon/registration.go
+++ b/internal/workflow/daemon/registration.go
@@ -60,8 +60,8 @@
 }
 
 // agentPresence is the component that registers an agent, lets planners call it from then on, and
-// states in its record when it has stopped. A new process replaces that statement before it serves planners, so a
-// planner that reads it knows that the worker's lease has not been extended since.
+// states in its record when it has stopped. A new process replaces that statement before it serves
+// planners, so a planner that reads it knows that the worker's lease has not been extended since.
 type agentPresence struct {
 	registration
 	runner *runner.Runner
--- a/internal/workflow/daemon/registration_test.go
+++ b/internal/workflow/daemon/registration_test.go
@@ -61,7 +61,7 @@
 	return &agentPresence{runner: r, registration: registration{table: t, key: "snipegw/agents/n0", record: workflow.ProcessRecord{Address: "127.0.0.1:1", Process: process}}}
 }
 
-// serves reports whether planners are served: the call is refused as one of an old epoch, or as one of none.
+// serves reports whether the agent takes the calls of planners.
 func (a *agentPresence) serves() bool {
 	_, err := a.runner.Order(context.Background(), &workflow.OrderRequest{Epoch: 1})
 	return err == nil
--- a/internal/workflow/planner/suspension.go
+++ b/internal/workflow/planner/suspension.go
@@ -105,9 +105,9 @@
 	t.engine.NoteUnanswered(node)
 }
 
-// updateSuspensions suspends the leases of workers whose agents do not answer, and extends those that answer
-// again, until the term ends.
-func (t *term) updateSuspensions(ctx context.Context) {
+// followLostAgents suspends the leases of workers whose agents do not answer, extends those of agents
+// that answer again, and confirms the statements of agents that have stopped, until the term ends.
+func (t *term) followLostAgents(ctx context.Context) {
 	for ctx.Err() == nil {
 		t.guard("suspensions", func() {
 			t.selectSuspensions(time.Now(), t.host.options.Records.Age())
@@ -169,16 +169,13 @@
 // storeSuspensionsOf stores the suspensions of some nodes in one transaction.
 func (t *term) storeSuspensionsOf(ctx context.Context, nodes []string) {
 	txn := store.Txn{Conditions: []store.Condition{{Key: workflow.PlannerKey, Revision: t.epoch}}}
+	wanted := make(map[string]bool, len(nodes))
 	t.mu.Lock()
 	for _, node := range nodes {
 		s, key := t.suspensions[node], workflow.LeasePrefix+node
 		txn.Conditions = append(txn.Conditions, store.Condition{Key: key, Revision: s.revision})
 		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: workflow.Encode(workflow.LeaseRecord{Suspended: s.wanted})})
-		s.unsure = true
-	}
-	wanted := make(map[string]bool, len(nodes))
-	for _, node := range nodes {
-		wanted[node] = t.suspensions[node].wanted
+		wanted[node], s.unsure = s.wanted, true
 	}
 	t.mu.Unlock()
 	outcome, err := t.host.options.Table.Commit(ctx, txn)
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -107,7 +107,7 @@
 		return
 	}
 	go t.sendStopOrders(ctx)
-	go t.updateSuspensions(ctx)
+	go t.followLostAgents(ctx)
 	if t.host.options.PublishBacklog {
 		go t.publishBacklog(ctx)
 	}
