Reproduce terms that end by a panic, and jobs that nothing runs

- A transaction that the store refuses because of a cancelled job, while another change of it starts an item, panics where evacuate_ms is not set.
Each term ends by that panic, so the second job of the test stays pending for 20 s beside an idle worker.
The epochs of the terms are 24, 28, 32, 36 and so on, three terms within 50 ms and then none for 2.9 s, again and again.

The harness of the platform's tests can start entries without evacuations, with plug-ins, and with records in the store.

--- a/internal/workflow/planner/evacuation_test.go
+++ b/internal/workflow/planner/evacuation_test.go
@@ -211,3 +211,16 @@
 		e.Expect(txn.Conditions).NotTo(ContainElement(HaveField("Key", HavePrefix("evacuate/"))))
 	}
 }
+
+// Guards against a term that ends by a panic where requests to evacuate are not supported: the store
+// refuses a transaction because of a cancelled job, and another change in it starts an item.
+func TestConflictWithoutEvacuationsKeepsTheTerm(t *testing.T) {
+	e := newEvacuationTerm(t, 2)
+	e.host = New(Options{Table: e.table, Records: e.host.options.Records, Engine: e.host.options.Engine})
+	e.submit("a", 1)
+	e.submit("b", 1)
+	e.table.records[workflow.CancelPrefix+"a"] = store.Record{Key: workflow.CancelPrefix + "a", Revision: 1}
+	e.Expect(e.pass()).To(HaveLen(1))
+	e.Expect(e.storedMembers("b")).To(Equal(1))
+	e.Expect(e.cause()).NotTo(HaveOccurred())
+}
