--- a/internal/workflow/planner/commit.go
+++ b/internal/workflow/planner/commit.go
@@ -148,6 +148,7 @@
 // try again. It returns false if another writer has changed a progress record.
 func (t *term) resolveConflicts(changes []engine.Change, values map[string][]byte, current map[string]store.Record, sentAt time.Time) ([]engine.Change, bool) {
 	var remaining []engine.Change
+	t.logRefused(changes, current)
 	evacuated := t.learnEvacuations(changes, current)
 	for _, c := range changes {
 		progress := current[workflow.ProgressPrefix+c.ID]
@@ -183,3 +184,19 @@
 	}
 	return remaining, true
 }
+
+// logRefused logs which conditions of the changes did not hold. The same job in the terms of several
+// planners shows a conflict that stays in the store.
+func (t *term) logRefused(changes []engine.Change, current map[string]store.Record) {
+	var cancelled, changed []string
+	for _, c := range changes {
+		if _, found := current[workflow.CancelPrefix+c.ID]; found && !c.Cancelled {
+			cancelled = append(cancelled, c.ID)
+		}
+		if current[workflow.ProgressPrefix+c.ID].Revision != c.Revision {
+			changed = append(changed, c.ID)
+		}
+	}
+	kernel.Metrics.Count("snipegw_records_refused_total")
+	log.WithFields(log.Fields{"event": "records_refused", "epoch": t.epoch, "jobs": len(changes), "cancelled": strings.Join(cancelled, ","), "changed": strings.Join(changed, ",")}).Info("a transaction was refused, because the store holds other records than the planner knew")
+}
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -301,7 +301,7 @@
 func (h *Host) runTerm(parent context.Context, lease, epoch uint64) error {
 	ctx, endTerm := context.WithCancelCause(parent)
 	defer endTerm(nil)
-	t := newTerm(h, lease, epoch, endTerm)
+	t, began := newTerm(h, lease, epoch, endTerm), time.Now()
 	if !h.acquiredAt.IsZero() {
 		t.renewedAt = h.acquiredAt
 	}
@@ -332,6 +332,7 @@
 	if cause := context.Cause(ctx); cause != nil {
 		reason = cause.Error()
 	}
-	log.WithFields(log.Fields{"event": "planner_term_ended", "epoch": epoch, "reason": reason}).Info("this entry is no longer planner")
+	kernel.Metrics.Count("snipegw_planner_terms_ended_total", "reason", reason)
+	log.WithFields(log.Fields{"event": "planner_term_ended", "epoch": epoch, "reason": reason, "took_ms": time.Since(began).Milliseconds()}).Info("this entry is no longer planner")
 	return context.Cause(ctx)
 }
