Give terms without evacuations options that do nothing instead of none

Callers saw accepted jobs that nothing ran, with room free. Terms of the planner ended by a nil pointer dereference, on one entry after the other.

Cause: Options.Evacuations was nil where evacuate_ms is not set, and each use had to ask for that. evacuatedDomains, which runs when the store refuses a transaction that starts items, did not. If the conflict is in the store, as a cancel of a job that is recorded as complete, each term builds the same transaction and ends by it. Class of fault: an optional part whose absence each use has to remember.

Change: the host replaces absent options by ones of which no request can name a failure domain. No code of a term asks whether evacuations are supported.

TestNoConditionsWithoutEvacuations sets the absence up through New now, as entries do, and asks for the same.

--- a/internal/workflow/planner/evacuation.go
+++ b/internal/workflow/planner/evacuation.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -13,7 +14,8 @@
 	"snipegw/internal/workflow/engine"
 )
 
-// EvacuationOptions connect the planner with operators' requests to evacuate failure domains.
+// EvacuationOptions connect the planner with operators' requests to evacuate failure domains. All
+// fields are set.
 type EvacuationOptions struct {
 	// Key returns the key whose existence in the store requests the evacuation of a failure
 	// domain; empty if no request can name it.
@@ -25,6 +27,16 @@
 	MaxOrderAge time.Duration
 }
 
+// noEvacuations stands for EvacuationOptions where such requests are not supported, so that no code
+// of a term depends on whether they are.
+func noEvacuations() *EvacuationOptions {
+	return &EvacuationOptions{
+		Key:         func(string) string { return "" },
+		Learn:       func([]store.Record) {},
+		MaxOrderAge: math.MaxInt64,
+	}
+}
+
 const (
 	// evacuationReportInterval is the interval at which the metrics of evacuations are updated.
 	evacuationReportInterval = time.Second
@@ -45,14 +57,10 @@
 // guardKeys returns the sorted keys that must not exist when the changes are stored: those of the
 // requests to evacuate a failure domain in which the changes start items.
 func (t *term) guardKeys(changes []engine.Change) []string {
-	o := t.host.options.Evacuations
-	if o == nil {
-		return nil
-	}
 	var keys []string
 	for _, c := range changes {
-		for _, domain := range c.StartDomains {
-			if key := o.Key(domain); key != "" && !slices.Contains(keys, key) {
+		for _, domain := range t.guardedDomains(c) {
+			if key := t.host.options.Evacuations.Key(domain); !slices.Contains(keys, key) {
 				keys = append(keys, key)
 			}
 		}
@@ -61,6 +69,12 @@
 	return keys
 }
 
+// guardedDomains returns the failure domains in which c starts items and that a request to evacuate
+// can name.
+func (t *term) guardedDomains(c engine.Change) []string {
+	return slices.DeleteFunc(slices.Clone(c.StartDomains), func(domain string) bool { return t.host.options.Evacuations.Key(domain) == "" })
+}
+
 // chunkSize returns how many of the first changes fit into one transaction.
 func (t *term) chunkSize(changes []engine.Change) int {
 	n := min(len(changes), changesPerTxn)
@@ -73,10 +87,11 @@
 // limitStartDomains retracts the starts of a change in the failure domains beyond maxStartDomains,
 // for which its transaction has no room. They are decided anew.
 func (t *term) limitStartDomains(c engine.Change) engine.Change {
-	if t.host.options.Evacuations == nil || len(c.StartDomains) <= maxStartDomains {
+	domains := t.guardedDomains(c)
+	if len(domains) <= maxStartDomains {
 		return c
 	}
-	return t.retractStarts(c, c.StartDomains[maxStartDomains:])
+	return t.retractStarts(c, domains[maxStartDomains:])
 }
 
 // retractStarts retracts the starts of a change in the failure domains, and returns the change
@@ -118,7 +133,7 @@
 // evacuatedDomains returns the failure domains in which c starts items and whose keys are in found.
 func (t *term) evacuatedDomains(c engine.Change, found map[string]bool) []string {
 	var domains []string
-	for _, domain := range c.StartDomains {
+	for _, domain := range t.guardedDomains(c) {
 		if found[t.host.options.Evacuations.Key(domain)] {
 			domains = append(domains, domain)
 		}
@@ -139,19 +154,19 @@
 // orders would take effect too late after an evacuation that this planner does not know of. t.mu
 // is held.
 func (t *term) retractOldStarts(now time.Time) {
-	o, at := t.host.options.Evacuations, t.startsStoredAt
+	limit, at := t.host.options.Evacuations.MaxOrderAge, t.startsStoredAt
 	t.startsStoredAt = time.Time{}
-	if o == nil || at.IsZero() || now.Sub(at) <= o.MaxOrderAge {
+	if at.IsZero() || now.Sub(at) <= limit {
 		return
 	}
-	log.WithFields(log.Fields{"event": "starts_outdated", "epoch": t.epoch, "age_ms": now.Sub(at).Milliseconds(), "limit_ms": o.MaxOrderAge.Milliseconds()}).Warn("runs were stored too long ago to be ordered, as a failure domain may have been evacuated since; they are decided anew")
+	log.WithFields(log.Fields{"event": "starts_outdated", "epoch": t.epoch, "age_ms": now.Sub(at).Milliseconds(), "limit_ms": limit.Milliseconds()}).Warn("runs were stored too long ago to be ordered, as a failure domain may have been evacuated since; they are decided anew")
 	t.engine.RetractUnsentStarts("stored too long ago", now)
 }
 
 // reportEvacuations logs evacuations that come into force, and updates their metrics. The version
 // is that of the evacuations that the engine has.
 func (t *term) reportEvacuations(version uint64, now time.Time) {
-	if t.host.options.Evacuations == nil || now.Sub(t.evacuationsReportedAt) < evacuationReportInterval && version == t.evacuationsVersion {
+	if now.Sub(t.evacuationsReportedAt) < evacuationReportInterval && version == t.evacuationsVersion {
 		return
 	}
 	t.mu.Lock()
--- a/internal/workflow/planner/evacuation_test.go
+++ b/internal/workflow/planner/evacuation_test.go
@@ -86,6 +86,13 @@
 	return e
 }
 
+// withoutEvacuations replaces the host by one that does not support requests to evacuate.
+func (e *evacuationTerm) withoutEvacuations() {
+	o := e.host.options
+	o.Evacuations = nil
+	e.host = New(o)
+}
+
 // report passes a report of each worker, without runs, to the engine.
 func (e *evacuationTerm) report() {
 	e.clockMS++
@@ -203,7 +210,7 @@
 // Guards against conditions on operators' keys while the feature is off.
 func TestNoConditionsWithoutEvacuations(t *testing.T) {
 	e := newEvacuationTerm(t, 1)
-	e.host.options.Evacuations = nil
+	e.withoutEvacuations()
 	e.submit("a", 1)
 	e.request("d0")
 	e.Expect(e.pass()).To(Equal([]string{"n00"}))
@@ -216,7 +223,7 @@
 // refuses a transaction because of a cancelled job, and another change in it starts an item.
 func TestConflictWithoutEvacuationsKeepsTheTerm(t *testing.T) {
 	e := newEvacuationTerm(t, 2)
-	e.host = New(Options{Table: e.table, Records: e.host.options.Records, Engine: e.host.options.Engine})
+	e.withoutEvacuations()
 	e.submit("a", 1)
 	e.submit("b", 1)
 	e.table.records[workflow.CancelPrefix+"a"] = store.Record{Key: workflow.CancelPrefix + "a", Revision: 1}
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -93,6 +93,9 @@
 
 // New returns a Host that is not started.
 func New(o Options) *Host {
+	if o.Evacuations == nil {
+		o.Evacuations = noEvacuations()
+	}
 	return &Host{options: o, done: make(chan struct{}), stopping: make(chan struct{}), wakeUp: make(chan struct{}, 1), observed: make(map[string]observedRecord)}
 }
 
