Let a cancellation change nothing once the end of a job is stored

Cause: a job is complete when each of its units is done, and a unit is done with the first member of its gang. The ends of the other members are further changes of the job. Each change depended on there being no cancellation, which may be recorded after the end: by an entry that does not know of it yet. Such a change was refused, the stored end was taken back, and the job ended as canceled. A successor finds the same conflict again, because a cancellation of an ended job is ignored.

Change: a change depends on the absence of a cancellation only until the end of its job is stored. Change.Cancelled becomes Change.DependsOnCancel, which says just that; the assertion in TestFailureAfterAStoredCancellation is the same one in these terms.

--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -124,6 +124,7 @@
 	seq           uint64 // makes every version of the progress record different
 	state         workflow.State
 	endedMS       int64 // Unix time, 0 while the job is open
+	endStored     bool  // the stored progress record has a final state
 	cancelled     bool
 	hasStarted    bool // a start of an item has been decided, also if it never took effect
 	begun         bool // a worker has begun an item
--- a/internal/workflow/engine/progress.go
+++ b/internal/workflow/engine/progress.go
@@ -13,9 +13,10 @@
 	ID       string
 	Revision uint64 // of the record that it replaces, 0 if there is none
 	Progress *workflow.Progress
-	// Cancelled reports whether the engine knows that the job is cancelled. If it
-	// does not, the change must not be stored when the store holds a cancellation.
-	Cancelled bool
+	// DependsOnCancel reports whether the change must not be stored when the store holds a
+	// cancellation of the job: the engine knows of none, and the end of the job is not stored. A
+	// cancellation after a stored end changes nothing.
+	DependsOnCancel bool
 	// HasNewRuns reports whether the change records runs whose start orders have not
 	// been handed out yet.
 	HasNewRuns bool
@@ -39,7 +40,7 @@
 	delete(e.begunUnrecorded, j.id)
 	j.seq++
 	return Change{
-		ID: j.id, Revision: j.revision, Progress: j.progressRecord(), Cancelled: j.cancelled,
+		ID: j.id, Revision: j.revision, Progress: j.progressRecord(), DependsOnCancel: !j.cancelled && !j.endStored,
 		HasNewRuns: j.hasUnsentStarts(), StartDomains: j.startDomains(),
 	}
 }
@@ -53,10 +54,10 @@
 	return e.takeChange(j), true
 }
 
-// MarkStored sets the revision at which a job's change was stored.
-func (e *Engine) MarkStored(id string, revision uint64) {
-	if j := e.jobs[id]; j != nil {
-		j.revision = revision
+// MarkStored notes that a change was stored, and at which revision.
+func (e *Engine) MarkStored(c Change, revision uint64) {
+	if j := e.jobs[c.ID]; j != nil {
+		j.revision, j.endStored = revision, c.Progress.State.Terminal()
 	}
 }
 
@@ -157,7 +158,7 @@
 // restoreProgress restores a job from the progress that an earlier planner stored.
 func (e *Engine) restoreProgress(j *job, p *workflow.Progress) {
 	j.seq, j.endedMS = p.Seq, p.EndedMS
-	j.state = p.State
+	j.state, j.endStored = p.State, p.State.Terminal()
 	units := make(map[[3]int]*unit, len(j.units))
 	for _, u := range j.units {
 		units[[3]int{u.occurrence, u.step, u.first}] = u
--- a/internal/workflow/planner/commit.go
+++ b/internal/workflow/planner/commit.go
@@ -108,13 +108,13 @@
 
 // buildTransaction returns the transaction that stores the changes, on the
 // conditions that this term still holds the planner's key, that the progress
-// records are unchanged, that no job was cancelled without the engine's knowledge,
+// records are unchanged, that no open job was cancelled without the engine's knowledge,
 // and that no failure domain is evacuated in which the changes start items.
 func (t *term) buildTransaction(changes []engine.Change, values map[string][]byte) store.Txn {
 	txn := store.Txn{Conditions: []store.Condition{{Key: workflow.PlannerKey, Revision: t.epoch}}}
 	for _, c := range changes {
 		txn.Conditions = append(txn.Conditions, store.Condition{Key: workflow.ProgressPrefix + c.ID, Revision: c.Revision})
-		if !c.Cancelled {
+		if c.DependsOnCancel {
 			txn.Conditions = append(txn.Conditions, store.Condition{Key: workflow.CancelPrefix + c.ID})
 		}
 		txn.Puts = append(txn.Puts, store.Put{Key: workflow.ProgressPrefix + c.ID, Value: values[c.ID]})
@@ -129,7 +129,7 @@
 func (t *term) markStored(changes []engine.Change, values map[string][]byte, revision uint64) {
 	t.mu.Lock()
 	for _, c := range changes {
-		t.engine.MarkStored(c.ID, revision)
+		t.engine.MarkStored(c, revision)
 	}
 	t.mu.Unlock()
 	for _, c := range changes {
@@ -158,13 +158,13 @@
 			// An earlier attempt whose reply was lost has taken effect.
 			t.noteStoredStarts([]engine.Change{c}, sentAt)
 			t.mu.Lock()
-			t.engine.MarkStored(c.ID, progress.Revision)
+			t.engine.MarkStored(c, progress.Revision)
 			t.mu.Unlock()
 			t.updateMirror(c.ID, progress.Value, progress.Revision)
 		case progress.Revision != c.Revision:
 			log.WithFields(log.Fields{"event": "record_conflict", "job": c.ID, "expected": c.Revision, "found": progress.Revision}).Error("another writer has changed a progress record; the term ends")
 			return nil, false
-		case cancelled && !c.Cancelled:
+		case cancelled && c.DependsOnCancel:
 			log.WithFields(log.Fields{"event": "cancelled_before_record", "job": c.ID, "starts": c.HasNewRuns}).Info("job was cancelled before its changes were stored; new runs are retracted")
 			t.mu.Lock()
 			t.engine.ReopenJob(c.ID)
@@ -190,7 +190,7 @@
 func (t *term) logRefused(changes []engine.Change, current map[string]store.Record) {
 	var cancelled, changed []string
 	for _, c := range changes {
-		if _, found := current[workflow.CancelPrefix+c.ID]; found && !c.Cancelled {
+		if _, found := current[workflow.CancelPrefix+c.ID]; found && c.DependsOnCancel {
 			cancelled = append(cancelled, c.ID)
 		}
 		if current[workflow.ProgressPrefix+c.ID].Revision != c.Revision {
