Shorten the delay of an election after a panic, and double it when panics follow each other

Callers saw accepted jobs that nothing ran. With three entries and a panic in each one's term, nobody planned for 3 s: each stayed away for 3 s, so that others can take over, and the three panics follow each other within 50 ms.

Cause: the delay was as long as accepted jobs may wait beside idle workers, and the delays of all entries run at the same time.

Change: an entry stays away for 250 ms after a panic, which gives an idle entry the time to take over, and for twice as long, up to 2 s, with each further short term of its own that panics. A lost election between two panics does not count as the end of the series.

TestDelayAfterPanicsGrowsUpToALimit checks the series of delays.

--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -36,10 +36,16 @@
 	// electionRetryDelay is the delay between two attempts to become planner after
 	// an error.
 	electionRetryDelay = 200 * time.Millisecond
-	// panicRetryDelay is the delay before this entry becomes planner again after its
-	// engine has failed. The cause may be in the records and fail it again at once, so
-	// another entry gets the time to try.
-	panicRetryDelay = 3 * time.Second
+	// minPanicDelay is the delay before this entry becomes planner again after its term
+	// has panicked, in which other entries, whose version may differ, can take over. It
+	// doubles up to maxPanicDelay with each further short term that panics, since the
+	// cause may be in the records. All entries may panic in turn, and callers notice when
+	// nobody plans for 3 s.
+	minPanicDelay = 250 * time.Millisecond
+	maxPanicDelay = 2 * time.Second
+	// stableTerm is the length of a term from which on a panic does not count as
+	// following from the one before.
+	stableTerm = 10 * time.Second
 )
 
 // Options are the settings of a Host and the components that it uses.
@@ -77,6 +83,9 @@
 	// suspensions. They are used by run only.
 	acquiredAt             time.Time
 	knewHolder, formerKept bool
+	// panicDelay is the latest delay after a panic, 0 if the latest term did not panic. It is
+	// used by run only.
+	panicDelay time.Duration
 
 	mu     sync.Mutex
 	config *workflow.Config
@@ -185,22 +194,36 @@
 			continue
 		}
 		var ended error
+		began := time.Now()
 		if epoch > 0 {
 			ended = h.runTerm(ctx, lease, epoch)
 			// The store deletes the key with the lease; tell the mirror now.
 			h.options.Records.Apply([]store.Event{{Record: store.Record{Key: workflow.PlannerKey, Revision: epoch + 1}, Deleted: true}})
 		}
 		h.revokeLease(ctx, lease)
-		if errors.Is(ended, errPanicked) {
+		switch {
+		case errors.Is(ended, errPanicked):
+			h.panicDelay = nextPanicDelay(h.panicDelay, time.Since(began))
 			select {
-			case <-time.After(panicRetryDelay):
+			case <-time.After(h.panicDelay):
 			case <-h.stopping:
 			case <-ctx.Done():
 			}
+		case epoch > 0:
+			h.panicDelay = 0
 		}
 	}
 }
 
+// nextPanicDelay returns the delay after a term of the given length that has panicked, if
+// the term before it had the delay former, 0 for none.
+func nextPanicDelay(former, length time.Duration) time.Duration {
+	if former == 0 || length >= stableTerm {
+		return minPanicDelay
+	}
+	return min(2*former, maxPanicDelay)
+}
+
 func (h *Host) isStopping() bool {
 	select {
 	case <-h.stopping:
--- a/internal/workflow/planner/planner_test.go
+++ b/internal/workflow/planner/planner_test.go
@@ -44,6 +44,23 @@
 	}
 }
 
+// Guards against terms that panic without end at the full rate of elections, and against a delay after a panic that
+// alone is as long as accepted jobs may wait beside idle workers.
+func TestDelayAfterPanicsGrowsUpToALimit(t *testing.T) {
+	const idleLimit = 3 * time.Second
+	delay := nextPanicDelay(0, time.Millisecond)
+	for range 10 {
+		next := nextPanicDelay(delay, time.Millisecond)
+		if next <= delay && next != maxPanicDelay || next >= idleLimit {
+			t.Errorf("a delay of %v follows one of %v", next, delay)
+		}
+		delay = next
+	}
+	if after := nextPanicDelay(delay, stableTerm); after != minPanicDelay {
+		t.Errorf("the delay after a long term is %v, expected %v", after, minPanicDelay)
+	}
+}
+
 // Guards against a record of another writer that replaces or removes the address of an agent, or
 // is followed although it names none: the worker beside that agent would be lost, and the planner
 // would call an address that cannot exist without end.
