Fail proofs and soaks on panics in the processes

Callers saw an entry that lost and regained its planner's term again and again on deployments without evacuate_ms: each term ended by a contained panic.

The logs of all processes that a proof, a soak or the demonstration has started are now searched after the run: for event=panic_recovered, for "http: panic serving" and for reports of the Go runtime about a panic or a fatal error. A log holds the output of all starts of a process. Such a line fails the run, and the message names the process, the scope and the log file.

--- a/internal/proof/demo.go
+++ b/internal/proof/demo.go
@@ -60,6 +60,10 @@
 		fmt.Fprintln(out, "stop FAILED:", err)
 		ok = false
 	}
+	if err := checkPanics(env.Dir); err != nil {
+		fmt.Fprintln(out, "panics FAILED:", err)
+		ok = false
+	}
 	return ok
 }
 
--- a/internal/proof/process.go
+++ b/internal/proof/process.go
@@ -14,6 +14,9 @@
 	"time"
 )
 
+// logSuffix is the suffix of the log files of processes. checkPanics reads all of them.
+const logSuffix = ".log"
+
 // Process runs a program that can be started again after it has ended.
 type Process struct {
 	Name    string
@@ -30,7 +33,7 @@
 }
 
 func newProcess(dir, bin, program, name string, args ...string) *Process {
-	return &Process{Name: name, binPath: filepath.Join(bin, program), args: args, logPath: filepath.Join(dir, name+".log")}
+	return &Process{Name: name, binPath: filepath.Join(bin, program), args: args, logPath: filepath.Join(dir, name+logSuffix)}
 }
 
 // Start starts the program. Its output is appended to the log file.
--- a/internal/proof/proof.go
+++ b/internal/proof/proof.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -58,7 +59,7 @@
 	ok, ran := true, 0
 	for _, p := range Proofs() {
 		if strings.Contains(p.Name, nameFilter) && ctx.Err() == nil {
-			ok = RunOne(ctx, p, e, out) != e.Control && ok
+			ok = RunOne(ctx, p, e, out) && ok
 			ran++
 		}
 	}
@@ -68,7 +69,9 @@
 	return ok && ran > 0 && ctx.Err() == nil
 }
 
-// RunOne runs a proof and writes its result as one line to out. It reports whether it passed.
+// RunOne runs a proof and writes its result as one line to out. It reports whether the result is the
+// expected one: a pass, or with Control a failure. A panic in a process that the proof has started
+// is unexpected in both cases.
 func RunOne(ctx context.Context, p Proof, e Env, out io.Writer) bool {
 	e.Rand = rand.New(rand.NewPCG(e.Seed, 7))
 	e.Dir = filepath.Join(e.Dir, p.Name)
@@ -76,6 +79,8 @@
 	defer cancel()
 	began := time.Now()
 	v, err := p.Run(ctx, &e)
+	panics := checkPanics(e.Dir)
+	err = errors.Join(err, panics)
 	measured := v.Measured
 	if err != nil {
 		v.Pass = false
@@ -87,5 +92,5 @@
 	}
 	fmt.Fprintf(out, "%s %s seed=%d bound=%q measured=%q took=%s %s\n",
 		p.Property, p.Name, e.Seed, p.Bound, measured, time.Since(began).Round(100*time.Millisecond), outcome)
-	return v.Pass
+	return v.Pass != e.Control && panics == nil
 }
--- a/internal/proof/soak.go
+++ b/internal/proof/soak.go
@@ -57,7 +57,7 @@
 }
 
 // Soak runs load and random faults for duration, then waits until all jobs have ended. It returns
-// an error with all violations that callers or workers observed.
+// an error with all violations that callers or workers observed, and all panics of the processes.
 func Soak(ctx context.Context, e Env, duration time.Duration) error {
 	s := &soak{
 		faultRand: rand.New(rand.NewPCG(e.Seed, 2)), crashRand: rand.New(rand.NewPCG(e.Seed, 6)), submitInterval: soakSubmitInterval, trace: e.Trace,
@@ -74,7 +74,7 @@
 		return nil
 	})
 	fmt.Fprintf(s.trace, "soak seed %d: %d jobs\n", e.Seed, len(s.jobs))
-	return err
+	return errors.Join(err, checkPanics(e.Dir))
 }
 
 // runScenario runs load on a new cluster while scenario injects faults. When scenario has returned,
