Vary the optional parts of entries in the soak by seed

Every soak and proof ran with evacuate_ms, without admission and without plug-ins. A fault that needs another combination, such as a planner without evacuations that resolves the conflict of a transaction, could not show.

The seed now decides whether entries have evacuate_ms, admission and each of the three plug-ins in their settings, from a random source of its own, so that known seeds keep their faults and their load. Without evacuate_ms the soak requests no evacuations. workflow-disasters draws evacuate_ms. A soak that fails prints the parts.

--- a/internal/proof/p9_workflows.go
+++ b/internal/proof/p9_workflows.go
@@ -101,6 +101,9 @@
 		return "", err
 	}
 	s := &soak{faultRand: rand.New(rand.NewPCG(e.Seed, 4)), submitInterval: proofSubmitInterval, trace: io.Discard}
+	// No case requests an evacuation or expects a refusal. The setting changes the planner's
+	// transactions all the same.
+	s.parts = WorkflowParts{Evacuation: rand.New(rand.NewPCG(e.Seed, 8)).IntN(2) == 0}
 	var text string
 	err := s.runScenario(ctx, caseEnv, rand.New(rand.NewPCG(e.Seed, 5)), func(ctx context.Context) (err error) {
 		text, err = run(ctx, s)
--- a/internal/proof/soak.go
+++ b/internal/proof/soak.go
@@ -39,7 +39,8 @@
 	faultRand      *rand.Rand    // random choices of the faults of kinds 0 to 11
 	crashRand      *rand.Rand    // random choices of the faults of later kinds, which crash workers
 	submitInterval time.Duration // mean time between two submissions
-	trace          io.Writer     // receives a line for each random fault
+	parts          WorkflowParts
+	trace          io.Writer // receives a line for each random fault
 	// stopLoad stops the submission of jobs and waits until all callers have their responses.
 	stopLoad   func()
 	mu         sync.Mutex
@@ -56,17 +57,21 @@
 	cancelled  time.Time // when the cancellation was acknowledged; zero if it was not
 }
 
-// Soak runs load and random faults for duration, then waits until all jobs have ended. It returns
+// Soak runs load and random faults for duration on a cluster with random optional parts, then waits until all jobs have ended. It returns
 // an error with all violations that callers or workers observed, and all panics of the processes.
 func Soak(ctx context.Context, e Env, duration time.Duration) error {
 	s := &soak{
 		faultRand: rand.New(rand.NewPCG(e.Seed, 2)), crashRand: rand.New(rand.NewPCG(e.Seed, 6)), submitInterval: soakSubmitInterval, trace: e.Trace,
+		parts: drawParts(rand.New(rand.NewPCG(e.Seed, 8))), // drawn apart, so that a seed keeps its faults
 	}
+	fmt.Fprintf(s.trace, "soak seed %d: %v\n", e.Seed, s.parts)
 	err := s.runScenario(ctx, e, rand.New(rand.NewPCG(e.Seed, 3)), func(ctx context.Context) error {
 		ctx, stop := context.WithTimeout(ctx, duration)
 		defer stop()
 		var wg sync.WaitGroup
-		wg.Go(func() { s.requestEvacuations(ctx, rand.New(rand.NewPCG(e.Seed, 7))) })
+		if s.parts.Evacuation {
+			wg.Go(func() { s.requestEvacuations(ctx, rand.New(rand.NewPCG(e.Seed, 7))) })
+		}
 		s.injectFaults(ctx, &wg)
 		s.stopLoad()
 		wg.Wait()
@@ -74,13 +79,16 @@
 		return nil
 	})
 	fmt.Fprintf(s.trace, "soak seed %d: %d jobs\n", e.Seed, len(s.jobs))
-	return errors.Join(err, checkPanics(e.Dir))
+	if err = errors.Join(err, checkPanics(e.Dir)); err != nil {
+		return fmt.Errorf("with %v:\n%w", s.parts, err)
+	}
+	return nil
 }
 
 // runScenario runs load on a new cluster while scenario injects faults. When scenario has returned,
 // all jobs must end. The error holds the error of scenario and all violations.
 func (s *soak) runScenario(ctx context.Context, e Env, rng *rand.Rand, scenario func(context.Context) error) error {
-	cluster, err := LaunchWorkflows(ctx, e.Bin, e.Dir, soakEntries, soakWorkers)
+	cluster, err := LaunchWorkflows(ctx, e.Bin, e.Dir, soakEntries, soakWorkers, s.parts)
 	if err != nil {
 		return err
 	}
--- a/internal/proof/workflow.go
+++ b/internal/proof/workflow.go
@@ -53,15 +53,16 @@
 	Agents  []*WorkflowNode
 	bin     string
 	dir     string
+	parts   WorkflowParts
 	cancel  context.CancelFunc
 }
 
-// LaunchWorkflows starts a cluster with the given numbers of entries and workers, and waits until
-// its entries are ready and its agents have registered: a stop that comes before ends a program
+// LaunchWorkflows starts a cluster with the given numbers of entries and workers and the given
+// optional parts, and waits until its entries are ready and its agents have registered: a stop that comes before ends a program
 // without grace.
-func LaunchWorkflows(ctx context.Context, bin, dir string, entries, workers int) (*WorkflowCluster, error) {
+func LaunchWorkflows(ctx context.Context, bin, dir string, entries, workers int, parts WorkflowParts) (*WorkflowCluster, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	c := &WorkflowCluster{Store: platformstore.New(), Pool: platformworker.NewPool(), bin: bin, dir: dir, cancel: cancel}
+	c := &WorkflowCluster{Store: platformstore.New(), Pool: platformworker.NewPool(), bin: bin, dir: dir, parts: parts, cancel: cancel}
 	document, err := json.Marshal(map[string]any{
 		"version": 1,
 		"routes": []any{
@@ -154,11 +155,15 @@
 	if err := c.connectNode(n, addrs[3], addrs[4]); err != nil {
 		return err
 	}
+	workflows := map[string]any{
+		"front_address": addrs[0], "ready_address": addrs[1], "front": "platform", "config_format": "platform", "store": c.storeSettings(n),
+		"keep_ended_ms": workflowRetention.Milliseconds(),
+	}
+	c.parts.addTo(workflows)
 	file, err := writeJSON(c.dir, id+".json", map[string]any{
 		"id": id, "region": "r", "failure_domain": "d", "address": addrs[3], "advertise_address": addrs[4], "http_address": addrs[2],
 		"security": map[string]string{"mode": "development"},
-		"workflow": map[string]any{"front_address": addrs[0], "ready_address": addrs[1], "front": "platform", "config_format": "platform", "store": c.storeSettings(n),
-			"keep_ended_ms": workflowRetention.Milliseconds(), "evacuate_ms": evacuateBound.Milliseconds()},
+		"workflow": workflows,
 	})
 	if err != nil {
 		return err
@@ -277,7 +282,7 @@
 
 // demoWorkflows runs a job of two steps and a gang through the interfaces of the platform.
 func demoWorkflows(ctx context.Context, e Env) (string, error) {
-	c, err := LaunchWorkflows(ctx, e.Bin, e.Dir, 2, 2)
+	c, err := LaunchWorkflows(ctx, e.Bin, e.Dir, 2, 2, WorkflowParts{Evacuation: true})
 	if err != nil {
 		return "", err
 	}
