Log and count panics of HTTP handlers

A panic in a handler of the callers' server, the API of an entry, the local server of an agent, the readiness or the debug server was contained by net/http: the caller's connection broke, and all that told was a log entry event=library_message, without event=panic_recovered and without snipegw_panics_total.

The handlers of these servers are wrapped by kernel.LogHandlerPanics, which logs and counts the panic with the scope "http" and then aborts the connection. http.ErrAbortHandler, with which handlers abort on purpose, is passed on without an entry. What net/http writes by itself already reaches our logger through the standard package log.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -174,7 +174,7 @@
 	a.server = server
 	a.localAddress = ln.Addr().String()
 	a.localServer = &http.Server{
-		Handler: a.localHandler(), ReadTimeout: localReadTimeout, WriteTimeout: localWriteTimeout, IdleTimeout: localIdleTimeout,
+		Handler: kernel.LogHandlerPanics(a.localHandler()), ReadTimeout: localReadTimeout, WriteTimeout: localWriteTimeout, IdleTimeout: localIdleTimeout,
 	}
 	go func() { _ = a.localServer.Serve(ln) }() // ends with a.localServer.Close
 	return nil
--- a/internal/entry/httpapi/server.go
+++ b/internal/entry/httpapi/server.go
@@ -79,7 +79,7 @@
 	}
 	o.Config.OnChange(s.setConfig)
 	s.httpServer = &http.Server{
-		Handler:           s.Handler(),
+		Handler:           kernel.LogHandlerPanics(s.Handler()),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/kernel/components.go
+++ b/internal/kernel/components.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return fmt.Errorf("listen %s: %w", s.Address, err)
 	}
-	s.server = &http.Server{Handler: s.Handler, ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: httpMaxHeaderBytes}
+	s.server = &http.Server{Handler: LogHandlerPanics(s.Handler), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: httpMaxHeaderBytes}
 	go func() {
 		if err := s.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			log.WithFields(log.Fields{"event": "http_failed", "address": s.Address, "error": err.Error()}).Error("HTTP server stopped unexpectedly")
--- a/internal/kernel/panic.go
+++ b/internal/kernel/panic.go
@@ -1,7 +1,9 @@
 package kernel
 
 import (
+	"errors"
 	"fmt"
+	"net/http"
 	"runtime/debug"
 
 	"github.com/apex/log"
@@ -21,3 +23,23 @@
 		"event": "panic_recovered", "scope": scope, "code": int(result.Internal), "error": fmt.Sprint(value), "stack": string(stack[:min(len(stack), maxLoggedStack)]),
 	}).Error("an unexpected error was contained, and the process goes on")
 }
+
+// LogHandlerPanics returns a handler that calls h, and that passes a panic of h to LogPanic with
+// the scope "http". net/http would contain it without the metric. The connection is aborted, so
+// that the client has no response that looks complete. A panic with http.ErrAbortHandler, which
+// aborts the connection on purpose, is not logged.
+func LogHandlerPanics(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			value := recover()
+			if value == nil {
+				return
+			}
+			if err, ok := value.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+				LogPanic("http", value, log.Fields{"method": r.Method})
+			}
+			panic(http.ErrAbortHandler)
+		}()
+		h.ServeHTTP(w, r)
+	})
+}
