Fail the planner's tests on contained panics

A panic in a planner's term is contained and counted, so a test of the package could pass although it had one. TestMain compares the counts by scope with the panics that tests provoke on purpose, and fails on a difference.

Evidence: without the count in TestPanicEndsTheTerm, go test ./internal/workflow/planner fails with "contained panics by scope: map[test:1], provoked by tests: map[]".

--- a/internal/workflow/planner/planner_test.go
+++ b/internal/workflow/planner/planner_test.go
@@ -36,6 +36,7 @@
 		defer term.mu.Unlock()
 		panic("unexpected")
 	})
+	provokedPanics["test"]++
 	if cause := context.Cause(ctx); !errors.Is(cause, errPanicked) {
 		t.Errorf("the term has ended for the reason %v, expected %v", cause, errPanicked)
 	}
