Contain panics in every goroutine of a planner's term

Callers would have lost an entry with all its connections: a panic in the renewal of the lease, the recall of earlier planners, the loop of suspensions, an order or the exchange with an agent outside its small guarded part ended the process. Where a panic was contained, code that released the term's lock without defer could leave it held, and goroutines of the term waiting for ever.

All goroutines of a term are now started by term.spawn, which guards them as a whole, or call term.guard, where they are waited for. A panic in any of them ends the term; the next one builds its state from the records. Sections under the term's lock release it by defer (term.locked). The guarded parts inside the loops have gone, as the loops are guarded. Their scopes are documented; "order reply" is now "order", and covers the call as well.

Sections of commit.go and evacuation.go that hold the lock without defer are not changed here.

--- a/internal/workflow/planner/backlog.go
+++ b/internal/workflow/planner/backlog.go
@@ -27,18 +27,13 @@
 	var published time.Time // zero before the first statement of the term: earlier ones went with their lease
 	for ctx.Err() == nil {
 		kernel.Sleep(ctx, backlogInterval)
-		t.guard("backlog", func() {
-			now := time.Now()
-			t.mu.Lock()
-			b, relevant := t.engine.Backlog(now, published)
-			t.mu.Unlock()
-			if !relevant || ctx.Err() != nil {
-				return
-			}
-			if t.storeBacklog(ctx, b) {
-				published = now
-			}
-		})
+		now := time.Now()
+		var b *workflow.Backlog
+		var relevant bool
+		t.locked(func() { b, relevant = t.engine.Backlog(now, published) })
+		if relevant && ctx.Err() == nil && t.storeBacklog(ctx, b) {
+			published = now
+		}
 	}
 }
 
--- a/internal/workflow/planner/holders.go
+++ b/internal/workflow/planner/holders.go
@@ -66,7 +66,7 @@
 		if address == t.host.options.Address {
 			continue // an earlier process at this address is gone
 		}
-		wg.Go(func() { t.recallHolder(ctx, address) })
+		wg.Go(func() { t.guard("planner recall", func() { t.recallHolder(ctx, address) }) })
 	}
 	wg.Wait()
 	if parent.Err() != nil {
@@ -75,9 +75,7 @@
 	// Without any record before this term's own, earlier planners may be of a version that
 	// recorded none.
 	if ctx.Err() == nil && t.knewHolder {
-		t.mu.Lock()
-		t.engine.EndEarlierPlanners(time.Now())
-		t.mu.Unlock()
+		t.locked(func() { t.engine.EndEarlierPlanners(time.Now()) })
 		log.WithFields(log.Fields{"event": "planners_recalled", "epoch": t.epoch, "entries": len(holders)}).Info("no earlier planner extends leases any more")
 	}
 	if !t.withdrawalsStored() {
--- a/internal/workflow/planner/stopped_agent.go
+++ b/internal/workflow/planner/stopped_agent.go
@@ -39,24 +39,25 @@
 // confirmStoppedAgents reads the records of stopped agents whose workers' leases have ended if no
 // other process of the agent has come since. The mirror may be older than that.
 func (t *term) confirmStoppedAgents(ctx context.Context) {
-	t.mu.Lock()
-	due := t.engine.StoppedAgentsDue(time.Now())
-	t.mu.Unlock()
+	var due map[string]uint64
+	t.locked(func() { due = t.engine.StoppedAgentsDue(time.Now()) })
 	var wg sync.WaitGroup
 	for node, revision := range due {
-		wg.Go(func() {
-			at := time.Now()
-			r, found, err := t.host.options.Table.Lookup(ctx, workflow.AgentPrefix+node)
-			if err != nil || !found || r.Revision != revision {
-				return
-			}
-			t.mu.Lock()
-			defer t.mu.Unlock()
-			t.engine.ConfirmAgentStopped(node, revision, at)
-		})
+		wg.Go(func() { t.guard("stopped agents", func() { t.confirmStoppedAgent(ctx, node, revision) }) })
 	}
 	wg.Wait()
 	if len(due) > 0 {
 		t.host.wake()
 	}
 }
+
+// confirmStoppedAgent reads the record of one stopped agent, and passes it to the engine if it has
+// the given revision.
+func (t *term) confirmStoppedAgent(ctx context.Context, node string, revision uint64) {
+	at := time.Now()
+	r, found, err := t.host.options.Table.Lookup(ctx, workflow.AgentPrefix+node)
+	if err != nil || !found || r.Revision != revision {
+		return
+	}
+	t.locked(func() { t.engine.ConfirmAgentStopped(node, revision, at) })
+}
--- a/internal/workflow/planner/suspension.go
+++ b/internal/workflow/planner/suspension.go
@@ -109,11 +109,9 @@
 // that answer again, and confirms the statements of agents that have stopped, until the term ends.
 func (t *term) followLostAgents(ctx context.Context) {
 	for ctx.Err() == nil {
-		t.guard("suspensions", func() {
-			t.selectSuspensions(time.Now(), t.host.options.Records.Age())
-			t.storeSuspensions(ctx)
-		})
-		t.guard("stopped agents", func() { t.confirmStoppedAgents(ctx) })
+		t.selectSuspensions(time.Now(), t.host.options.Records.Age())
+		t.storeSuspensions(ctx)
+		t.confirmStoppedAgents(ctx)
 		timer := time.NewTimer(suspensionInterval)
 		select {
 		case <-timer.C:
@@ -152,14 +150,14 @@
 
 // storeSuspensions stores the suspensions that are due. Those without an answer are due again.
 func (t *term) storeSuspensions(ctx context.Context) {
-	t.mu.Lock()
 	var due []string
-	for node, s := range t.suspensions {
-		if s.isDue() {
-			due = append(due, node)
+	t.locked(func() {
+		for node, s := range t.suspensions {
+			if s.isDue() {
+				due = append(due, node)
+			}
 		}
-	}
-	t.mu.Unlock()
+	})
 	slices.Sort(due)
 	for chunk := range slices.Chunk(due, suspensionsPerTxn) {
 		t.storeSuspensionsOf(ctx, chunk)
@@ -170,14 +168,14 @@
 func (t *term) storeSuspensionsOf(ctx context.Context, nodes []string) {
 	txn := store.Txn{Conditions: []store.Condition{{Key: workflow.PlannerKey, Revision: t.epoch}}}
 	wanted := make(map[string]bool, len(nodes))
-	t.mu.Lock()
-	for _, node := range nodes {
-		s, key := t.suspensions[node], workflow.LeasePrefix+node
-		txn.Conditions = append(txn.Conditions, store.Condition{Key: key, Revision: s.revision})
-		txn.Puts = append(txn.Puts, store.Put{Key: key, Value: workflow.Encode(workflow.LeaseRecord{Suspended: s.wanted})})
-		wanted[node], s.unsure = s.wanted, true
-	}
-	t.mu.Unlock()
+	t.locked(func() {
+		for _, node := range nodes {
+			s, key := t.suspensions[node], workflow.LeasePrefix+node
+			txn.Conditions = append(txn.Conditions, store.Condition{Key: key, Revision: s.revision})
+			txn.Puts = append(txn.Puts, store.Put{Key: key, Value: workflow.Encode(workflow.LeaseRecord{Suspended: s.wanted})})
+			wanted[node], s.unsure = s.wanted, true
+		}
+	})
 	outcome, err := t.host.options.Table.Commit(ctx, txn)
 	if err != nil {
 		log.WithFields(log.Fields{"event": "suspensions_unconfirmed", "epoch": t.epoch, "nodes": len(nodes), "code": int(result.CodeOf(err)), "error": err.Error()}).Warn("outcome of a transaction is unknown; repeating it")
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -102,14 +102,14 @@
 // run loads the records and then runs passes until the term ends.
 func (t *term) run(ctx context.Context) {
 	t.ctx = ctx
-	go t.renewLease(ctx)
+	t.spawn("lease renewal", func() { t.renewLease(ctx) })
 	if !t.loadRecords(ctx) {
 		return
 	}
-	go t.sendStopOrders(ctx)
-	go t.followLostAgents(ctx)
+	t.spawn("stop orders", func() { t.sendStopOrders(ctx) })
+	t.spawn("suspensions", func() { t.followLostAgents(ctx) })
 	if t.host.options.PublishBacklog {
-		go t.publishBacklog(ctx)
+		t.spawn("backlog", func() { t.publishBacklog(ctx) })
 	}
 	lastCleanup := time.Now()
 	for ctx.Err() == nil {
@@ -165,7 +165,8 @@
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.applyRecords(records)
-		go t.recallHolders(ctx, holderAddresses(records))
+		holders := holderAddresses(records)
+		t.spawn("planner recall", func() { t.recallHolders(ctx, holders) })
 		log.WithFields(log.Fields{"event": "planner_loaded", "epoch": t.epoch, "records": len(records)}).Info("planner has loaded all records")
 		return true
 	}
@@ -261,7 +262,7 @@
 	}
 	if _, known := t.agentAddresses[node]; !known {
 		t.engine.AddWorker(node)
-		go t.followAgent(node)
+		t.spawn("worker report", func() { t.followAgent(node) })
 	}
 	t.engine.SetAgentDomain(node, a.Zone)
 	var stoppedSince time.Time
@@ -290,7 +291,7 @@
 		return
 	}
 	for _, o := range t.startOrders(d.ends) {
-		go t.sendOrder(ctx, o)
+		t.spawn("order", func() { t.sendOrder(ctx, o) })
 	}
 }
 
@@ -356,6 +357,18 @@
 	f()
 }
 
+// spawn calls f in a goroutine under guard. All goroutines of a term are started with it, or call
+// guard themselves, since a panic in any other ends the process.
+func (t *term) spawn(scope string, f func()) { go t.guard(scope, f) }
+
+// locked calls f with t.mu held, and releases it if f panics, too: a report or an order of the term
+// would wait for it for ever.
+func (t *term) locked(f func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f()
+}
+
 // processedEnds returns, by node, how far the engine has processed the ends of each
 // worker. t.mu is held.
 func (t *term) processedEnds() map[string]endPosition {
@@ -371,11 +384,9 @@
 // not be stored first, so they are sent even while the store cannot be reached.
 func (t *term) sendStopOrders(ctx context.Context) {
 	for ctx.Err() == nil {
-		t.guard("stop orders", func() {
-			for _, o := range t.stopOrders() {
-				go t.sendOrder(ctx, o)
-			}
-		})
+		for _, o := range t.stopOrders() {
+			t.spawn("order", func() { t.sendOrder(ctx, o) })
+		}
 		kernel.Sleep(ctx, 2*minPassInterval)
 	}
 }
@@ -385,19 +396,14 @@
 func (t *term) sendOrder(ctx context.Context, o *engine.Order) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	t.mu.Lock()
-	address := t.agentAddresses[o.Node]
-	t.mu.Unlock()
+	var address string
+	t.locked(func() { address = t.agentAddresses[o.Node] })
 	reply := new(workflow.OrderReply)
 	if err := t.host.options.Pool.Call(ctx, address, wire.KindWorkflowOrder, &o.Request, reply); err != nil {
 		log.WithFields(log.Fields{"event": "order_unanswered", "node": o.Node, "code": int(result.CodeOf(err)), "error": err.Error()}).Warn("no reply to an order; later reports will show its outcome")
 		reply = nil
 	}
-	t.guard("order reply", func() {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		t.engine.HandleOrderReply(o, reply, time.Now())
-	})
+	t.locked(func() { t.engine.HandleOrderReply(o, reply, time.Now()) })
 	t.host.wake()
 }
 
@@ -408,15 +414,7 @@
 	version := uint64(0)
 	lastReply := time.Now()
 	for ctx.Err() == nil {
-		t.mu.Lock()
-		address, known := t.agentAddresses[node]
-		stored := t.storedEnds[node]
-		incarnation, _ := t.engine.LastProcessedEnd(node)
-		if stored.incarnation != incarnation {
-			stored.number = 0
-		}
-		req := t.engine.NextSyncRequest(node, stored.number)
-		t.mu.Unlock()
+		req, address, known := t.nextSync(node)
 		if !known {
 			return
 		}
@@ -441,9 +439,7 @@
 			continue
 		}
 		lastReply, version = time.Now(), reply.Version
-		t.guard("worker report", func() {
-			t.mu.Lock()
-			defer t.mu.Unlock()
+		t.locked(func() {
 			delete(t.unansweredSince, node)
 			t.engine.HandleReport(node, reply, lastReply)
 			if t.engine.MayResume(node) {
@@ -457,6 +453,20 @@
 	}
 }
 
+// nextSync returns the next sync request for an agent and its address. known is false if its record
+// was deleted.
+func (t *term) nextSync(node string) (req workflow.SyncRequest, address string, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	address, known = t.agentAddresses[node]
+	stored := t.storedEnds[node]
+	incarnation, _ := t.engine.LastProcessedEnd(node)
+	if stored.incarnation != incarnation {
+		stored.number = 0
+	}
+	return t.engine.NextSyncRequest(node, stored.number), address, known
+}
+
 // callSync sends one sync request to an agent and returns the reply.
 func (t *term) callSync(ctx context.Context, address string, req *workflow.SyncRequest) (*workflow.SyncReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, syncHoldTime+syncGracePeriod)
