Contain panics where a process goes on from sound state

A response that made the store's client panic ended every process that read it: in the copy of the records, in the registration of an entry or agent, and in reads by several routes, whose goroutines no caller can guard. A panic in the call of an order ended the agent.

Per loop: - The mirror takes a list or a watch that panics for a failed call and repeats it; its copy is changed only afterwards. A panic of a listener still ends the process, as the listener would not get the changes again. - The registration repeats the attempt, which looks its record up first. - A route of the relay that panics counts as failed; the other answers. - An order that panics has an unknown outcome, and the others of the request are carried out. The runner's own loop still ends the process: what it knows of the worker's incarnation and lease may be half changed. - kernel.Loops, the election outside a term and the accept loops of the transport end the process, which its supervisor starts again. The handlers of calls were contained before. The planner releases its lock by defer when changes are passed to it, as that may happen within a term, where panics are contained.

--- a/internal/kernel/components.go
+++ b/internal/kernel/components.go
@@ -13,7 +13,9 @@
 )
 
 // Loops is a Component that runs each function of Funcs in a goroutine until Stop
-// cancels its context. Label is the component name.
+// cancels its context. Label is the component name. A panic of a function ends the process, which
+// its supervisor starts again: what the function keeps may be half changed. Functions contain
+// panics themselves where they can go on.
 type Loops struct {
 	Label  string
 	Funcs  []func(context.Context)
--- a/internal/kernel/panic.go
+++ b/internal/kernel/panic.go
@@ -24,6 +24,19 @@
 	}).Error("an unexpected error was contained, and the process goes on")
 }
 
+// Contain calls f. A panic of f is passed to LogPanic with the given scope, and returned as an error
+// with code Internal, which leaves the outcome of f open. It is for calls after which the caller
+// goes on from its own state, so f must leave none half changed and no lock held.
+func Contain(scope string, f func() error) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			LogPanic(scope, r, nil)
+			err = result.Errorf(result.Internal, "%s: an unexpected error was contained", scope)
+		}
+	}()
+	return f()
+}
+
 // LogHandlerPanics returns a handler that calls h, and that passes a panic of h to LogPanic with
 // the scope "http". net/http would contain it without the metric. The connection is aborted, so
 // that the client has no response that looks complete. A panic with http.ErrAbortHandler, which
--- a/internal/kernel/panic_test.go
+++ b/internal/kernel/panic_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"snipegw/internal/result"
 )
 
 // syncWriter collects what several goroutines write.
@@ -95,3 +97,11 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(body).To(Equal("good"))
 }
+
+// Guards against a contained panic that looks like a success, or that hides an ordinary result.
+func TestContainReturnsPanicsAsErrors(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(Contain("test", func() error { return nil })).To(Succeed())
+	g.Expect(Contain("test", func() error { return io.EOF })).To(MatchError(io.EOF))
+	g.Expect(result.CodeOf(Contain("test", func() error { panic(io.EOF) }))).To(Equal(result.Internal))
+}
--- a/internal/workflow/daemon/registration.go
+++ b/internal/workflow/daemon/registration.go
@@ -28,11 +28,16 @@
 
 const registrationRetryDelay = 300 * time.Millisecond
 
-// run retries until the record is in the store.
+// run retries until the record is in the store. An attempt that panics counts as failed: the next
+// one looks the record up again.
 func (g *registration) run(ctx context.Context) {
 	value := workflow.Encode(g.record)
 	for ctx.Err() == nil {
-		revision, err := g.register(ctx, value)
+		var revision uint64
+		err := kernel.Contain("registration", func() (err error) {
+			revision, err = g.register(ctx, value)
+			return err
+		})
 		if err == nil {
 			g.revision.Store(revision)
 			log.WithFields(log.Fields{"event": "registered", "key": g.key, "address": g.record.Address}).Info("the process is registered in the store")
--- a/internal/workflow/daemon/registration_test.go
+++ b/internal/workflow/daemon/registration_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -112,3 +114,46 @@
 	close(table.proceed)
 	g.Consistently(a.serves, "50ms", "5ms").Should(BeFalse())
 }
+
+// oddTable is a recordTable whose first lookups or commits panic.
+type oddTable struct {
+	*recordTable
+	lookups, commits int // numbers of calls that still panic
+}
+
+// Lookup implements store.Table.
+func (o *oddTable) Lookup(ctx context.Context, key string) (store.Record, bool, error) {
+	if o.lookups > 0 {
+		o.lookups--
+		panic("odd record")
+	}
+	return o.recordTable.Lookup(ctx, key)
+}
+
+// Commit implements store.Table. A call that panics takes effect.
+func (o *oddTable) Commit(ctx context.Context, t store.Txn) (store.Outcome, error) {
+	out, err := o.recordTable.Commit(ctx, t)
+	if o.commits > 0 {
+		o.commits--
+		panic("odd response")
+	}
+	return out, err
+}
+
+// Guards against a response of the store that ends an agent before it has registered, or after which
+// it does not register any more.
+func TestRegistrationGoesOnAfterAPanic(t *testing.T) {
+	log.SetHandler(discard.New())
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		records := &recordTable{proceed: make(chan struct{})}
+		close(records.proceed)
+		a := newPresence(records, 1)
+		a.table = &oddTable{recordTable: records, lookups: 1, commits: 1}
+		g.Expect(a.Start(t.Context())).To(Succeed())
+		time.Sleep(3 * registrationRetryDelay)
+		synctest.Wait()
+		g.Expect(a.serves()).To(BeTrue())
+		g.Expect(a.revision.Load()).To(BeEquivalentTo(1))
+	})
+}
--- a/internal/workflow/mirror/mirror.go
+++ b/internal/workflow/mirror/mirror.go
@@ -126,7 +126,9 @@
 	}
 }
 
-// Run lists the records and watches for changes until ctx ends.
+// Run lists the records and watches for changes until ctx ends. A call of the store that panics
+// counts as failed. A panic of a listener ends the process: the listener would not get the changes
+// again, and may hold only a part of them.
 func (m *Mirror) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		revision, err := m.replaceAll(ctx)
@@ -182,7 +184,12 @@
 		defer cancel()
 		wait = probeWait
 	}
-	events, revision, err := m.table.Changes(ctx, m.prefix, after, wait)
+	var events []store.Event
+	var revision uint64
+	err := kernel.Contain("store watch", func() (err error) {
+		events, revision, err = m.table.Changes(ctx, m.prefix, after, wait)
+		return err
+	})
 	if err != nil {
 		return 0, err
 	}
@@ -195,7 +202,12 @@
 // returns the revision to watch from. Records of the copy that are newer than
 // the list are kept.
 func (m *Mirror) replaceAll(ctx context.Context) (uint64, error) {
-	records, revision, err := m.table.List(ctx, m.prefix)
+	var records []store.Record
+	var revision uint64
+	err := kernel.Contain("store list", func() (err error) {
+		records, revision, err = m.table.List(ctx, m.prefix)
+		return err
+	})
 	if err != nil {
 		return 0, err
 	}
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -138,13 +138,13 @@
 // enqueueEvents receives changes of records from the mirror and queues them for the
 // term.
 func (h *Host) enqueueEvents(events []store.Event) {
+	defer h.wake()
 	h.mu.Lock()
+	defer h.mu.Unlock() // a panic is contained if a term has passed the changes to the mirror
 	h.observeRecords(events)
 	if h.term != nil {
 		h.pending = append(h.pending, events...)
 	}
-	h.mu.Unlock()
-	h.wake()
 }
 
 // Planning reports whether this entry is planner.
--- a/internal/workflow/relay/relay.go
+++ b/internal/workflow/relay/relay.go
@@ -278,8 +278,13 @@
 	responses := make(chan response, len(routes))
 	for _, callRoute := range routes {
 		go func() {
-			reply, err := callRoute()
-			responses <- response{reply, err}
+			var r response
+			// A panic here would end the process, since the caller cannot contain it.
+			r.err = kernel.Contain("store call", func() (err error) {
+				r.reply, err = callRoute()
+				return err
+			})
+			responses <- r
 		}()
 	}
 	var lastErr error
--- a/internal/workflow/relay/relay_test.go
+++ b/internal/workflow/relay/relay_test.go
@@ -224,3 +224,29 @@
 	g.Expect(result.CodeOf(err)).To(Equal(result.StoreUnavailable))
 	g.Expect(p.calls.Load()).To(BeZero())
 }
+
+// panickingTable is a store whose client panics.
+type panickingTable struct{ store.Table }
+
+// Lookup implements store.Table.
+func (panickingTable) Lookup(context.Context, string) (store.Record, bool, error) {
+	panic("odd response")
+}
+
+// Guards against a panic of the store's client in a read by several routes, which no caller could
+// contain, and against a read that fails although a peer has answered.
+func TestPanicOfOneRouteLeavesTheOthers(t *testing.T) {
+	g := NewWithT(t)
+	relayed := New(panickingTable{}, new(fakePeer), "self")
+	relayed.SetPeers([]string{"self", "other"})
+	relayed.directSuspectUntil.Store(time.Now().Add(suspectPeriod).UnixNano())
+	r, found, err := relayed.Lookup(t.Context(), "k")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(found).To(BeTrue())
+	g.Expect(r.Key).To(Equal("through the peer"))
+
+	relayed.SetPeers(nil)
+	relayed.directSuspectUntil.Store(time.Now().Add(suspectPeriod).UnixNano())
+	_, _, err = relayed.Lookup(t.Context(), "k")
+	g.Expect(result.CodeOf(err)).To(Equal(result.StoreUnavailable))
+}
--- a/internal/workflow/runner/order.go
+++ b/internal/workflow/runner/order.go
@@ -8,6 +8,7 @@
 
 	"github.com/apex/log"
 
+	"snipegw/internal/kernel"
 	"snipegw/internal/result"
 	"snipegw/internal/workflow"
 )
@@ -56,7 +57,8 @@
 		slots <- struct{}{}
 		go func() {
 			defer func() { <-slots; wg.Done() }()
-			f()
+			// After a panic the outcome in the reply stays unknown.
+			_ = kernel.Contain("order to the worker", func() error { f(); return nil })
 		}()
 	}
 	for i, o := range req.Stops {
--- a/internal/workflow/runner/runner.go
+++ b/internal/workflow/runner/runner.go
@@ -132,7 +132,8 @@
 	r.changed = make(chan struct{})
 }
 
-// Run polls the worker until ctx ends.
+// Run polls the worker until ctx ends. A panic ends the process: what it knows of the worker's
+// incarnation, lease and ends may be half changed, and a new process learns it anew.
 func (r *Runner) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if pause := r.poll(ctx, pollWait); pause > 0 {
--- a/internal/workflow/runner/runner_test.go
+++ b/internal/workflow/runner/runner_test.go
@@ -399,3 +399,21 @@
 		g.Expect(reply.Report.ClockMS).To(BeNumerically(">", first.Report.ClockMS))
 	})
 }
+
+// Guards against a panic in the call of one order that ends the agent, and with it the lease of its
+// worker, is reported as an outcome, or keeps the other orders of the request from being carried out.
+func TestPanicOfOneOrderLeavesItsOutcomeUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		odd := func(context.Context) (workflow.OrderOutcome, error) { panic("odd response") }
+		w := &fakeWorker{starts: attempts{respondWith(workflow.VerdictDone, "")}}
+		req := &workflow.OrderRequest{Epoch: 1, Starts: []workflow.StartOrder{{Run: 1}}}
+		for i := range 2 * maxParallelOrders { // each order must give its slot back
+			w.stops, req.Stops = append(w.stops, odd), append(req.Stops, workflow.StopOrder{Run: i})
+		}
+		reply, err := newSynced(t, g, w).Order(t.Context(), req)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(reply.Stops).To(HaveEach(workflow.OrderOutcome{}))
+		g.Expect(reply.Starts[0].Verdict).To(Equal(workflow.VerdictDone))
+	})
+}
