--- a/internal/kernel/components.go
+++ b/internal/kernel/components.go
@@ -13,7 +13,9 @@
 )
 
 // Loops is a Component that runs each function of Funcs in a goroutine until Stop
-// cancels its context. Label is the component name.
+// cancels its context. Label is the component name. A panic of a function ends the process, which
+// its supervisor starts again: what the function keeps may be half changed. Functions contain
+// panics themselves where they can go on.
 type Loops struct {
 	Label  string
 	Funcs  []func(context.Context)
@@ -70,7 +72,7 @@
 	if err != nil {
 		return fmt.Errorf("listen %s: %w", s.Address, err)
 	}
-	s.server = &http.Server{Handler: s.Handler, ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: httpMaxHeaderBytes}
+	s.server = &http.Server{Handler: LogHandlerPanics(s.Handler), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: httpMaxHeaderBytes}
 	go func() {
 		if err := s.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			log.WithFields(log.Fields{"event": "http_failed", "address": s.Address, "error": err.Error()}).Error("HTTP server stopped unexpectedly")
