Release the lock of a term when an engine call panics while records are stored

commit.go and evacuation.go unlocked without defer around calls of the engine. A panic there was contained, but the term's lock stayed held: its other goroutines and a state dump that had the term waited for it for ever.

Evidence: TestPanicInTheLoopsOfATermReleasesItsLock, which covers these four places now, fails for all of them before ('the lock of the term is still held').

--- a/internal/workflow/planner/commit.go
+++ b/internal/workflow/planner/commit.go
@@ -31,9 +31,8 @@
 // removeOutdatedJobs deletes the records of jobs that ended more than EndedJobRetention
 // ago. If that fails, a later call tries again.
 func (t *term) removeOutdatedJobs(ctx context.Context) {
-	t.mu.Lock()
-	jobs := t.engine.OutdatedJobs(time.Now(), t.host.options.EndedJobRetention, removalsPerTxn)
-	t.mu.Unlock()
+	var jobs map[string]uint64
+	t.locked(func() { jobs = t.engine.OutdatedJobs(time.Now(), t.host.options.EndedJobRetention, removalsPerTxn) })
 	if len(jobs) == 0 {
 		return
 	}
@@ -47,11 +46,11 @@
 		log.WithFields(log.Fields{"event": "jobs_not_removed", "jobs": len(jobs), "code": int(result.CodeOf(err))}).Warn("records of ended jobs could not be removed; will be tried again")
 		return
 	}
-	t.mu.Lock()
-	for id := range jobs {
-		t.engine.RemoveJob(id)
-	}
-	t.mu.Unlock()
+	t.locked(func() {
+		for id := range jobs {
+			t.engine.RemoveJob(id)
+		}
+	})
 	log.WithFields(log.Fields{"event": "jobs_removed", "jobs": len(jobs), "keep_ms": t.host.options.EndedJobRetention.Milliseconds()}).Info("records of ended jobs removed")
 }
 
@@ -127,11 +126,11 @@
 
 // markStored reports the revision of stored changes to the engine and the mirror.
 func (t *term) markStored(changes []engine.Change, values map[string][]byte, revision uint64) {
-	t.mu.Lock()
-	for _, c := range changes {
-		t.engine.MarkStored(c, revision)
-	}
-	t.mu.Unlock()
+	t.locked(func() {
+		for _, c := range changes {
+			t.engine.MarkStored(c, revision)
+		}
+	})
 	for _, c := range changes {
 		t.updateMirror(c.ID, values[c.ID], revision)
 	}
@@ -157,20 +156,18 @@
 		case progress.Revision != c.Revision && bytes.Equal(progress.Value, values[c.ID]):
 			// An earlier attempt whose reply was lost has taken effect.
 			t.noteStoredStarts([]engine.Change{c}, sentAt)
-			t.mu.Lock()
-			t.engine.MarkStored(c, progress.Revision)
-			t.mu.Unlock()
+			t.locked(func() { t.engine.MarkStored(c, progress.Revision) })
 			t.updateMirror(c.ID, progress.Value, progress.Revision)
 		case progress.Revision != c.Revision:
 			log.WithFields(log.Fields{"event": "record_conflict", "job": c.ID, "expected": c.Revision, "found": progress.Revision}).Error("another writer has changed a progress record; the term ends")
 			return nil, false
 		case cancelled && c.DependsOnCancel:
 			log.WithFields(log.Fields{"event": "cancelled_before_record", "job": c.ID, "starts": c.HasNewRuns}).Info("job was cancelled before its changes were stored; new runs are retracted")
-			t.mu.Lock()
-			t.engine.ReopenJob(c.ID)
-			t.engine.CancelJob(c.ID, time.Now())
-			t.engine.RetractStarts(c.ID, time.Now())
-			t.mu.Unlock()
+			t.locked(func() {
+				t.engine.ReopenJob(c.ID)
+				t.engine.CancelJob(c.ID, time.Now())
+				t.engine.RetractStarts(c.ID, time.Now())
+			})
 		default:
 			if domains := t.evacuatedDomains(c, evacuated); len(domains) > 0 {
 				log.WithFields(log.Fields{"event": "evacuated_before_record", "job": c.ID, "failure_domains": strings.Join(domains, ",")}).Info("a failure domain was evacuated before runs in it were stored; they are retracted")
--- a/internal/workflow/planner/evacuation.go
+++ b/internal/workflow/planner/evacuation.go
@@ -169,10 +169,9 @@
 	if now.Sub(t.evacuationsReportedAt) < evacuationReportInterval && version == t.evacuationsVersion {
 		return
 	}
-	t.mu.Lock()
-	states := t.engine.Evacuations(now)
-	settled := t.engine.Settled(now)
-	t.mu.Unlock()
+	var states []engine.EvacuationState
+	var settled bool
+	t.locked(func() { states, settled = t.engine.Evacuations(now), t.engine.Settled(now) })
 	t.evacuationsReportedAt, t.evacuationsVersion = now, version
 	inForce := make(map[string]bool, len(states))
 	for _, s := range states {
--- a/internal/workflow/planner/panic_test.go
+++ b/internal/workflow/planner/panic_test.go
@@ -208,6 +208,15 @@
 		},
 		"suspensions":   func(ctx context.Context, tm *term) { tm.confirmStoppedAgents(ctx) },
 		"worker report": func(_ context.Context, tm *term) { tm.followAgent("node-1") },
+		"refused records": func(_ context.Context, tm *term) {
+			cancelled := map[string]store.Record{workflow.CancelPrefix + "a": {Revision: 1}}
+			tm.resolveConflicts([]engine.Change{{ID: "a", DependsOnCancel: true}}, nil, cancelled, time.Now())
+		},
+		"stored records": func(_ context.Context, tm *term) {
+			tm.markStored([]engine.Change{{ID: "a", Progress: new(workflow.Progress)}}, nil, 1)
+		},
+		"clean-up":    func(ctx context.Context, tm *term) { tm.removeOutdatedJobs(ctx) },
+		"evacuations": func(_ context.Context, tm *term) { tm.reportEvacuations(1, time.Now()) },
 	} {
 		t.Run(scope, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
