Keep the planner's lease while the store is slow

Callers saw accepted jobs that nothing ran until the store was fast again, after any change of the planner while each call of the store took some 0.4 s or more.

Cause: the lease lasts for 1 s from the call that grants it. The key is written by the next call, and the first renewal followed 250 ms after that, each renewal after the answer to the one before. With 400 ms a call every term had lost its lease by its first renewal and ended after some 0.7 s, as 'another planner has taken over', before its first changes were stored. A term that had begun earlier went on.

The number of calls is the same while the store is fast.

--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -282,6 +282,12 @@
 	if err != nil {
 		return 0, 0, err
 	}
+	if time.Since(h.acquiredAt) > h.options.LeaseDuration/renewalsPerLease {
+		// The store is so slow that the lease could end before the first renewal of the term arrives.
+		go func() {
+			_ = kernel.Contain("lease renewal", func() error { return h.options.Table.Renew(ctx, lease) })
+		}()
+	}
 	record := workflow.Encode(workflow.PlannerRecord{Entry: h.options.Entry, Address: h.options.Address, KeepsSuspensions: h.formerKept})
 	outcome, err := h.options.Table.Commit(ctx, store.Txn{
 		Conditions: []store.Condition{{Key: workflow.PlannerKey, Revision: revision}},
