Bound the sum of the delays after panics

Callers may see accepted jobs wait beside idle workers after more than three panics on each entry: the delays of 0.25, 0.5, 1 and 2 s add up to 3.75 s, since all entries back off in step.

Change: the delay grows to 0.5 s only, so that four delays in a row take less than the 3 s for which a job may wait. Terms that all panic follow each other at six a second with three entries at most.

--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -40,9 +40,9 @@
 	// has panicked, in which other entries, whose version may differ, can take over. It
 	// doubles up to maxPanicDelay with each further short term that panics, since the
 	// cause may be in the records. All entries may panic in turn, and callers notice when
-	// nobody plans for 3 s.
+	// nobody plans for 3 s, so the first four delays take less than that together.
 	minPanicDelay = 250 * time.Millisecond
-	maxPanicDelay = 2 * time.Second
+	maxPanicDelay = 500 * time.Millisecond
 	// stableTerm is the length of a term from which on a panic does not count as
 	// following from the one before.
 	stableTerm = 10 * time.Second
--- a/internal/workflow/planner/planner_test.go
+++ b/internal/workflow/planner/planner_test.go
@@ -45,17 +45,20 @@
 	}
 }
 
-// Guards against terms that panic without end at the full rate of elections, and against a delay after a panic that
-// alone is as long as accepted jobs may wait beside idle workers.
+// Guards against terms that panic without end at the full rate of elections, and against delays that let accepted jobs
+// wait beside idle workers for longer than they may, after four panics on each entry.
 func TestDelayAfterPanicsGrowsUpToALimit(t *testing.T) {
 	const idleLimit = 3 * time.Second
-	delay := nextPanicDelay(0, time.Millisecond)
-	for range 10 {
+	sum, delay := time.Duration(0), time.Duration(0)
+	for range 4 {
 		next := nextPanicDelay(delay, time.Millisecond)
-		if next <= delay && next != maxPanicDelay || next >= idleLimit {
+		if next <= delay && next != maxPanicDelay {
 			t.Errorf("a delay of %v follows one of %v", next, delay)
 		}
-		delay = next
+		sum, delay = sum+next, next
+	}
+	if delay != maxPanicDelay || sum >= idleLimit {
+		t.Errorf("four delays take %v together, the last one %v", sum, delay)
 	}
 	if after := nextPanicDelay(delay, stableTerm); after != minPanicDelay {
 		t.Errorf("the delay after a long term is %v, expected %v", after, minPanicDelay)
