Know the next job under the id of one whose removal had no answer

A job could stay pending until the next change of the planner, and records of ended jobs could stay in the store: a removal took effect without an answer, and the copy of the records was then listed anew, which shows no deletion if a caller has used the id again. The planner took the record of the next job for that of the ended one, and the ended one made each further removal that included it fail.

Change: an ended job of another acceptance gives way to the next one (the nonce of the record tells them apart), and a removal that is refused drops the jobs whose records are not the expected ones, as that of closings does.

Evidence: TestNextJobUnderTheIDOfARemovedOneIsKnown fails without either change.

--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -229,10 +229,15 @@
 func (e *Engine) SetConfig(c *workflow.Config) { e.config = c }
 
 // AddJob adds an accepted job with its progress record p, nil if it has none, and
-// the revision of that record. It does nothing if the job is known already.
+// the revision of that record. It does nothing if the job is known already. A settled job
+// of an earlier acceptance under the same id is dropped: its records are no longer in the
+// store.
 func (e *Engine) AddJob(id string, rec *workflow.JobRecord, p *workflow.Progress, revision uint64) {
-	if _, ok := e.jobs[id]; ok {
-		return
+	if old := e.jobs[id]; old != nil {
+		if old.rec.Nonce == rec.Nonce || !e.isSettled(old) {
+			return
+		}
+		e.RemoveJob(id)
 	}
 	j := &job{id: id, rec: rec, state: workflow.StatePending, revision: revision}
 	e.jobs[id] = j
--- a/internal/workflow/planner/commit.go
+++ b/internal/workflow/planner/commit.go
@@ -42,15 +42,20 @@
 		txn.Deletes = append(txn.Deletes, workflow.JobPrefix+id, workflow.CancelPrefix+id, workflow.ProgressPrefix+id)
 	}
 	outcome, err := t.host.options.Table.Commit(ctx, txn)
+	if err == nil {
+		t.locked(func() {
+			for id, revision := range jobs {
+				// A job that was removed before, without an answer, makes the transaction fail for the others.
+				if outcome.Committed || outcome.Current[workflow.ProgressPrefix+id].Revision != revision {
+					t.engine.RemoveEndedJob(id)
+				}
+			}
+		})
+	}
 	if err != nil || !outcome.Committed {
 		log.WithFields(log.Fields{"event": "jobs_not_removed", "jobs": len(jobs), "code": int(result.CodeOf(err))}).Warn("records of ended jobs could not be removed; will be tried again")
 		return
 	}
-	t.locked(func() {
-		for id := range jobs {
-			t.engine.RemoveJob(id)
-		}
-	})
 	log.WithFields(log.Fields{"event": "jobs_removed", "jobs": len(jobs), "keep_ms": t.host.options.EndedJobRetention.Milliseconds()}).Info("records of ended jobs removed")
 }
 
--- a/internal/workflow/planner/removal_test.go
+++ b/internal/workflow/planner/removal_test.go
@@ -70,6 +70,29 @@
 	g.Expect(term.engine.TakeChanges()).To(HaveLen(1), "the next job is known")
 }
 
+// Guards against a job that nothing runs because its id was used by a job whose removal had no answer, and against
+// a removal that fails in each attempt because of it: the copy of the records was listed anew and shows no deletion.
+func TestNextJobUnderTheIDOfARemovedOneIsKnown(t *testing.T) {
+	g := NewWithT(t)
+	term, table := newRemovalTerm(t)
+	ended := &workflow.Progress{State: workflow.StateComplete, EndedMS: time.Now().Add(-time.Hour).UnixMilli()}
+	for _, id := range []string{"i", "j"} {
+		table.records[workflow.ProgressPrefix+id] = store.Record{Key: workflow.ProgressPrefix + id, Revision: 5}
+	}
+	term.engine.AddJob("j", &workflow.JobRecord{Job: oneItem, Nonce: 1}, ended, 5)
+	term.removeOutdatedJobs(t.Context()) // has no answer
+	term.engine.AddJob("i", &workflow.JobRecord{Job: oneItem, Nonce: 1}, ended, 5)
+	term.removeOutdatedJobs(t.Context()) // fails because of j
+	term.removeOutdatedJobs(t.Context())
+	g.Expect(table.records).NotTo(HaveKey(workflow.ProgressPrefix + "i"))
+
+	term.engine.AddJob("k", &workflow.JobRecord{Job: oneItem, Nonce: 1}, ended, 5)
+	next := workflow.Encode(workflow.JobRecord{Job: oneItem, Nonce: 2})
+	term.applyEvents([]store.Event{{Record: store.Record{Key: workflow.JobPrefix + "k", Revision: 7, Value: next}}})
+	term.engine.CancelJob("k", time.Now())
+	g.Expect(term.engine.TakeChanges()).To(HaveLen(1), "the next job is known")
+}
+
 // Guards against a running job that is forgotten, so that its items run unplanned, when its record
 // disappears from the store.
 func TestOpenJobOutlivesItsRecord(t *testing.T) {
