Bound the memory that all clients of the HTTP servers hold together

Ruled out: smaller limits for a request, as a single legal request must still be served; a limit of connections alone, as 800 clients with header lines take 672 MB; a limit for lines, which package http doesn't have.

Change: connlimit counts what the clients of all HTTP servers of a process hold: headers by bytes and lines as they are read, bodies as the handler reads them. Above the limit the request that holds most and has not arrived completely is refused: with 503 and code 300 (overloaded), which says that it has not run, while its body arrives, else by closing the connection. A request that has arrived or has been passed on is not ended; the streamed part of a body isn't held and isn't counted. The default is a third of the memory of the runtime: GOMEMLIMIT, or three quarters of the memory of the machine, which becomes the memory limit of the runtime. Settings clients.memory_mb and clients.machine_memory_mb override it. Header fields beyond 100 are counted without being copied.

--- a/cmd/snipegw-agent/main.go
+++ b/cmd/snipegw-agent/main.go
@@ -69,7 +69,7 @@
 	}
 	if s.Workflow != nil {
 		components, err := daemon.AssembleAgent(daemon.Process{
-			ID: s.Workflow.Node, FailureDomain: s.FailureDomain, Listen: s.Address, Address: s.AdvertiseAddress, Security: s.Security,
+			ID: s.Workflow.Node, FailureDomain: s.FailureDomain, Listen: s.Address, Address: s.AdvertiseAddress, Security: s.Security, Clients: s.Clients,
 		}, *s.Workflow)
 		if err != nil {
 			return err
--- a/cmd/snipegw-entry/main.go
+++ b/cmd/snipegw-entry/main.go
@@ -67,7 +67,7 @@
 		return entry.Assemble(s, planner.CheckGuarantees)
 	}
 	return daemon.AssembleEntry(daemon.Process{
-		ID: s.ID, FailureDomain: s.FailureDomain, Listen: s.Address, Address: s.AdvertiseAddress, DebugAddress: s.HTTPAddress, Security: s.Security,
+		ID: s.ID, FailureDomain: s.FailureDomain, Listen: s.Address, Address: s.AdvertiseAddress, DebugAddress: s.HTTPAddress, Security: s.Security, Clients: s.Clients,
 		Reload: func() (daemon.EntrySettings, error) { return entry.LoadWorkflow(settingsFile) },
 	}, *s.Workflow)
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -176,7 +176,9 @@
 	a.localServer = &http.Server{
 		Handler: a.localHandler(), ReadTimeout: localReadTimeout, WriteTimeout: localWriteTimeout, IdleTimeout: localIdleTimeout,
 	}
-	go func() { _ = a.localServer.Serve(ln) }() // ends with a.localServer.Close
+	clients := kernel.NewClientLimiter(a.settings.Clients)
+	a.dumper.Add("clients", func() any { return clients.State() })
+	go func() { _ = clients.Serve(a.localServer, ln, "local") }() // ends with a.localServer.Close
 	return nil
 }
 
--- a/internal/agent/local.go
+++ b/internal/agent/local.go
@@ -33,6 +33,10 @@
 
 func (a *Agent) serveAnnouncement(w http.ResponseWriter, r *http.Request, leave bool, apply func(gate.Announcement) error) {
 	data, err := io.ReadAll(io.LimitReader(r.Body, gate.MaxAnnouncementBytes+1))
+	if result.HasCode(err) {
+		writeResult(w, err)
+		return
+	}
 	if err != nil {
 		writeResult(w, result.Errorf(result.BadRequest, "reading the announcement: %w", err))
 		return
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -40,6 +40,8 @@
 	WorkerAPI workerapi.Settings `json:"worker_api"`
 	Security  transport.Security `json:"security"`
 	LogLevel  string             `json:"log_level,omitempty"`
+	// Clients limits what the clients of the HTTP servers hold together.
+	Clients kernel.ClientSettings `json:"clients"`
 	// Workflow, if set, makes the agent run workflows instead of gangs and requests.
 	// LocalHTTPAddress, Entries and WorkerAPI are not used then.
 	Workflow *daemon.AgentSettings `json:"workflow,omitempty"`
@@ -88,6 +90,7 @@
 		s.validateGangs(faults)
 	}
 	s.Security.Validate("security", faults)
+	s.Clients.Validate("clients", faults)
 	if _, err := log.ParseLevel(s.LogLevel); err != nil {
 		faults.Add("log_level", "must be debug, info, warn or error")
 	}
--- /dev/null
+++ b/internal/connlimit/conn.go
@@ -0,0 +1,150 @@
+package connlimit
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// Estimated memory in bytes for what clients send.
+const (
+	// headerByte is the memory for a byte of a header: the read buffer and the copy in the parsed header.
+	headerByte = 2
+	// headerLine is the memory for a line of a header: the entry of a map that grows by doubling, a slice and two
+	// strings. TestWeightOfHeaderLines measures it.
+	headerLine = 160
+	// bodyByte is the memory for a byte of a body that a handler reads into a growing buffer.
+	bodyByte = 3
+)
+
+// Phases of a connection. The requests of the first three have not arrived completely, and may be refused.
+const (
+	idlePhase int32 = iota
+	receivingHeader
+	receivingBody
+	inProgress // arrived, or passed on in part
+	refused
+	closed
+)
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// conn is the connection of a client.
+type conn struct {
+	net.Conn
+	limiter *Limiter
+	server  string
+	phase   atomic.Int32
+	bytes   atomic.Int64 // memory that is counted in limiter.bytes
+	// lastRead is the memory for the latest bytes read. A part of them may belong to the next request.
+	lastRead      atomic.Int64
+	idleDeadlines atomic.Int32                       // read deadlines set in the idle phase
+	cancel        atomic.Pointer[context.CancelFunc] // of the request whose body is being received
+}
+
+// Read implements net.Conn. It counts the bytes of headers; those of bodies are counted as the handler reads them.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	memory := int64(n)*headerByte + int64(bytes.Count(p[:n], []byte{'\n'}))*headerLine
+	// The server reads a single byte ahead to notice the end of a connection.
+	if len(p) == 1 {
+		c.lastRead.Add(memory)
+	} else {
+		c.lastRead.Store(memory)
+	}
+	c.phase.CompareAndSwap(idlePhase, receivingHeader)
+	if c.phase.Load() == receivingHeader {
+		c.hold(memory)
+	}
+	return n, err
+}
+
+// SetReadDeadline implements net.Conn. Between two requests package http sets a deadline for the wait, and another
+// one when the next request begins. If that hasn't read anything, the request was sent with the former one, and is a part of
+// what was read last.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	if c.phase.Load() == idlePhase && c.idleDeadlines.Add(1) == 2 && c.phase.CompareAndSwap(idlePhase, receivingHeader) {
+		c.hold(c.lastRead.Load())
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// hold counts memory for the request of c, which may be refused for it.
+func (c *conn) hold(memory int64) {
+	c.bytes.Add(memory)
+	if c.limiter.bytes.Add(memory) > c.limiter.maxBytes {
+		c.limiter.relieve()
+	}
+}
+
+// release ends the count of what c holds.
+func (c *conn) release() { c.limiter.bytes.Add(-c.bytes.Swap(0)) }
+
+// setIdle is called after the response.
+func (c *conn) setIdle() {
+	c.release()
+	c.idleDeadlines.Store(0)
+	for _, p := range []int32{inProgress, receivingBody, receivingHeader} {
+		if c.phase.CompareAndSwap(p, idlePhase) {
+			return
+		}
+	}
+	_ = c.Conn.Close()
+}
+
+// close closes the connection, and reports false if its request has arrived in the meantime.
+func (c *conn) close() bool {
+	for _, p := range []int32{idlePhase, receivingHeader, receivingBody} {
+		if c.phase.CompareAndSwap(p, closed) {
+			c.cancelRequest()
+			_ = c.Conn.Close()
+			c.release()
+			return true
+		}
+	}
+	return false
+}
+
+// refuse ends the request of c: the handler can still respond if it has been called, else the connection is closed. It
+// reports false if the request has arrived in the meantime.
+func (c *conn) refuse() bool {
+	if !c.phase.CompareAndSwap(receivingBody, refused) {
+		return c.close()
+	}
+	_ = c.Conn.SetReadDeadline(past)
+	c.cancelRequest()
+	c.release()
+	return true
+}
+
+func (c *conn) cancelRequest() {
+	if cancel := c.cancel.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
+// keep protects the request of c from being refused. It reports false if it has been.
+func (c *conn) keep() bool {
+	return c.phase.CompareAndSwap(receivingBody, inProgress) || c.phase.Load() == inProgress
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.phase.Store(closed)
+	c.limiter.remove(c)
+	return c.Conn.Close()
+}
+
+// CloseWrite lets the server deliver a response before it closes a connection with unread data.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/connlimit/server.go
@@ -0,0 +1,113 @@
+package connlimit
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"snipegw/internal/result"
+)
+
+type connKey struct{}
+
+// Serve serves ln with s like http.Server.Serve, within the limits of l. The name of the server is that in reports.
+func (l *Limiter) Serve(s *http.Server, ln net.Listener, name string) error {
+	handler := s.Handler
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serve(handler, w, r) })
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if c, ok := c.(*conn); ok && state == http.StateIdle {
+			c.setIdle()
+		}
+	}
+	return s.Serve(&listener{Listener: ln, limiter: l, server: name})
+}
+
+type listener struct {
+	net.Listener
+	limiter *Limiter
+	server  string
+}
+
+// Accept implements net.Listener.
+func (ln *listener) Accept() (net.Conn, error) {
+	raw, err := ln.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return ln.limiter.admit(raw, ln.server), nil
+}
+
+// serve calls the handler for a request whose header has arrived.
+func serve(handler http.Handler, w http.ResponseWriter, r *http.Request) {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok {
+		handler.ServeHTTP(w, r)
+		return
+	}
+	next := receivingBody
+	if r.Body == nil || r.Body == http.NoBody {
+		next = inProgress
+	}
+	ctx := r.Context()
+	if next == receivingBody {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		c.cancel.Store(&cancel)
+		defer c.cancel.Store(nil)
+	}
+	if !c.phase.CompareAndSwap(receivingHeader, next) && !c.phase.CompareAndSwap(idlePhase, next) {
+		panic(http.ErrAbortHandler) // refused
+	}
+	if next == inProgress {
+		handler.ServeHTTP(w, r)
+		return
+	}
+	r = r.WithContext(ctx)
+	b := &body{ReadCloser: r.Body, conn: c}
+	r.Body = b
+	handler.ServeHTTP(w, r)
+	if !b.ended.Load() {
+		// The server reads the rest of the body before it sends the response. If the rest is refused, it sends it at once.
+		c.phase.CompareAndSwap(inProgress, receivingBody)
+	}
+}
+
+// errRefused is the error of a request that is refused for the memory that it holds.
+var errRefused = result.Errorf(result.Overloaded, "the requests that have not arrived completely hold too much memory, and this one most; send it again")
+
+// body counts what the handler reads.
+type body struct {
+	io.ReadCloser
+	conn  *conn
+	ended atomic.Bool
+}
+
+// Read implements io.Reader. Its errors that have a code say that the request has not run, as long as Keep has not been
+// called.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 && b.conn.phase.Load() == receivingBody {
+		b.conn.hold(int64(n) * bodyByte)
+	}
+	ended := err == io.EOF && b.conn.keep()
+	if p := b.conn.phase.Load(); p == refused || p == closed {
+		return n, errRefused
+	}
+	if ended {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
+// Keep must be called before the request of ctx is passed on: it protects the request from being refused, and ends the count
+// of its body, which is no longer held. It fails with code Overloaded if the request has been refused.
+func Keep(ctx context.Context) error {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok && !c.keep() {
+		return errRefused
+	}
+	return nil
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -105,11 +105,13 @@
 	}
 	budget := router.NewRetryBudget()
 	dumper := kernel.NewDumper()
+	clients := kernel.NewClientLimiter(s.Clients)
 	api := httpapi.New(httpapi.Options{
-		Address: s.HTTPAddress, Members: membership, Config: configManager, Jobs: jobHost, Dumper: dumper,
+		Address: s.HTTPAddress, Members: membership, Config: configManager, Jobs: jobHost, Dumper: dumper, Clients: clients,
 		Forwarder: &forward.Forwarder{Router: routes, Pool: deps.network.Pool, Budget: budget},
 	})
 	dumper.Add("entry", func() any { return self })
+	dumper.Add("clients", func() any { return clients.State() })
 	dumper.Add("members", func() any { return membership.View() })
 	dumper.Add("planner", jobHost.DumpState)
 	dumper.Add("routing", func() any { return routes.Counts() })
--- a/internal/entry/forward/body.go
+++ b/internal/entry/forward/body.go
@@ -33,7 +33,8 @@
 
 // readBody reads up to maxBufferedBodyBytes of src. The length is that of the whole
 // body, or -1 if unknown, and limit its maximum; both are in bytes. It fails with
-// result.BodyTooLarge, or with ErrCallerDisconnected if src fails.
+// result.BodyTooLarge, with the error of src if that has a code, or with
+// ErrCallerDisconnected.
 func readBody(src io.Reader, length, limit int64) (*body, error) {
 	if length > limit {
 		return nil, result.Errorf(result.BodyTooLarge, "the body of %d bytes exceeds the limit of %d; send a smaller one", length, limit)
@@ -54,6 +55,9 @@
 		b.length = n
 	case err != nil:
 		b.returnBuffer()
+		if result.HasCode(err) {
+			return nil, err
+		}
 		return nil, fmt.Errorf("%w: %w", ErrCallerDisconnected, err)
 	case n == length:
 	default:
--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -56,6 +56,8 @@
 	BodyBytes int64
 	// MaxBodyBytes is the maximum length of Body.
 	MaxBodyBytes int64
+	// BeforeSend, unless nil, is called before the request is first sent to a worker. An error ends the request.
+	BeforeSend func() error
 }
 
 // Responder receives the response to a request and passes it on to the caller.
@@ -134,8 +136,18 @@
 	}
 }
 
+func (c *call) beforeSend() error {
+	if c.req.BeforeSend == nil {
+		return nil
+	}
+	return c.req.BeforeSend()
+}
+
 // runWithRetries tries workers until one answers or the request must not be retried.
 func (c *call) runWithRetries(ctx context.Context) error {
+	if err := c.beforeSend(); err != nil {
+		return err
+	}
 	for {
 		if ctx.Err() != nil {
 			return c.deadlineError(ctx)
--- a/internal/entry/forward/ticket.go
+++ b/internal/entry/forward/ticket.go
@@ -32,6 +32,9 @@
 // at the worker that issued the ticket. If that worker does not answer, the outcome
 // is unknown even if nothing was sent, since the ticket may have been used before.
 func (c *call) runTicket(ctx context.Context) error {
+	if err := c.beforeSend(); err != nil {
+		return err
+	}
 	t, err := wire.ParseTicket(c.req.Ticket)
 	if err != nil {
 		return err
--- a/internal/entry/httpapi/reply.go
+++ b/internal/entry/httpapi/reply.go
@@ -86,6 +86,9 @@
 	if errors.As(err, &tooLarge) {
 		return result.Errorf(result.BodyTooLarge, "the body exceeds the limit of %d bytes; send a smaller one", maxJSONBytes)
 	}
+	if result.HasCode(err) {
+		return err
+	}
 	if err != nil {
 		return result.Errorf(result.BadRequest, "the body cannot be read: %w", err)
 	}
--- a/internal/entry/httpapi/request.go
+++ b/internal/entry/httpapi/request.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"snipegw/internal/connlimit"
 	"snipegw/internal/entry/auth"
 	"snipegw/internal/entry/forward"
 	"snipegw/internal/result"
@@ -133,6 +134,7 @@
 		Body:         r.Body,
 		BodyBytes:    r.ContentLength,
 		MaxBodyBytes: s.maxBodyBytes(),
+		BeforeSend:   func() error { return connlimit.Keep(r.Context()) },
 	}, timeout, nil
 }
 
@@ -188,17 +190,21 @@
 // forwardedHeader returns the header fields that are passed on to the backend server.
 func forwardedHeader(r *http.Request) ([]wire.HeaderField, error) {
 	named := fieldsNamedByConnection(r.Header)
-	fields := make([]wire.HeaderField, 0, len(r.Header)+1)
+	fields := make([]wire.HeaderField, 0, min(len(r.Header), maxHeaderFields)+1)
+	count := 0
 	for name, values := range r.Header {
 		if notForwarded[name] || strings.HasPrefix(name, headerPrefix) || named[name] {
 			continue
 		}
+		if count += len(values); count > maxHeaderFields {
+			continue
+		}
 		for _, v := range values {
 			fields = append(fields, wire.HeaderField{Name: name, Value: v})
 		}
 	}
-	if len(fields) > maxHeaderFields {
-		return nil, result.Errorf(result.BadRequest, "the request has %d header fields and may have at most %d", len(fields), maxHeaderFields)
+	if count > maxHeaderFields {
+		return nil, result.Errorf(result.BadRequest, "the request has %d header fields and may have at most %d", count, maxHeaderFields)
 	}
 	if r.Host != "" {
 		fields = append(fields, wire.HeaderField{Name: "X-Forwarded-Host", Value: r.Host})
--- a/internal/entry/httpapi/server.go
+++ b/internal/entry/httpapi/server.go
@@ -14,6 +14,7 @@
 	"github.com/apex/log"
 
 	"snipegw/internal/config"
+	"snipegw/internal/connlimit"
 	"snipegw/internal/entry/auth"
 	"snipegw/internal/entry/forward"
 	"snipegw/internal/entry/limits"
@@ -48,6 +49,8 @@
 	Jobs      jobs.Service
 	Forwarder *forward.Forwarder
 	Dumper    *kernel.Dumper
+	// Clients limits what the callers of all requests hold together.
+	Clients *connlimit.Limiter
 	// DrainDelay is the time from the failure of /healthz until new requests are
 	// refused. 0 means defaultDrainDelay.
 	DrainDelay time.Duration
@@ -72,6 +75,9 @@
 	if o.DrainDelay == 0 {
 		o.DrainDelay = defaultDrainDelay
 	}
+	if o.Clients == nil {
+		o.Clients = kernel.NewClientLimiter(kernel.ClientSettings{})
+	}
 	s := &Server{Options: o, started: time.Now()}
 	s.limits.Store(&model.Limits{})
 	if c := o.Config.Current(); c != nil {
@@ -114,7 +120,7 @@
 	}
 	s.listener = l
 	go func() {
-		if err := s.httpServer.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Clients.Serve(s.httpServer, l, s.Name()); !errors.Is(err, http.ErrServerClosed) {
 			log.WithFields(log.Fields{"event": "http_failed", "error": err.Error()}).Error("the HTTP server of the entry failed and serves no more requests")
 		}
 	}()
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -41,6 +41,8 @@
 	// Policy is the name of the scheduling policy.
 	Policy   string `json:"policy"`
 	LogLevel string `json:"log_level"`
+	// Clients limits what callers and operators hold together.
+	Clients kernel.ClientSettings `json:"clients"`
 	// BootstrapConfig is the path of a file with the initial configuration document.
 	// The document is written to the store if the store has none.
 	BootstrapConfig string `json:"bootstrap_config"`
@@ -105,6 +107,7 @@
 		s.validateStore(faults)
 	}
 	s.Security.Validate("security", faults)
+	s.Clients.Validate("clients", faults)
 	if !slices.Contains(framework.Policies.Names(), s.Policy) {
 		faults.Add("policy", "unknown policy %q, known: %v", s.Policy, framework.Policies.Names())
 	}
--- a/internal/kernel/components.go
+++ b/internal/kernel/components.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/apex/log"
+
+	"snipegw/internal/connlimit"
 )
 
 // Loops is a Component that runs each function of Funcs in a goroutine until Stop
@@ -53,11 +55,12 @@
 )
 
 // HTTPServer is a Component that serves Handler on the TCP address Address. Label
-// is the component name.
+// is the component name. Clients limits its clients, beside those of other servers.
 type HTTPServer struct {
 	Label   string
 	Address string
 	Handler http.Handler
+	Clients *connlimit.Limiter
 	server  *http.Server
 }
 
@@ -72,7 +75,7 @@
 	}
 	s.server = &http.Server{Handler: s.Handler, ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: httpMaxHeaderBytes}
 	go func() {
-		if err := s.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Clients.Serve(s.server, ln, s.Label); !errors.Is(err, http.ErrServerClosed) {
 			log.WithFields(log.Fields{"event": "http_failed", "address": s.Address, "error": err.Error()}).Error("HTTP server stopped unexpectedly")
 		}
 	}()
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -229,6 +229,12 @@
 	return Internal
 }
 
+// HasCode reports whether the chain of err holds an *Error.
+func HasCode(err error) bool {
+	var e *Error
+	return errors.As(err, &e)
+}
+
 // MessageOf returns the message of err without its code. It is empty for nil.
 func MessageOf(err error) string {
 	var e *Error
--- a/internal/workflow/daemon/daemon.go
+++ b/internal/workflow/daemon/daemon.go
@@ -32,6 +32,8 @@
 	// DebugAddress is the address of the state dump and the metrics.
 	DebugAddress string
 	Security     transport.Security
+	// Clients limits the clients of the HTTP servers.
+	Clients kernel.ClientSettings
 	// Reload reads the settings of an entry again; nil disables reloading.
 	Reload func() (EntrySettings, error)
 }
@@ -83,7 +85,9 @@
 		in.SetAdmission(s.Admission)
 	}
 	in.Subscribe()
+	clients := kernel.NewClientLimiter(p.Clients)
 	dumper := kernel.NewDumper()
+	dumper.Add("clients", func() any { return clients.State() })
 	dumper.Add("planner", plannerHost.State)
 	dumper.Add("peers", func() any { return table.Peers() })
 	dumper.Add("admission", in.AdmissionState)
@@ -95,8 +99,8 @@
 		network,
 		entries,
 		&kernel.Loops{Label: "mirrors", Funcs: []func(context.Context){configMirror.Run, recordMirror.Run, registration.run}},
-		&kernel.HTTPServer{Label: "debug", Address: p.DebugAddress, Handler: debug},
-		intake.NewServer(in, front, s.FrontAddress, s.ReadyAddress),
+		&kernel.HTTPServer{Label: "debug", Address: p.DebugAddress, Handler: debug, Clients: clients},
+		intake.NewServer(in, front, s.FrontAddress, s.ReadyAddress, clients),
 		plannerHost,
 	}, nil
 }
@@ -148,7 +152,7 @@
 	}}
 	return []kernel.Component{
 		network,
-		&kernel.HTTPServer{Label: "announcements", Address: s.ControlAddress, Handler: announcements(r)},
+		&kernel.HTTPServer{Label: "announcements", Address: s.ControlAddress, Handler: announcements(r), Clients: kernel.NewClientLimiter(p.Clients)},
 		&kernel.Loops{Label: "runner", Funcs: []func(context.Context){r.Run}},
 		presence,
 	}, nil
--- a/internal/workflow/intake/server.go
+++ b/internal/workflow/intake/server.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"snipegw/internal/connlimit"
 	"snipegw/internal/kernel"
 )
 
@@ -25,13 +26,13 @@
 }
 
 // NewServer returns a Server that listens for callers on frontAddress and for
-// readiness checks on readyAddress.
-func NewServer(in *Intake, front func(*Intake) (callers, ready http.Handler), frontAddress, readyAddress string) *Server {
+// readiness checks on readyAddress, within the limits of clients.
+func NewServer(in *Intake, front func(*Intake) (callers, ready http.Handler), frontAddress, readyAddress string, clients *connlimit.Limiter) *Server {
 	callers, ready := front(in)
 	return &Server{
 		intake:  in,
-		callers: kernel.HTTPServer{Label: "callers", Address: frontAddress, Handler: callers},
-		ready:   kernel.HTTPServer{Label: "readiness", Address: readyAddress, Handler: ready},
+		callers: kernel.HTTPServer{Label: "callers", Address: frontAddress, Handler: callers, Clients: clients},
+		ready:   kernel.HTTPServer{Label: "readiness", Address: readyAddress, Handler: ready, Clients: clients},
 	}
 }
 
