Limit the connections of clients by the descriptors of the process

Cause: nothing limits the connections of clients; those of an unfinished request stay open as long as the client likes.

Change: at the limit the connection that has been without a request for the longest time is closed to admit a new one, else the one whose request has been unfinished for the longest time, never one whose request has arrived or has been passed on. If there is none, the new one is closed. The default is three quarters of the descriptors of the process, or what fits into a third of the memory of the runtime (20 kB for a connection) if that is less; clients.connections overrides it. Ruled out: refusing new connections at the limit, since clients that stay would lock out all others.

Test: TestLongestConnectionIsClosed; it fails if a request in progress may be closed.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -38,6 +38,7 @@
 	limiter *Limiter
 	server  string
 	phase   atomic.Int32
+	since   atomic.Int64 // Unix nanoseconds of the start of the idle phase or the request
 	bytes   atomic.Int64 // memory that is counted in limiter.bytes
 	// lastRead is the memory for the latest bytes read. A part of them may belong to the next request.
 	lastRead      atomic.Int64
@@ -58,7 +59,9 @@
 	} else {
 		c.lastRead.Store(memory)
 	}
-	c.phase.CompareAndSwap(idlePhase, receivingHeader)
+	if c.phase.CompareAndSwap(idlePhase, receivingHeader) {
+		c.since.Store(time.Now().UnixNano())
+	}
 	if c.phase.Load() == receivingHeader {
 		c.hold(memory)
 	}
@@ -70,6 +73,7 @@
 // what was read last.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	if c.phase.Load() == idlePhase && c.idleDeadlines.Add(1) == 2 && c.phase.CompareAndSwap(idlePhase, receivingHeader) {
+		c.since.Store(time.Now().UnixNano())
 		c.hold(c.lastRead.Load())
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -90,6 +94,7 @@
 func (c *conn) setIdle() {
 	c.release()
 	c.idleDeadlines.Store(0)
+	c.since.Store(time.Now().UnixNano())
 	for _, p := range []int32{inProgress, receivingBody, receivingHeader} {
 		if c.phase.CompareAndSwap(p, idlePhase) {
 			return
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -102,7 +102,7 @@
 // Guards against unfinished bodies that together exceed the memory: the heaviest is refused, the others go on.
 func TestHeaviestUnfinishedBodyIsRefused(t *testing.T) {
 	g := NewWithT(t)
-	l := New(100_000, nil)
+	l := New(100_000, 100, nil)
 	address := start(t, l, readBody)
 	heavy := dial(t, address, post(30_001, strings.Repeat("x", 30_000)))
 	holding(t, l, 90_000)
@@ -116,7 +116,7 @@
 // Guards against unfinished headers that together exceed the memory, and against a count that isn't ended.
 func TestHeaviestUnfinishedHeaderIsClosed(t *testing.T) {
 	g := NewWithT(t)
-	l := New(200_000, nil)
+	l := New(200_000, 100, nil)
 	address := start(t, l, readBody)
 	heavy := dial(t, address, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\r\n", 1000))
 	holding(t, l, 150_000)
@@ -131,7 +131,7 @@
 // Guards against a request that is refused after it has arrived, or after it has been passed on in part.
 func TestRequestInProgressIsKept(t *testing.T) {
 	g := NewWithT(t)
-	l := New(100_000, nil)
+	l := New(100_000, 100, nil)
 	finish := make(chan struct{})
 	address := start(t, l, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/" {
@@ -166,7 +166,7 @@
 // response.
 func TestBodyLeftByItsHandlerIsRefused(t *testing.T) {
 	g := NewWithT(t)
-	l := New(50_000, nil)
+	l := New(50_000, 100, nil)
 	kept := make(chan struct{}, 2)
 	address := start(t, l, func(_ http.ResponseWriter, r *http.Request) {
 		g.Expect(Keep(r.Context())).To(Succeed())
@@ -183,7 +183,7 @@
 
 // Guards against header lines of a next request that are sent with a first one and not counted.
 func TestLinesBehindARequestAreCounted(t *testing.T) {
-	l := New(1<<20, nil)
+	l := New(1<<20, 100, nil)
 	address := start(t, l, readBody)
 	c := dial(t, address, get+"GET / HTTP/1.1\r\n"+strings.Repeat("a:\r\n", 500))
 	NewWithT(t).Expect(c.status()).To(Equal(http.StatusOK))
@@ -192,7 +192,7 @@
 
 // Guards against connections without a request that are counted for a former one, and closed for it.
 func TestIdleConnectionHoldsNothing(t *testing.T) {
-	l := New(1<<20, nil)
+	l := New(1<<20, 100, nil)
 	address := start(t, l, readBody)
 	c := dial(t, address, post(1000, strings.Repeat("\n", 1000)))
 	for range 2 {
@@ -225,3 +225,36 @@
 	NewWithT(t).Expect(held).To(BeNumerically("<", weight))
 	runtime.KeepAlive(headers)
 }
+
+// Guards against connections that use up the descriptors: the one that is idle for the longest time is closed, then the
+// one whose request is unfinished for the longest time, and never one whose request is in progress.
+func TestLongestConnectionIsClosed(t *testing.T) {
+	g := NewWithT(t)
+	l := New(1<<20, 3, nil)
+	entered, finish := make(chan struct{}, 1), make(chan struct{})
+	address := start(t, l, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/busy" {
+			entered <- struct{}{}
+			<-finish
+		}
+		readBody(w, r)
+	})
+	busy := dial(t, address, strings.Replace(get, "/", "/busy", 1))
+	<-entered
+	unfinished := dial(t, address, post(2, "x"))
+	inPhase(t, l, receivingBody, 1)
+	idle := dial(t, address, get)
+	g.Expect(idle.status()).To(Equal(http.StatusOK))
+	inPhase(t, l, idlePhase, 1)
+	second := dial(t, address, post(2, "x"))
+	g.Expect(idle.status()).To(Equal(0))
+	inPhase(t, l, receivingBody, 2)
+	third := dial(t, address, get)
+	g.Expect(unfinished.status()).To(Equal(0))
+	g.Expect(third.status()).To(Equal(http.StatusOK))
+	second.send("x")
+	g.Expect(second.status()).To(Equal(http.StatusOK))
+	close(finish)
+	g.Expect(busy.status()).To(Equal(http.StatusOK))
+	g.Expect(l.State().Refused).To(Equal(map[string]uint64{ReasonConnections: 2}))
+}
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -1,5 +1,5 @@
-// Package connlimit bounds the memory that the clients of HTTP servers hold together with requests that have not
-// arrived completely. The limits of single requests don't bound it, since clients may send any
+// Package connlimit bounds what the clients of HTTP servers hold together: memory for requests that have not
+// arrived completely, and connections. The limits of single requests don't bound it, since clients may send any
 // number of requests at once and stop before their end.
 package connlimit
 
@@ -7,37 +7,43 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
-// ReasonMemory is the reason for which a Limiter refuses a request.
-const ReasonMemory = "memory"
+// Reasons for which a Limiter refuses a request or closes a connection.
+const (
+	ReasonMemory      = "memory"
+	ReasonConnections = "connections"
+)
 
-// Limiter bounds the memory of the clients of all servers that share it. It is safe for concurrent
+// Limiter bounds the memory and the connections of the clients of all servers that share it. It is safe for concurrent
 // use.
 type Limiter struct {
-	maxBytes    int64
-	report      func(server, reason string)
-	bytes       atomic.Int64
-	mu          sync.Mutex
-	connections map[*conn]struct{}
-	refused     map[string]uint64 // by reason
+	maxBytes       int64
+	maxConnections int
+	report         func(server, reason string)
+	bytes          atomic.Int64
+	mu             sync.Mutex
+	connections    map[*conn]struct{}
+	refused        map[string]uint64 // by reason
 }
 
-// New returns a Limiter for maxBytes of memory, as estimated from what clients send.
+// New returns a Limiter for maxBytes of memory, as estimated from what clients send, and maxConnections connections.
 // It calls report, if it isn't nil, for each request that it refuses and each connection that it closes.
-func New(maxBytes int64, report func(server, reason string)) *Limiter {
+func New(maxBytes int64, maxConnections int, report func(server, reason string)) *Limiter {
 	if report == nil {
 		report = func(string, string) {}
 	}
-	return &Limiter{maxBytes: maxBytes, report: report, connections: make(map[*conn]struct{}), refused: make(map[string]uint64)}
+	return &Limiter{maxBytes: maxBytes, maxConnections: maxConnections, report: report, connections: make(map[*conn]struct{}), refused: make(map[string]uint64)}
 }
 
 // State is the state of a Limiter for the state dump.
 type State struct {
-	Bytes       int64             `json:"bytes"`
-	MaxBytes    int64             `json:"max_bytes"`
-	Connections int               `json:"connections"`
-	Refused     map[string]uint64 `json:"refused"`
+	Bytes          int64             `json:"bytes"`
+	MaxBytes       int64             `json:"max_bytes"`
+	Connections    int               `json:"connections"`
+	MaxConnections int               `json:"max_connections"`
+	Refused        map[string]uint64 `json:"refused"`
 }
 
 // State returns the state of l.
@@ -48,14 +54,19 @@
 	for reason, n := range l.refused {
 		refused[reason] = n
 	}
-	return State{Bytes: l.bytes.Load(), MaxBytes: l.maxBytes, Connections: len(l.connections), Refused: refused}
+	return State{Bytes: l.bytes.Load(), MaxBytes: l.maxBytes, Connections: len(l.connections), MaxConnections: l.maxConnections, Refused: refused}
 }
 
-// admit returns the connection of a new client.
+// admit returns the connection of a new client, or nil if it must be closed: no other one can be.
 func (l *Limiter) admit(raw net.Conn, server string) *conn {
 	c := &conn{Conn: raw, limiter: l, server: server}
+	c.since.Store(time.Now().UnixNano())
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(l.connections) >= l.maxConnections && !l.closeLongest() {
+		l.count(server, ReasonConnections)
+		return nil
+	}
 	l.connections[c] = struct{}{}
 	return c
 }
@@ -66,6 +77,32 @@
 	l.report(server, reason)
 }
 
+// closeLongest closes the connection that has been without a request for the longest time, or if there is none,
+// the one whose request has been incomplete for the longest time. The caller holds l.mu.
+func (l *Limiter) closeLongest() bool {
+	for {
+		var longest *conn
+		var idle bool
+		for c := range l.connections {
+			p := c.phase.Load()
+			if p > receivingBody {
+				continue
+			}
+			if longest == nil || (p == idlePhase) && !idle || (p == idlePhase) == idle && c.since.Load() < longest.since.Load() {
+				longest, idle = c, p == idlePhase
+			}
+		}
+		if longest == nil {
+			return false
+		}
+		if longest.close() {
+			delete(l.connections, longest)
+			l.count(longest.server, ReasonConnections)
+			return true
+		}
+	}
+}
+
 // relieve refuses requests that have not arrived completely, the one that holds most memory first, until the
 // clients hold no more than maxBytes or no such request is left.
 func (l *Limiter) relieve() {
--- a/internal/connlimit/server.go
+++ b/internal/connlimit/server.go
@@ -33,11 +33,16 @@
 
 // Accept implements net.Listener.
 func (ln *listener) Accept() (net.Conn, error) {
-	raw, err := ln.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := ln.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := ln.limiter.admit(raw, ln.server); c != nil {
+			return c, nil
+		}
+		_ = raw.Close()
 	}
-	return ln.limiter.admit(raw, ln.server), nil
 }
 
 // serve calls the handler for a request whose header has arrived.
--- a/internal/kernel/clients.go
+++ b/internal/kernel/clients.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -25,8 +26,16 @@
 	// clientMemoryDivisor is the part of the runtime's memory that clients may hold. The garbage collector needs
 	// as much again, and the rest is for the work of the process.
 	clientMemoryDivisor = 3
-	// minClientMemoryMB keeps room for any single legal request.
-	minClientMemoryMB = 8
+	// connectionBytes is the memory for a connection without a request, and connectionMemoryDivisor the part of the
+	// runtime's memory for all connections.
+	connectionBytes         = 20 << 10
+	connectionMemoryDivisor = 3
+	// descriptorShare is the share of the descriptors, in percent, for the connections of clients; the rest is for those to
+	// other processes and for files.
+	descriptorShare = 75
+	// minClientMemoryMB and minClientConnections keep room for any single legal request, and for health checks.
+	minClientMemoryMB    = 8
+	minClientConnections = 16
 	// minMachineMemoryMB is enough for a process without clients.
 	minMachineMemoryMB = 64
 	// clientLogInterval is the minimum interval between two log lines of one server for one reason.
@@ -34,12 +43,14 @@
 )
 
 // ClientSettings bound what the clients of all HTTP servers of a process hold together. 0 selects a default
-// for the memory that the process has.
+// for the memory and the descriptors that the process has.
 type ClientSettings struct {
 	// MachineMemoryMB is the memory of the machine, for processes that cannot see it. With 0 it is read from the system.
 	MachineMemoryMB int64 `json:"machine_memory_mb"`
 	// MemoryMB limits the memory for requests that have not arrived completely or are in progress.
 	MemoryMB int64 `json:"memory_mb"`
+	// Connections limits the open connections.
+	Connections int `json:"connections"`
 }
 
 // Validate appends the faults of s to faults; path is the path of s in the settings file.
@@ -50,6 +61,9 @@
 	if s.MemoryMB != 0 && (s.MemoryMB < minClientMemoryMB || s.MemoryMB > math.MaxInt64>>20) {
 		faults.Add(path+".memory_mb", "must be 0 or at least %d", minClientMemoryMB)
 	}
+	if s.Connections != 0 && s.Connections < minClientConnections {
+		faults.Add(path+".connections", "must be 0 or at least %d", minClientConnections)
+	}
 }
 
 // NewClientLimiter returns the limiter for the clients of a process. It makes the garbage collector keep within the
@@ -60,8 +74,12 @@
 	if s.MemoryMB > 0 {
 		clientBytes = s.MemoryMB << 20
 	}
+	connections := max(min(descriptorLimit()/100*descriptorShare, int(min(memory/connectionMemoryDivisor/connectionBytes, math.MaxInt32))), minClientConnections)
+	if s.Connections > 0 {
+		connections = s.Connections
+	}
 	reports := clientReports{latest: make(map[[2]string]time.Time)}
-	return connlimit.New(clientBytes, reports.report)
+	return connlimit.New(clientBytes, connections, reports.report)
 }
 
 // clientReports counts and logs what a limiter refuses.
@@ -126,3 +144,12 @@
 	}
 	return memory
 }
+
+// descriptorLimit returns the limit of open descriptors of the process.
+func descriptorLimit() int {
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+		return math.MaxInt32
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
--- a/internal/kernel/clients_test.go
+++ b/internal/kernel/clients_test.go
@@ -12,11 +12,11 @@
 func TestClientLimits(t *testing.T) {
 	g := NewWithT(t)
 	var faults ValidationErrors
-	ClientSettings{MachineMemoryMB: 63, MemoryMB: 7}.Validate("clients", &faults)
-	g.Expect(faults).To(HaveLen(2))
+	ClientSettings{MachineMemoryMB: 63, MemoryMB: 7, Connections: -1}.Validate("clients", &faults)
+	g.Expect(faults).To(HaveLen(3))
 	faults = nil
 	ClientSettings{}.Validate("clients", &faults)
-	ClientSettings{MemoryMB: 8}.Validate("clients", &faults)
+	ClientSettings{MemoryMB: 8, Connections: 16}.Validate("clients", &faults)
 	g.Expect(faults).To(BeEmpty())
 
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(math.MaxInt64))
@@ -25,8 +25,10 @@
 	g.Expect(debug.SetMemoryLimit(213e6)).To(BeNumerically("~", 210<<20, 1<<10))
 	state = NewClientLimiter(ClientSettings{MachineMemoryMB: 1000}).State()
 	g.Expect(state.MaxBytes).To(BeEquivalentTo(71e6), "the limit of the environment counts")
-	state = NewClientLimiter(ClientSettings{MemoryMB: 9}).State()
+	g.Expect(state.MaxConnections).To(And(BeNumerically(">=", minClientConnections), BeNumerically("<", descriptorLimit())))
+	state = NewClientLimiter(ClientSettings{MemoryMB: 9, Connections: 17}).State()
 	g.Expect(state.MaxBytes).To(BeEquivalentTo(9 << 20))
+	g.Expect(state.MaxConnections).To(Equal(17))
 }
 
 // Guards against a memory of the machine that isn't found.
