Limit the time in which the body of a request must arrive

Cause: headers have a time limit, bodies have none. The time limit of a call ends its context, but not a read of its body; and after an early response the server itself reads up to 256 kB of the rest, before it sends the response, and holds the parsed header.

Change: a body must arrive within the time limit of its call and a second, so that the caller is told of the former; within 61 s for other calls of the HTTP API, 2 s at the agent's local server as before, and 30 s elsewhere. A read after that fails with code 304 (deadline_not_run, status 504), which is true before the request has been passed on; the response of a handler that leaves the body is sent then.

Tests: TestBodyEndsWithItsTimeLimit; TestTimeLimitEndsWithTheBody guards against a deadline that would end a request in progress.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -178,7 +178,7 @@
 	}
 	clients := kernel.NewClientLimiter(a.settings.Clients)
 	a.dumper.Add("clients", func() any { return clients.State() })
-	go func() { _ = clients.Serve(a.localServer, ln, "local") }() // ends with a.localServer.Close
+	go func() { _ = clients.Serve(a.localServer, ln, "local", localReadTimeout) }() // ends with a.localServer.Close
 	return nil
 }
 
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -18,12 +18,12 @@
 )
 
 // start serves handler and returns its address.
-func start(t *testing.T, l *Limiter, handler http.HandlerFunc) string {
+func start(t *testing.T, l *Limiter, bodyTimeout time.Duration, handler http.HandlerFunc) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	s := &http.Server{Handler: handler, MaxHeaderBytes: 64 << 10, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}
-	go func() { _ = l.Serve(s, ln, "test") }()
+	go func() { _ = l.Serve(s, ln, "test", bodyTimeout) }()
 	t.Cleanup(func() { _ = s.Close() })
 	return ln.Addr().String()
 }
@@ -103,7 +103,7 @@
 func TestHeaviestUnfinishedBodyIsRefused(t *testing.T) {
 	g := NewWithT(t)
 	l := New(100_000, 100, nil)
-	address := start(t, l, readBody)
+	address := start(t, l, time.Minute, readBody)
 	heavy := dial(t, address, post(30_001, strings.Repeat("x", 30_000)))
 	holding(t, l, 90_000)
 	light := dial(t, address, post(10_001, strings.Repeat("x", 10_000)))
@@ -117,7 +117,7 @@
 func TestHeaviestUnfinishedHeaderIsClosed(t *testing.T) {
 	g := NewWithT(t)
 	l := New(200_000, 100, nil)
-	address := start(t, l, readBody)
+	address := start(t, l, time.Minute, readBody)
 	heavy := dial(t, address, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\r\n", 1000))
 	holding(t, l, 150_000)
 	light := dial(t, address, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\r\n", 500))
@@ -133,7 +133,7 @@
 	g := NewWithT(t)
 	l := New(100_000, 100, nil)
 	finish := make(chan struct{})
-	address := start(t, l, func(w http.ResponseWriter, r *http.Request) {
+	address := start(t, l, time.Minute, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/" {
 			readBody(w, r)
 			return
@@ -168,7 +168,7 @@
 	g := NewWithT(t)
 	l := New(50_000, 100, nil)
 	kept := make(chan struct{}, 2)
-	address := start(t, l, func(_ http.ResponseWriter, r *http.Request) {
+	address := start(t, l, time.Minute, func(_ http.ResponseWriter, r *http.Request) {
 		g.Expect(Keep(r.Context())).To(Succeed())
 		kept <- struct{}{}
 	})
@@ -184,7 +184,7 @@
 // Guards against header lines of a next request that are sent with a first one and not counted.
 func TestLinesBehindARequestAreCounted(t *testing.T) {
 	l := New(1<<20, 100, nil)
-	address := start(t, l, readBody)
+	address := start(t, l, time.Minute, readBody)
 	c := dial(t, address, get+"GET / HTTP/1.1\r\n"+strings.Repeat("a:\r\n", 500))
 	NewWithT(t).Expect(c.status()).To(Equal(http.StatusOK))
 	holding(t, l, 500*headerLine)
@@ -193,7 +193,7 @@
 // Guards against connections without a request that are counted for a former one, and closed for it.
 func TestIdleConnectionHoldsNothing(t *testing.T) {
 	l := New(1<<20, 100, nil)
-	address := start(t, l, readBody)
+	address := start(t, l, time.Minute, readBody)
 	c := dial(t, address, post(1000, strings.Repeat("\n", 1000)))
 	for range 2 {
 		NewWithT(t).Expect(c.status()).To(Equal(http.StatusOK))
@@ -232,7 +232,7 @@
 	g := NewWithT(t)
 	l := New(1<<20, 3, nil)
 	entered, finish := make(chan struct{}, 1), make(chan struct{})
-	address := start(t, l, func(w http.ResponseWriter, r *http.Request) {
+	address := start(t, l, time.Minute, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/busy" {
 			entered <- struct{}{}
 			<-finish
@@ -258,3 +258,36 @@
 	g.Expect(busy.status()).To(Equal(http.StatusOK))
 	g.Expect(l.State().Refused).To(Equal(map[string]uint64{ReasonConnections: 2}))
 }
+
+// Guards against bodies that never end: a read fails after the time limit, and so does the server's own read of a body
+// that the handler has left.
+func TestBodyEndsWithItsTimeLimit(t *testing.T) {
+	g := NewWithT(t)
+	address := start(t, New(1<<20, 100, nil), time.Minute, func(w http.ResponseWriter, r *http.Request) {
+		SetBodyTimeout(r.Context(), 50*time.Millisecond)
+		if r.URL.Path == "/" {
+			readBody(w, r)
+		}
+	})
+	g.Expect(dial(t, address, post(2, "x")).status()).To(Equal(http.StatusGatewayTimeout))
+	left := dial(t, address, strings.Replace(post(2, "x"), "/", "/left", 1))
+	g.Expect(left.status()).To(Equal(http.StatusOK))
+	g.Expect(left.status()).To(Equal(0))
+}
+
+// Guards against a time limit of a body that outlasts the body and ends its request, or the next one of the connection.
+func TestTimeLimitEndsWithTheBody(t *testing.T) {
+	g := NewWithT(t)
+	address := start(t, New(1<<20, 100, nil), 200*time.Millisecond, func(w http.ResponseWriter, r *http.Request) {
+		readBody(w, r)
+		select {
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusTeapot)
+		case <-time.After(500 * time.Millisecond):
+		}
+	})
+	c := dial(t, address, post(1, "x"))
+	g.Expect(c.status()).To(Equal(http.StatusOK))
+	c.send(get)
+	g.Expect(c.status()).To(Equal(http.StatusOK))
+}
--- a/internal/connlimit/server.go
+++ b/internal/connlimit/server.go
@@ -2,20 +2,24 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
+	"time"
 
 	"snipegw/internal/result"
 )
 
 type connKey struct{}
 
-// Serve serves ln with s like http.Server.Serve, within the limits of l. The name of the server is that in reports.
-func (l *Limiter) Serve(s *http.Server, ln net.Listener, name string) error {
+// Serve serves ln with s like http.Server.Serve, within the limits of l. The name of the server is that in reports. A
+// body must arrive within bodyTimeout from its header on, which SetBodyTimeout changes for one request.
+func (l *Limiter) Serve(s *http.Server, ln net.Listener, name string, bodyTimeout time.Duration) error {
 	handler := s.Handler
-	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serve(handler, w, r) })
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serve(handler, bodyTimeout, w, r) })
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if c, ok := c.(*conn); ok && state == http.StateIdle {
@@ -46,7 +50,7 @@
 }
 
 // serve calls the handler for a request whose header has arrived.
-func serve(handler http.Handler, w http.ResponseWriter, r *http.Request) {
+func serve(handler http.Handler, bodyTimeout time.Duration, w http.ResponseWriter, r *http.Request) {
 	c, ok := r.Context().Value(connKey{}).(*conn)
 	if !ok {
 		handler.ServeHTTP(w, r)
@@ -71,6 +75,7 @@
 		handler.ServeHTTP(w, r)
 		return
 	}
+	SetBodyTimeout(ctx, bodyTimeout)
 	r = r.WithContext(ctx)
 	b := &body{ReadCloser: r.Body, conn: c}
 	r.Body = b
@@ -105,6 +110,9 @@
 	if ended {
 		b.ended.Store(true)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = result.Errorf(result.DeadlineNotRun, "the body has not arrived within the time limit: %w", err)
+	}
 	return n, err
 }
 
@@ -116,3 +124,15 @@
 	}
 	return nil
 }
+
+// SetBodyTimeout sets the time, from now on, within which the rest of the body of the request of ctx must arrive, also if the
+// handler doesn't read it: the server does, before it sends the response or reads the next request. Reads of a later rest fail
+// with code DeadlineNotRun. Package http removes the deadline at the end of the body.
+func SetBodyTimeout(ctx context.Context, timeout time.Duration) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok && c.phase.Load() == receivingBody {
+		_ = c.SetReadDeadline(time.Now().Add(timeout))
+		if c.phase.Load() == refused {
+			_ = c.SetReadDeadline(past) // refuse may have set it before
+		}
+	}
+}
--- a/internal/entry/httpapi/request.go
+++ b/internal/entry/httpapi/request.go
@@ -91,6 +91,7 @@
 	}
 	defer req.Team.End(stripe)
 	req.Stripe = stripe
+	connlimit.SetBodyTimeout(r.Context(), timeout+bodyGrace)
 	ctx, cancel := context.WithTimeout(r.Context(), timeout)
 	defer cancel()
 	return s.Forwarder.Do(ctx, req, resp)
--- a/internal/entry/httpapi/server.go
+++ b/internal/entry/httpapi/server.go
@@ -32,6 +32,9 @@
 	defaultDrainDelay = 3 * time.Second
 	// readHeaderTimeout is the timeout for reading the header of a request.
 	readHeaderTimeout = 10 * time.Second
+	// bodyGrace is the time after the time limit of a call until its body is given up, so that the caller is
+	// told of the limit of the call.
+	bodyGrace = time.Second
 	// idleTimeout is the time after which an idle connection of a caller is closed.
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes is the maximum size of the header of a request.
@@ -120,7 +123,7 @@
 	}
 	s.listener = l
 	go func() {
-		if err := s.Clients.Serve(s.httpServer, l, s.Name()); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Clients.Serve(s.httpServer, l, s.Name(), maxTimeout+bodyGrace); !errors.Is(err, http.ErrServerClosed) {
 			log.WithFields(log.Fields{"event": "http_failed", "error": err.Error()}).Error("the HTTP server of the entry failed and serves no more requests")
 		}
 	}()
--- a/internal/kernel/components.go
+++ b/internal/kernel/components.go
@@ -52,6 +52,8 @@
 	httpHeaderTimeout  = 3 * time.Second
 	httpIdleTimeout    = 30 * time.Second
 	httpMaxHeaderBytes = 16 << 10
+	// httpBodyTimeout limits the time in which a body must arrive, unless its handler knows the time limit of the call.
+	httpBodyTimeout = 30 * time.Second
 )
 
 // HTTPServer is a Component that serves Handler on the TCP address Address. Label
@@ -75,7 +77,7 @@
 	}
 	s.server = &http.Server{Handler: s.Handler, ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: httpMaxHeaderBytes}
 	go func() {
-		if err := s.Clients.Serve(s.server, ln, s.Label); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Clients.Serve(s.server, ln, s.Label, httpBodyTimeout); !errors.Is(err, http.ErrServerClosed) {
 			log.WithFields(log.Fields{"event": "http_failed", "address": s.Address, "error": err.Error()}).Error("HTTP server stopped unexpectedly")
 		}
 	}()
