--- a/internal/entry/admission/admission.go
+++ b/internal/entry/admission/admission.go
@@ -12,7 +12,6 @@
 	maxIDBytes         = 64
 	maxTasks           = 1024
 	maxResourcePerTask = 1 << 20
-	maxCommandParts    = 256
 	maxCommandBytes    = 16 << 10
 	maxDurationMS      = 366 * 24 * 3600 * 1000
 )
@@ -53,8 +52,8 @@
 	for _, part := range j.Command {
 		bytes += len(part)
 	}
-	if len(j.Command) > maxCommandParts || bytes > maxCommandBytes {
-		return badRequest("the field command has %d parts with %d bytes and may have at most %d parts with %d bytes", len(j.Command), bytes, maxCommandParts, maxCommandBytes)
+	if len(j.Command) > model.MaxCommandParts || bytes > maxCommandBytes {
+		return badRequest("the field command has %d parts with %d bytes and may have at most %d parts with %d bytes", len(j.Command), bytes, model.MaxCommandParts, maxCommandBytes)
 	}
 	return nil
 }
--- a/internal/entry/httpapi/jobs.go
+++ b/internal/entry/httpapi/jobs.go
@@ -8,6 +8,7 @@
 
 	"snipegw/internal/entry/admission"
 	"snipegw/internal/entry/auth"
+	"snipegw/internal/jsonlist"
 	"snipegw/internal/model"
 	"snipegw/internal/result"
 )
@@ -30,6 +31,15 @@
 	mux.HandleFunc("GET /v1/jobs/{job}/explain", s.authenticated(s.explainJob))
 }
 
+// cancelIDs are the ids of a bulk cancellation, at most one more than it may have.
+type cancelIDs []string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *cancelIDs) UnmarshalJSON(data []byte) (err error) {
+	*c, err = jsonlist.Decode[string](data, maxCancelIDs, nil)
+	return err
+}
+
 // submitJob serves POST /v1/jobs. With a team's token the job belongs to that team; an
 // operator names the team in the job.
 func (s *Server) submitJob(w http.ResponseWriter, r *http.Request, caller auth.Identity) error {
@@ -159,7 +169,7 @@
 
 func (s *Server) cancelJobs(w http.ResponseWriter, r *http.Request, caller auth.Identity) error {
 	var body struct {
-		IDs []string `json:"ids"`
+		IDs cancelIDs `json:"ids"`
 	}
 	if err := readJSON(w, r, &body); err != nil {
 		return err
--- a/internal/model/model.go
+++ b/internal/model/model.go
@@ -3,7 +3,11 @@
 // JSON encoding of these types.
 package model
 
-import "time"
+import (
+	"time"
+
+	"snipegw/internal/jsonlist"
+)
 
 // Adjacency says how close the tasks of a gang must be to each other.
 type Adjacency string
@@ -152,6 +156,18 @@
 	return Team{}, false
 }
 
+// MaxCommandParts limits the parts of a command.
+const MaxCommandParts = 256
+
+// Command is the command of a job.
+type Command []string
+
+// UnmarshalJSON implements json.Unmarshaler. It decodes at most one part more than a command may have.
+func (c *Command) UnmarshalJSON(data []byte) (err error) {
+	*c, err = jsonlist.Decode[string](data, MaxCommandParts, nil)
+	return err
+}
+
 // Job is a job as submitted by a caller. The scheduler treats declared values
 // as hints.
 type Job struct {
@@ -165,7 +181,7 @@
 	// job takes no checkpoints and a stopped task loses all its work.
 	CheckpointIntervalMS int64 `json:"checkpoint_ms,omitempty" cbor:"6,keyasint,omitempty"`
 	// Command is passed unchanged to the platform's worker interface.
-	Command []string `json:"command,omitempty" cbor:"7,keyasint,omitempty"`
+	Command Command `json:"command,omitempty" cbor:"7,keyasint,omitempty"`
 	// SubmittedMS is the time of submission in Unix milliseconds.
 	SubmittedMS int64 `json:"submitted_ms" cbor:"8,keyasint,omitempty"`
 }
