Leave room for newcomers beside requests in progress

Once they hold all of the memory for clients, such as some 390 requests of 60 kB that wait for a worker at an entry with 71 MB, every newcomer is refused, health checks of the load balancer included, until some end.

The smallest clients.memory_mb is 16, so that half of it holds any one request of the HTTP API.

Test: TestRequestsInProgressLeaveRoom; it fails if all are admitted.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -40,6 +40,8 @@
 	phase   atomic.Int32
 	since   atomic.Int64 // Unix nanoseconds of the start of the idle phase or the request
 	bytes   atomic.Int64 // memory that is counted in limiter.bytes
+	// reserved is the memory that is counted in limiter.reserved.
+	reserved atomic.Int64
 	// lastRead is the memory for the latest bytes read. A part of them may belong to the next request.
 	lastRead      atomic.Int64
 	idleDeadlines atomic.Int32                       // read deadlines set in the idle phase
@@ -88,7 +90,10 @@
 }
 
 // release ends the count of what c holds.
-func (c *conn) release() { c.limiter.bytes.Add(-c.bytes.Swap(0)) }
+func (c *conn) release() {
+	c.unreserve()
+	c.limiter.bytes.Add(-c.bytes.Swap(0))
+}
 
 // setIdle is called after the response.
 func (c *conn) setIdle() {
@@ -134,11 +139,26 @@
 	}
 }
 
-// keep protects the request of c from being refused. It reports false if it has been.
-func (c *conn) keep() bool {
-	return c.phase.CompareAndSwap(receivingBody, inProgress) || c.phase.Load() == inProgress
+// keep changes the phase from the given one to inProgress, and so protects the request of c from being refused. It reports false if
+// the request has been refused, or is now since the requests in progress hold too much.
+func (c *conn) keep(from int32) bool {
+	if c.phase.Load() == inProgress {
+		return true
+	}
+	if !c.limiter.reserve(c) {
+		c.limiter.refuse(c)
+		return false
+	}
+	if !c.phase.CompareAndSwap(from, inProgress) {
+		c.unreserve()
+		return false
+	}
+	return true
 }
 
+// unreserve ends the count of c among the requests in progress.
+func (c *conn) unreserve() { c.limiter.reserved.Add(-c.reserved.Swap(0)) }
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.phase.Store(closed)
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -162,6 +162,29 @@
 	g.Expect(passedOn.status()).To(Equal(http.StatusOK))
 }
 
+// Guards against requests in progress that leave no room for others: a large one more is refused, a small one is served.
+func TestRequestsInProgressLeaveRoom(t *testing.T) {
+	g := NewWithT(t)
+	l := New(200_000, 100, nil)
+	finish := make(chan struct{})
+	address := start(t, l, time.Minute, func(w http.ResponseWriter, r *http.Request) {
+		readBody(w, r)
+		if r.URL.Path == "/busy" {
+			<-finish
+		}
+	})
+	body := strings.Repeat("x", 20_000)
+	large := dial(t, address, strings.Replace(post(len(body), body), "/", "/busy", 1))
+	inPhase(t, l, inProgress, 1)
+	g.Expect(dial(t, address, post(len(body), body)).status()).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(dial(t, address, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\r\n", 300)+"\r\n").status()).To(Equal(0))
+	g.Expect(dial(t, address, get).status()).To(Equal(http.StatusOK))
+	close(finish)
+	g.Expect(large.status()).To(Equal(http.StatusOK))
+	g.Expect(l.State().Refused).To(Equal(map[string]uint64{ReasonMemory: 2}))
+	g.Eventually(l.reserved.Load).Should(BeZero())
+}
+
 // Guards against a body that the handler has left, which holds memory until its time limit, and against the loss of its
 // response.
 func TestBodyLeftByItsHandlerIsRefused(t *testing.T) {
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -23,6 +23,7 @@
 	maxConnections int
 	report         func(server, reason string)
 	bytes          atomic.Int64
+	reserved       atomic.Int64 // memory of the requests in progress
 	mu             sync.Mutex
 	connections    map[*conn]struct{}
 	refused        map[string]uint64 // by reason
@@ -124,6 +125,31 @@
 	}
 }
 
+// smallRequest is the memory up to which a request may always be in progress, so that health checks and most requests are
+// served beside others that hold much.
+const smallRequest = 8 << 10
+
+// reserve counts c among the requests in progress. It reports false if these would hold more than half of maxBytes, since they
+// cannot be refused and would leave no room for others. A single request is always admitted.
+func (l *Limiter) reserve(c *conn) bool {
+	held := c.bytes.Load()
+	if sum := l.reserved.Add(held); sum > l.maxBytes/2 && sum > held && held > smallRequest {
+		l.reserved.Add(-held)
+		return false
+	}
+	c.reserved.Store(held)
+	return true
+}
+
+// refuse refuses the request of c.
+func (l *Limiter) refuse(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.refuse() {
+		l.count(c.server, ReasonMemory)
+	}
+}
+
 // remove forgets a connection that is closed.
 func (l *Limiter) remove(c *conn) {
 	l.mu.Lock()
--- a/internal/kernel/clients.go
+++ b/internal/kernel/clients.go
@@ -34,7 +34,7 @@
 	// other processes and for files.
 	descriptorShare = 75
 	// minClientMemoryMB and minClientConnections keep room for any single legal request, and for health checks.
-	minClientMemoryMB    = 8
+	minClientMemoryMB    = 16
 	minClientConnections = 16
 	// minMachineMemoryMB is enough for a process without clients.
 	minMachineMemoryMB = 64
