Refuse requests that have stopped before those that are being sent

Cause: the request that holds most was refused first. A whole request counts as it is read, so it holds most as soon as the others are lighter.

Change: what a request holds is weighted by the time since its client last sent something. A request that is just being sent gives way only to itself.

Evidence: TestStoppedRequestsGiveWayToAWholeOne fails if requests are chosen by what they hold alone (503 for the first of five).

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -39,6 +39,7 @@
 	server  string
 	phase   atomic.Int32
 	since   atomic.Int64 // Unix nanoseconds of the start of the idle phase or the request
+	readAt  atomic.Int64 // Unix nanoseconds of the latest read of data
 	bytes   atomic.Int64 // memory that is counted in limiter.bytes
 	// reserved is the memory that is counted in limiter.reserved.
 	reserved atomic.Int64
@@ -54,6 +55,7 @@
 	if n == 0 {
 		return n, err
 	}
+	c.readAt.Store(time.Now().UnixNano())
 	memory := int64(n)*headerByte + int64(bytes.Count(p[:n], []byte{'\n'}))*headerLine
 	// The server reads a single byte ahead to notice the end of a connection.
 	if len(p) == 1 {
@@ -133,6 +135,12 @@
 	return true
 }
 
+// stall returns a measure of what c keeps from others: the memory that it holds, weighted by the time since it last sent
+// something.
+func (c *conn) stall(now time.Time) float64 {
+	return float64(c.bytes.Load()) * max(1e3, float64(now.UnixNano()-c.readAt.Load()))
+}
+
 func (c *conn) cancelRequest() {
 	if cancel := c.cancel.Load(); cancel != nil {
 		(*cancel)()
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -204,6 +204,20 @@
 	g.Expect(second.status()).To(Equal(http.StatusOK))
 }
 
+// Guards against requests that have stopped and for which each larger one is refused as it arrives.
+func TestStoppedRequestsGiveWayToAWholeOne(t *testing.T) {
+	g := NewWithT(t)
+	l := New(1_000_000, 200, nil)
+	address := start(t, l, time.Minute, readBody)
+	for range 10 {
+		dial(t, address, post(30_001, strings.Repeat("x", 30_000)))
+	}
+	holding(t, l, 900_000)
+	for range 5 {
+		g.Expect(dial(t, address, post(60_000, strings.Repeat("x", 60_000))).status()).To(Equal(http.StatusOK))
+	}
+}
+
 // Guards against lines of trailers, which are not counted, that are kept while a request is in progress.
 func TestTrailersAreNotKept(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -104,23 +104,25 @@
 	}
 }
 
-// relieve refuses requests that have not arrived completely, the one that holds most memory first, until the
-// clients hold no more than maxBytes or no such request is left.
+// relieve refuses requests that have not arrived completely until the clients hold no more than maxBytes or no such
+// request is left. The first ones are those that hold much and have sent nothing for long, so that a large request that is
+// just being sent is not refused for small ones that have stopped.
 func (l *Limiter) relieve() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for l.bytes.Load() > l.maxBytes {
-		var heaviest *conn
+		var worst *conn
+		now, most := time.Now(), 0.0
 		for c := range l.connections {
-			if c.phase.Load() <= receivingBody && (heaviest == nil || c.bytes.Load() > heaviest.bytes.Load()) {
-				heaviest = c
+			if stall := c.stall(now); c.phase.Load() <= receivingBody && stall > most {
+				worst, most = c, stall
 			}
 		}
-		if heaviest == nil || heaviest.bytes.Load() == 0 {
+		if worst == nil {
 			return
 		}
-		if heaviest.refuse() {
-			l.count(heaviest.server, ReasonMemory)
+		if worst.refuse() {
+			l.count(worst.server, ReasonMemory)
 		}
 	}
 }
