Send the response before the connection of an unread body is taken

At the limit of connections a client could lose the response to a request that had been passed on: the handler had responded without reading the body, the server waited for the rest of it, and the connection was closed for a newcomer as that of an unfinished request.

Change: the phase after the handler has its own name, bodyLeft. If its connection is needed, the wait for the rest ends, and the server sends the response and closes it.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -19,11 +19,12 @@
 	bodyByte = 3
 )
 
-// Phases of a connection. The requests of the first three have not arrived completely, and may be refused.
+// Phases of a connection. Those before inProgress may be ended for others.
 const (
 	idlePhase int32 = iota
 	receivingHeader
 	receivingBody
+	bodyLeft   // the handler has responded, and the server waits for the rest of the body before it sends that
 	inProgress // arrived, or passed on in part
 	refused
 	closed
@@ -102,7 +103,7 @@
 	c.release()
 	c.idleDeadlines.Store(0)
 	c.since.Store(time.Now().UnixNano())
-	for _, p := range []int32{inProgress, receivingBody, receivingHeader} {
+	for _, p := range []int32{inProgress, bodyLeft, receivingBody, receivingHeader} {
 		if c.phase.CompareAndSwap(p, idlePhase) {
 			return
 		}
@@ -126,7 +127,7 @@
 // refuse ends the request of c: the handler can still respond if it has been called, else the connection is closed. It
 // reports false if the request has arrived in the meantime.
 func (c *conn) refuse() bool {
-	if !c.phase.CompareAndSwap(receivingBody, refused) {
+	if !c.phase.CompareAndSwap(receivingBody, refused) && !c.phase.CompareAndSwap(bodyLeft, refused) {
 		return c.close()
 	}
 	_ = c.Conn.SetReadDeadline(past)
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -198,12 +198,32 @@
 	lines := strings.Repeat("a:\r\n", 200)
 	first := dial(t, address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"+lines+"\r\n")
 	<-kept
-	inPhase(t, l, receivingBody, 1)
+	inPhase(t, l, bodyLeft, 1)
 	second := dial(t, address, "GET / HTTP/1.1\r\nHost: h\r\n"+lines[:len(lines)-100]+"\r\n")
 	g.Expect(first.status()).To(Equal(http.StatusOK))
 	g.Expect(second.status()).To(Equal(http.StatusOK))
 }
 
+// Guards against the loss of the response to a request that was passed on, when another client needs its connection while the
+// rest of its body is missing.
+func TestResponseIsSentBeforeTheConnectionIsTaken(t *testing.T) {
+	g := NewWithT(t)
+	l := New(1<<20, 2, nil)
+	address := start(t, l, time.Minute, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			g.Expect(Keep(r.Context())).To(Succeed())
+			return
+		}
+		readBody(w, r)
+	})
+	passedOn := dial(t, address, "DELETE / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n")
+	inPhase(t, l, bodyLeft, 1)
+	dial(t, address, post(2, "x"))
+	inPhase(t, l, receivingBody, 1)
+	g.Expect(dial(t, address, get).status()).To(Equal(http.StatusOK))
+	g.Expect(passedOn.status()).To(Equal(http.StatusOK))
+}
+
 // Guards against requests that have stopped and for which each larger one is refused as it arrives.
 func TestStoppedRequestsGiveWayToAWholeOne(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -86,7 +86,7 @@
 		var idle bool
 		for c := range l.connections {
 			p := c.phase.Load()
-			if p > receivingBody {
+			if p >= inProgress {
 				continue
 			}
 			if longest == nil || (p == idlePhase) && !idle || (p == idlePhase) == idle && c.since.Load() < longest.since.Load() {
@@ -96,7 +96,8 @@
 		if longest == nil {
 			return false
 		}
-		if longest.close() {
+		// A request of which only the rest of the body is missing has its response sent first.
+		if longest.phase.Load() == bodyLeft && longest.refuse() || longest.close() {
 			delete(l.connections, longest)
 			l.count(longest.server, ReasonConnections)
 			return true
@@ -114,7 +115,7 @@
 		var worst *conn
 		now, most := time.Now(), 0.0
 		for c := range l.connections {
-			if stall := c.stall(now); c.phase.Load() <= receivingBody && stall > most {
+			if stall := c.stall(now); c.phase.Load() < inProgress && stall > most {
 				worst, most = c, stall
 			}
 		}
--- a/internal/connlimit/server.go
+++ b/internal/connlimit/server.go
@@ -76,11 +76,12 @@
 	r = r.WithContext(ctx)
 	r.Body = b
 	handler.ServeHTTP(w, r)
-	if !b.ended.Load() {
-		// The server reads the rest of the body before it sends the response. If the rest is refused, it sends it at once.
-		if c.phase.CompareAndSwap(inProgress, receivingBody) {
-			c.unreserve()
-		}
+	if b.ended.Load() || c.phase.CompareAndSwap(receivingBody, bodyLeft) {
+		return
+	}
+	// The server reads the rest of the body before it sends the response. If the rest is refused, it sends it at once.
+	if c.phase.CompareAndSwap(inProgress, bodyLeft) {
+		c.unreserve()
 	}
 }
 
