Protect every call that is passed on, and requests of the usual size, from being refused

A GET with 30 header lines counted for more than the 8 kB up to which a request is always admitted, and was closed while requests in progress held half of the memory.

Change: these calls are kept before they are passed on, like requests and the platform's cancellations, and requests that count for up to 16 kB are always admitted: 3,550 connections of them hold 57 MB.

--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -128,9 +128,9 @@
 	}
 }
 
-// smallRequest is the memory up to which a request may always be in progress, so that health checks and most requests are
-// served beside others that hold much.
-const smallRequest = 8 << 10
+// smallRequest is the memory up to which a request may always be in progress, so that health checks and requests with the usual
+// 20 to 60 header lines are served beside others that hold much.
+const smallRequest = 16 << 10
 
 // reserve counts c among the requests in progress. It reports false if these would hold more than half of maxBytes, since they
 // cannot be refused and would leave no room for others. A single request is always admitted.
--- a/internal/entry/httpapi/jobs.go
+++ b/internal/entry/httpapi/jobs.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"snipegw/internal/connlimit"
 	"snipegw/internal/entry/admission"
 	"snipegw/internal/entry/auth"
 	"snipegw/internal/jsonlist"
@@ -160,6 +161,9 @@
 
 // cancelIDs asks the planner to cancel jobs and returns one code for each of them.
 func (s *Server) cancelIDs(r *http.Request, ids []string, caller auth.Identity) ([]result.Code, error) {
+	if err := connlimit.Keep(r.Context()); err != nil {
+		return nil, err
+	}
 	codes, err := s.Jobs.Cancel(r.Context(), ids, caller.Team)
 	if err == nil && len(codes) != len(ids) {
 		err = result.Errorf(result.Internal, "the planner returned results for %d of %d jobs to cancel", len(codes), len(ids))
--- a/internal/entry/httpapi/operators.go
+++ b/internal/entry/httpapi/operators.go
@@ -5,6 +5,7 @@
 	"sort"
 
 	"snipegw/internal/config"
+	"snipegw/internal/connlimit"
 	"snipegw/internal/entry/auth"
 	"snipegw/internal/members"
 	"snipegw/internal/result"
@@ -84,6 +85,9 @@
 		if s.Members.View().Workers[worker] == nil {
 			return result.Errorf(result.UnknownWorker, "no worker %.64q is known; GET /v1/workers lists them", worker)
 		}
+		if err := connlimit.Keep(r.Context()); err != nil {
+			return err
+		}
 		if err := s.Jobs.WorkerOrder(r.Context(), worker, action); err != nil {
 			return err
 		}
--- a/internal/entry/httpapi/request.go
+++ b/internal/entry/httpapi/request.go
@@ -296,6 +296,9 @@
 	if err != nil {
 		return err
 	}
+	if err := connlimit.Keep(r.Context()); err != nil {
+		return err
+	}
 	reply, err := s.Forwarder.IssueTicket(r.Context(), team.ID, r.PathValue("service"))
 	if err != nil {
 		return err
