Limit the time in which a response must be read

Change: a response must have been read 90 s after the header of its request, 130 s at the HTTP API, where a body may take 61 s and a request 60 s.

Not tested with a client: a test would wait for the limit.

--- a/internal/entry/httpapi/server.go
+++ b/internal/entry/httpapi/server.go
@@ -37,6 +37,9 @@
 	bodyGrace = time.Second
 	// idleTimeout is the time after which an idle connection of a caller is closed.
 	idleTimeout = 2 * time.Minute
+	// writeTimeout limits the time from the header of a request to the end of its response, so that a client that does not
+	// read cannot hold its connection for ever. It covers the body and the longest request.
+	writeTimeout = 2*maxTimeout + 10*time.Second
 	// maxHeaderBytes is the maximum size of the header of a request.
 	maxHeaderBytes = 64 << 10
 	// joinGracePeriod is the time after the start in which this entry may not yet know
@@ -92,6 +95,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		WriteTimeout:      writeTimeout,
 	}
 	return s
 }
--- a/internal/kernel/components.go
+++ b/internal/kernel/components.go
@@ -56,6 +56,9 @@
 	httpMaxHeaderBytes = 16 << 10
 	// httpBodyTimeout limits the time in which a body must arrive, unless its handler knows the time limit of the call.
 	httpBodyTimeout = 30 * time.Second
+	// httpWriteTimeout limits the time from the header of a request to the end of its response, so that a client that does not
+	// read cannot hold its connection for ever. It covers httpBodyTimeout and the longest call.
+	httpWriteTimeout = 90 * time.Second
 )
 
 // HTTPServer is a Component that serves Handler on the TCP address Address. Label
@@ -81,7 +84,7 @@
 	if s.Clients == nil {
 		s.Clients = NewClientLimiter(ClientSettings{})
 	}
-	s.server = &http.Server{Handler: LogHandlerPanics(s.Handler), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: httpMaxHeaderBytes}
+	s.server = &http.Server{Handler: LogHandlerPanics(s.Handler), ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: httpMaxHeaderBytes, WriteTimeout: httpWriteTimeout}
 	go func() {
 		if err := s.Clients.Serve(s.server, ln, s.Label, httpBodyTimeout); !errors.Is(err, http.ErrServerClosed) {
 			log.WithFields(log.Fields{"event": "http_failed", "address": s.Address, "error": err.Error()}).Error("HTTP server stopped unexpectedly")
