--- a/internal/entry/httpapi/fake_test.go
+++ b/internal/entry/httpapi/fake_test.go
@@ -250,15 +250,19 @@
 	jobs *fakeJobs
 }
 
-func startGateway(f *fakeAgents) *gateway {
+func startGateway(f *fakeAgents, configure ...func(*Options)) *gateway {
 	routes := router.New("self", f)
 	routes.Rebuild()
 	jobs := &fakeJobs{}
-	s := New(Options{
+	o := Options{
 		Address: "127.0.0.1:0", Members: f, Config: &fakeConfig{testConfig()}, Jobs: jobs, Dumper: kernel.NewDumper(),
 		Forwarder:  &forward.Forwarder{Router: routes, Pool: f.pool, Budget: router.NewRetryBudget()},
 		DrainDelay: time.Millisecond,
-	})
+	}
+	for _, c := range configure {
+		c(&o)
+	}
+	s := New(o)
 	Expect(s.Start(context.Background())).To(Succeed())
 	ginkgo.DeferCleanup(func() { _ = s.httpServer.Close() })
 	return &gateway{Server: s, url: "http://" + s.Addr(), jobs: jobs}
