--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -19,11 +19,12 @@
 	bodyByte = 3
 )
 
-// Phases of a connection. The requests of the first three have not arrived completely, and may be refused.
+// Phases of a connection. Those before inProgress may be ended for others.
 const (
 	idlePhase int32 = iota
 	receivingHeader
 	receivingBody
+	bodyLeft   // the handler has responded, and the server waits for the rest of the body before it sends that
 	inProgress // arrived, or passed on in part
 	refused
 	closed
@@ -39,6 +40,7 @@
 	server  string
 	phase   atomic.Int32
 	since   atomic.Int64 // Unix nanoseconds of the start of the idle phase or the request
+	readAt  atomic.Int64 // Unix nanoseconds of the latest read of data
 	bytes   atomic.Int64 // memory that is counted in limiter.bytes
 	// reserved is the memory that is counted in limiter.reserved.
 	reserved atomic.Int64
@@ -54,6 +56,7 @@
 	if n == 0 {
 		return n, err
 	}
+	c.readAt.Store(time.Now().UnixNano())
 	memory := int64(n)*headerByte + int64(bytes.Count(p[:n], []byte{'\n'}))*headerLine
 	// The server reads a single byte ahead to notice the end of a connection.
 	if len(p) == 1 {
@@ -100,7 +103,7 @@
 	c.release()
 	c.idleDeadlines.Store(0)
 	c.since.Store(time.Now().UnixNano())
-	for _, p := range []int32{inProgress, receivingBody, receivingHeader} {
+	for _, p := range []int32{inProgress, bodyLeft, receivingBody, receivingHeader} {
 		if c.phase.CompareAndSwap(p, idlePhase) {
 			return
 		}
@@ -124,7 +127,7 @@
 // refuse ends the request of c: the handler can still respond if it has been called, else the connection is closed. It
 // reports false if the request has arrived in the meantime.
 func (c *conn) refuse() bool {
-	if !c.phase.CompareAndSwap(receivingBody, refused) {
+	if !c.phase.CompareAndSwap(receivingBody, refused) && !c.phase.CompareAndSwap(bodyLeft, refused) {
 		return c.close()
 	}
 	_ = c.Conn.SetReadDeadline(past)
@@ -133,6 +136,12 @@
 	return true
 }
 
+// stall returns a measure of what c keeps from others: the memory that it holds, weighted by the time since it last sent
+// something.
+func (c *conn) stall(now time.Time) float64 {
+	return float64(c.bytes.Load()) * max(1e3, float64(now.UnixNano()-c.readAt.Load()))
+}
+
 func (c *conn) cancelRequest() {
 	if cancel := c.cancel.Load(); cancel != nil {
 		(*cancel)()
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -198,12 +198,62 @@
 	lines := strings.Repeat("a:\r\n", 200)
 	first := dial(t, address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"+lines+"\r\n")
 	<-kept
-	inPhase(t, l, receivingBody, 1)
+	inPhase(t, l, bodyLeft, 1)
 	second := dial(t, address, "GET / HTTP/1.1\r\nHost: h\r\n"+lines[:len(lines)-100]+"\r\n")
 	g.Expect(first.status()).To(Equal(http.StatusOK))
 	g.Expect(second.status()).To(Equal(http.StatusOK))
 }
 
+// Guards against the loss of the response to a request that was passed on, when another client needs its connection while the
+// rest of its body is missing.
+func TestResponseIsSentBeforeTheConnectionIsTaken(t *testing.T) {
+	g := NewWithT(t)
+	l := New(1<<20, 2, nil)
+	address := start(t, l, time.Minute, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			g.Expect(Keep(r.Context())).To(Succeed())
+			return
+		}
+		readBody(w, r)
+	})
+	passedOn := dial(t, address, "DELETE / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n")
+	inPhase(t, l, bodyLeft, 1)
+	dial(t, address, post(2, "x"))
+	inPhase(t, l, receivingBody, 1)
+	g.Expect(dial(t, address, get).status()).To(Equal(http.StatusOK))
+	g.Expect(passedOn.status()).To(Equal(http.StatusOK))
+}
+
+// Guards against requests that have stopped and for which each larger one is refused as it arrives.
+func TestStoppedRequestsGiveWayToAWholeOne(t *testing.T) {
+	g := NewWithT(t)
+	l := New(1_000_000, 200, nil)
+	address := start(t, l, time.Minute, readBody)
+	for range 10 {
+		dial(t, address, post(30_001, strings.Repeat("x", 30_000)))
+	}
+	holding(t, l, 900_000)
+	for range 5 {
+		g.Expect(dial(t, address, post(60_000, strings.Repeat("x", 60_000))).status()).To(Equal(http.StatusOK))
+	}
+}
+
+// Guards against lines of trailers, which are not counted, that are kept while a request is in progress.
+func TestTrailersAreNotKept(t *testing.T) {
+	g := NewWithT(t)
+	l := New(1<<20, 10, nil)
+	trailers := make(chan int, 1)
+	var made *http.Request // by package http
+	address := start(t, l, time.Minute, func(w http.ResponseWriter, r *http.Request) {
+		made = r.Body.(*body).request
+		readBody(w, r)
+		trailers <- len(made.Trailer) + len(r.Trailer)
+	})
+	c := dial(t, address, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"+strings.Repeat("a:\r\n", 500)+"\r\n")
+	g.Expect(c.status()).To(Equal(http.StatusOK))
+	g.Expect(<-trailers).To(BeZero())
+}
+
 // Guards against header lines of a next request that are sent with a first one and not counted.
 func TestLinesBehindARequestAreCounted(t *testing.T) {
 	l := New(1<<20, 100, nil)
--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -86,7 +86,7 @@
 		var idle bool
 		for c := range l.connections {
 			p := c.phase.Load()
-			if p > receivingBody {
+			if p >= inProgress {
 				continue
 			}
 			if longest == nil || (p == idlePhase) && !idle || (p == idlePhase) == idle && c.since.Load() < longest.since.Load() {
@@ -96,7 +96,8 @@
 		if longest == nil {
 			return false
 		}
-		if longest.close() {
+		// A request of which only the rest of the body is missing has its response sent first.
+		if longest.phase.Load() == bodyLeft && longest.refuse() || longest.close() {
 			delete(l.connections, longest)
 			l.count(longest.server, ReasonConnections)
 			return true
@@ -104,30 +105,32 @@
 	}
 }
 
-// relieve refuses requests that have not arrived completely, the one that holds most memory first, until the
-// clients hold no more than maxBytes or no such request is left.
+// relieve refuses requests that have not arrived completely until the clients hold no more than maxBytes or no such
+// request is left. The first ones are those that hold much and have sent nothing for long, so that a large request that is
+// just being sent is not refused for small ones that have stopped.
 func (l *Limiter) relieve() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for l.bytes.Load() > l.maxBytes {
-		var heaviest *conn
+		var worst *conn
+		now, most := time.Now(), 0.0
 		for c := range l.connections {
-			if c.phase.Load() <= receivingBody && (heaviest == nil || c.bytes.Load() > heaviest.bytes.Load()) {
-				heaviest = c
+			if stall := c.stall(now); c.phase.Load() < inProgress && stall > most {
+				worst, most = c, stall
 			}
 		}
-		if heaviest == nil || heaviest.bytes.Load() == 0 {
+		if worst == nil {
 			return
 		}
-		if heaviest.refuse() {
-			l.count(heaviest.server, ReasonMemory)
+		if worst.refuse() {
+			l.count(worst.server, ReasonMemory)
 		}
 	}
 }
 
-// smallRequest is the memory up to which a request may always be in progress, so that health checks and most requests are
-// served beside others that hold much.
-const smallRequest = 8 << 10
+// smallRequest is the memory up to which a request may always be in progress, so that health checks and requests with the usual
+// 20 to 60 header lines are served beside others that hold much.
+const smallRequest = 16 << 10
 
 // reserve counts c among the requests in progress. It reports false if these would hold more than half of maxBytes, since they
 // cannot be refused and would leave no room for others. A single request is always admitted.
