--- a/review/lab3/pools.go
+++ b/review/lab3/pools.go
@@ -15,7 +15,7 @@
 		entries: 3, workers: 11, cpu: 32000, gpus: 8, perRack: 3,
 		queues: []queue{
 			{Name: "plans", Hostname: callerHost, PathPrefix: "/plans/", Backend: service, Priority: 1, MaxAttempts: 3, SlackFactor: 3, TargetMs: 1000},
-			{Name: "lists", Hostname: callerHost, PathPrefix: "/lists/", Backend: otherService, Priority: 1, MaxAttempts: 3, SlackFactor: 1.5, TargetMs: 1000},
+			{Name: "lists", Hostname: callerHost, PathPrefix: "/lists/", Backend: otherService, Priority: 1, MaxAttempts: 3, SlackFactor: 1.5, TargetMs: 250},
 		},
 		tenants: []tenant{{Name: "t1", APIKeys: []string{"key-1"}, Guaranteed: map[string]int64{"gpus": 16}}},
 		others:  1,
@@ -34,15 +34,15 @@
 	}
 	w := sys.pool.workers[0]
 	if trouble {
-		rec.printf("disruption: worker %s, the only one of its service, is down for 8 s", w.name)
+		rec.printf("disruption: worker %s, the only one of its service, is down for 6 s", w.name)
 		w.crash()
 	}
-	time.Sleep(time.Second)
+	time.Sleep(500 * time.Millisecond)
 	if !c.submit("/lists/", list, spec(payload{MS: 1000}), jobStep{"count": 1, "cpu": 2000, "memMb": 2000, "gpus": 1, "estimatedMs": 1000}) {
 		return "", errors.New("the job was not accepted")
 	}
 	if trouble {
-		time.Sleep(8 * time.Second)
+		time.Sleep(5500 * time.Millisecond)
 		if err := w.start(); err != nil {
 			return "", err
 		}
