--- a/review/lab3/system.go
+++ b/review/lab3/system.go
@@ -330,8 +330,7 @@
 // Bounds of sites/arrieros-sched.toml.
 const (
 	finishTime    = 14 * time.Second // from the end of the traffic until jobs are asked for
-	reclaimTime   = 2700 * time.Millisecond
-	stillTime     = 3 * time.Second // without a run of a job for which there is room
+	stillTime     = 3 * time.Second  // without a run of a job for which there is room
 	watchInterval = 200 * time.Millisecond
 )
 
--- a/review/lab3/worker.go
+++ b/review/lab3/worker.go
@@ -70,7 +70,8 @@
 	life     int // number of starts
 	id       string
 	started  time.Time
-	born     int64 // Unix ms by its time of day
+	born     int64         // Unix ms by its time of day
+	ahead    time.Duration // of its time of day
 	fence    uint64
 	leaseEnd int64 // on its clock
 	running  []*run
@@ -97,7 +98,7 @@
 	w.pool.mu.Lock()
 	w.life++
 	w.up, w.started = true, time.Now()
-	w.born = time.Now().UnixMilli()
+	w.born = time.Now().Add(w.ahead).UnixMilli()
 	w.fence, w.leaseEnd, w.running, w.ends, w.lastEnd, w.seq = 0, 0, nil, nil, 0, 0
 	w.highest = make(map[string]int)
 	w.server = &http.Server{Handler: mux}
