End a job that a configuration has made fail

Cause: a job ended as failed only where a run or a lapse of it ended. Whether the attempts are used up also depends on the configuration, which changes without such an end, and a new term did not ask either. The candidates, the backlog and the explanation left the job out from then on.

Change: each decision begins with a pass over the open jobs which stops the runs of those that have failed and ends those that are complete, cancelled or failed with nothing active. It asks the state and the configuration, so that it does not matter which event led there. Related paths that it closes: a queue that is gone, a new term, an item that is given up while its run moves to a new life of its worker. A term without a configuration judges no attempts: the number recorded at the acceptance may be smaller than the one in force. Units that are done are no longer told to stop with their job.

--- a/internal/workflow/engine/crash.go
+++ b/internal/workflow/engine/crash.go
@@ -95,7 +95,7 @@
 			continue
 		}
 		e.recordCrash(l.member, l.atStart, l.reportedAt, now)
-		e.stopIfExhausted(u.job)
+		e.stopIfFailed(u.job)
 		e.endJobIfFinished(u.job, now)
 	}
 	w.lapsed = nil
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -67,6 +67,7 @@
 // orders (StartOrders).
 func (e *Engine) Decide(now time.Time) ([]Placement, []StopDecision) {
 	var stops []StopDecision
+	e.endFinishedJobs(now)
 	e.updateSlowness(now)
 	stops = e.stopRunsOnDrainingWorkers(now, stops)
 	stops = e.stopHungRuns(now, stops)
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -67,6 +67,7 @@
 	// earlierEndedAt is the time from which no earlier planner extends leases, zero if not known.
 	earlierEndedAt time.Time
 	config         *workflow.Config
+	configured     bool // SetConfig has been called
 	jobs           map[string]*job
 	openJobs       []*job // jobs that have not ended, see addOpenJob for their order
 	// guaranteed holds the jobs that were within their teams' guarantees at the
@@ -226,7 +227,7 @@
 }
 
 // SetConfig replaces the configuration.
-func (e *Engine) SetConfig(c *workflow.Config) { e.config = c }
+func (e *Engine) SetConfig(c *workflow.Config) { e.config, e.configured = c, true }
 
 // AddJob adds an accepted job with its progress record p, nil if it has none, and
 // the revision of that record. It does nothing if the job is known already. A settled job
@@ -329,8 +330,17 @@
 	}
 }
 
-// endJobIfFinished ends a job that is complete, or that is cancelled or has used
-// all attempts of a unit and has no active unit any more.
+// endFinishedJobs ends the open jobs that are complete, cancelled or failed. A job gets there without
+// an end of one of its runs if a configuration changes the number of its attempts.
+func (e *Engine) endFinishedJobs(now time.Time) {
+	for _, j := range slices.Clone(e.openJobs) {
+		e.stopIfFailed(j)
+		e.endJobIfFinished(j, now)
+	}
+}
+
+// endJobIfFinished ends a job that is complete, or that is cancelled or has failed and has no active
+// unit any more.
 func (e *Engine) endJobIfFinished(j *job, now time.Time) {
 	if j.state.Terminal() {
 		return
@@ -339,17 +349,22 @@
 		e.endJob(j, workflow.StateComplete, now)
 		return
 	}
-	if j.isActive() {
+	if !j.cancelled && !e.hasFailed(j) || j.isActive() {
 		return
 	}
-	switch {
-	case j.cancelled:
+	if j.cancelled {
 		e.endJob(j, workflow.StateCanceled, now)
-	case e.attemptsExhausted(j):
+	} else {
 		e.endJob(j, workflow.StateFailed, now)
 	}
 }
 
+// hasFailed reports whether j has to end as failed. Until the first configuration the number of attempts
+// in force is not known, and a job must not fail by a smaller one that held when it was accepted.
+func (e *Engine) hasFailed(j *job) bool {
+	return j.givenUp || e.configured && e.attemptsExhausted(j)
+}
+
 // attemptsExhausted reports whether a unit of the job has used all its attempts or has
 // crashed too many workers. Long-running units have no limit of attempts or crashes.
 func (e *Engine) attemptsExhausted(j *job) bool {
@@ -422,18 +437,18 @@
 		u.delayUntil(now.Add(failureRestartDelay))
 	}
 	if !u.done {
-		e.stopIfExhausted(u.job)
+		e.stopIfFailed(u.job)
 	}
 	e.endJobIfFinished(u.job, now)
 }
 
-// stopIfExhausted stops the active units of a job that has used all its attempts.
-func (e *Engine) stopIfExhausted(j *job) {
-	if !e.attemptsExhausted(j) {
+// stopIfFailed stops the active units of a job that has failed.
+func (e *Engine) stopIfFailed(j *job) {
+	if !e.hasFailed(j) {
 		return
 	}
 	for _, u := range j.units {
-		if u.isActive() {
+		if u.isActive() && !u.done {
 			u.stop("job failed")
 		}
 	}
