Count failed runs of items that are not done only

What callers would see: a job fails although each of its items could still be done, because an item that is done had failed as often as a new configuration allows. After a change of the planner the same job went on, since a term restores the count from items that are not done.

Cause: the highest number of failures of a job was only ever raised, also when the item that had reached it was done.

Evidence, on the commit before: go test ./internal/workflow/engine -run TestFailuresOfADoneItemDoNotFailItsJob without a takeover "Expected failed to equal complete"; with a takeover it passes

Change: a job holds how many of its open units have failed once, twice and so on. A unit leaves that count when it is done.

After: the test and the others of the package pass. Cost: an integer for each number of failures of a job that has any.

--- a/internal/workflow/engine/attempts_test.go
+++ b/internal/workflow/engine/attempts_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -112,3 +113,34 @@
 	term.Decide(w.now)
 	g.Expect(term.jobs[failed].state).To(Equal(workflow.StateFailed), "the queue is gone")
 }
+
+// Guards against a job that fails, or goes on after a change of the planner only, because of failures of
+// an item that is done since.
+func TestFailuresOfADoneItemDoNotFailItsJob(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		t.Run(fmt.Sprintf("takeover %v", takeover), func(t *testing.T) {
+			g := NewWithT(t)
+			w := newWorld(1, 1, 0)
+			w.noRandomFailures = true
+			w.advance(2500 * time.Millisecond)
+			id := w.addJob("small", "a", step(2, 8, 1000))
+			for n := range 2 {
+				w.advanceUntilRuns(id, n+1, 5*time.Second)
+				w.runs(id, 0)[n].willFail = true
+			}
+			for end := w.now.Add(10 * time.Second); w.now.Before(end) && len(w.runs(id, 1)) == 0; {
+				w.tick()
+			}
+			g.Expect(w.runs(id, 0)).To(HaveLen(3))
+			g.Expect(w.runs(id, 0)[2].how).To(Equal(workflow.EndDone))
+
+			w.changeQueue("small", allowAttempts(2))
+			if takeover {
+				w.takeover()
+			}
+			w.advanceUntilIdle(10 * time.Second)
+			g.Expect(w.planner.jobs[id].state).To(Equal(workflow.StateComplete))
+			g.Expect(w.runs(id, 1)).To(HaveLen(1))
+		})
+	}
+}
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -119,23 +119,25 @@
 
 // job is an accepted job, open or ended, until its records are deleted.
 type job struct {
-	id            string
-	rec           *workflow.JobRecord
-	revision      uint64 // of the stored progress record, 0 if there is none
-	seq           uint64 // makes every version of the progress record different
-	state         workflow.State
-	endedMS       int64 // Unix time, 0 while the job is open
-	endStored     bool  // the stored progress record has a final state
-	cancelled     bool
-	hasStarted    bool // a start of an item has been decided, also if it never took effect
-	begun         bool // a worker has begun an item
-	units         []*unit
-	stages        [][]stage // by occurrence and step
-	unitsLeft     int       // units that are not done
-	maxFailedRuns int       // highest failedRuns of any unit that is not long-running
-	hasCrashes    bool      // some unit has crash counts
-	givenUp       bool      // an item has crashed too many workers
-	costObserved  bool      // the cost model knows the job's work
+	id         string
+	rec        *workflow.JobRecord
+	revision   uint64 // of the stored progress record, 0 if there is none
+	seq        uint64 // makes every version of the progress record different
+	state      workflow.State
+	endedMS    int64 // Unix time, 0 while the job is open
+	endStored  bool  // the stored progress record has a final state
+	cancelled  bool
+	hasStarted bool // a start of an item has been decided, also if it never took effect
+	begun      bool // a worker has begun an item
+	units      []*unit
+	stages     [][]stage // by occurrence and step
+	unitsLeft  int       // units that are not done
+	// unitsByFailures holds how many units, of those that are neither done nor long-running, have failed
+	// once, twice and so on.
+	unitsByFailures []int
+	hasCrashes      bool // some unit has crash counts
+	givenUp         bool // an item has crashed too many workers
+	costObserved    bool // the cost model knows the job's work
 }
 
 // stage is one step of one occurrence of a job.
@@ -365,10 +367,10 @@
 	return j.givenUp || e.configured && e.attemptsExhausted(j)
 }
 
-// attemptsExhausted reports whether a unit of the job has used all its attempts or has
+// attemptsExhausted reports whether a unit of the job that is not done has used all its attempts, or one has
 // crashed too many workers. Long-running units have no limit of attempts or crashes.
 func (e *Engine) attemptsExhausted(j *job) bool {
-	return j.givenUp || j.maxFailedRuns >= e.config.MaxAttemptsOf(j.rec)
+	return j.givenUp || j.maxFailedRuns() >= e.config.MaxAttemptsOf(j.rec)
 }
 
 // endMember records how a member ended. If one member of a gang ends otherwise
@@ -409,6 +411,29 @@
 	j.unitsLeft--
 	j.stages[u.occurrence][u.step].unitsLeft--
 	u.stopping = false
+	u.countFailures(-1)
+}
+
+// countFailures adds n to the number of units in j.unitsByFailures that have failed as often as u.
+func (u *unit) countFailures(n int) {
+	if u.failedRuns == 0 || u.spec().LongRunning {
+		return
+	}
+	byFailures := &u.job.unitsByFailures
+	for len(*byFailures) < u.failedRuns {
+		*byFailures = append(*byFailures, 0)
+	}
+	(*byFailures)[u.failedRuns-1] += n
+}
+
+// maxFailedRuns returns the highest number of failed runs of a unit that is neither done nor long-running.
+func (j *job) maxFailedRuns() int {
+	for n := len(j.unitsByFailures); n > 0; n-- {
+		if j.unitsByFailures[n-1] > 0 {
+			return n
+		}
+	}
+	return 0
 }
 
 // finishRun closes a run of which all members have ended: it counts a failure,
@@ -425,10 +450,9 @@
 		u.rackWaitSince, u.rackGivenUp = time.Time{}, false
 	}
 	if anyFailed && !u.done {
+		u.countFailures(-1)
 		u.failedRuns++
-		if !u.spec().LongRunning {
-			u.job.maxFailedRuns = max(u.job.maxFailedRuns, u.failedRuns)
-		}
+		u.countFailures(1)
 	}
 	switch {
 	case noneStarted:
--- a/internal/workflow/engine/progress.go
+++ b/internal/workflow/engine/progress.go
@@ -171,10 +171,9 @@
 		}
 		j.hasStarted = true
 		u.run, u.failedRuns, u.checkpoint = up.Run, up.Failed, up.Checkpoint
+		u.countFailures(1)
 		if up.Done {
 			e.markUnitDone(u)
-		} else if !u.spec().LongRunning {
-			j.maxFailedRuns = max(j.maxFailedRuns, u.failedRuns)
 		}
 		e.restoreMembers(u, up.Members)
 	}
