Keep headroom for each service apart

Cause: the headroom for jobs of priority 0, the share in use from which it is kept, and what a start leaves of it were sums over all usable workers. With 90% of them in a full service, the idle rest was less than the headroom of all, and each unit that can wait was held on it.

Change: sums, headroom and what is left of it are those of the unit's service. The plug-in that forecasts headroom is asked by service, with its workers and runs; it attributes the arrivals of a queue to the service that runs them, and its part of the dump is by service. Metrics add up the services. Decisions of a pool with one service are as before.

Cost: a sum and a headroom for each service with a unit that can wait; the forecast is computed once for each of them.

--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -88,6 +88,7 @@
 	demandAt           time.Time                      // of the latest decision that counted the demand of teams
 	evacuations        map[string]workflow.Evacuation // by failure domain
 	headroomUse        HeadroomUse                    // in the latest decision
+	lastHeadroom       map[string]workflow.Resources  // kept for each service when it last mattered
 	// begunUnrecorded holds the jobs that have begun since their latest change. They become
 	// changes of their own at begunRecordDue.
 	begunUnrecorded map[string]*job
@@ -113,7 +114,7 @@
 		settings: s, epoch: epoch, termStart: now, config: &workflow.Config{},
 		jobs: make(map[string]*job), workers: make(map[string]*worker), dirty: make(map[string]*job),
 		estimates: make(durationEstimates), plugins: newPlugins(s.NewPlugins), evacuations: make(map[string]workflow.Evacuation),
-		begunUnrecorded: make(map[string]*job),
+		begunUnrecorded: make(map[string]*job), lastHeadroom: make(map[string]workflow.Resources),
 	}
 }
 
--- a/internal/workflow/engine/headroom.go
+++ b/internal/workflow/engine/headroom.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// headroomShare is the share of the usable accelerators and processors that is
-	// kept free for jobs of priority 0. These arrive at any time and must start at
+	// headroomShare is the share of the usable accelerators and processors of a service
+	// that is kept free for its jobs of priority 0. These arrive at any time and must start at
 	// once; without headroom each of them preempts others, whose work is lost.
 	headroomShare = 0.12
 	// headroomMinUsage is the share in use from which headroom is kept. Below it no
@@ -35,11 +35,14 @@
 	if e.policy.noHeadroom || c.class != classOther || u.spec().LongRunning || !e.canWait(u, c, now) {
 		return false
 	}
-	freeSum, totalSum := r.totals()
-	h := e.keptHeadroom(r, now)
+	// Jobs of priority 0 of other services cannot use these workers, nor this unit the others.
+	service := e.config.ServiceOf(u.job.rec)
+	sums := r.totals(service)
+	freeSum, totalSum := sums.free, sums.capacity
 	leftSum := freeSum.Add(u.spec().Needs(), -int64(u.count))
+	h := e.keptHeadroom(service, r, now)
 	if h.forecast {
-		freeSum, leftSum = r.roomLeft(h.item, u, nil), r.roomLeft(h.item, u, placement)
+		freeSum, leftSum = r.roomLeft(h, u, nil), r.roomLeft(h, u, placement)
 	}
 	kept := [2]float64{h.accelerators, h.milliCPU}
 	free, total := [2]int64{freeSum.Accelerators, freeSum.MilliCPU}, [2]int64{totalSum.Accelerators, totalSum.MilliCPU}
@@ -64,8 +67,9 @@
 	return e.canWait(u, c, now)
 }
 
-// headroom is what is kept free for jobs of priority 0 during one decision.
+// headroom is what is kept free on the workers of a service for jobs of priority 0 during one decision.
 type headroom struct {
+	service                string
 	accelerators, milliCPU float64
 	forecast               bool                // by the plug-in, not the fixed share
 	item                   workflow.Resources  // see framework.Headroom; only with forecast
@@ -81,39 +85,43 @@
 	return text
 }
 
-// keptHeadroom returns what is to be kept free in a decision. It asks the plug-in once.
-func (e *Engine) keptHeadroom(r *freeResources, now time.Time) *headroom {
-	if r.headroom != nil {
-		return r.headroom
+// keptHeadroom returns what is to be kept free of a service in a decision. It asks the plug-in once.
+func (e *Engine) keptHeadroom(service string, r *freeResources, now time.Time) *headroom {
+	if h := r.headroom[service]; h != nil {
+		return h
 	}
-	_, total := r.totals()
-	r.headroom = &headroom{accelerators: headroomShare * float64(total.Accelerators), milliCPU: headroomShare * float64(total.MilliCPU)}
+	total := r.totals(service).capacity
+	h := &headroom{service: service, accelerators: headroomShare * float64(total.Accelerators), milliCPU: headroomShare * float64(total.MilliCPU)}
 	if e.plugins.headroom != nil {
-		if h, known := e.plugins.headroom.Headroom(now, framework.Pool{Total: total, Releases: e.releases(r, now)}); known {
-			*r.headroom = headroom{accelerators: float64(h.Amount.Accelerators), milliCPU: float64(h.Amount.MilliCPU), forecast: true, item: h.Item}
+		pool := framework.Pool{Service: service, Total: total, Releases: e.releases(service, r, now)}
+		if f, known := e.plugins.headroom.Headroom(now, pool); known {
+			*h = headroom{service: service, accelerators: float64(f.Amount.Accelerators), milliCPU: float64(f.Amount.MilliCPU), forecast: true, item: f.Item}
 		}
 	}
-	return r.headroom
+	r.headroom[service] = h
+	return h
 }
 
-// roomLeft returns what is left for items of the given needs once u has started with a
-// placement: the resources of workers with room for one, with the accelerators rounded
+// roomLeft returns what is left for items of the needs that h names once u has started with a
+// placement: the resources of the service's workers with room for one, with the accelerators rounded
 // down to whole items.
-func (r *freeResources) roomLeft(item workflow.Resources, u *unit, placement []*worker) workflow.Resources {
-	if r.headroom.room == nil {
-		r.headroom.room = new(workflow.Resources)
+func (r *freeResources) roomLeft(h *headroom, u *unit, placement []*worker) workflow.Resources {
+	if h.room == nil {
+		h.room = new(workflow.Resources)
 		for _, w := range r.workers {
-			*r.headroom.room = r.headroom.room.Add(roomFor(item, r.free[w.index]), 1)
+			if w.announcement.Service == h.service {
+				*h.room = h.room.Add(roomFor(h.item, r.free[w.index]), 1)
+			}
 		}
 	}
-	room := *r.headroom.room
+	room := *h.room
 	items := make(map[*worker]int64)
 	for _, w := range placement {
 		items[w]++
 	}
 	for w, n := range items {
 		free := r.free[w.index]
-		room = room.Add(roomFor(item, free), -1).Add(roomFor(item, free.Add(u.spec().Needs(), -n)), 1)
+		room = room.Add(roomFor(h.item, free), -1).Add(roomFor(h.item, free.Add(u.spec().Needs(), -n)), 1)
 	}
 	return room
 }
@@ -136,9 +144,9 @@
 	// mattered, and Held that one had to wait.
 	Asked, Held bool
 	Forecast    bool // the plug-in had a figure
-	// Accelerators and MilliCPU are what was to be kept when it last mattered.
+	// Accelerators and MilliCPU are what was to be kept when it last mattered, summed over the services.
 	Accelerators, MilliCPU int64
-	// Used counts starts of jobs of priority 0 after which less than that was free.
+	// Used counts starts of jobs of priority 0 after which less than that was free in their service.
 	Used int
 }
 
@@ -147,27 +155,35 @@
 
 // recordHeadroomUse updates e.headroomUse after a decision.
 func (e *Engine) recordHeadroomUse(r *freeResources, starts []Placement) {
-	use := HeadroomUse{Accelerators: e.headroomUse.Accelerators, MilliCPU: e.headroomUse.MilliCPU, Held: r.held}
-	if h := r.headroom; h != nil {
-		use.Asked, use.Forecast = true, h.forecast
-		use.Accelerators, use.MilliCPU = int64(h.accelerators), int64(h.milliCPU)
-	}
-	if free, _ := r.totals(); free.Accelerators < use.Accelerators || free.MilliCPU < use.MilliCPU {
-		for _, s := range starts {
-			if s.Class != classNames[classOther] {
-				use.Used++
-			}
+	use := HeadroomUse{Held: r.held, Asked: len(r.headroom) > 0}
+	for service, h := range r.headroom {
+		use.Forecast = use.Forecast || h.forecast
+		e.lastHeadroom[service] = workflow.Resources{Accelerators: int64(h.accelerators), MilliCPU: int64(h.milliCPU)}
+	}
+	for _, kept := range e.lastHeadroom {
+		use.Accelerators, use.MilliCPU = use.Accelerators+kept.Accelerators, use.MilliCPU+kept.MilliCPU
+	}
+	for _, s := range starts {
+		if s.Class == classNames[classOther] {
+			continue
+		}
+		service := e.config.ServiceOf(e.jobs[s.Unit.Job].rec)
+		if free, kept := r.totals(service).free, e.lastHeadroom[service]; free.Accelerators < kept.Accelerators || free.MilliCPU < kept.MilliCPU {
+			use.Used++
 		}
 	}
 	e.headroomUse = use
 }
 
-// releases returns the expected ends of the active runs on usable workers, by time.
+// releases returns the expected ends of the active runs on usable workers of a service, by time.
 // Long-running ones are not expected to end.
-func (e *Engine) releases(r *freeResources, now time.Time) []framework.Release {
+func (e *Engine) releases(service string, r *freeResources, now time.Time) []framework.Release {
 	var out []framework.Release
 	seen := make(map[*unit]bool)
 	for _, w := range r.workers {
+		if w.announcement.Service != service {
+			continue
+		}
 		for _, m := range w.members {
 			u := m.unit
 			if seen[u] || u.spec().LongRunning {
@@ -193,7 +209,7 @@
 	if e.plugins.headroom == nil || j.rec.Occurrences > 0 || j.rec.LongRunning() || e.config.PriorityOf(j.rec) != 0 {
 		return
 	}
-	a := framework.Arrival{Queue: j.rec.Queue, At: time.UnixMilli(j.rec.AcceptedMS)}
+	a := framework.Arrival{Queue: j.rec.Queue, Service: e.config.ServiceOf(j.rec), At: time.UnixMilli(j.rec.AcceptedMS)}
 	for s := range j.rec.Steps {
 		step := &j.rec.Steps[s]
 		needs := workflow.Resources{}.Add(step.Needs(), int64(step.Count))
--- a/internal/workflow/engine/headroom_test.go
+++ b/internal/workflow/engine/headroom_test.go
@@ -19,7 +19,8 @@
 	known    bool
 	arrivals []framework.Arrival
 	asked    int
-	pool     framework.Pool // of the latest call
+	pool     framework.Pool            // of the latest call
+	pools    map[string]framework.Pool // of the latest calls, by service; nil to keep none
 }
 
 func (p *fixedPolicy) State(time.Time) any                { return nil }
@@ -27,6 +28,9 @@
 func (p *fixedPolicy) Headroom(_ time.Time, pool framework.Pool) (framework.Headroom, bool) {
 	p.asked++
 	p.pool = pool
+	if p.pools != nil {
+		p.pools[pool.Service] = pool
+	}
 	return p.kept, p.known
 }
 
@@ -126,7 +130,7 @@
 	w.jobs["scheduled"] = &scheduled
 	w.planner.AddJob("scheduled", &scheduled, nil, 0)
 	g.Expect(policy.arrivals).To(Equal([]framework.Arrival{{
-		Queue: "urgent", At: time.UnixMilli(w.jobs[id].AcceptedMS), Item: wide.Needs(),
+		Queue: "urgent", Service: "s", At: time.UnixMilli(w.jobs[id].AcceptedMS), Item: wide.Needs(),
 		Needs: workflow.Resources{MilliCPU: 6000, MemoryMB: 24_000, Accelerators: 6},
 	}}))
 	w.advance(time.Second)
@@ -164,3 +168,67 @@
 		}
 	})
 }
+
+// newServicesWorld returns a world with nine workers of service s and one of service t, which queue
+// desk uses, in which a long-running job holds all of s. The headroom of all ten together is more than
+// one worker.
+func newServicesWorld(g *WithT) *world {
+	w := newWorld(5, 10, 0)
+	w.noRandomFailures = true
+	w.workers[9].service = "t"
+	w.config.Queues = append(w.config.Queues,
+		workflow.Queue{Name: "desk", Service: "t", Priority: 1, MaxAttempts: 3, SlackFactor: 1.5, TargetMS: 250},
+		workflow.Queue{Name: "urgent desk", Service: "t", MaxAttempts: 3, SlackFactor: 1.5, TargetMS: 250},
+	)
+	w.config.Provision()
+	w.planner.SetConfig(w.config)
+	w.advance(2500 * time.Millisecond)
+	lasting := step(9, 8, 1000)
+	lasting.LongRunning = true
+	id := w.addJob("large", "b", lasting)
+	w.advance(200 * time.Millisecond)
+	n, _ := w.startedItems(id)
+	g.Expect(n).To(Equal(9))
+	return w
+}
+
+// Guards against a unit that waits, on an idle service, for headroom of another service that is full:
+// one that is too late to be of use waited for ever.
+func TestFullServiceHoldsNoUnitOfAnother(t *testing.T) {
+	for name, late := range map[string]time.Duration{"in time": 0, "too late to be of use": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newServicesWorld(g)
+			id := w.addJob("desk", "b", step(1, 1, 60_000))
+			w.jobs[id].AcceptedMS -= late.Milliseconds()
+			w.advance(200 * time.Millisecond)
+			n, _ := w.startedItems(id)
+			g.Expect(n).To(Equal(1), "%+v", w.planner.Dump(w.now).Jobs)
+		})
+	}
+}
+
+// Guards against a forecast for one service from the workers, runs and arrivals of another one, and
+// against room in another service that counts as kept.
+func TestForecastIsAskedByService(t *testing.T) {
+	g := NewWithT(t)
+	w := newServicesWorld(g)
+	policy := &fixedPolicy{known: true, pools: make(map[string]framework.Pool), kept: framework.Headroom{Amount: workflow.Resources{Accelerators: 2}, Item: workflow.Resources{Accelerators: 1}}}
+	w.planner.plugins.headroom = policy
+	w.addJob("urgent desk", "a", step(1, 5, 60_000))
+	held := w.addJob("desk", "b", step(1, 2, 600_000))
+	w.advance(200 * time.Millisecond)
+	n, _ := w.startedItems(held)
+	g.Expect(n).To(BeZero(), "one accelerator would be left")
+	g.Expect(policy.arrivals).To(HaveLen(1))
+	g.Expect(policy.arrivals[0].Service).To(Equal("t"))
+	g.Expect(policy.pools).To(HaveKey("t"))
+	g.Expect(policy.pools["t"].Total.Accelerators).To(Equal(int64(8)))
+	g.Expect(policy.pools["t"].Releases).To(HaveLen(1))
+	g.Expect(w.planner.HeadroomUse()).To(Equal(HeadroomUse{Asked: true, Held: true, Forecast: true, Accelerators: 2}))
+
+	small := w.addJob("desk", "b", step(1, 1, 600_000))
+	w.advance(200 * time.Millisecond)
+	n, _ = w.startedItems(small)
+	g.Expect(n).To(Equal(1))
+}
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -25,10 +25,10 @@
 	// which no further ones may, because of a suspect unit.
 	started, closed map[*worker]bool
 	anyCold         bool // some usable worker is cold
-	// cachedTotals caches the result of totals, nil after an allocation.
-	cachedTotals *[2]workflow.Resources
-	headroom     *headroom // see keptHeadroom, nil until it is asked for
-	held         bool      // a unit has to wait for the headroom
+	// cachedTotals caches the results of totals by service, until an allocation there.
+	cachedTotals map[string]totals
+	headroom     map[string]*headroom // by service, see keptHeadroom
+	held         bool                 // a unit has to wait for the headroom
 	pool         *poolView
 	sharing
 }
@@ -49,6 +49,7 @@
 	r := &freeResources{
 		free: make([]workflow.Resources, len(e.sortedWorkers)), doNotFit: make(map[shape]bool), fits: make(map[shape][]*worker),
 		now: now, started: make(map[*worker]bool), closed: make(map[*worker]bool), sharing: newSharing(),
+		cachedTotals: make(map[string]totals), headroom: make(map[string]*headroom),
 	}
 	for _, w := range e.sortedWorkers {
 		if e.usable(w, now) {
@@ -99,18 +100,25 @@
 	}
 }
 
-// totals returns the sums of the free accelerators and processors, and of the
-// capacity, over all usable workers. Overcommitted workers count as 0 free.
-func (r *freeResources) totals() (free, total workflow.Resources) {
-	if r.cachedTotals == nil {
-		r.cachedTotals = new([2]workflow.Resources)
-		for _, w := range r.workers {
-			f := r.free[w.index]
-			f.Accelerators, f.MilliCPU = max(f.Accelerators, 0), max(f.MilliCPU, 0)
-			r.cachedTotals[0], r.cachedTotals[1] = r.cachedTotals[0].Add(f, 1), r.cachedTotals[1].Add(w.announcement.Capacity, 1)
+// totals holds the sums of the free accelerators and processors, and of the capacity, over the usable
+// workers of one service. Overcommitted workers count as 0 free.
+type totals struct{ free, capacity workflow.Resources }
+
+func (r *freeResources) totals(service string) totals {
+	t, known := r.cachedTotals[service]
+	if known {
+		return t
+	}
+	for _, w := range r.workers {
+		if w.announcement.Service != service {
+			continue
 		}
+		f := r.free[w.index]
+		f.Accelerators, f.MilliCPU = max(f.Accelerators, 0), max(f.MilliCPU, 0)
+		t.free, t.capacity = t.free.Add(f, 1), t.capacity.Add(w.announcement.Capacity, 1)
 	}
-	return r.cachedTotals[0], r.cachedTotals[1]
+	r.cachedTotals[service] = t
+	return t
 }
 
 // clone returns a copy, without the caches, for trial releases.
@@ -123,9 +131,9 @@
 func (r *freeResources) allocate(u *unit, placement []*worker, suspect bool) {
 	for _, w := range placement {
 		r.free[w.index] = r.free[w.index].Add(u.spec().Needs(), -1)
-		r.cachedTotals = nil
-		if r.headroom != nil {
-			r.headroom.room = nil
+		delete(r.cachedTotals, w.announcement.Service)
+		if h := r.headroom[w.announcement.Service]; h != nil {
+			h.room = nil
 		}
 		r.started[w] = true
 		r.keepFor(u, w)
--- a/internal/workflow/engine/world_test.go
+++ b/internal/workflow/engine/world_test.go
@@ -80,7 +80,7 @@
 	}
 	w.config.Provision()
 	for i := range workers {
-		m := &modelWorker{env: w, node: fmt.Sprintf("n%d", i), rack: fmt.Sprintf("r%d", i/3), capacity: workflow.Resources{MilliCPU: 32000, MemoryMB: 131072, Accelerators: 8}}
+		m := &modelWorker{env: w, node: fmt.Sprintf("n%d", i), rack: fmt.Sprintf("r%d", i/3), service: "s", capacity: workflow.Resources{MilliCPU: 32000, MemoryMB: 131072, Accelerators: 8}}
 		m.restart()
 		w.workers = append(w.workers, m)
 	}
--- a/internal/workflow/engine/world_worker_test.go
+++ b/internal/workflow/engine/world_worker_test.go
@@ -29,6 +29,8 @@
 	env              *world
 	node             string
 	rack             string
+	service          string
+	labels           []string // besides "a" and the rack
 	startedMS        int64
 	knownStartedMS   int64                // incarnation that the agent knows
 	noticedAt        time.Time            // when the agent notices the latest crash
@@ -365,7 +367,7 @@
 		report.Running = append(report.Running, workflow.RunningItem{Ref: r.ref, Run: r.run, Percent: r.percent()})
 	}
 	return &workflow.SyncReply{Version: uint64(m.seq), Report: report, Generation: req.Generation, Announced: &workflow.Announcement{
-		Instance: m.node, StartedMS: m.startedMS, Service: "s", Labels: []string{"a", m.rack}, Rack: m.rack, Capacity: m.capacity,
+		Instance: m.node, StartedMS: m.startedMS, Service: m.service, Labels: append([]string{"a", m.rack}, m.labels...), Rack: m.rack, Capacity: m.capacity,
 		Draining: m.draining, Seq: m.seq, FailureDomain: m.env.domainOf(m),
 	}}
 }
--- a/internal/workflow/forecast/forecast.go
+++ b/internal/workflow/forecast/forecast.go
@@ -15,7 +15,7 @@
 
 const (
 	// maxQueues bounds the queues that are learned; the arrivals of further ones are
-	// counted together.
+	// counted together for each service.
 	maxQueues = 32
 	// maxArrivals bounds the arrivals that are kept for each queue. At higher rates the
 	// long window is cut short, and the rate still comes from this many.
@@ -36,7 +36,7 @@
 	horizonSteps = 4
 )
 
-// otherQueues stands for the queues beyond maxQueues.
+// otherQueues, with the name of a service, stands for its queues beyond maxQueues.
 const otherQueues = "*"
 
 // arrival is a job of priority 0.
@@ -50,14 +50,21 @@
 type Policy struct {
 	settings Settings
 	queues   map[string][]arrival // by queue, in order of time
+	services map[string]string    // the latest service by queue, of those in queues
 	firstAt  time.Time            // of the earliest arrival
+	figures  map[string]*figure   // by service
+}
+
+// figure is the latest forecast for a service.
+type figure struct {
 	// steps caches the forecast at computedAt; nil if an arrival has come since. total is
 	// the pool that it was computed for.
 	steps      []demand
 	computedAt time.Time
 	total      workflow.Resources
 	enough     bool
-	rate       float64            // jobs a second, of the cached forecast
+	arrivals   int                // that it rests on
+	rate       float64            // jobs a second
 	item       workflow.Resources // the usual item
 	kept       workflow.Resources
 	horizon    time.Duration // the one that decided, of kept
@@ -74,14 +81,14 @@
 // New returns a policy that has learned nothing.
 func New(s Settings) *Policy {
 	s.Provision()
-	return &Policy{settings: s, queues: make(map[string][]arrival)}
+	return &Policy{settings: s, queues: make(map[string][]arrival), services: make(map[string]string), figures: make(map[string]*figure)}
 }
 
 // ObserveArrival implements framework.HeadroomPolicy.
 func (p *Policy) ObserveArrival(a framework.Arrival) {
 	queue := a.Queue
 	if p.queues[queue] == nil && len(p.queues) >= maxQueues {
-		queue = otherQueues
+		queue = otherQueues + a.Service
 	}
 	list := p.queues[queue]
 	next := arrival{at: a.At, needs: a.Needs, item: a.Item}
@@ -93,33 +100,41 @@
 	if p.firstAt.IsZero() || a.At.Before(p.firstAt) {
 		p.firstAt = a.At
 	}
-	p.queues[queue], p.steps = list, nil
+	p.queues[queue], p.services[queue] = list, a.Service
+	for _, f := range p.figures {
+		f.steps = nil
+	}
 }
 
 // Headroom implements framework.HeadroomPolicy. Demand grows with the horizon and so
 // does what running jobs release; it keeps the largest difference of both.
 func (p *Policy) Headroom(now time.Time, pool framework.Pool) (framework.Headroom, bool) {
-	if age := now.Sub(p.computedAt); p.steps == nil || age < 0 || age >= recomputeInterval || p.total != pool.Total {
-		p.forecast(now, pool.Total)
+	f := p.figures[pool.Service]
+	if f == nil {
+		f = new(figure)
+		p.figures[pool.Service] = f
 	}
-	p.kept, p.horizon = workflow.Resources{}, 0
-	if !p.enough {
+	if age := now.Sub(f.computedAt); f.steps == nil || age < 0 || age >= recomputeInterval || f.total != pool.Total {
+		p.forecast(f, now, pool)
+	}
+	f.kept, f.horizon = workflow.Resources{}, 0
+	if !f.enough {
 		return framework.Headroom{}, false
 	}
 	var released workflow.Resources
 	next := 0
-	for _, d := range p.steps {
+	for _, d := range f.steps {
 		for ; next < len(pool.Releases) && releaseDelay*pool.Releases[next].After <= d.within; next++ {
 			released = released.Add(pool.Releases[next].Needs, 1)
 		}
-		if need := d.accelerators - released.Accelerators; need > p.kept.Accelerators {
-			p.kept.Accelerators, p.horizon = need, d.within
+		if need := d.accelerators - released.Accelerators; need > f.kept.Accelerators {
+			f.kept.Accelerators, f.horizon = need, d.within
 		}
-		p.kept.MilliCPU = max(p.kept.MilliCPU, d.milliCPU-released.MilliCPU)
+		f.kept.MilliCPU = max(f.kept.MilliCPU, d.milliCPU-released.MilliCPU)
 	}
-	p.kept.Accelerators = p.bound(p.kept.Accelerators, pool.Total.Accelerators)
-	p.kept.MilliCPU = p.bound(p.kept.MilliCPU, pool.Total.MilliCPU)
-	return framework.Headroom{Amount: p.kept, Item: p.item}, true
+	f.kept.Accelerators = p.bound(f.kept.Accelerators, pool.Total.Accelerators)
+	f.kept.MilliCPU = p.bound(f.kept.MilliCPU, pool.Total.MilliCPU)
+	return framework.Headroom{Amount: f.kept, Item: f.item}, true
 }
 
 // bound limits a figure to the shares of total that the settings allow.
@@ -127,17 +142,17 @@
 	return min(max(v, int64(p.settings.MinShare*float64(total))), int64(p.settings.MaxShare*float64(total)))
 }
 
-// forecast computes the demand for each horizon from the arrivals up to now.
-func (p *Policy) forecast(now time.Time, total workflow.Resources) {
-	p.computedAt, p.total, p.steps, p.rate, p.enough = now, total, []demand{}, 0, false
+// forecast computes the demand for each horizon from the arrivals up to now for the service of a pool.
+func (p *Policy) forecast(f *figure, now time.Time, pool framework.Pool) {
+	*f = figure{computedAt: now, total: pool.Total, steps: []demand{}}
 	short := ms(p.settings.ShortWindowMS)
 	long := min(ms(p.settings.LongWindowMS), now.Sub(p.firstAt)) // nothing is known of the time before
-	accelerators, cpu := newSizes(total.Accelerators), newSizes(total.MilliCPU)
+	accelerators, cpu := newSizes(pool.Total.Accelerators), newSizes(pool.Total.MilliCPU)
 	var rate gammaRate
 	var items []workflow.Resources
 	for _, queue := range p.queueNames() {
 		list := p.recent(queue, now)
-		if len(list) == 0 {
+		if len(list) == 0 || p.services[queue] != pool.Service {
 			continue
 		}
 		r := rateOf(list, now, short, long)
@@ -149,18 +164,19 @@
 			items = append(items, a.item)
 		}
 	}
+	f.arrivals = len(items)
 	if len(items) < minArrivals {
 		return
 	}
 	slices.SortFunc(items, func(a, b workflow.Resources) int {
 		return cmp.Or(cmp.Compare(a.Accelerators, b.Accelerators), cmp.Compare(a.MilliCPU, b.MilliCPU))
 	})
-	p.enough, p.rate, p.item = true, rate.shape/rate.seconds, items[len(items)/2]
+	f.enough, f.rate, f.item = true, rate.shape/rate.seconds, items[len(items)/2]
 	within := p.settings.minHorizon()
 	factor := float64(ms(p.settings.MaxHorizonMS)) / float64(within)
 	for i := range horizonSteps {
 		t := time.Duration(float64(within) * math.Pow(factor, float64(i)/(horizonSteps-1)))
-		p.steps = append(p.steps, demand{
+		f.steps = append(f.steps, demand{
 			within: t, accelerators: accelerators.quantile(rate, t, p.settings.Probability), milliCPU: cpu.quantile(rate, t, p.settings.Probability),
 		})
 	}
@@ -190,6 +206,7 @@
 	p.queues[queue] = list
 	if len(list) == 0 {
 		delete(p.queues, queue)
+		delete(p.services, queue)
 	}
 	ahead := len(list)
 	for ahead > 0 && list[ahead-1].at.After(now.Add(maxClockDifference)) {
@@ -198,7 +215,7 @@
 	return list[:ahead]
 }
 
-// State is the state of the policy in the debug dump.
+// State is the state of the forecast for a service in the debug dump.
 type State struct {
 	Known bool `json:"known"` // false while the engine's fixed share is kept
 	// Rate is the forecast of arrivals in jobs a second.
@@ -213,14 +230,14 @@
 	ItemMilliCPU     int64 `json:"item_millicpu"`
 }
 
-// State implements framework.Plugin. It shows the latest forecast.
+// State implements framework.Plugin. It shows the latest forecast by service.
 func (p *Policy) State(time.Time) any {
-	s := State{
-		Known: p.enough, Rate: p.rate, HorizonMS: p.horizon.Milliseconds(), KeptAccelerators: p.kept.Accelerators, KeptMilliCPU: p.kept.MilliCPU,
-		ItemAccelerators: p.item.Accelerators, ItemMilliCPU: p.item.MilliCPU,
-	}
-	for _, list := range p.queues {
-		s.Arrivals += len(list)
+	states := make(map[string]State, len(p.figures))
+	for service, f := range p.figures {
+		states[service] = State{
+			Known: f.enough, Arrivals: f.arrivals, Rate: f.rate, HorizonMS: f.horizon.Milliseconds(), KeptAccelerators: f.kept.Accelerators,
+			KeptMilliCPU: f.kept.MilliCPU, ItemAccelerators: f.item.Accelerators, ItemMilliCPU: f.item.MilliCPU,
+		}
 	}
-	return s
+	return states
 }
--- a/internal/workflow/forecast/forecast_test.go
+++ b/internal/workflow/forecast/forecast_test.go
@@ -165,6 +165,31 @@
 	g.Expect(kept(p, now, framework.Release{After: time.Second, Needs: needs})).To(And(BeNumerically("<", without), BeNumerically(">", 6)))
 }
 
+// Guards against room that is kept in one service for jobs of another one, and against memory of
+// queues whose service is not asked for any more.
+func TestServicesAreForecastApart(t *testing.T) {
+	g := NewWithT(t)
+	p := New(Settings{})
+	feed(p, 0, 30*time.Second, steady(2)) // of service ""
+	for i := range 12 {
+		p.ObserveArrival(framework.Arrival{Queue: "small", Service: "t", At: start.Add(time.Duration(i) * time.Second), Item: workflow.Resources{Accelerators: 1}, Needs: workflow.Resources{Accelerators: 1}})
+	}
+	total := workflow.Resources{Accelerators: 616}
+	large, known := p.Headroom(start.Add(30*time.Second), framework.Pool{Total: total})
+	g.Expect(known).To(BeTrue())
+	small, known := p.Headroom(start.Add(30*time.Second), framework.Pool{Service: "t", Total: total})
+	g.Expect(known).To(BeTrue())
+	g.Expect(small.Item.Accelerators).To(Equal(int64(1)))
+	g.Expect(small.Amount.Accelerators).To(BeNumerically("<", large.Amount.Accelerators/4))
+	_, known = p.Headroom(start.Add(30*time.Second), framework.Pool{Service: "u", Total: total})
+	g.Expect(known).To(BeFalse())
+	g.Expect(p.State(start)).To(And(HaveLen(3), HaveKey("t")))
+
+	p.Headroom(start.Add(5*time.Minute), framework.Pool{Total: total})
+	g.Expect(p.queues).To(BeEmpty())
+	g.Expect(p.services).To(BeEmpty())
+}
+
 // Guards against memory that grows with the jobs or the names of queues.
 func TestMemoryIsBounded(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/workflow/framework/headroom.go
+++ b/internal/workflow/framework/headroom.go
@@ -6,8 +6,8 @@
 	"snipegw/internal/workflow"
 )
 
-// HeadroomPolicy decides how much of the pool jobs that can wait leave free for jobs of
-// priority 0.
+// HeadroomPolicy decides how much of the workers of a service jobs that can wait leave free for
+// jobs of priority 0 of that service.
 type HeadroomPolicy interface {
 	// ObserveArrival takes a job of priority 0 that was accepted. A term passes the jobs
 	// of its predecessors too, so it may be long ago, and arrivals come in no order.
@@ -19,7 +19,7 @@
 
 // Headroom is what is kept free for jobs of priority 0.
 type Headroom struct {
-	// Amount holds the processors and accelerators, over all workers.
+	// Amount holds the processors and accelerators, over all workers of the service.
 	Amount workflow.Resources
 	// Item is what a usual item needs. Only room on workers that could hold one counts as
 	// free.
@@ -28,17 +28,19 @@
 
 // Arrival is the acceptance of a job.
 type Arrival struct {
-	Queue string
-	At    time.Time
+	Queue   string
+	Service string // that runs its items
+	At      time.Time
 	// Needs is the sum of what the items of its largest step reserve.
 	Needs workflow.Resources
 	// Item is what one of these items reserves.
 	Item workflow.Resources
 }
 
-// Pool is the state of the usable workers at one moment.
+// Pool is the state of the usable workers of a service at one moment.
 type Pool struct {
-	Total workflow.Resources
+	Service string
+	Total   workflow.Resources
 	// Releases lists what is expected to become free by itself, by time.
 	Releases []Release
 }
