Bound how long a late job leaves the headroom

What callers would see: a job that is too late to be of use stays active beside an idle worker, for as long as long-running items hold most of its service.

Cause: a job leaves the headroom for jobs of priority 0 while it can meet its objective and again once its completion is of no more use. Nothing ended the second wait but room that others free, and long-running items free none.

Change: the wait ends 3 s after the latest start of use. That time follows from the job's record, so that a change of the planner does not prolong it. The explanation of the job says how long it waits.

--- a/internal/workflow/engine/explain.go
+++ b/internal/workflow/engine/explain.go
@@ -54,7 +54,8 @@
 			return "fits, but only on workers that are too slow for its objective"
 		}
 		if e.mustLeaveHeadroom(u, c, placement, r, now) {
-			return fmt.Sprintf("fits, but can wait and would use the headroom that is kept for jobs of priority 0 (%v)", e.keptHeadroom(e.config.ServiceOf(j.rec), r, now))
+			return fmt.Sprintf("fits, but can wait for %v and would use the headroom that is kept for jobs of priority 0 (%v)",
+				e.headroomWaitEnd(u, c).Sub(now).Round(100*time.Millisecond), e.keptHeadroom(e.config.ServiceOf(j.rec), r, now))
 		}
 		return "fits, but the resources are reserved for units before it, or it starts with the next decision"
 	}
--- a/internal/workflow/engine/headroom.go
+++ b/internal/workflow/engine/headroom.go
@@ -26,13 +26,17 @@
 	// more than headroomMinLead. Large units get longer, because it takes time
 	// until enough resources are free for them.
 	headroomDurationDivisor = 2
+	// maxLateWait is how long a unit leaves the headroom after its latest start of use to the
+	// caller. Callers are promised that no item stays unstarted for 3 s beside ample room; where
+	// long-running items hold most of a pool, the room that is left never becomes ample.
+	maxLateWait = 3 * time.Second
 )
 
 // mustLeaveHeadroom reports whether a unit that could start with the given placement, or
 // with that of an equal unit, has to wait, because it can wait and its start would leave
 // too little free for jobs of priority 0.
 func (e *Engine) mustLeaveHeadroom(u *unit, c *candidate, placement []*worker, r *freeResources, now time.Time) bool {
-	if e.policy.noHeadroom || c.class != classOther || u.spec().LongRunning || !e.canWait(u, c, now) {
+	if e.policy.noHeadroom || c.class != classOther || u.spec().LongRunning || !now.Before(e.headroomWaitEnd(u, c)) {
 		return false
 	}
 	// Jobs of priority 0 of other services cannot use these workers, nor this unit the others.
@@ -223,11 +227,16 @@
 // canWait reports whether a unit has time to wait without missing its objective,
 // or is so late that its completion is of no more use.
 func (e *Engine) canWait(u *unit, c *candidate, now time.Time) bool {
+	return c.lateness > 1 || now.Before(e.headroomWaitEnd(u, c))
+}
+
+// headroomWaitEnd returns the time until which a unit leaves the headroom, zero if it does not.
+func (e *Engine) headroomWaitEnd(u *unit, c *candidate) time.Time {
 	switch c.lateness {
 	case 0: // can still meet its objective
-		return now.Add(max(headroomMinLead, e.estimates.duration(u)/headroomDurationDivisor)).Before(c.startBy)
+		return c.startBy.Add(-max(headroomMinLead, e.estimates.duration(u)/headroomDurationDivisor))
 	case 1: // late, but its completion is still of use
-		return false
+		return time.Time{}
 	}
-	return true
+	return c.startBy.Add(maxLateWait)
 }
--- a/internal/workflow/engine/headroom_test.go
+++ b/internal/workflow/engine/headroom_test.go
@@ -232,3 +232,35 @@
 	n, _ = w.startedItems(small)
 	g.Expect(n).To(Equal(1))
 }
+
+// Guards against a job that is too late to be of use and waits for ever beside an idle worker, because
+// long-running items hold the others of its service; also over a change of the planner.
+func TestLateJobLeavesTheHeadroomForABoundedTime(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		t.Run(fmt.Sprintf("takeover %v", takeover), func(t *testing.T) {
+			g := NewWithT(t)
+			w := newWorld(6, 10, 0)
+			w.noRandomFailures = true
+			w.advance(2500 * time.Millisecond)
+			lasting := step(9, 8, 1000)
+			lasting.LongRunning = true
+			w.addJob("large", "b", lasting)
+			w.advance(200 * time.Millisecond)
+
+			// The objective is 3*1 s + 3 s, so that a start is of use for 17 s.
+			id := w.addJob("small", "b", step(1, 1, 1000))
+			tooLate := w.now.Add(200 * time.Millisecond)
+			w.jobs[id].AcceptedMS = tooLate.Add(-17 * time.Second).UnixMilli()
+			w.now = tooLate.Add(time.Millisecond)
+			w.advance(time.Second)
+			g.Expect(w.runs(id, 0)).To(BeEmpty(), "the headroom is kept")
+			g.Expect(w.planner.Dump(w.now).Jobs[1].WaitReason).To(ContainSubstring("can wait for 2s and would use the headroom"))
+			if takeover {
+				w.takeover()
+			}
+			w.advanceUntilRuns(id, 1, time.Minute)
+			g.Expect(w.runs(id, 0)).To(HaveLen(1))
+			g.Expect(w.runs(id, 0)[0].startedAt).To(BeTemporally("~", tooLate.Add(maxLateWait), 100*time.Millisecond))
+		})
+	}
+}
--- a/internal/workflow/engine/world_test.go
+++ b/internal/workflow/engine/world_test.go
@@ -32,6 +32,8 @@
 	acknowledgedDone     map[string]bool
 	acknowledgedFailures map[string]int
 	runsByItem           map[string][]*modelRun
+	startedRuns          int
+	mostAttempts         int      // that a configuration has allowed for some queue
 	violations           []string // of the rules, with the time and the rule's name
 
 	evacuations      worldEvacuations
@@ -64,10 +66,10 @@
 		jobs: make(map[string]*workflow.JobRecord), progress: make(map[string]*workflow.Progress),
 		revision: make(map[string]uint64), cancels: make(map[string]time.Time),
 		acknowledgedDone: make(map[string]bool), acknowledgedFailures: make(map[string]int), runsByItem: make(map[string][]*modelRun), storeRevision: 1,
-		endsPerReport: 500,
-		evacuations:   worldEvacuations{rng: rand.New(rand.NewPCG(seed, 2)), requestedAt: make(map[string]time.Time)},
-		partitions:    worldPartitions{rng: rand.New(rand.NewPCG(seed, 3))},
-		suspensions:   newWorldSuspensions(seed),
+		endsPerReport: 500, mostAttempts: 3,
+		evacuations: worldEvacuations{rng: rand.New(rand.NewPCG(seed, 2)), requestedAt: make(map[string]time.Time)},
+		partitions:  worldPartitions{rng: rand.New(rand.NewPCG(seed, 3))},
+		suspensions: newWorldSuspensions(seed),
 	}
 	w.config = &workflow.Config{
 		Version: 1,
--- a/internal/workflow/engine/world_worker_test.go
+++ b/internal/workflow/engine/world_worker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"snipegw/internal/workflow"
@@ -280,6 +281,9 @@
 		}
 	}
 	w.checkEvacuation(m, o.Ref)
+	if service := w.config.ServiceOf(job); m.service != service || step.Label != "" && !slices.Contains(m.allLabels(), step.Label) {
+		w.recordViolation("ROUTE: %s starts on %s, which is of service %s and has the labels %v", name, m.node, m.service, m.allLabels())
+	}
 	if w.acknowledgedDone[name] {
 		w.recordViolation("TWICE: %s run %d starts after its end was acknowledged", name, o.Run)
 	}
@@ -305,7 +309,7 @@
 	if at, cancelled := w.cancels[o.Ref.Job]; cancelled && w.now.Sub(at) > 3*time.Second {
 		w.recordViolation("UNASKED: %s starts %v after the cancellation", name, w.now.Sub(at))
 	}
-	if w.acknowledgedFailures[name] >= 3 {
+	if w.acknowledgedFailures[name] >= w.mostAttempts {
 		w.recordViolation("BUDGET: %s starts after %d acknowledged failures", name, w.acknowledgedFailures[name])
 	}
 	crashes, startsAfterThird := 0, 0
@@ -321,6 +325,7 @@
 		w.recordViolation("BUDGET: %s starts three times more after three crashes", name)
 	}
 	w.runsByItem[name] = append(w.runsByItem[name], r)
+	w.startedRuns++
 	m.running = append(m.running, r)
 }
 
@@ -367,11 +372,14 @@
 		report.Running = append(report.Running, workflow.RunningItem{Ref: r.ref, Run: r.run, Percent: r.percent()})
 	}
 	return &workflow.SyncReply{Version: uint64(m.seq), Report: report, Generation: req.Generation, Announced: &workflow.Announcement{
-		Instance: m.node, StartedMS: m.startedMS, Service: m.service, Labels: append([]string{"a", m.rack}, m.labels...), Rack: m.rack, Capacity: m.capacity,
+		Instance: m.node, StartedMS: m.startedMS, Service: m.service, Labels: m.allLabels(), Rack: m.rack, Capacity: m.capacity,
 		Draining: m.draining, Seq: m.seq, FailureDomain: m.env.domainOf(m),
 	}}
 }
 
+// allLabels returns the labels that the worker announces.
+func (m *modelWorker) allLabels() []string { return append([]string{"a", m.rack}, m.labels...) }
+
 // acknowledge drops the ends up to number n from the list of ends. An end counts as
 // acknowledged only if the lease has not expired since it.
 func (m *modelWorker) acknowledge(n uint64) {
