Keep no headroom where no queue has priority 0

What callers would see: a job waits beside idle workers of its service until its objective is at risk, for the sake of jobs that no queue can hand in.

Cause: the headroom was a share of the workers, whatever queues use them.

Evidence, with the new test on the commit before: go test ./internal/workflow/engine -run TestNoHeadroomWithoutAQueueOfPriority0 "queue urgent is of another service: Expected 0 to equal 1"

Change: the headroom of a service is zero, and the forecast is not asked, unless a queue of the configuration in force has priority 0 and runs its jobs there. After: the tests of the package pass.

--- a/internal/workflow/config.go
+++ b/internal/workflow/config.go
@@ -125,6 +125,11 @@
 	return r.Priority
 }
 
+// HasUrgentQueue reports whether a queue of priority 0 runs its jobs on a service.
+func (c *Config) HasUrgentQueue(service string) bool {
+	return slices.ContainsFunc(c.Queues, func(q Queue) bool { return q.Service == service && q.Priority == 0 })
+}
+
 // MaxAttemptsOf returns the number of failed runs of a single unit with which the
 // whole job fails, at least 1. It is that of the queue, or the recorded one if the
 // queue no longer exists or sets none.
--- a/internal/workflow/engine/headroom.go
+++ b/internal/workflow/engine/headroom.go
@@ -89,20 +89,25 @@
 	return text
 }
 
-// keptHeadroom returns what is to be kept free of a service in a decision. It asks the plug-in once.
+// keptHeadroom returns what is to be kept free of a service in a decision: nothing if no queue can hand in
+// jobs of priority 0 there. It asks the plug-in once.
 func (e *Engine) keptHeadroom(service string, r *freeResources, now time.Time) *headroom {
 	if h := r.headroom[service]; h != nil {
 		return h
 	}
+	h := &headroom{service: service}
+	r.headroom[service] = h
+	if !e.config.HasUrgentQueue(service) {
+		return h
+	}
 	total := r.totals(service).capacity
-	h := &headroom{service: service, accelerators: headroomShare * float64(total.Accelerators), milliCPU: headroomShare * float64(total.MilliCPU)}
+	h.accelerators, h.milliCPU = headroomShare*float64(total.Accelerators), headroomShare*float64(total.MilliCPU)
 	if e.plugins.headroom != nil {
 		pool := framework.Pool{Service: service, Total: total, Releases: e.releases(service, r, now)}
 		if f, known := e.plugins.headroom.Headroom(now, pool); known {
 			*h = headroom{service: service, accelerators: float64(f.Amount.Accelerators), milliCPU: float64(f.Amount.MilliCPU), forecast: true, item: f.Item}
 		}
 	}
-	r.headroom[service] = h
 	return h
 }
 
