Count reservations of waiting units by service

What callers would see: a gang does not start while smaller jobs behind it come without a pause, because two jobs of another service wait as well.

Cause: at most two waiting units of a decision reserve room for themselves, which bounds the search. The bound was over all services, and units of one service took the reservations of another, whose workers they cannot use.

Evidence, with the new test on the commit before: go test ./internal/workflow/engine -run TestReservationsOfOneServiceDoNotUseUpThoseOfAnother "Expected 0 to equal 2" items of the gang after 10 s of small jobs

Change: two for each service. A pool with one service decides as before; with more, a decision searches for up to two units of each. After: the tests of the package pass.

--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -18,7 +18,7 @@
 	// percent in 0.3 s.
 	minHangTimeout = 3 * time.Second
 	// maxReservations limits the waiting units of class other for which resources
-	// are reserved. Further units behind them may only use what is left (backfill).
+	// of a service are reserved. Further units behind them may only use what is left (backfill).
 	maxReservations = 2
 	// maxLatenessFactor times a job's objective is the time after which its
 	// completion is of no more use to the caller.
@@ -74,8 +74,9 @@
 	var starts []Placement
 	e.updateCosts(now)
 	r := e.freeResources(now)
-	reserved := 0 // units of class other that hold a reservation
+	reserved := make(map[string]int) // units of class other that hold a reservation, by service
 	for _, c := range e.candidates(now) {
+		service := e.config.ServiceOf(c.job.rec)
 		for _, u := range c.units {
 			if p := r.fits[e.shapeNow(u, r)]; p != nil && e.mustLeaveHeadroom(u, c, p, r, now) {
 				break // fits like an equal unit before it, but has to leave the headroom
@@ -93,7 +94,7 @@
 				continue
 			}
 			e.noteRackWait(u, r)
-			if c.class == classOther && reserved >= maxReservations {
+			if c.class == classOther && reserved[service] >= maxReservations {
 				break // no reservation is left, and equal units do not fit either
 			}
 			placement, moreStops := e.reserveOrPreempt(u, c, r, now)
@@ -103,7 +104,7 @@
 			stops = append(stops, moreStops...)
 			r.allocate(u, placement, e.isSuspect(u))
 			if c.class == classOther {
-				reserved++
+				reserved[service]++
 			}
 		}
 	}
