Keep services without urgent queues out of the headroom metrics

The decisions of a service that no queue of priority 0 uses counted as ones in which headroom mattered, with nothing kept (snipegw_headroom_decisions_total). They have no headroom now instead of an empty one. A job without failed runs no longer looks up the attempts of its queue, which each decision asks of each open job. Behaviour of decisions is unchanged; the tests of the package pass.

--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -371,7 +371,8 @@
 // attemptsExhausted reports whether a unit of the job that is not done has used all its attempts, or one has
 // crashed too many workers. Long-running units have no limit of attempts or crashes.
 func (e *Engine) attemptsExhausted(j *job) bool {
-	return j.givenUp || j.maxFailedRuns() >= e.config.MaxAttemptsOf(j.rec)
+	failedRuns := j.maxFailedRuns()
+	return j.givenUp || failedRuns > 0 && failedRuns >= e.config.MaxAttemptsOf(j.rec)
 }
 
 // endMember records how a member ended. If one member of a gang ends otherwise
--- a/internal/workflow/engine/headroom.go
+++ b/internal/workflow/engine/headroom.go
@@ -41,10 +41,13 @@
 	}
 	// Jobs of priority 0 of other services cannot use these workers, nor this unit the others.
 	service := e.config.ServiceOf(u.job.rec)
+	h := e.keptHeadroom(service, r, now)
+	if h == nil {
+		return false
+	}
 	sums := r.totals(service)
 	freeSum, totalSum := sums.free, sums.capacity
 	leftSum := freeSum.Add(u.spec().Needs(), -int64(u.count))
-	h := e.keptHeadroom(service, r, now)
 	if h.forecast {
 		freeSum, leftSum = r.roomLeft(h, u, nil), r.roomLeft(h, u, placement)
 	}
@@ -89,25 +92,26 @@
 	return text
 }
 
-// keptHeadroom returns what is to be kept free of a service in a decision: nothing if no queue can hand in
+// keptHeadroom returns what is to be kept free of a service in a decision, nil if no queue can hand in
 // jobs of priority 0 there. It asks the plug-in once.
 func (e *Engine) keptHeadroom(service string, r *freeResources, now time.Time) *headroom {
-	if h := r.headroom[service]; h != nil {
+	h, known := r.headroom[service]
+	if known {
 		return h
 	}
-	h := &headroom{service: service}
-	r.headroom[service] = h
 	if !e.config.HasUrgentQueue(service) {
-		return h
+		r.headroom[service] = nil
+		return nil
 	}
 	total := r.totals(service).capacity
-	h.accelerators, h.milliCPU = headroomShare*float64(total.Accelerators), headroomShare*float64(total.MilliCPU)
+	h = &headroom{service: service, accelerators: headroomShare * float64(total.Accelerators), milliCPU: headroomShare * float64(total.MilliCPU)}
 	if e.plugins.headroom != nil {
 		pool := framework.Pool{Service: service, Total: total, Releases: e.releases(service, r, now)}
 		if f, known := e.plugins.headroom.Headroom(now, pool); known {
 			*h = headroom{service: service, accelerators: float64(f.Amount.Accelerators), milliCPU: float64(f.Amount.MilliCPU), forecast: true, item: f.Item}
 		}
 	}
+	r.headroom[service] = h
 	return h
 }
 
@@ -164,9 +168,13 @@
 
 // recordHeadroomUse updates e.headroomUse after a decision.
 func (e *Engine) recordHeadroomUse(r *freeResources, starts []Placement) {
-	use := HeadroomUse{Held: r.held, Asked: len(r.headroom) > 0}
+	use := HeadroomUse{Held: r.held}
 	for service, h := range r.headroom {
-		use.Forecast = use.Forecast || h.forecast
+		if h == nil {
+			delete(e.lastHeadroom, service)
+			continue
+		}
+		use.Asked, use.Forecast = true, use.Forecast || h.forecast
 		e.lastHeadroom[service] = workflow.Resources{Accelerators: int64(h.accelerators), MilliCPU: int64(h.milliCPU)}
 	}
 	for _, kept := range e.lastHeadroom {
--- a/internal/workflow/engine/place.go
+++ b/internal/workflow/engine/place.go
@@ -27,7 +27,7 @@
 	anyCold         bool // some usable worker is cold
 	// cachedTotals caches the results of totals by service, until an allocation there.
 	cachedTotals map[string]totals
-	headroom     map[string]*headroom // by service, see keptHeadroom
+	headroom     map[string]*headroom // by service, as keptHeadroom has returned them
 	held         bool                 // a unit has to wait for the headroom
 	pool         *poolView
 	sharing
@@ -104,6 +104,7 @@
 // workers of one service. Overcommitted workers count as 0 free.
 type totals struct{ free, capacity workflow.Resources }
 
+// totals returns the sums for a service.
 func (r *freeResources) totals(service string) totals {
 	t, known := r.cachedTotals[service]
 	if known {
