Log the ages of removed jobs

jobs_removed named the retention only, so a log could not tell whose time of day the age came from. The line now names the youngest of the removed jobs with its age by the time of day (age_ms) and the time for which this planner has known of the end by its steady clock (known_ms). Where the two differ, the time of day was stepped in between.

--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -120,13 +120,15 @@
 
 // job is an accepted job, open or ended, until its records are deleted.
 type job struct {
-	id         string
-	rec        *workflow.JobRecord
-	revision   uint64 // of the stored progress record, 0 if there is none
-	seq        uint64 // makes every version of the progress record different
-	state      workflow.State
-	endedMS    int64 // Unix time, 0 while the job is open
-	endStored  bool  // the stored progress record has a final state
+	id       string
+	rec      *workflow.JobRecord
+	revision uint64 // of the stored progress record, 0 if there is none
+	seq      uint64 // makes every version of the progress record different
+	state    workflow.State
+	endedMS  int64 // Unix time, 0 while the job is open
+	// endKnownAt is when this term learned of the end: that of the decision, or the term's start if inherited.
+	endKnownAt time.Time
+	endStored  bool // the stored progress record has a final state
 	cancelled  bool
 	hasStarted bool // a start of an item has been decided, also if it never took effect
 	begun      bool // a worker has begun an item
@@ -322,7 +324,7 @@
 
 // endJob moves a job to the final state s and removes it from the open jobs.
 func (e *Engine) endJob(j *job, s workflow.State, now time.Time) {
-	j.state, j.endedMS = s, now.UnixMilli()
+	j.state, j.endedMS, j.endKnownAt = s, now.UnixMilli(), now
 	e.recordJobEnd(j, now)
 	e.markDirty(j)
 	for i, o := range e.openJobs {
--- a/internal/workflow/engine/progress.go
+++ b/internal/workflow/engine/progress.go
@@ -87,20 +87,28 @@
 	}
 }
 
-// OutdatedJobs returns the progress revisions, by job id, of up to limit jobs that
-// ended longer ago than retention and have neither active units nor changes to
-// store.
-func (e *Engine) OutdatedJobs(now time.Time, retention time.Duration, limit int) map[string]uint64 {
-	revisions := make(map[string]uint64)
+// OutdatedJob is an ended job whose records are to be removed.
+type OutdatedJob struct {
+	ID       string
+	Revision uint64 // of the progress record
+	// Age is the time since the end by the time of day, Known the time since this term has known of the
+	// end by the steady clock.
+	Age, Known time.Duration
+}
+
+// OutdatedJobs returns up to limit jobs that ended longer ago than retention and have
+// neither active units nor changes to store.
+func (e *Engine) OutdatedJobs(now time.Time, retention time.Duration, limit int) []OutdatedJob {
+	var outdated []OutdatedJob
 	for id, j := range e.jobs {
-		if len(revisions) == limit {
+		if len(outdated) == limit {
 			break
 		}
-		if e.isSettled(j) && j.revision > 0 && now.Sub(time.UnixMilli(j.endedMS)) > retention {
-			revisions[id] = j.revision
+		if age := now.Sub(time.UnixMilli(j.endedMS)); e.isSettled(j) && j.revision > 0 && age > retention {
+			outdated = append(outdated, OutdatedJob{ID: id, Revision: j.revision, Age: age, Known: now.Sub(j.endKnownAt)})
 		}
 	}
-	return revisions
+	return outdated
 }
 
 // isSettled reports whether j has ended, with neither active units nor changes to store.
@@ -157,7 +165,7 @@
 
 // restoreProgress restores a job from the progress that an earlier planner stored.
 func (e *Engine) restoreProgress(j *job, p *workflow.Progress) {
-	j.seq, j.endedMS = p.Seq, p.EndedMS
+	j.seq, j.endedMS, j.endKnownAt = p.Seq, p.EndedMS, e.termStart
 	j.state, j.endStored = p.State, p.State.Terminal()
 	units := make(map[[3]int]*unit, len(j.units))
 	for _, u := range j.units {
--- a/internal/workflow/planner/commit.go
+++ b/internal/workflow/planner/commit.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,23 +33,23 @@
 // removeOutdatedJobs deletes the records of jobs that ended more than EndedJobRetention
 // ago. If that fails, a later call tries again.
 func (t *term) removeOutdatedJobs(ctx context.Context) {
-	var jobs map[string]uint64
+	var jobs []engine.OutdatedJob
 	t.locked(func() { jobs = t.engine.OutdatedJobs(time.Now(), t.host.options.EndedJobRetention, removalsPerTxn) })
 	if len(jobs) == 0 {
 		return
 	}
 	txn := store.Txn{Conditions: []store.Condition{{Key: workflow.PlannerKey, Revision: t.epoch}}}
-	for id, revision := range jobs {
-		txn.Conditions = append(txn.Conditions, store.Condition{Key: workflow.ProgressPrefix + id, Revision: revision})
-		txn.Deletes = append(txn.Deletes, workflow.JobPrefix+id, workflow.CancelPrefix+id, workflow.ProgressPrefix+id)
+	for _, j := range jobs {
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: workflow.ProgressPrefix + j.ID, Revision: j.Revision})
+		txn.Deletes = append(txn.Deletes, workflow.JobPrefix+j.ID, workflow.CancelPrefix+j.ID, workflow.ProgressPrefix+j.ID)
 	}
 	outcome, err := t.host.options.Table.Commit(ctx, txn)
 	if err == nil {
 		t.locked(func() {
-			for id, revision := range jobs {
+			for _, j := range jobs {
 				// A job that was removed before, without an answer, makes the transaction fail for the others.
-				if outcome.Committed || outcome.Current[workflow.ProgressPrefix+id].Revision != revision {
-					t.engine.RemoveEndedJob(id)
+				if outcome.Committed || outcome.Current[workflow.ProgressPrefix+j.ID].Revision != j.Revision {
+					t.engine.RemoveEndedJob(j.ID)
 				}
 			}
 		})
@@ -56,7 +58,11 @@
 		log.WithFields(log.Fields{"event": "jobs_not_removed", "jobs": len(jobs), "code": int(result.CodeOf(err))}).Warn("records of ended jobs could not be removed; will be tried again")
 		return
 	}
-	log.WithFields(log.Fields{"event": "jobs_removed", "jobs": len(jobs), "keep_ms": t.host.options.EndedJobRetention.Milliseconds()}).Info("records of ended jobs removed")
+	youngest := slices.MinFunc(jobs, func(a, b engine.OutdatedJob) int { return cmp.Compare(a.Known, b.Known) })
+	log.WithFields(log.Fields{
+		"event": "jobs_removed", "epoch": t.epoch, "jobs": len(jobs), "keep_ms": t.host.options.EndedJobRetention.Milliseconds(),
+		"youngest": youngest.ID, "age_ms": youngest.Age.Milliseconds(), "known_ms": youngest.Known.Milliseconds(),
+	}).Info("records of ended jobs removed")
 }
 
 // commitChanges stores the changes. It returns false if the term has ended, so
