Keep ended jobs for their retention by steady clocks

Cause: the end of a job was stored as a time of day, and removed when another time of day was 120 s later.

The other guesses are out: the record is neither removed by a cancel nor lost from the copy of an entry, and the retention in force is 120000 ms.

Change: the age of an ended job is measured by a clock that counts the steady clocks of the planners' terms. Each record of an end has its reading (a new field, which earlier versions ignore), and each term goes on from the latest reading that it loads, so the clock never runs ahead of real time; a change of the planner only delays removals. A planner counts its own ends from when they are stored, and those of an earlier planner from MaxStoreOutage after the decision. No further records or calls.

--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -64,6 +64,8 @@
 	settings  Settings
 	epoch     uint64
 	termStart time.Time
+	// retentionBase is the reading of the retention clock at termStart.
+	retentionBase time.Duration
 	// earlierEndedAt is the time from which no earlier planner extends leases, zero if not known.
 	earlierEndedAt time.Time
 	config         *workflow.Config
@@ -126,15 +128,17 @@
 	seq      uint64 // makes every version of the progress record different
 	state    workflow.State
 	endedMS  int64 // Unix time, 0 while the job is open
-	// endKnownAt is when this term learned of the end: that of the decision, or the term's start if inherited.
-	endKnownAt time.Time
-	endStored  bool // the stored progress record has a final state
-	cancelled  bool
-	hasStarted bool // a start of an item has been decided, also if it never took effect
-	begun      bool // a worker has begun an item
-	units      []*unit
-	stages     [][]stage // by occurrence and step
-	unitsLeft  int       // units that are not done
+	// endedClock is the reading of the retention clock from which the end has been stored, that of the decision
+	// until then; 0 while the job is open.
+	endedClock   time.Duration
+	endInherited bool // an earlier planner stored the end
+	endStored    bool // the stored progress record has a final state
+	cancelled    bool
+	hasStarted   bool // a start of an item has been decided, also if it never took effect
+	begun        bool // a worker has begun an item
+	units        []*unit
+	stages       [][]stage // by occurrence and step
+	unitsLeft    int       // units that are not done
 	// unitsByFailures holds how many units, of those that are neither done nor long-running, have failed
 	// once, twice and so on.
 	unitsByFailures []int
@@ -324,7 +328,7 @@
 
 // endJob moves a job to the final state s and removes it from the open jobs.
 func (e *Engine) endJob(j *job, s workflow.State, now time.Time) {
-	j.state, j.endedMS, j.endKnownAt = s, now.UnixMilli(), now
+	j.state, j.endedMS, j.endedClock = s, now.UnixMilli(), e.retentionClock(now)
 	e.recordJobEnd(j, now)
 	e.markDirty(j)
 	for i, o := range e.openJobs {
--- a/internal/workflow/engine/lapse_test.go
+++ b/internal/workflow/engine/lapse_test.go
@@ -74,7 +74,7 @@
 			ended = now
 		}
 		for _, c := range e.TakeChanges() {
-			e.MarkStored(c, 2)
+			e.MarkStored(c, 2, now)
 		}
 		for _, o := range e.StartOrders(now) {
 			reply := &workflow.OrderReply{}
--- a/internal/workflow/engine/progress.go
+++ b/internal/workflow/engine/progress.go
@@ -54,11 +54,17 @@
 	return e.takeChange(j), true
 }
 
-// MarkStored notes that a change was stored, and at which revision.
-func (e *Engine) MarkStored(c Change, revision uint64) {
-	if j := e.jobs[c.ID]; j != nil {
-		j.revision, j.endStored = revision, c.Progress.State.Terminal()
+// MarkStored notes that a change was found to be stored at now, and at which revision.
+func (e *Engine) MarkStored(c Change, revision uint64, now time.Time) {
+	j := e.jobs[c.ID]
+	if j == nil {
+		return
 	}
+	ended := c.Progress.State.Terminal()
+	if ended && !j.endStored {
+		j.endedClock = e.retentionClock(now) // callers can read the final state from now on
+	}
+	j.revision, j.endStored = revision, ended
 }
 
 // RetractStarts ends the runs of a job that were decided but not stored. No start
@@ -82,48 +88,11 @@
 // because a cancellation had been stored before.
 func (e *Engine) ReopenJob(id string) {
 	if j := e.jobs[id]; j != nil && (j.state == workflow.StateComplete || j.state == workflow.StateFailed) {
-		j.state, j.endedMS = workflow.StateActive, 0
+		j.state, j.endedMS, j.endedClock = workflow.StateActive, 0, 0
 		e.addOpenJob(j)
 	}
 }
 
-// OutdatedJob is an ended job whose records are to be removed.
-type OutdatedJob struct {
-	ID       string
-	Revision uint64 // of the progress record
-	// Age is the time since the end by the time of day, Known the time since this term has known of the
-	// end by the steady clock.
-	Age, Known time.Duration
-}
-
-// OutdatedJobs returns up to limit jobs that ended longer ago than retention and have
-// neither active units nor changes to store.
-func (e *Engine) OutdatedJobs(now time.Time, retention time.Duration, limit int) []OutdatedJob {
-	var outdated []OutdatedJob
-	for id, j := range e.jobs {
-		if len(outdated) == limit {
-			break
-		}
-		if age := now.Sub(time.UnixMilli(j.endedMS)); e.isSettled(j) && j.revision > 0 && age > retention {
-			outdated = append(outdated, OutdatedJob{ID: id, Revision: j.revision, Age: age, Known: now.Sub(j.endKnownAt)})
-		}
-	}
-	return outdated
-}
-
-// isSettled reports whether j has ended, with neither active units nor changes to store.
-func (e *Engine) isSettled(j *job) bool {
-	return j.state.Terminal() && e.dirty[j.id] == nil && !j.isActive()
-}
-
-// RemoveEndedJob drops a job whose record is no longer in the store, if it has ended and has
-// neither active units nor changes to store.
-func (e *Engine) RemoveEndedJob(id string) {
-	if j := e.jobs[id]; j != nil && e.isSettled(j) {
-		e.RemoveJob(id)
-	}
-}
-
 // isActive reports whether some unit of the job is active.
 func (j *job) isActive() bool {
 	return slices.ContainsFunc(j.units, (*unit).isActive)
@@ -143,7 +112,7 @@
 
 // progressRecord returns the progress of a job as it is to be stored.
 func (j *job) progressRecord() *workflow.Progress {
-	p := &workflow.Progress{State: j.state, EndedMS: j.endedMS, Seq: j.seq, Crashes: j.crashRecords(), GivenUp: j.givenUp, Begun: j.begun}
+	p := &workflow.Progress{State: j.state, EndedMS: j.endedMS, EndedClockMS: j.endedClock.Milliseconds(), Seq: j.seq, Crashes: j.crashRecords(), GivenUp: j.givenUp, Begun: j.begun}
 	if p.State == workflow.StatePending && j.hasStarted {
 		p.State = workflow.StateActive
 	}
@@ -165,8 +134,9 @@
 
 // restoreProgress restores a job from the progress that an earlier planner stored.
 func (e *Engine) restoreProgress(j *job, p *workflow.Progress) {
-	j.seq, j.endedMS, j.endKnownAt = p.Seq, p.EndedMS, e.termStart
+	j.seq, j.endedMS = p.Seq, p.EndedMS
 	j.state, j.endStored = p.State, p.State.Terminal()
+	e.restoreEnd(j, p)
 	units := make(map[[3]int]*unit, len(j.units))
 	for _, u := range j.units {
 		units[[3]int{u.occurrence, u.step, u.first}] = u
--- a/internal/workflow/engine/stored_end_test.go
+++ b/internal/workflow/engine/stored_end_test.go
@@ -25,7 +25,7 @@
 	first.Decide(now)
 	decided := takeOnly(g, first)
 	g.Expect(decided.DependsOnCancel).To(BeTrue(), "the job is open")
-	first.MarkStored(decided, 1)
+	first.MarkStored(decided, 1, now)
 	for _, o := range first.StartOrders(now) {
 		first.HandleOrderReply(o, &workflow.OrderReply{Starts: []workflow.OrderOutcome{{Verdict: workflow.VerdictDone, ClockMS: 1}}}, now)
 	}
@@ -33,7 +33,7 @@
 	ended := takeOnly(g, first)
 	g.Expect(ended.Progress.State).To(Equal(workflow.StateComplete))
 	g.Expect(ended.DependsOnCancel).To(BeTrue(), "the end is not stored")
-	first.MarkStored(ended, 2)
+	first.MarkStored(ended, 2, now)
 
 	second := newTermAt(now)
 	second.AddJob("j", rec, ended.Progress, 2)
--- a/internal/workflow/engine/world_test.go
+++ b/internal/workflow/engine/world_test.go
@@ -150,7 +150,7 @@
 		c = w.checkedStarts(c)
 		w.storeRevision++
 		w.progress[c.ID], w.revision[c.ID] = c.Progress, w.storeRevision
-		p.MarkStored(c, w.storeRevision)
+		p.MarkStored(c, w.storeRevision, w.now)
 	}
 	if w.chance(w.faultRate * 0.05) {
 		// The planner crashes after it has stored the runs. Its orders may still
--- a/internal/workflow/planner/commit.go
+++ b/internal/workflow/planner/commit.go
@@ -58,10 +58,10 @@
 		log.WithFields(log.Fields{"event": "jobs_not_removed", "jobs": len(jobs), "code": int(result.CodeOf(err))}).Warn("records of ended jobs could not be removed; will be tried again")
 		return
 	}
-	youngest := slices.MinFunc(jobs, func(a, b engine.OutdatedJob) int { return cmp.Compare(a.Known, b.Known) })
+	youngest := slices.MinFunc(jobs, func(a, b engine.OutdatedJob) int { return cmp.Compare(a.Age, b.Age) })
 	log.WithFields(log.Fields{
 		"event": "jobs_removed", "epoch": t.epoch, "jobs": len(jobs), "keep_ms": t.host.options.EndedJobRetention.Milliseconds(),
-		"youngest": youngest.ID, "age_ms": youngest.Age.Milliseconds(), "known_ms": youngest.Known.Milliseconds(),
+		"youngest": youngest.ID, "age_ms": youngest.Age.Milliseconds(), "time_of_day_age_ms": youngest.TimeOfDayAge.Milliseconds(), "inherited": youngest.Inherited,
 	}).Info("records of ended jobs removed")
 }
 
@@ -138,8 +138,9 @@
 // markStored reports the revision of stored changes to the engine and the mirror.
 func (t *term) markStored(changes []engine.Change, values map[string][]byte, revision uint64) {
 	t.locked(func() {
+		now := time.Now()
 		for _, c := range changes {
-			t.engine.MarkStored(c, revision)
+			t.engine.MarkStored(c, revision, now)
 		}
 	})
 	for _, c := range changes {
@@ -167,7 +168,7 @@
 		case progress.Revision != c.Revision && bytes.Equal(progress.Value, values[c.ID]):
 			// An earlier attempt whose reply was lost has taken effect.
 			t.noteStoredStarts([]engine.Change{c}, sentAt)
-			t.locked(func() { t.engine.MarkStored(c, progress.Revision) })
+			t.locked(func() { t.engine.MarkStored(c, progress.Revision, time.Now()) })
 			t.updateMirror(c.ID, progress.Value, progress.Revision)
 		case progress.Revision != c.Revision:
 			log.WithFields(log.Fields{"event": "record_conflict", "job": c.ID, "expected": c.Revision, "found": progress.Revision}).Error("another writer has changed a progress record; the term ends")
--- a/internal/workflow/records.go
+++ b/internal/workflow/records.go
@@ -55,8 +55,8 @@
 // Progress is the planner's record of a job.
 type Progress struct {
 	State State `cbor:"1,keyasint"`
-	// EndedMS is the time at which the job reached a terminal state, in Unix
-	// milliseconds; 0 before.
+	// EndedMS is the time of day at which the job reached a terminal state, in Unix
+	// milliseconds; 0 before. It is for people only, see EndedClockMS.
 	EndedMS int64          `cbor:"2,keyasint,omitempty"`
 	Units   []UnitProgress `cbor:"3,keyasint,omitempty"`
 	// Seq differs between any two versions of the record.
@@ -68,6 +68,9 @@
 	// Begun reports that a worker has begun an item. The state is active from the decision to
 	// start one, which may never take effect.
 	Begun bool `cbor:"7,keyasint,omitempty"`
+	// EndedClockMS is the reading of the planners' retention clock at the decision on the end, in
+	// milliseconds; 0 before, and in records of earlier versions.
+	EndedClockMS int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // IsQueued reports whether a job with the progress record p, nil before the first, counts as
