Tell entries how long the platform promises the state of ended jobs

The time for which the final state of a job can be read was a default of our settings (120 s), although the platform states its own (status_s), so that a platform that promises more would see jobs forgotten early.

An entry may show an end up to 3 s after it was stored, and steady clocks differ in rate.

Records are kept for 2% and 3 s more than promised (125.4 s for 120 s). The dump of the planner shows the retention in force, how many ended jobs are kept and the age of the oldest.

--- a/internal/workflow/daemon/daemon.go
+++ b/internal/workflow/daemon/daemon.go
@@ -68,7 +68,7 @@
 	plannerHost := planner.New(planner.Options{
 		Evacuations: evacuations,
 		Entry:       p.ID, Address: p.Address, Table: table, Records: recordMirror, Pool: network.Pool,
-		Engine: s.engineSettings(), LeaseDuration: max(planner.DefaultLeaseDuration, time.Duration(s.MinStoreLeaseMS)*time.Millisecond), EndedJobRetention: time.Duration(s.KeepEndedMS) * time.Millisecond,
+		Engine: s.engineSettings(), LeaseDuration: max(planner.DefaultLeaseDuration, time.Duration(s.MinStoreLeaseMS)*time.Millisecond), EndedJobRetention: s.endedJobRetention(),
 		PublishBacklog: s.Admission != nil,
 	})
 	plannerHost.Register(&network.Mux)
--- a/internal/workflow/daemon/settings.go
+++ b/internal/workflow/daemon/settings.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"math"
 	"net"
 	"slices"
 	"time"
@@ -23,6 +24,11 @@
 	defaultStopTimeoutMS  = 400
 	defaultReclaimMS      = 2700
 	defaultKeepEndedMS    = 120_000
+	// keepEndedMarginMS is how long an entry may take to show the end of a job that is stored.
+	keepEndedMarginMS = 3000
+	// keepEndedRateDivisor divides the retention; the quotient is the most by which a steady clock
+	// may be fast over it, 2% as for the workers' clocks.
+	keepEndedRateDivisor = 50
 	// leaseReserveMS is the margin by which the leases that the planner requests are
 	// shorter than MaxLeaseMS.
 	leaseReserveMS = 100
@@ -57,8 +63,11 @@
 	ReclaimMS int64 `json:"reclaim_ms"`
 	// MinStoreLeaseMS is the shortest lease that the store grants.
 	MinStoreLeaseMS int64 `json:"min_store_lease_ms"`
-	// KeepEndedMS is the retention period of the records of ended jobs.
+	// KeepEndedMS is the time for which callers can read the final state of a job. The records are
+	// kept somewhat longer, see endedJobRetention.
 	KeepEndedMS int64 `json:"keep_ended_ms"`
+	// KeepEndedS states KeepEndedMS in seconds, for platforms that do; 0 leaves it as it is.
+	KeepEndedS float64 `json:"keep_ended_s"`
 	// EvacuateMS is the time, counted from the acknowledgement of a request to evacuate a failure
 	// domain, within which starts there must have ceased. With 0 such requests are unsupported.
 	EvacuateMS int64 `json:"evacuate_ms"`
@@ -84,6 +93,7 @@
 	setDefault(&s.StopTimeoutMS, defaultStopTimeoutMS)
 	setDefault(&s.RestoreMS, engine.DefaultResumeCost.Milliseconds())
 	setDefault(&s.ReclaimMS, defaultReclaimMS)
+	setDefault(&s.KeepEndedMS, s.keepEndedInMS())
 	setDefault(&s.KeepEndedMS, defaultKeepEndedMS)
 	if s.Admission != nil {
 		s.Admission.Provision()
@@ -109,6 +119,9 @@
 			faults.Add(path+"."+name, "must not be negative")
 		}
 	}
+	if s.KeepEndedS < 0 || s.KeepEndedS > 0 && s.KeepEndedMS != s.keepEndedInMS() {
+		faults.Add(path+".keep_ended_s", "must not be negative, nor differ from keep_ended_ms")
+	}
 	if s.EvacuateMS < 0 || s.EvacuateMS > 0 && s.maxOrderAge() < minOrderAgeMS*time.Millisecond {
 		faults.Add(path+".evacuate_ms", "must be 0, or at least %d: orders that are under way expire within %v", minOrderAgeMS+engine.StartExpiry().Milliseconds(), engine.StartExpiry())
 	}
@@ -118,6 +131,15 @@
 	}
 }
 
+// keepEndedInMS returns KeepEndedS in milliseconds, rounded up.
+func (s *EntrySettings) keepEndedInMS() int64 { return int64(math.Ceil(s.KeepEndedS * 1000)) }
+
+// endedJobRetention returns how long the records of ended jobs are kept from when the end is stored, so that
+// callers can read the final state for KeepEndedMS.
+func (s *EntrySettings) endedJobRetention() time.Duration {
+	return time.Duration(s.KeepEndedMS+s.KeepEndedMS/keepEndedRateDivisor+keepEndedMarginMS) * time.Millisecond
+}
+
 // maxOrderAge returns the longest time between the record of a run and its orders with which the
 // orders have expired when an evacuation must be in force.
 func (s *EntrySettings) maxOrderAge() time.Duration {
--- a/internal/workflow/engine/dump.go
+++ b/internal/workflow/engine/dump.go
@@ -65,6 +65,10 @@
 type State struct {
 	Jobs    []JobState    `json:"jobs"`
 	Workers []WorkerState `json:"workers"`
+	// EndedJobs counts the ended jobs whose records are kept; the end of the oldest has been stored for
+	// OldestEndMS by the retention clock.
+	EndedJobs   int   `json:"ended_jobs"`
+	OldestEndMS int64 `json:"oldest_end_ms"`
 	// Evacuations are the requests to evacuate failure domains that are in force.
 	Evacuations []EvacuationState `json:"evacuations,omitempty"`
 	// Plugins holds the states of the scheduling plug-ins, by name.
@@ -74,6 +78,12 @@
 // Dump returns the state of the engine at now.
 func (e *Engine) Dump(now time.Time) State {
 	var s State
+	for _, j := range e.jobs {
+		if j.state.Terminal() {
+			s.EndedJobs++
+			s.OldestEndMS = max(s.OldestEndMS, e.endAge(j, now).Milliseconds())
+		}
+	}
 	r := e.freeResources(now)
 	for _, j := range e.openJobs {
 		js := JobState{
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -59,7 +59,7 @@
 	// LeaseDuration is the duration of the planner's lease in the store. An entry that plans
 	// and does not renew it in time is replaced.
 	LeaseDuration time.Duration
-	// EndedJobRetention is how long the records of ended jobs are kept.
+	// EndedJobRetention is how long the records of ended jobs are kept from when the end is stored.
 	EndedJobRetention time.Duration
 	// Evacuations is nil if requests to evacuate failure domains are not supported.
 	Evacuations *EvacuationOptions
@@ -176,7 +176,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return map[string]any{"planning": true, "epoch": t.epoch, "engine": t.engine.Dump(time.Now())}
+	return map[string]any{
+		"planning": true, "epoch": t.epoch, "engine": t.engine.Dump(time.Now()), "ended_job_retention_ms": h.options.EndedJobRetention.Milliseconds(),
+	}
 }
 
 // run takes part in elections, and plans when elected, until the Host is stopped.
