Keep closings for their retention by the planner's steady clock

The planner removed the closing of a cancelled id when its own time of day was the retention later than that of the entry that had stored it. Where that entry's is back by more than the retention, the closing goes within a second, and an acceptance that the store carries out seconds later takes effect: a job runs whose cancel was answered with 410. Where it is ahead, the closing stays for as long.

Change: the planner counts from when it has learned of the closing, which an entry stores at that time, on its steady clock. The next planner counts anew, so a change of the planner only delays the removal. The retention is that of ended jobs, which the platform now states, but at least 10 s, since a store may carry out a write seconds after its call has failed.

Test: TestClosingsAreKeptWhateverTheTimesOfDay; with ages by the stored time it fails for a clock that is back and for one that is ahead.

--- a/internal/workflow/daemon/daemon.go
+++ b/internal/workflow/daemon/daemon.go
@@ -69,7 +69,8 @@
 		Evacuations: evacuations,
 		Entry:       p.ID, Address: p.Address, Table: table, Records: recordMirror, Pool: network.Pool,
 		Engine: s.engineSettings(), LeaseDuration: max(planner.DefaultLeaseDuration, time.Duration(s.MinStoreLeaseMS)*time.Millisecond), EndedJobRetention: s.endedJobRetention(),
-		PublishBacklog: s.Admission != nil,
+		ClosingRetention: max(s.endedJobRetention(), minClosingRetention),
+		PublishBacklog:   s.Admission != nil,
 	})
 	plannerHost.Register(&network.Mux)
 	entries := &knownEntries{process: p, table: table, recordMirror: recordMirror}
--- a/internal/workflow/daemon/settings.go
+++ b/internal/workflow/daemon/settings.go
@@ -29,6 +29,8 @@
 	// keepEndedRateDivisor divides the retention; the quotient is the most by which a steady clock
 	// may be fast over it, 2% as for the workers' clocks.
 	keepEndedRateDivisor = 50
+	// minClosingRetention covers writes that the store carries out seconds after their call has failed.
+	minClosingRetention = 10 * time.Second
 	// leaseReserveMS is the margin by which the leases that the planner requests are
 	// shorter than MaxLeaseMS.
 	leaseReserveMS = 100
--- a/internal/workflow/planner/closing.go
+++ b/internal/workflow/planner/closing.go
@@ -14,14 +14,14 @@
 // closing is the stored closing of a job id without a job.
 type closing struct {
 	revision uint64
-	at       time.Time // when the id was closed
+	knownAt  time.Time // when this term learned of it; ClosedMS is of another process's time of day
 }
 
 // closingsPerTxn is the largest number of closings that one transaction removes. Each takes
 // a condition and a delete; one entry is left for the condition on the planner's key.
 const closingsPerTxn = (store.MaxTxnEntries - 1) / 2
 
-// removeOutdatedClosings deletes closings that are older than EndedJobRetention and were not
+// removeOutdatedClosings deletes closings that this term has known for ClosingRetention and that were not
 // replaced. If that fails, a later call tries again.
 func (t *term) removeOutdatedClosings(ctx context.Context) {
 	outdated := t.outdatedClosings(time.Now())
@@ -55,7 +55,7 @@
 	defer t.mu.Unlock()
 	out := make(map[string]closing)
 	for id, c := range t.closings {
-		if len(out) < closingsPerTxn && now.Sub(c.at) > t.host.options.EndedJobRetention {
+		if len(out) < closingsPerTxn && now.Sub(c.knownAt) >= t.host.options.ClosingRetention {
 			out[id] = c
 		}
 	}
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -61,6 +61,9 @@
 	LeaseDuration time.Duration
 	// EndedJobRetention is how long the records of ended jobs are kept from when the end is stored.
 	EndedJobRetention time.Duration
+	// ClosingRetention is how long the ids that a cancel has closed stay closed at least. It must exceed the
+	// time in which the store may carry out a write that it has not answered.
+	ClosingRetention time.Duration
 	// Evacuations is nil if requests to evacuate failure domains are not supported.
 	Evacuations *EvacuationOptions
 	// PublishBacklog states the waiting work to the entries while room is short.
--- a/internal/workflow/planner/removal_test.go
+++ b/internal/workflow/planner/removal_test.go
@@ -126,3 +126,24 @@
 	g.Expect(table.records).To(HaveKey(key))
 	g.Expect(term.closings).To(BeEmpty())
 }
+
+// Guards against a closing that goes before its retention, so that a late acceptance of a cancelled id takes effect,
+// or that stays, because the time of day of the entry that has stored it is off.
+func TestClosingsAreKeptWhateverTheTimesOfDay(t *testing.T) {
+	for name, off := range map[string]time.Duration{"back": -time.Hour, "ahead": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			term, _ := newRemovalTerm(t)
+			term.host.options.ClosingRetention = time.Minute
+			closing := func(id string) store.Record {
+				rec := workflow.JobRecord{ClosedMS: time.Now().Add(off).UnixMilli()}
+				return store.Record{Key: workflow.JobPrefix + id, Revision: 5, Value: workflow.Encode(rec)}
+			}
+			before := time.Now()
+			term.applyRecords([]store.Record{closing("i")})
+			term.applyEvents([]store.Event{{Record: closing("j")}})
+			g.Expect(term.outdatedClosings(before.Add(time.Minute - time.Millisecond))).To(BeEmpty())
+			g.Expect(term.outdatedClosings(time.Now().Add(time.Minute))).To(HaveLen(2))
+		})
+	}
+}
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -149,7 +149,8 @@
 // applyRecords adds the suspended leases and the listed jobs with their progress to the engine,
 // and then applies the other records. t.mu is held.
 func (t *term) applyRecords(records []store.Record) {
-	t.inheritSuspensions(records, time.Now())
+	now := time.Now()
+	t.inheritSuspensions(records, now)
 	progressRecords := make(map[string]store.Record)
 	for _, r := range records {
 		if strings.HasPrefix(r.Key, workflow.ProgressPrefix) {
@@ -158,7 +159,7 @@
 	}
 	for _, r := range records {
 		if strings.HasPrefix(r.Key, workflow.JobPrefix) {
-			t.addJob(r, progressRecords)
+			t.addJob(r, progressRecords, now)
 		}
 	}
 	events := make([]store.Event, 0, len(records))
@@ -170,13 +171,13 @@
 
 // addJob adds the job in record r to the engine, with its progress record if there is
 // one. It skips a job with a record that cannot be decoded. t.mu is held.
-func (t *term) addJob(r store.Record, progressRecords map[string]store.Record) {
+func (t *term) addJob(r store.Record, progressRecords map[string]store.Record, now time.Time) {
 	id := workflow.IDOfKey(r.Key)
 	// A job that breaks the limits, such as one with a dependency on a missing step, would make
 	// every decision fail.
 	rec, err := workflow.DecodeJob(id, r.Value)
 	if err == nil && rec.IsClosing() {
-		t.closings[id] = closing{revision: r.Revision, at: time.UnixMilli(rec.ClosedMS)}
+		t.closings[id] = closing{revision: r.Revision, knownAt: now}
 		return
 	}
 	delete(t.closings, id)
@@ -209,7 +210,7 @@
 				// The answer to the removal may have been lost, and callers may use the id again.
 				t.engine.RemoveEndedJob(id)
 			} else {
-				t.addJob(e.Record, nil)
+				t.addJob(e.Record, nil, now)
 			}
 		case strings.HasPrefix(e.Key, workflow.CancelPrefix) && !e.Deleted:
 			t.engine.CancelJob(id, now)
