Time reclaims from when the planner knows of a job at the latest

A job within its team's guarantee has to start within workflow.reclaim_ms (2.7 s) of its acceptance. The planner counted from the entry's time of day, so with an entry that is 2 s ahead it still waited for running work 3.35 s after the acceptance, and with one that is an hour ahead until that work ended. Wherever else the acceptance counts (urgency, cost, the wait for headroom), such a job waited for the entry's clock as well.

Change: a job was accepted before a term learns of it, so the first decision that knows it takes an acceptance in the future as now, and then keeps the time on its own steady clock, which later steps do not move. An entry whose time of day is back makes the reclaim begin early, which costs work and breaks no promise.

--- a/internal/workflow/engine/cost.go
+++ b/internal/workflow/engine/cost.go
@@ -126,7 +126,7 @@
 	if d, ok := e.costs.jobs[j]; ok && j.rec.Occurrences == 0 {
 		return d
 	}
-	begin := time.UnixMilli(max(j.rec.AcceptedMS, j.dueMS(occurrence)))
+	begin := j.begin(occurrence)
 	d := framework.Job{
 		ID: j.id, Queue: j.rec.Queue, Team: j.rec.Team, Priority: e.config.PriorityOf(j.rec), Begin: begin, FirstReady: begin,
 		Objective: e.objective(j, occurrence), Remaining: e.criticalPath(j, occurrence, false), Spread: e.estimates.spread(j.rec.Queue),
--- a/internal/workflow/engine/decide.go
+++ b/internal/workflow/engine/decide.go
@@ -67,6 +67,7 @@
 // orders (StartOrders).
 func (e *Engine) Decide(now time.Time) ([]Placement, []StopDecision) {
 	var stops []StopDecision
+	e.noteAcceptances(now)
 	e.endFinishedJobs(now)
 	e.updateSlowness(now)
 	stops = e.stopRunsOnDrainingWorkers(now, stops)
@@ -160,14 +161,19 @@
 		latest = time.Time{}
 	}
 	if c.class == classGuaranteed {
-		reclaim := time.UnixMilli(c.job.rec.AcceptedMS).Add(e.settings.ReclaimTimeout / reclaimDivisor)
-		if reclaim.Before(latest) {
+		if reclaim := e.reclaimAt(c.job); reclaim.Before(latest) {
 			latest = reclaim
 		}
 	}
 	return latest
 }
 
+// reclaimAt returns the time from which a job within its team's guarantee no longer waits for running
+// units to end by themselves.
+func (e *Engine) reclaimAt(j *job) time.Time {
+	return j.acceptance().Add(e.settings.ReclaimTimeout / reclaimDivisor)
+}
+
 // Classes of candidates, in the order in which they are served.
 const (
 	classGuaranteed = workflow.ClassGuaranteed
@@ -244,6 +250,34 @@
 	return e.limitSuspects(j, out)
 }
 
+// noteAcceptances notes when open jobs that are new to this term were accepted, by its own clock. A
+// job was accepted before the term learned of it, so a time of day of the entry that is ahead counts as
+// now; it would otherwise delay the reclaim of a guarantee, and the wait for headroom, without a bound.
+func (e *Engine) noteAcceptances(now time.Time) {
+	for _, j := range e.openJobs {
+		if j.acceptedAt.IsZero() {
+			j.acceptedAt = now.Add(min(0, time.UnixMilli(j.rec.AcceptedMS).Sub(now)))
+		}
+	}
+}
+
+// acceptance returns when j was accepted, by the time of day of the entry until a decision has seen j.
+func (j *job) acceptance() time.Time {
+	if j.acceptedAt.IsZero() {
+		return time.UnixMilli(j.rec.AcceptedMS)
+	}
+	return j.acceptedAt
+}
+
+// begin returns the time from which an occurrence of j counts as waiting: when j was accepted or, if later,
+// when the occurrence is due.
+func (j *job) begin(occurrence int) time.Time {
+	if due := time.UnixMilli(j.dueMS(occurrence)); due.After(j.acceptance()) {
+		return due
+	}
+	return j.acceptance()
+}
+
 // dueMS returns the Unix time in milliseconds at which an occurrence is due, 0
 // for a job without a schedule.
 func (j *job) dueMS(occurrence int) int64 {
@@ -287,7 +321,7 @@
 func (e *Engine) computeUrgency(c *candidate, now time.Time) {
 	j := c.job
 	occurrenceIndex := c.units[0].occurrence
-	begin := time.UnixMilli(max(j.rec.AcceptedMS, j.dueMS(occurrenceIndex)))
+	begin := j.begin(occurrenceIndex)
 	objective := e.objective(j, occurrenceIndex)
 	remaining := e.criticalPath(j, occurrenceIndex, false)
 	c.startBy = begin.Add(objective - remaining)
@@ -326,7 +360,7 @@
 	u.job.hasStarted = true
 	p := Placement{
 		Unit: u.itemRef(u.first), Count: u.count, Run: u.run, Class: classNames[c.class],
-		Waited: now.Sub(time.UnixMilli(u.job.rec.AcceptedMS)), Team: u.job.rec.Team, Cost: c.cost,
+		Waited: now.Sub(u.job.acceptance()), Team: u.job.rec.Team, Cost: c.cost,
 	}
 	u.members = nil
 	for i, w := range placement {
--- a/internal/workflow/engine/dump.go
+++ b/internal/workflow/engine/dump.go
@@ -88,7 +88,7 @@
 	for _, j := range e.openJobs {
 		js := JobState{
 			ID: j.id, Queue: j.rec.Queue, Team: j.rec.Team, State: string(j.state), Cancelled: j.cancelled,
-			UnitsLeft: j.unitsLeft, AgeMS: now.UnixMilli() - j.rec.AcceptedMS,
+			UnitsLeft: j.unitsLeft, AgeMS: now.Sub(j.acceptance()).Milliseconds(),
 			Class: classNames[e.classOf(j)], WaitReason: e.jobWaitReason(j, r, now), Workers: j.activeNodes(),
 		}
 		js.Cost = e.waitingCost(j, now)
--- a/internal/workflow/engine/engine.go
+++ b/internal/workflow/engine/engine.go
@@ -122,12 +122,13 @@
 
 // job is an accepted job, open or ended, until its records are deleted.
 type job struct {
-	id       string
-	rec      *workflow.JobRecord
-	revision uint64 // of the stored progress record, 0 if there is none
-	seq      uint64 // makes every version of the progress record different
-	state    workflow.State
-	endedMS  int64 // Unix time, 0 while the job is open
+	id         string
+	rec        *workflow.JobRecord
+	revision   uint64 // of the stored progress record, 0 if there is none
+	seq        uint64 // makes every version of the progress record different
+	state      workflow.State
+	endedMS    int64     // Unix time, 0 while the job is open
+	acceptedAt time.Time // by the term's clock, see noteAcceptances; zero before the first decision
 	// endedClock is the reading of the retention clock from which the end has been stored, that of the decision
 	// until then; 0 while the job is open.
 	endedClock   time.Duration
--- a/internal/workflow/engine/notes.go
+++ b/internal/workflow/engine/notes.go
@@ -85,8 +85,7 @@
 
 func (e *Engine) recordJobEnd(j *job, now time.Time) {
 	last := j.rec.OccurrenceCount() - 1
-	begin := time.UnixMilli(max(j.rec.AcceptedMS, j.dueMS(last)))
 	e.endEvents = append(e.endEvents, EndEvent{Job: &JobEnd{
-		ID: j.id, Queue: j.rec.Queue, Team: j.rec.Team, State: j.state, Took: now.Sub(begin), Objective: e.objective(j, last),
+		ID: j.id, Queue: j.rec.Queue, Team: j.rec.Team, State: j.state, Took: now.Sub(j.begin(last)), Objective: e.objective(j, last),
 	}})
 }
--- a/internal/workflow/engine/speed.go
+++ b/internal/workflow/engine/speed.go
@@ -153,7 +153,7 @@
 	if e.plugins.speed == nil || c.class == classOther || c.lateness > 0 {
 		return r, false
 	}
-	if owed := time.UnixMilli(c.job.rec.AcceptedMS).Add(e.settings.ReclaimTimeout / reclaimDivisor); c.class == classGuaranteed && now.After(owed) {
+	if c.class == classGuaranteed && now.After(e.reclaimAt(c.job)) {
 		return r, false
 	}
 	duration, timeLeft := e.estimates.duration(u), c.startBy.Sub(now)
