--- a/internal/workflow/engine/retention.go
+++ b/internal/workflow/engine/retention.go
@@ -18,7 +18,7 @@
 // restoreEnd restores when a job ended.
 func (e *Engine) restoreEnd(j *job, p *workflow.Progress) {
 	j.endInherited = p.State.Terminal()
-	j.endedClock = time.Duration(p.EndedClockMS) * time.Millisecond
+	j.endedClock = max(0, time.Duration(p.EndedClockMS)*time.Millisecond)
 	e.retentionBase = max(e.retentionBase, j.endedClock)
 }
 
