Count a closing from when the planner first learned of it

The records of a term's begin reach it twice, as the list and as events, and the second time moved the time from which the retention of a closing counts. It moved by milliseconds only, since the copy of the records passes on none twice; but the term should not rely on that, as a closing that is passed on again and again would never go. A record with the revision that is known keeps its time.

TestClosingsAreKeptWhateverTheTimesOfDay checks it, and failed before.

--- a/internal/workflow/planner/removal_test.go
+++ b/internal/workflow/planner/removal_test.go
@@ -142,6 +142,9 @@
 			before := time.Now()
 			term.applyRecords([]store.Record{closing("i")})
 			term.applyEvents([]store.Event{{Record: closing("j")}})
+			known := term.closings["j"]
+			term.applyEvents([]store.Event{{Record: closing("j")}}) // listed anew
+			g.Expect(term.closings["j"]).To(Equal(known))
 			g.Expect(term.outdatedClosings(before.Add(time.Minute - time.Millisecond))).To(BeEmpty())
 			g.Expect(term.outdatedClosings(time.Now().Add(time.Minute))).To(HaveLen(2))
 		})
--- a/internal/workflow/planner/term.go
+++ b/internal/workflow/planner/term.go
@@ -177,7 +177,9 @@
 	// every decision fail.
 	rec, err := workflow.DecodeJob(id, r.Value)
 	if err == nil && rec.IsClosing() {
-		t.closings[id] = closing{revision: r.Revision, knownAt: now}
+		if t.closings[id].revision != r.Revision {
+			t.closings[id] = closing{revision: r.Revision, knownAt: now}
+		}
 		return
 	}
 	delete(t.closings, id)
