--- a/internal/workflow/engine/retention_test.go
+++ b/internal/workflow/engine/retention_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,8 +14,8 @@
 
 const testRetention = 2 * time.Minute
 
-// endingJob is an open job that is cancelled, so that it ends.
-func endingJob(e *Engine, id string, now time.Time) {
+// addCancelledJob adds a job without runs to e and cancels it, which ends it.
+func addCancelledJob(e *Engine, id string, now time.Time) {
 	e.AddJob(id, &workflow.JobRecord{
 		Job: workflow.Job{Steps: []workflow.Step{{Count: 1, Accelerators: 1}}}, Queue: "q", Service: "s", MaxAttempts: 3, AcceptedMS: now.UnixMilli(),
 	}, nil, 0)
@@ -23,7 +24,7 @@
 
 // endJobAt ends a job in e at now, stores the end at the given revision and returns its record as stored.
 func endJobAt(g *WithT, e *Engine, id string, now time.Time, revision uint64) *workflow.Progress {
-	endingJob(e, id, now)
+	addCancelledJob(e, id, now)
 	c := takeOnly(g, e)
 	e.MarkStored(c, revision, now)
 	stored, err := workflow.Decode[workflow.Progress](workflow.Encode(c.Progress))
@@ -32,12 +33,7 @@
 }
 
 func isOutdated(e *Engine, id string, now time.Time) bool {
-	for _, j := range e.OutdatedJobs(now, testRetention, 100) {
-		if j.ID == id {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(e.OutdatedJobs(now, testRetention, 100), func(j OutdatedJob) bool { return j.ID == id })
 }
 
 // Guards against ended jobs that are forgotten before their retention because the time of day of the planner that
@@ -50,12 +46,11 @@
 			g := NewWithT(t)
 			start := time.UnixMilli(1_800_000_000_000)
 			first := newTermAt(start.Add(off[0]))
-			rec := &workflow.JobRecord{Job: workflow.Job{Steps: []workflow.Step{{Count: 1, Accelerators: 1}}}, Queue: "q", Service: "s", MaxAttempts: 3}
 			ended := start.Add(30 * time.Second)
 			stored := endJobAt(g, first, "j", ended.Add(off[0]), 1)
 
 			second := newTermAt(ended.Add(20 * time.Second).Add(off[1]))
-			second.AddJob("j", rec, stored, 1)
+			second.AddJob("j", first.jobs["j"].rec, stored, 1)
 			g.Expect(isOutdated(second, "j", ended.Add(testRetention-time.Millisecond).Add(off[1]))).To(BeFalse(), "within the retention")
 			g.Expect(isOutdated(second, "j", ended.Add(testRetention+20*time.Second+second.settings.MaxStoreOutage).Add(off[1]))).To(BeTrue(), "after the retention, the time between the terms and the longest outage")
 		})
@@ -80,7 +75,7 @@
 	start := time.UnixMilli(1_800_000_000_000)
 	e := newTermAt(start)
 	decided := start.Add(10 * time.Second)
-	endingJob(e, "j", decided)
+	addCancelledJob(e, "j", decided)
 	c := takeOnly(g, e)
 	stored := decided.Add(e.settings.MaxStoreOutage)
 	e.MarkStored(c, 1, stored)
@@ -157,7 +152,7 @@
 			for step := range 20 {
 				now = now.Add(upTo(4 * time.Second))
 				id := fmt.Sprint("j", term, ".", step)
-				endingJob(e, id, now.Add(off))
+				addCancelledJob(e, id, now.Add(off))
 				for _, j := range e.jobs {
 					if rng.IntN(10) == 0 {
 						e.markDirty(j) // as by the end of another member of a gang
--- a/internal/workflow/planner/removal_test.go
+++ b/internal/workflow/planner/removal_test.go
@@ -143,7 +143,7 @@
 			term.applyRecords([]store.Record{closing("i")})
 			term.applyEvents([]store.Event{{Record: closing("j")}})
 			known := term.closings["j"]
-			term.applyEvents([]store.Event{{Record: closing("j")}}) // listed anew
+			term.applyEvents([]store.Event{{Record: closing("j")}}) // the same record again
 			g.Expect(term.closings["j"]).To(Equal(known))
 			g.Expect(term.outdatedClosings(before.Add(time.Minute - time.Millisecond))).To(BeEmpty())
 			g.Expect(term.outdatedClosings(time.Now().Add(time.Minute))).To(HaveLen(2))
